Schema, generator, build and the map of modules

Cause: everything else is measured on one thin path, so the messages, settings and interfaces between parts come first. Change: schema/ with a generator whose output is committed, lint, layering and test targets, the table of modules and their interfaces.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,41 @@
+# `make demo` and `make test` need only Python 3.11 and make.
+PYTHON ?= python3.11
+VENV ?= .venv
+DEPLOYMENT ?= cedal
+RUN = $(VENV)/bin/python
+READY = $(VENV)/.ready
+
+.PHONY: demo test lint generated format measure slopes soak
+
+$(READY): requirements-dev.lock pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(VENV)/bin/pip install --quiet --disable-pip-version-check -r requirements-dev.lock
+	$(VENV)/bin/pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation -e .
+	touch $(READY)
+
+demo: $(READY)
+	$(RUN) -m bench.demo --deployment $(DEPLOYMENT)
+
+test: $(READY) lint generated
+	$(RUN) -m pytest
+
+lint: $(READY)
+	$(VENV)/bin/ruff format --check .
+	$(VENV)/bin/ruff check .
+	$(VENV)/bin/lint-imports
+
+generated: $(READY)
+	$(RUN) tools/generate.py --check
+
+format: $(READY)
+	$(VENV)/bin/ruff format .
+	$(VENV)/bin/ruff check --fix .
+
+measure: $(READY)
+	$(RUN) -m bench.measure
+
+slopes: $(READY)
+	$(RUN) -m bench.slopes
+
+soak: $(READY)
+	MANGOBAY_SOAK=1 $(RUN) -m pytest -m soak
--- /dev/null
+++ b/mangobay/__init__.py
@@ -0,0 +1,1 @@
+"""Overload control for service call graphs."""
--- /dev/null
+++ b/mangobay/errors.py
@@ -0,0 +1,102 @@
+"""The exception tree: every error the system raises on purpose."""
+
+import typing
+
+if typing.TYPE_CHECKING:
+    from mangobay import findings as findings_module
+
+
+class MangobayError(Exception):
+    """Base of every error of the system; its text is fit for an operator."""
+
+
+class FindingsError(MangobayError):
+    """Input was refused; holds every finding with its place.
+
+    Attributes:
+      findings: what is wrong and where, in the order of the input.
+    """
+
+    def __init__(self, findings: "list[findings_module.Finding]"):
+        super().__init__("\n".join(str(finding) for finding in findings))
+        self.findings = findings
+
+
+class SettingsError(FindingsError):
+    """The settings file was refused."""
+
+
+class SheetError(FindingsError):
+    """The sheet was refused."""
+
+
+class StartError(MangobayError):
+    """A process cannot start: a port in use, an unwritable folder."""
+
+
+class PeerError(MangobayError):
+    """Base of errors on a connection to another process of the system."""
+
+
+class PeerUnreachableError(PeerError):
+    """No connection: no byte of the request was sent."""
+
+
+class PeerBrokenError(PeerError):
+    """The connection broke after the request was sent: its fate is unknown."""
+
+
+class PeerProtocolError(PeerError):
+    """The peer sent something that is not a message of the system."""
+
+
+class BackendError(MangobayError):
+    """Base of errors of a call to the backend server on this host."""
+
+
+class BackendUnreachableError(BackendError):
+    """No connection: no byte of the request was sent."""
+
+
+class BackendBrokenError(BackendError):
+    """The backend server may have run the request; no whole answer came."""
+
+
+class StorageError(MangobayError):
+    """The data folder cannot be read or written."""
+
+
+class DamagedLogError(StorageError):
+    """A record before the last one fails its checksum: refused, never cut."""
+
+
+class NotLeaderError(MangobayError):
+    """This control host cannot confirm that it leads.
+
+    Attributes:
+      leader: the host to ask instead, empty when unknown.
+    """
+
+    def __init__(self, leader: str = ""):
+        super().__init__(
+            f"not the leader; ask {leader or 'another control host'}"
+        )
+        self.leader = leader
+
+
+class ConflictError(MangobayError):
+    """Another sheet was committed under the same version.
+
+    Attributes:
+      winner: the revision that holds the version.
+    """
+
+    def __init__(self, version: str, winner: int):
+        super().__init__(
+            f"version {version} was committed with other content as revision {winner}"
+        )
+        self.winner = winner
+
+
+class InvariantError(MangobayError):
+    """A promise of the system was about to be broken; the action was stopped."""
--- /dev/null
+++ b/mangobay/options.py
@@ -0,0 +1,124 @@
+"""One option of the settings: its kind, default, range and meaning."""
+
+import dataclasses
+import enum
+import ipaddress
+import typing
+
+
+class Kind(enum.Enum):
+    """What an option holds."""
+
+    TEXT = "text"
+    INTEGER = "integer"
+    NUMBER = "number"
+    DURATION = "duration"
+    BOOLEAN = "boolean"
+    ADDRESS = "address"
+    ADDRESSES = "addresses"
+    PATH = "path"
+    CHOICE = "choice"
+
+
+class Address(typing.NamedTuple):
+    """An IP number and a port."""
+
+    ip: str
+    port: int
+
+    def __str__(self) -> str:
+        return (
+            f"[{self.ip}]:{self.port}"
+            if ":" in self.ip
+            else f"{self.ip}:{self.port}"
+        )
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Option:
+    """One option; `default` None means that the file must give it.
+
+    Attributes:
+      name: the key in its section.
+      kind: what it holds.
+      default: the text used when the file gives none.
+      unit: of numbers, such as seconds.
+      low: smallest value that is taken.
+      high: largest value that is taken.
+      choices: the words that are taken.
+      help: its meaning, one sentence.
+    """
+
+    name: str
+    kind: Kind
+    default: str | None = None
+    unit: str = ""
+    low: float | None = None
+    high: float | None = None
+    choices: tuple[str, ...] = ()
+    help: str = ""
+
+    def parse(self, text: str) -> typing.Any:
+        """Returns the value that the text stands for.
+
+        Raises:
+          ValueError: with a message fit for the operator.
+        """
+        match self.kind:
+            case Kind.INTEGER:
+                return self._in_range(_number(text, int, "a whole number"))
+            case Kind.NUMBER | Kind.DURATION:
+                return self._in_range(_number(text, float, "a number"))
+            case Kind.BOOLEAN:
+                return _boolean(text)
+            case Kind.ADDRESS:
+                return parse_address(text)
+            case Kind.ADDRESSES:
+                parts = text.replace(",", " ").split()
+                return tuple(parse_address(part) for part in parts)
+            case Kind.CHOICE if text not in self.choices:
+                raise ValueError(
+                    f"{text!r} is none of {', '.join(self.choices)}"
+                )
+        return text
+
+    def _in_range(self, value: float) -> float:
+        unit = f" {self.unit}" if self.unit else ""
+        if self.low is not None and value < self.low:
+            raise ValueError(f"{value:g} is below {self.low:g}{unit}")
+        if self.high is not None and value > self.high:
+            raise ValueError(f"{value:g} is above {self.high:g}{unit}")
+        return value
+
+
+def _number(text: str, make: typing.Callable, what: str) -> float:
+    try:
+        return make(text)
+    except ValueError:
+        raise ValueError(f"{text!r} is not {what}") from None
+
+
+def _boolean(text: str) -> bool:
+    match text.lower():
+        case "yes" | "true" | "on" | "1":
+            return True
+        case "no" | "false" | "off" | "0":
+            return False
+    raise ValueError(f"{text!r} is neither yes nor no")
+
+
+def parse_address(text: str) -> Address:
+    """Returns the address in `IP:PORT` or `[IP6]:PORT`.
+
+    Raises:
+      ValueError: it is no IP number with a port; names are not looked up.
+    """
+    ip, colon, port = text.strip().rpartition(":")
+    ip = ip.removeprefix("[").removesuffix("]")
+    if not colon or not port.isdecimal() or not 0 <= int(port) <= 65535:
+        raise ValueError(f"{text!r} is not IP:PORT")
+    try:
+        ipaddress.ip_address(ip)
+    except ValueError:
+        raise ValueError(f"{ip!r} is not an IP number") from None
+    return Address(ip, int(port))
--- /dev/null
+++ b/schema/messages.capnp
@@ -0,0 +1,427 @@
+@0xb1a6c4f0d2e39a57;
+# Every message between the processes of the system.  `tools/generate.py`
+# writes mangobay/generated/messages.py from this file.
+
+annotation id @0xc0d1a5b7e2f34861 (field) :Text;
+# The NewType of mangobay/ids.py that the generated attribute has.
+
+enum Importance {
+  # Lower is shed first.
+  background @0;
+  normal @1;
+  high @2;
+  critical @3;
+}
+
+enum Outcome {
+  answered @0;
+  notRun @1;
+  unknown @2;
+}
+
+enum Reason {
+  # Why a call was not answered; `none` goes with `answered`.
+  none @0;
+  noSuchOperation @1;
+  overloaded @2;
+  queueTimeout @3;
+  deadlineExceeded @4;
+  noBackend @5;
+  leaving @6;
+  noLease @7;
+  notOwner @8;
+  copyFailed @9;
+  keyExpired @10;
+  keyReused @11;
+  keyRequired @12;
+  ownerChanged @13;
+  connectionFailed @14;
+  connectionBroken @15;
+  incompleteAnswer @16;
+  backendShed @17;
+  tooLarge @18;
+  cancelled @19;
+  triesExhausted @20;
+  callerThrottled @21;
+  malformed @22;
+  internal @23;
+  running @24;
+}
+
+struct Header {
+  name @0 :Text;
+  value @1 :Text;
+}
+
+# ---- node to node: calls ----
+
+struct Hello {
+  # First message on every peer connection, both ways.
+  host @0 :Text $id("HostId");
+  dataCentre @1 :Text $id("DataCentre");
+  incarnation @2 :Text $id("Incarnation");
+  role @3 :Text;
+  protocol @4 :UInt16;
+}
+
+struct Call {
+  service @0 :Text $id("ServiceName");
+  operation @1 :Text $id("OperationName");
+  method @2 :Text;
+  target @3 :Text;
+  headers @4 :List(Header);
+  body @5 :Data;
+  caller @6 :Text $id("CallerName");
+  importance @7 :Importance;
+  depth @8 :UInt16;
+  deadlineMs @9 :UInt32;
+  # Time left when sent, milliseconds.
+  tries @10 :UInt16;
+  # Extra tries granted to the receiver for the whole subtree.
+  idempotent @11 :Bool;
+  key @12 :Text $id("IdempotencyKey");
+  traceparent @13 :Text;
+  revision @14 :UInt64 $id("Revision");
+  callId @15 :Text $id("CallId");
+  # One attempt of one hop; fresh for each attempt.
+  viewVersion @16 :UInt64 $id("ViewVersion");
+  # The sender's view of the service, for owned calls.
+  client @17 :Text $id("ClientId");
+  # Who entered the call tree, for fairness within an importance.
+}
+
+struct Reply {
+  outcome @0 :Outcome;
+  reason @1 :Reason;
+  status @2 :UInt16;
+  headers @3 :List(Header);
+  body @4 :Data;
+  triesLeft @5 :UInt16;
+  # Extra tries handed back to the sender.
+  threshold @6 :UInt16;
+  # Lowest importance rank the receiver admits now, times 256, plus a fraction.
+  inflight @7 :UInt32;
+  limit @8 :UInt32;
+  retryAfterMs @9 :UInt32;
+  host @10 :Text $id("HostId");
+  revision @11 :UInt64 $id("Revision");
+  serviceMs @12 :UInt32;
+  # Time the backend server spent, milliseconds.
+}
+
+struct Cancel {
+  # The sender no longer wants the answer of the call on this stream.
+}
+
+# ---- node to node: at most once ----
+
+enum OnceState {
+  started @0;
+  answered @1;
+  unknown @2;
+}
+
+struct OnceEntry {
+  key @0 :Text $id("IdempotencyKey");
+  service @1 :Text $id("ServiceName");
+  slot @2 :UInt16 $id("Slot");
+  digest @3 :Data;
+  # Fingerprint of method, target and body.
+  state @4 :OnceState;
+  runner @5 :Text $id("HostId");
+  runnerIncarnation @6 :Text $id("Incarnation");
+  ageMs @7 :UInt64;
+  # Milliseconds since the entry was made, on the sender's clock.
+  status @8 :UInt16;
+  headers @9 :List(Header);
+  body @10 :Data;
+}
+
+struct CopyPut {
+  # Owner to holder: keep these entries.  Acknowledged by CopyAck.
+  service @0 :Text $id("ServiceName");
+  viewVersion @1 :UInt64 $id("ViewVersion");
+  entries @2 :List(OnceEntry);
+  completeSlots @3 :List(UInt16);
+  # Slots of which the holder now has everything the owner has.
+}
+
+struct CopyAck {
+  kept @0 :Bool;
+  viewVersion @1 :UInt64 $id("ViewVersion");
+  # The holder's own view; newer than the owner's means: refused.
+}
+
+struct CopyFetch {
+  # New owner to the members of the service.
+  service @0 :Text $id("ServiceName");
+  viewVersion @1 :UInt64 $id("ViewVersion");
+  slots @2 :List(UInt16);
+}
+
+struct CopyList {
+  entries @0 :List(OnceEntry);
+  completeSlots @1 :List(UInt16);
+  floors @2 :List(SlotFloor);
+}
+
+struct SlotFloor {
+  # Keys of the slot minted before this are answered `unknown`.
+  slot @0 :UInt16 $id("Slot");
+  mintedBeforeMs @1 :UInt64;
+  # Unix time, milliseconds.
+}
+
+# ---- node to control ----
+
+struct ServedService {
+  name @0 :Text $id("ServiceName");
+  slots @1 :UInt32;
+}
+
+struct Member {
+  host @0 :Text $id("HostId");
+  incarnation @1 :Text $id("Incarnation");
+  dataCentre @2 :Text $id("DataCentre");
+  peerAddress @3 :Text;
+  slots @4 :UInt32;
+  leaving @5 :Bool;
+}
+
+struct ServiceView {
+  # Who serves a service, as committed by the control group.
+  service @0 :Text $id("ServiceName");
+  version @1 :UInt64 $id("ViewVersion");
+  members @2 :List(Member);
+  formerVersion @3 :UInt64 $id("ViewVersion");
+  formerMembers @4 :List(Member);
+  # The members that could own slots before this version.
+  active @5 :Bool;
+  # Every living member of the former view has seen this one.
+}
+
+struct ViewAck {
+  service @0 :Text $id("ServiceName");
+  version @1 :UInt64 $id("ViewVersion");
+}
+
+struct LeaseRenew {
+  host @0 :Text $id("HostId");
+  incarnation @1 :Text $id("Incarnation");
+  dataCentre @2 :Text $id("DataCentre");
+  peerAddress @3 :Text;
+  serves @4 :List(ServedService);
+  leaving @5 :Bool;
+  revision @6 :UInt64 $id("Revision");
+  # Revision in force at the node.
+  interests @7 :List(Text);
+  views @8 :List(ViewAck);
+  # Views the node acts by.
+}
+
+struct LeaseGrant {
+  granted @0 :Bool;
+  ttlMs @1 :UInt32;
+  # Counted by the node from when it sent the renewal.
+  leader @2 :Text $id("HostId");
+  # Whom to ask instead, empty when unknown.
+  leaderAddress @3 :Text;
+  table @4 :TableUpdate;
+  views @5 :List(ServiceView);
+  # Only those that differ from what the node said.
+  drain @6 :Bool;
+  # An operator asked this host to leave.
+}
+
+# ---- configuration ----
+
+struct Operation {
+  service @0 :Text $id("ServiceName");
+  name @1 :Text $id("OperationName");
+  method @2 :Text;
+  path @3 :Text;
+  importance @4 :Importance;
+  idempotent @5 :Bool;
+  keyRequired @6 :Bool;
+  callers @7 :List(Text);
+  # Services that may call it; `*` is every one.
+  outside @8 :Bool;
+  # Visible to callers from outside.
+  deadlineMs @9 :UInt32;
+  tries @10 :UInt16;
+}
+
+struct TableUpdate {
+  # Makes `revision` out of `base`; base 0 replaces everything.
+  revision @0 :UInt64 $id("Revision");
+  base @1 :UInt64 $id("Revision");
+  changed @2 :List(Operation);
+  removed @3 :List(OperationRef);
+}
+
+struct OperationRef {
+  service @0 :Text $id("ServiceName");
+  name @1 :Text $id("OperationName");
+}
+
+struct SheetChange {
+  # A log entry: the changed rows of one accepted sheet.
+  version @0 :Text $id("SheetVersion");
+  digest @1 :Data;
+  # Fingerprint of the whole sheet.
+  operator @2 :Text;
+  acceptedMs @3 :UInt64;
+  # Unix time at the leader, milliseconds; for the history only.
+  changed @4 :List(Operation);
+  removed @5 :List(OperationRef);
+}
+
+struct MemberChange {
+  # A log entry: a host joined, changed what it serves, or left.
+  member @0 :Member;
+  serves @1 :List(ServedService);
+  gone @2 :Bool;
+  acceptedMs @3 :UInt64;
+}
+
+struct DrainChange {
+  # A log entry: an operator asked a host to leave.
+  host @0 :Text $id("HostId");
+  operator @1 :Text;
+  acceptedMs @2 :UInt64;
+}
+
+struct VoterChange {
+  # A log entry: the voters of the control group from here on.
+  voters @0 :List(Peer);
+  learners @1 :List(Peer);
+}
+
+struct Peer {
+  host @0 :Text $id("HostId");
+  identity @1 :Text $id("DiskId");
+  # Made with the data folder; another disk is another voter.
+  address @2 :Text;
+}
+
+struct Noop {
+  # First entry of a term.
+}
+
+struct LogEntry {
+  index @0 :UInt64 $id("LogIndex");
+  term @1 :UInt64 $id("Term");
+  union {
+    noop @2 :Noop;
+    sheet @3 :SheetChange;
+    member @4 :MemberChange;
+    drain @5 :DrainChange;
+    voters @6 :VoterChange;
+  }
+}
+
+# ---- control to control ----
+
+struct VoteRequest {
+  term @0 :UInt64 $id("Term");
+  candidate @1 :Text $id("HostId");
+  identity @2 :Text $id("DiskId");
+  lastIndex @3 :UInt64 $id("LogIndex");
+  lastTerm @4 :UInt64 $id("Term");
+  prevote @5 :Bool;
+}
+
+struct VoteReply {
+  term @0 :UInt64 $id("Term");
+  granted @1 :Bool;
+  identity @2 :Text $id("DiskId");
+}
+
+struct AppendRequest {
+  term @0 :UInt64 $id("Term");
+  leader @1 :Text $id("HostId");
+  prevIndex @2 :UInt64 $id("LogIndex");
+  prevTerm @3 :UInt64 $id("Term");
+  entries @4 :List(LogEntry);
+  commit @5 :UInt64 $id("LogIndex");
+}
+
+struct AppendReply {
+  term @0 :UInt64 $id("Term");
+  matched @1 :Bool;
+  lastIndex @2 :UInt64 $id("LogIndex");
+  # Matched: newest index known to agree.  Otherwise: where to look next.
+  identity @3 :Text $id("DiskId");
+}
+
+struct SnapshotPut {
+  term @0 :UInt64 $id("Term");
+  leader @1 :Text $id("HostId");
+  snapshot @2 :Snapshot;
+}
+
+struct SnapshotReply {
+  term @0 :UInt64 $id("Term");
+  lastIndex @1 :UInt64 $id("LogIndex");
+  identity @2 :Text $id("DiskId");
+}
+
+struct HistoryItem {
+  revision @0 :UInt64 $id("Revision");
+  version @1 :Text $id("SheetVersion");
+  digest @2 :Data;
+  operator @3 :Text;
+  acceptedMs @4 :UInt64;
+  changedRows @5 :UInt32;
+  removedRows @6 :UInt32;
+}
+
+struct MemberRecord {
+  member @0 :Member;
+  serves @1 :List(ServedService);
+  sinceIndex @2 :UInt64 $id("LogIndex");
+}
+
+struct Snapshot {
+  # The whole state of the control group at lastIndex.
+  lastIndex @0 :UInt64 $id("LogIndex");
+  lastTerm @1 :UInt64 $id("Term");
+  voters @2 :VoterChange;
+  operations @3 :List(Operation);
+  history @4 :List(HistoryItem);
+  members @5 :List(MemberRecord);
+  views @6 :List(ServiceView);
+  draining @7 :List(Text);
+}
+
+struct HardState {
+  # Synced before a vote or a term is told to anyone.
+  term @0 :UInt64 $id("Term");
+  votedFor @1 :Text $id("DiskId");
+  identity @2 :Text $id("DiskId");
+}
+
+# ---- the wire ----
+
+struct Envelope {
+  # What one frame holds.  Replies carry the stream of their request.
+  stream @0 :UInt64;
+  union {
+    hello @1 :Hello;
+    call @2 :Call;
+    reply @3 :Reply;
+    cancel @4 :Cancel;
+    copyPut @5 :CopyPut;
+    copyAck @6 :CopyAck;
+    copyFetch @7 :CopyFetch;
+    copyList @8 :CopyList;
+    leaseRenew @9 :LeaseRenew;
+    leaseGrant @10 :LeaseGrant;
+    voteRequest @11 :VoteRequest;
+    voteReply @12 :VoteReply;
+    appendRequest @13 :AppendRequest;
+    appendReply @14 :AppendReply;
+    snapshotPut @15 :SnapshotPut;
+    snapshotReply @16 :SnapshotReply;
+  }
+}
--- /dev/null
+++ b/tests/test_messages.py
@@ -0,0 +1,36 @@
+"""The generated messages."""
+
+from mangobay.generated import messages
+
+
+class TestEnvelope:
+    """What one frame holds."""
+
+    def test_a_call_survives_the_wire(self):
+        call = messages.Call(
+            service="quotes",
+            headers=[messages.Header(name="accept", value="*/*")],
+            importance=messages.Importance.CRITICAL,
+            body=b"\x00\xff",
+            tries=3,
+            idempotent=True,
+        )
+        sent = messages.Envelope(stream=7, body=call)
+        assert messages.decode_envelope(messages.encode_envelope(sent)) == sent
+
+
+class TestLogEntry:
+    """What the control group agrees on."""
+
+    def test_every_body_survives_the_disk(self):
+        bodies = (
+            messages.Noop(),
+            messages.SheetChange(version="1"),
+            messages.MemberChange(gone=True),
+            messages.DrainChange(host="a"),
+            messages.VoterChange(voters=[messages.Peer(host="a")]),
+        )
+        for body in bodies:
+            entry = messages.LogEntry(index=2, term=1, body=body)
+            data = messages.encode_log_entry(entry)
+            assert messages.decode_log_entry(data) == entry
--- /dev/null
+++ b/tools/generate.py
@@ -0,0 +1,376 @@
+"""Writes mangobay/generated/ from schema/; `--check` only compares."""
+
+import argparse
+import enum
+import pathlib
+import re
+import subprocess
+import sys
+import tomllib
+
+import capnp
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+SCHEMA = ROOT / "schema"
+TARGET = ROOT / "mangobay" / "generated"
+ID_ANNOTATION = 0xC0D1A5B7E2F34861
+INTEGERS = frozenset(
+    f"{sign}int{bits}" for sign in ("", "u") for bits in (8, 16, 32, 64)
+)
+NOTICE = "Written by tools/generate.py; change the schema instead."
+
+
+class Kind(enum.Enum):
+    """How a field of the schema is held in Python."""
+
+    PLAIN = "plain"
+    ENUM = "enum"
+    STRUCT = "struct"
+    PLAIN_LIST = "plain list"
+    STRUCT_LIST = "struct list"
+
+
+def snake(name: str) -> str:
+    """Returns a camelCase name of the schema in Python's case."""
+    return re.sub(r"(?<!^)(?=[A-Z])", "_", name).lower()
+
+
+class Field:
+    """One field of a message: its Python type, default, writer and reader."""
+
+    def __init__(self, field, names: dict[int, str]):
+        self.wire = field.name
+        self.name = snake(field.name)
+        self.in_union = field.discriminantValue != 0xFFFF
+        self.new_type = next(
+            (a.value.text for a in field.annotations if a.id == ID_ANNOTATION),
+            "",
+        )
+        slot = field.slot.type
+        which = str(slot.which())
+        self.kind = Kind.PLAIN
+        if which == "enum":
+            self.kind = Kind.ENUM
+            self.type = names[slot.enum.typeId]
+            self.default = f"{self.type}(0)"
+        elif which == "struct":
+            self.kind = Kind.STRUCT
+            self.type = names[slot.struct.typeId]
+            self.default = (
+                f"dataclasses.field(default_factory=lambda: {self.type}())"
+            )
+        elif which == "list":
+            self._take_list(slot.list.elementType, names)
+        else:
+            self._take_plain(which)
+
+    def _take_list(self, element, names: dict[int, str]) -> None:
+        which = str(element.which())
+        self.default = "dataclasses.field(default_factory=list)"
+        if which == "struct":
+            self.kind = Kind.STRUCT_LIST
+            self.item = names[element.struct.typeId]
+            self.type = f"list[{self.item}]"
+            return
+        self.kind = Kind.PLAIN_LIST
+        self.type = f"list[{'int' if which in INTEGERS else 'str'}]"
+
+    def _take_plain(self, which: str) -> None:
+        if which in INTEGERS:
+            base, literal = "int", "0"
+        elif which == "bool":
+            base, literal = "bool", "False"
+        elif which == "data":
+            base, literal = "bytes", 'b""'
+        else:
+            base, literal = "str", '""'
+        self.type = f"ids.{self.new_type}" if self.new_type else base
+        self.default = f"{self.type}({literal})" if self.new_type else literal
+
+    def write_lines(self) -> list[str]:
+        """Returns the statements that put the field into a builder."""
+        mine = f"message.{self.name}"
+        match self.kind:
+            case Kind.PLAIN | Kind.ENUM:
+                value = f"int({mine})" if self.kind is Kind.ENUM else mine
+                return [
+                    f"    if {mine}:",
+                    f"        builder.{self.wire} = {value}",
+                ]
+            case Kind.PLAIN_LIST:
+                return [
+                    f"    if {mine}:",
+                    f"        builder.{self.wire} = {mine}",
+                ]
+            case Kind.STRUCT:
+                return [
+                    f"    _put_{snake(self.type)}(builder.{self.wire}, {mine})"
+                ]
+        return [
+            f"    if {mine}:",
+            f'        items = builder.init("{self.wire}", len({mine}))',
+            f"        for position, item in enumerate({mine}):",
+            f"            _put_{snake(self.item)}(items[position], item)",
+        ]
+
+    def read_expression(self) -> str:
+        """Returns the expression that takes the field out of a reader."""
+        theirs = f"reader.{self.wire}"
+        match self.kind:
+            case Kind.PLAIN:
+                return f"{self.type}({theirs})" if self.new_type else theirs
+            case Kind.ENUM:
+                return f"{self.type}({theirs}.raw)"
+            case Kind.STRUCT:
+                return f"_get_{snake(self.type)}({theirs})"
+            case Kind.PLAIN_LIST:
+                return f"list({theirs})"
+        return f"[_get_{snake(self.item)}(item) for item in {theirs}]"
+
+
+def enum_lines(name: str, schema) -> list[str]:
+    """Returns the class of an enumeration."""
+    lines = ["", "", f"class {name}(enum.IntEnum):"]
+    lines += [f'    """Enumeration {name} of schema/messages.capnp."""', ""]
+    for position, item in enumerate(schema.node.enum.enumerants):
+        lines.append(f"    {snake(item.name).upper()} = {position}")
+    return lines
+
+
+def struct_lines(name: str, fields: list[Field]) -> list[str]:
+    """Returns the data class of a message with its writer and reader."""
+    plain = [field for field in fields if not field.in_union]
+    union = [field for field in fields if field.in_union]
+    lines = ["", "", "@dataclasses.dataclass(slots=True, kw_only=True)"]
+    lines += [
+        f"class {name}:",
+        f'    """Message {name} of schema/messages.capnp."""',
+    ]
+    lines.append("")
+    lines += [
+        f"    {field.name}: {field.type} = {field.default}" for field in plain
+    ]
+    if union:
+        lines.append(f"    body: {name}Body = None  # type: ignore[assignment]")
+    if not fields:
+        lines.pop()
+    lines += ["", "", f"def _put_{snake(name)}(builder, message) -> None:"]
+    lines += [line for field in plain for line in field.write_lines()]
+    if union:
+        lines.append("    match message.body:")
+        for field in union:
+            lines.append(f"        case {field.type}() as body:")
+            lines.append(
+                f'            _put_{snake(field.type)}(builder.init("{field.wire}"), body)'
+            )
+    if not fields:
+        lines.append("    del builder, message")
+    lines += ["", "", f"def _get_{snake(name)}(reader) -> {name}:"]
+    lines.append(f"    return {name}(")
+    lines += [
+        f"        {field.name}={field.read_expression()}," for field in plain
+    ]
+    if union:
+        lines.append(f"        body=_get_{snake(name)}_body(reader),")
+    lines.append("    )")
+    if union:
+        lines += ["", "", f"def _get_{snake(name)}_body(reader):"]
+        lines.append("    match str(reader.which()):")
+        for field in union:
+            lines.append(f'        case "{field.wire}":')
+            lines.append(
+                f"            return _get_{snake(field.type)}(reader.{field.wire})"
+            )
+        lines.append('    raise ValueError("the message holds no known body")')
+    return lines
+
+
+def codec_lines(name: str) -> list[str]:
+    """Returns the public encoder and decoder of a message that travels alone."""
+    low = snake(name)
+    return [
+        *["", "", f"def encode_{low}(message: {name}) -> bytes:"],
+        f'    """Returns the Cap\'n Proto bytes of a message {name}."""',
+        f"    builder = _schema.{name}.new_message()",
+        f"    _put_{low}(builder, message)",
+        "    return builder.to_bytes()",
+        *["", "", f"def decode_{low}(data: bytes) -> {name}:"],
+        f'    """Returns the {name} in the bytes.',
+        "",
+        "    Raises:",
+        "      capnp.KjException: the bytes are not such a message.",
+        '    """',
+        f"    with _schema.{name}.from_bytes(",
+        "        data, traversal_limit_in_words=TRAVERSAL_LIMIT_WORDS",
+        "    ) as reader:",
+        f"        return _get_{low}(reader)",
+    ]
+
+
+ALONE = ("Envelope", "LogEntry", "Snapshot", "HardState")
+
+
+def messages_module() -> str:
+    """Returns the text of mangobay/generated/messages.py."""
+    module = capnp.load(str(SCHEMA / "messages.capnp"))
+    nodes = [(n.name, n.id) for n in module.schema.node.nestedNodes]
+    names = {number: name for name, number in nodes}
+    lines = [f'"""Messages between the processes.  {NOTICE}"""', ""]
+    lines += ["from __future__ import annotations", ""]
+    lines += ["import dataclasses", "import enum", "import pathlib", ""]
+    lines += ["import capnp", "", "from mangobay import ids", ""]
+    lines.append(
+        '_schema = capnp.load(str(pathlib.Path(__file__).with_name("messages.capnp")))'
+    )
+    lines.append("TRAVERSAL_LIMIT_WORDS = 1 << 27")
+    unions: list[str] = []
+    for name, _ in nodes:
+        if name[0].islower():
+            continue
+        item = getattr(module, name)
+        if str(item.schema.node.which()) == "enum":
+            lines += enum_lines(name, item.schema)
+            continue
+        fields = [
+            Field(field, names) for field in item.schema.node.struct.fields
+        ]
+        union = [field.type for field in fields if field.in_union]
+        if union:
+            lines += ["", "", f"{name}Body = {' | '.join(union)}"]
+            unions.append(name)
+        lines += struct_lines(name, fields)
+    for name in ALONE:
+        lines += codec_lines(name)
+    return "\n".join(lines) + "\n"
+
+
+def settings_module() -> str:
+    """Returns the text of mangobay/generated/settings.py."""
+    document = tomllib.loads((SCHEMA / "settings.toml").read_text())
+    lines = [f'"""Settings of the programs.  {NOTICE}"""', ""]
+    lines += ["import dataclasses", "", "from mangobay import options", ""]
+    for program, sections in document.items():
+        for section, keys in sections.items():
+            lines += _section_lines(program, section, keys)
+        lines += [
+            "",
+            "",
+            "@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)",
+        ]
+        lines.append(f"class {program.title()}:")
+        lines.append(f'    """Every setting of mangobay-{program}."""')
+        lines.append("")
+        for section in sections:
+            lines.append(f"    {section}: {_section_class(program, section)}")
+        lines += ["", "", f"{program.upper()}_SECTIONS = {{"]
+        for section in sections:
+            name = _section_class(program, section)
+            lines.append(
+                f'    "{section}": ({name}, {_constant(program, section)}),'
+            )
+        lines.append("}")
+    return "\n".join(lines) + "\n"
+
+
+def _section_class(program: str, section: str) -> str:
+    return f"{program.title()}{section.title().replace('_', '')}"
+
+
+def _constant(program: str, section: str) -> str:
+    return f"{program}_{section}_options".upper()
+
+
+PYTHON_TYPES = {
+    "text": "str",
+    "integer": "int",
+    "number": "float",
+    "duration": "float",
+    "boolean": "bool",
+    "address": "options.Address",
+    "addresses": "tuple[options.Address, ...]",
+    "path": "str",
+    "choice": "str",
+}
+
+
+def _section_lines(program: str, section: str, keys: dict) -> list[str]:
+    lines = [
+        "",
+        "",
+        "@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)",
+    ]
+    lines.append(f"class {_section_class(program, section)}:")
+    lines.append(
+        f'    """Section [{section}] of the settings of mangobay-{program}."""'
+    )
+    lines.append("")
+    for key, about in keys.items():
+        lines.append(f"    {key}: {PYTHON_TYPES[about['type']]}")
+    lines += ["", "", f"{_constant(program, section)} = ("]
+    for key, about in keys.items():
+        arguments = [
+            f"name={key!r}",
+            f"kind=options.Kind.{about['type'].upper()}",
+        ]
+        for word in ("default", "unit", "low", "high", "choices", "help"):
+            if word in about:
+                value = tuple(about[word]) if word == "choices" else about[word]
+                arguments.append(f"{word}={value!r}")
+        lines.append(f"    options.Option({', '.join(arguments)}),")
+    lines.append(")")
+    return lines
+
+
+def formatted(text: str) -> str:
+    """Returns the text as the project's formatter writes it."""
+    command = [
+        sys.executable,
+        "-m",
+        "ruff",
+        "format",
+        "--stdin-filename",
+        "x.py",
+        "-",
+    ]
+    done = subprocess.run(
+        command,
+        input=text,
+        capture_output=True,
+        text=True,
+        check=True,
+        cwd=ROOT,
+    )
+    return done.stdout
+
+
+def outputs() -> dict[str, str]:
+    """Returns every generated file by name."""
+    return {
+        "__init__.py": '"""Code written by tools/generate.py from schema/."""\n',
+        "messages.capnp": (SCHEMA / "messages.capnp").read_text(),
+        "messages.py": formatted(messages_module()),
+        "settings.py": formatted(settings_module()),
+    }
+
+
+def main() -> int:
+    """Writes or compares the generated files; returns the exit code."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--check", action="store_true", help="only compare")
+    arguments = parser.parse_args()
+    stale = 0
+    for name, text in outputs().items():
+        path = TARGET / name
+        if path.exists() and path.read_text() == text:
+            continue
+        if arguments.check:
+            print(f"{path.relative_to(ROOT)}: differs from what schema/ gives")
+            stale += 1
+            continue
+        path.write_text(text)
+        print(f"{path.relative_to(ROOT)}: written")
+    return 1 if stale else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
