At most once: owners, holders, takeover and floors

Cause: a booking must not run twice when its node dies, freezes or is cut off. Ruled out: trusting the lease alone (a node frozen between its check and its first byte runs anyway), and asking only the former view (two changes at once made every older key unknown). Change: a started record is acknowledged by each holder before the first byte; a fetch under a newer view fences whoever answers it; views carry their lineage so that one witness of each later view is enough; floors only once the view is active.

--- /dev/null
+++ b/mangobay/copies.py
@@ -0,0 +1,198 @@
+"""Copies of keyed calls on other nodes: sending them and keeping them."""
+
+import asyncio
+import dataclasses
+import typing
+
+from mangobay import errors, ids, options, records, tenure
+from mangobay.generated import messages
+
+if typing.TYPE_CHECKING:
+    from mangobay import peers
+
+BATCH = 200
+"""Entries in one message of a slot's transfer."""
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class CopySender:
+    """Sends records to the processes that hold copies.
+
+    Attributes:
+      transport: the way to other processes.
+      timeout: seconds that an acknowledgement may take.
+    """
+
+    transport: "peers.Transport"
+    timeout: float
+
+    async def put(
+        self, member: messages.Member, message: messages.CopyPut
+    ) -> messages.CopyAck | None:
+        """Sends records once; None when no acknowledgement came."""
+        address = options.parse_address(member.peer_address)
+        try:
+            ack = await self.transport.ask(address, message, self.timeout)
+        except (errors.PeerError, TimeoutError):
+            return None
+        return ack if isinstance(ack, messages.CopyAck) else None
+
+    async def put_all(
+        self, members: list[messages.Member], message: messages.CopyPut
+    ) -> bool:
+        """Sends records to every member; true when each one kept them."""
+        if len(members) == 1:
+            ack = await self.put(members[0], message)
+            return ack is not None and ack.kept
+        acks = await asyncio.gather(*(self.put(m, message) for m in members))
+        return all(ack is not None and ack.kept for ack in acks)
+
+    async def fetch(
+        self, member: messages.Member, message: messages.CopyFetch
+    ) -> messages.CopyList | None:
+        """Asks a member what it knows; None when it does not answer."""
+        address = options.parse_address(member.peer_address)
+        try:
+            known = await self.transport.ask(address, message, self.timeout)
+        except (errors.PeerError, TimeoutError):
+            return None
+        return known if isinstance(known, messages.CopyList) else None
+
+
+def keep(
+    share: tenure.Tenure, message: messages.CopyPut, now: float
+) -> messages.CopyAck:
+    """Keeps the records that another process sends.
+
+    A `started` record under an older view than the newest one seen is
+    refused: its sender may have been replaced without noticing (frozen, or
+    cut off), and an acknowledgement would let it run a call that the new
+    owner runs too.  Settled records only add knowledge and are always kept.
+    """
+    starts = any(
+        entry.state is messages.OnceState.STARTED for entry in message.entries
+    )
+    if starts and message.view_version < share.seen:
+        return messages.CopyAck(kept=False, view_version=share.seen)
+    share.fence(message.view_version)
+    for entry in message.entries:
+        share.registry.merge(entry, now)
+    for slot in message.complete_slots:
+        held = share.held_at.get(ids.Slot(slot), 0)
+        share.held_at[ids.Slot(slot)] = max(held, message.view_version)
+    return messages.CopyAck(kept=True, view_version=share.seen)
+
+
+def tell(
+    share: tenure.Tenure, message: messages.CopyFetch, now: float
+) -> messages.CopyList:
+    """Tells a new owner what this process knows, and is fenced by it."""
+    share.fence(message.view_version)
+    wanted = [ids.Slot(slot) for slot in message.slots]
+    share.fetched.update(dict.fromkeys(wanted, message.view_version))
+    return messages.CopyList(
+        host=share.me.host,
+        incarnation=share.me.incarnation,
+        entries=[
+            records.to_entry(record, now)
+            for slot in wanted
+            for record in share.registry.in_slot(slot)
+        ],
+        knowledge=[share.knowledge(slot) for slot in wanted],
+        floors=[
+            messages.SlotFloor(slot=slot, minted_before_ms=share.floors[slot])
+            for slot in wanted
+            if slot in share.floors
+        ],
+    )
+
+
+async def sync_holders(
+    share: tenure.Tenure, sender: CopySender, now: float
+) -> bool:
+    """Gives each holder all that this owner knows of the slots it holds.
+
+    Returns:
+      Whether every holder now has everything.
+    """
+    version = share.view.version
+    by_holder: dict[str, list[ids.Slot]] = {}
+    members = {}
+    for slot in share.mine():
+        if not share.ready(slot):
+            continue
+        for holder in share.placement.holders(slot):
+            by_holder.setdefault(holder.host, []).append(slot)
+            members[holder.host] = holder
+    done = [
+        await _sync_holder(share, sender, members[host], batch, version, now)
+        for host, batch in by_holder.items()
+    ]
+    return all(done)
+
+
+async def hand_over(
+    share: tenure.Tenure, sender: CopySender, now: float
+) -> None:
+    """Gives the new owners what they did not ask this process for.
+
+    A new owner that held the slot's copies never asks.  Its copy of the last
+    answers may still be on the way, so a leaving process sends them again.
+    """
+    version = share.view.version
+    batches: dict[str, list[ids.Slot]] = {}
+    members = {}
+    for slot in share.unfetched():
+        owner = share.placement.owner(slot)
+        batches.setdefault(owner.host, []).append(slot)
+        members[owner.host] = owner
+    for host, batch in batches.items():
+        if await _send_entries(share, sender, members[host], batch, now):
+            share.fetched.update(dict.fromkeys(batch, version))
+
+
+async def _send_entries(
+    share: tenure.Tenure,
+    sender: CopySender,
+    member: messages.Member,
+    batch: list[ids.Slot],
+    now: float,
+) -> bool:
+    """Sends all records of some slots; true when every part was kept."""
+    entries = [
+        records.to_entry(record, now)
+        for slot in batch
+        for record in share.registry.in_slot(slot)
+    ]
+    version = share.view.version
+    for start in range(0, len(entries), BATCH):
+        message = messages.CopyPut(
+            service=share.service,
+            view_version=version,
+            entries=entries[start : start + BATCH],
+        )
+        ack = await sender.put(member, message)
+        if ack is None or not ack.kept:
+            return False
+    return True
+
+
+async def _sync_holder(
+    share: tenure.Tenure,
+    sender: CopySender,
+    holder: messages.Member,
+    batch: list[ids.Slot],
+    version: ids.ViewVersion,
+    now: float,
+) -> bool:
+    if not await _send_entries(share, sender, holder, batch, now):
+        return False
+    if share.view.version != version:
+        return False
+    last = messages.CopyPut(
+        service=share.service,
+        view_version=version,
+        complete_slots=[int(slot) for slot in batch],
+    )
+    ack = await sender.put(holder, last)
+    return ack is not None and ack.kept
--- /dev/null
+++ b/mangobay/records.py
@@ -0,0 +1,200 @@
+"""What a node remembers of each idempotency key."""
+
+import asyncio
+import collections
+import collections.abc
+import dataclasses
+import enum
+
+import xxhash
+
+from mangobay import ids
+from mangobay.generated import messages
+
+
+class State(enum.Enum):
+    """How far a keyed call has come."""
+
+    CLAIMED = "claimed"
+    """Being admitted here; not a byte has gone to a backend server."""
+    STARTED = "started"
+    ANSWERED = "answered"
+    UNKNOWN = "unknown"
+
+
+SETTLED = frozenset({State.ANSWERED, State.UNKNOWN})
+
+WIRE_STATES = {
+    State.STARTED: messages.OnceState.STARTED,
+    State.ANSWERED: messages.OnceState.ANSWERED,
+    State.UNKNOWN: messages.OnceState.UNKNOWN,
+}
+LOCAL_STATES = {wire: local for local, wire in WIRE_STATES.items()}
+RANKS = {
+    State.CLAIMED: 0,
+    State.STARTED: 1,
+    State.UNKNOWN: 2,
+    State.ANSWERED: 3,
+}
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Record:
+    """One key.
+
+    Attributes:
+      digest: fingerprint of the request, to tell a reused key.
+      made_at: loop time of the first arrival, seconds.
+      runner: the host that runs or ran it.
+      runner_incarnation: the run of that host's process.
+      reply: what every repeat is answered; set once settled or refused.
+      settled: set when `reply` is.
+    """
+
+    key: ids.IdempotencyKey
+    service: ids.ServiceName
+    slot: ids.Slot
+    digest: bytes
+    made_at: float
+    state: State = State.CLAIMED
+    runner: ids.HostId = ids.HostId("")
+    runner_incarnation: ids.Incarnation = ids.Incarnation("")
+    reply: messages.Reply | None = None
+    settled: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
+
+    def settle(self, state: State, reply: messages.Reply) -> None:
+        """Gives the record its reply and wakes the repeats that wait."""
+        self.state = state
+        self.reply = reply
+        self.settled.set()
+
+
+def digest_of(call: messages.Call) -> bytes:
+    """Returns the fingerprint of a request, the same on every node."""
+    digest = xxhash.xxh3_128()
+    for part in (call.method.encode(), call.target.encode(), call.body):
+        digest.update(len(part).to_bytes(8, "little"))
+        digest.update(part)
+    return digest.digest()
+
+
+def unknown_reply(reason: messages.Reason) -> messages.Reply:
+    """Returns the reply of a call whose fate is not known."""
+    return messages.Reply(outcome=messages.Outcome.UNKNOWN, reason=reason)
+
+
+def to_entry(record: Record, now: float) -> messages.OnceEntry:
+    """Returns what travels of a record; `now` is loop time, seconds."""
+    reply = record.reply or messages.Reply()
+    return messages.OnceEntry(
+        key=record.key,
+        service=record.service,
+        slot=record.slot,
+        digest=record.digest,
+        state=WIRE_STATES[record.state],
+        runner=record.runner,
+        runner_incarnation=record.runner_incarnation,
+        age_ms=max(0, int((now - record.made_at) * 1000)),
+        status=reply.status,
+        headers=reply.headers,
+        body=reply.body,
+    )
+
+
+def started_entry(record: Record, now: float) -> messages.OnceEntry:
+    """Returns what holders are told before a claimed record starts."""
+    return to_entry(dataclasses.replace(record, state=State.STARTED), now)
+
+
+def _entry_reply(entry: messages.OnceEntry) -> messages.Reply:
+    if entry.state is messages.OnceState.UNKNOWN:
+        return unknown_reply(messages.Reason.OWNER_CHANGED)
+    return messages.Reply(
+        outcome=messages.Outcome.ANSWERED,
+        status=entry.status,
+        headers=entry.headers,
+        body=entry.body,
+        host=entry.runner,
+    )
+
+
+class Registry:
+    """The records of one service at one node, bounded in number and age.
+
+    Attributes:
+      window: seconds that a record is kept after it was made.
+      limit: most records.
+    """
+
+    def __init__(self, window: float, limit: int):
+        self.window = window
+        self.limit = limit
+        self.by_key: dict[ids.IdempotencyKey, Record] = {}
+        self.by_slot: collections.defaultdict[
+            ids.Slot, dict[ids.IdempotencyKey, Record]
+        ] = collections.defaultdict(dict)
+
+    def __len__(self) -> int:
+        return len(self.by_key)
+
+    @property
+    def full(self) -> bool:
+        """Whether a new key has no room."""
+        return len(self.by_key) >= self.limit
+
+    def get(self, key: ids.IdempotencyKey) -> Record | None:
+        """Returns the record of a key."""
+        return self.by_key.get(key)
+
+    def add(self, record: Record) -> None:
+        """Remembers a record."""
+        self.by_key[record.key] = record
+        self.by_slot[record.slot][record.key] = record
+
+    def forget(self, record: Record) -> None:
+        """Drops a record: its key was not run, or left the window."""
+        self.by_key.pop(record.key, None)
+        self.by_slot[record.slot].pop(record.key, None)
+
+    def expire(self, now: float) -> None:
+        """Drops the records that left the window, oldest first."""
+        while self.by_key:
+            oldest = next(iter(self.by_key.values()))
+            if oldest.made_at + self.window > now:
+                return
+            self.forget(oldest)
+
+    def in_slot(self, slot: ids.Slot) -> collections.abc.Iterator[Record]:
+        """Yields what other nodes may learn of a slot."""
+        for record in self.by_slot[slot].values():
+            if record.state is not State.CLAIMED:
+                yield record
+
+    def merge(self, entry: messages.OnceEntry, now: float) -> Record:
+        """Takes in what another node knows; knowledge only ever grows.
+
+        A late `started` must not undo an answer: its symptom would be a
+        repeat that waits for a run long finished.  States are ranked and
+        only a higher one replaces a lower, so the order of arrival is
+        indifferent.
+        """
+        state = LOCAL_STATES[entry.state]
+        record = self.by_key.get(entry.key)
+        if record is None:
+            record = Record(
+                key=entry.key,
+                service=entry.service,
+                slot=entry.slot,
+                digest=entry.digest,
+                made_at=now - entry.age_ms / 1000,
+                state=State.CLAIMED,
+            )
+            self.add(record)
+        if RANKS[state] > RANKS[record.state]:
+            record.runner = entry.runner
+            record.runner_incarnation = entry.runner_incarnation
+            record.digest = entry.digest
+            record.state = state
+            if state in SETTLED:
+                record.settle(state, _entry_reply(entry))
+        return record
--- /dev/null
+++ b/mangobay/slots.py
@@ -0,0 +1,83 @@
+"""Which node owns an idempotency key, and which nodes hold its copies.
+
+Rendezvous hashing: when a host joins or leaves, only the slots that it wins
+or loses change their owner.
+"""
+
+import enum
+import functools
+
+import xxhash
+
+from mangobay import ids
+from mangobay.generated import messages
+
+SLOTS = 256
+
+
+class CopyPlace(enum.Enum):
+    """Where a copy goes when there is a choice."""
+
+    OTHER_DATA_CENTRE = "other_data_centre"
+    SAME_DATA_CENTRE = "same_data_centre"
+
+
+def slot_of(key: ids.IdempotencyKey) -> ids.Slot:
+    """Returns the slot of a key, the same on every node."""
+    return ids.Slot(xxhash.xxh3_64_intdigest(key.encode()) % SLOTS)
+
+
+def _score(member: messages.Member, slot: ids.Slot) -> int:
+    return xxhash.xxh3_64_intdigest(f"{slot}/{member.host}".encode())
+
+
+def ranked(
+    members: list[messages.Member], slot: ids.Slot
+) -> list[messages.Member]:
+    """Returns the members that may own the slot, the owner first."""
+    able = [member for member in members if not member.leaving]
+    return sorted(able, key=lambda member: _score(member, slot), reverse=True)
+
+
+class Placement:
+    """Owners and holders of every slot under one list of members.
+
+    Attributes:
+      members: the members it was made from.
+      copies: holders wanted for each slot.
+      place: which data centre a holder should stand in.
+    """
+
+    def __init__(
+        self, members: list[messages.Member], copies: int, place: CopyPlace
+    ):
+        self.members = members
+        self.copies = copies
+        self.place = place
+        self.ranks = functools.cache(self._rank)
+
+    def _rank(self, slot: ids.Slot) -> list[messages.Member]:
+        return ranked(self.members, slot)
+
+    def owner(self, slot: ids.Slot) -> messages.Member | None:
+        """Returns the slot's owner, None when no member may own it."""
+        ranks = self.ranks(slot)
+        return ranks[0] if ranks else None
+
+    def holders(self, slot: ids.Slot) -> list[messages.Member]:
+        """Returns the members that hold copies of the slot."""
+        ranks = self.ranks(slot)
+        if not ranks:
+            return []
+        wants_same = self.place is CopyPlace.SAME_DATA_CENTRE
+        home = ranks[0].data_centre
+        others = sorted(
+            ranks[1:], key=lambda m: (m.data_centre == home) is not wants_same
+        )
+        return others[: self.copies]
+
+
+def owner(view: messages.ServiceView, slot: ids.Slot) -> messages.Member | None:
+    """Returns who owns the slot under the view, None when nobody may."""
+    able = (member for member in view.members if not member.leaving)
+    return max(able, key=lambda member: _score(member, slot), default=None)
--- /dev/null
+++ b/mangobay/takeover.py
@@ -0,0 +1,154 @@
+"""Taking slots over: from former owners, from holders, or with a floor."""
+
+import asyncio
+import collections.abc
+
+from mangobay import copies, ids, logs, tenure
+from mangobay.generated import messages
+
+SETTLE_PAUSE = 0.1
+"""Seconds between two rounds of questions."""
+
+
+class Takeover:
+    """One service at one node: learns what its new slots' past was.
+
+    Attributes:
+      share: what this node may vouch for.
+      sender: the way to other members.
+      wall_ms: Unix time in milliseconds.
+      skew_ms: how far callers' clocks may be ahead, milliseconds.
+    """
+
+    def __init__(
+        self,
+        share: tenure.Tenure,
+        sender: copies.CopySender,
+        wall_ms: collections.abc.Callable[[], int],
+        skew_ms: int,
+    ):
+        self.share = share
+        self.sender = sender
+        self.wall_ms = wall_ms
+        self.skew_ms = skew_ms
+        self.synced = ids.ViewVersion(0)
+
+    async def run(self) -> None:
+        """Follows the views, one after the other, until cancelled."""
+        while True:
+            moved = self.share.moved
+            settled = await self.round()
+            if settled:
+                await moved.wait()
+                continue
+            await asyncio.sleep(SETTLE_PAUSE)
+
+    async def round(self) -> bool:
+        """Asks everybody once; true when nothing is left to do."""
+        share = self.share
+        if share.fenced:
+            return False
+        version = share.view.version
+        answers = self._own_answers()
+        self._take_known(answers)
+        if share.missing():
+            await self._ask(answers)
+            if share.view.version != version or share.fenced:
+                return False
+            self._take_known(answers)
+        if share.missing() and share.view.active:
+            self._set_floors()
+        if share.missing():
+            return False
+        return await self._sync(version)
+
+    async def _sync(self, version: ids.ViewVersion) -> bool:
+        if self.synced == version:
+            return True
+        now = asyncio.get_running_loop().time()
+        if await copies.sync_holders(self.share, self.sender, now):
+            self.synced = version
+            return True
+        return False
+
+    def _own_answers(self) -> dict[tenure.Process, dict]:
+        share = self.share
+        mine = {slot: share.knowledge(slot) for slot in share.missing()}
+        return {share.me: mine}
+
+    def _take_known(self, answers: dict[tenure.Process, dict]) -> None:
+        taken = False
+        for slot in self.share.missing():
+            told = {
+                process: slots[slot]
+                for process, slots in answers.items()
+                if slot in slots
+            }
+            if tenure.knows_everything(self.share, slot, told):
+                self.share.take(slot)
+                taken = True
+        if taken:
+            self.share.changed()
+
+    async def _ask(self, answers: dict[tenure.Process, dict]) -> None:
+        share = self.share
+        message = messages.CopyFetch(
+            service=share.service,
+            view_version=share.view.version,
+            slots=[int(slot) for slot in share.missing()],
+        )
+        asked = self._witnesses()
+        lists = await asyncio.gather(
+            *(self.sender.fetch(member, message) for member in asked)
+        )
+        now = asyncio.get_running_loop().time()
+        for known in lists:
+            if known is not None:
+                self._take_in(known, answers, now)
+
+    def _witnesses(self) -> list[messages.Member]:
+        """Returns the other members of this and of the former views."""
+        share = self.share
+        found = {tenure.process_of(m): m for m in share.view.members}
+        for former in share.view.formers:
+            for member in former.members:
+                found.setdefault(tenure.process_of(member), member)
+        found.pop(share.me, None)
+        return list(found.values())
+
+    def _take_in(
+        self,
+        known: messages.CopyList,
+        answers: dict[tenure.Process, dict],
+        now: float,
+    ) -> None:
+        for entry in known.entries:
+            self.share.registry.merge(entry, now)
+        for floor in known.floors:
+            self.share.raise_floor(floor.slot, floor.minted_before_ms)
+        # The process that answers says which run it is: a restarted host
+        # under the old address knows nothing and must not vouch for the run
+        # that died.
+        process = tenure.Process(known.host, known.incarnation)
+        answers[process] = {item.slot: item for item in known.knowledge}
+
+    def _set_floors(self) -> None:
+        """Gives up on the past of the slots that nobody vouches for.
+
+        Every witness is gone, so a key minted before now may have run.  The
+        view is active: no former member can start anything under its own
+        lease any more.  Keys minted from now on cannot have run.
+        """
+        floor_ms = self.wall_ms() + self.skew_ms
+        lost = self.share.missing()
+        for slot in lost:
+            self.share.raise_floor(slot, floor_ms)
+            self.share.take(slot)
+        self.share.changed()
+        logs.say(
+            logs.Part.ONCE,
+            "the past of slots is lost, older keys get unknown",
+            service=self.share.service,
+            slots=len(lost),
+            view=self.share.view.version,
+        )
--- /dev/null
+++ b/mangobay/tenure.py
@@ -0,0 +1,193 @@
+"""What a node may vouch for in the slots of one service.
+
+A tenure answers two questions: may this node start a keyed call now, and does
+it know everything that earlier owners of a slot may have started.
+"""
+
+import asyncio
+import collections.abc
+import dataclasses
+
+from mangobay import ids, invariants, records, slots
+from mangobay.generated import messages
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Process:
+    """One run of a host's process."""
+
+    host: ids.HostId
+    incarnation: ids.Incarnation
+
+
+def process_of(member: messages.Member) -> Process:
+    """Returns the process behind a member of a view."""
+    return Process(member.host, member.incarnation)
+
+
+class Tenure:
+    """One service at one node.
+
+    Attributes:
+      view: the newest view this node acts by.
+      seen: the newest version it heard of; above view.version it starts
+        nothing, because another node may have taken its slots over.
+      placement: owners and holders under the view.
+      owned_upto: per slot, the newest version under which this node was the
+        owner and knew everything.
+      held_at: per slot, the newest version whose owner gave this node all.
+      floors: per slot, Unix time in milliseconds; keys that may have been
+        minted before get `unknown`.
+      fetched: per slot, the newest version under which another node asked.
+      moved: set and replaced whenever one of these changes.
+    """
+
+    def __init__(
+        self,
+        service: ids.ServiceName,
+        me: Process,
+        registry: records.Registry,
+        copies: int,
+        place: slots.CopyPlace,
+    ):
+        self.service = service
+        self.me = me
+        self.registry = registry
+        self.copies = copies
+        self.place = place
+        self.view = messages.ServiceView(service=service)
+        self.seen = ids.ViewVersion(0)
+        self.placement = self.placement_of([])
+        self.owned_upto: dict[ids.Slot, ids.ViewVersion] = {}
+        self.held_at: dict[ids.Slot, ids.ViewVersion] = {}
+        self.floors: dict[ids.Slot, int] = {}
+        self.fetched: dict[ids.Slot, ids.ViewVersion] = {}
+        self.moved = asyncio.Event()
+
+    def placement_of(self, members: list[messages.Member]) -> slots.Placement:
+        """Returns owners and holders under a list of members."""
+        return slots.Placement(members, self.copies, self.place)
+
+    def changed(self) -> None:
+        """Wakes whoever waits for a slot."""
+        self.moved.set()
+        self.moved = asyncio.Event()
+
+    def adopt(self, view: messages.ServiceView) -> None:
+        """Acts by a newer view from now on."""
+        invariants.check(
+            invariants.Promise.REVISION_NEVER_DOWN,
+            view.version >= self.view.version,
+            f"view of {self.service} from {self.view.version} to {view.version}",
+        )
+        if view.version > self.view.version:
+            self.placement = self.placement_of(view.members)
+        self.view = view
+        self.fence(view.version)
+        self.changed()
+
+    def fence(self, version: ids.ViewVersion) -> None:
+        """Promises to start and acknowledge nothing under an older view."""
+        self.seen = max(self.seen, version)
+
+    @property
+    def fenced(self) -> bool:
+        """Whether a newer view than the one acted by is known to exist."""
+        return self.seen > self.view.version
+
+    def is_me(self, member: messages.Member | None) -> bool:
+        """Whether the member is this process."""
+        return member is not None and process_of(member) == self.me
+
+    def owns(self, slot: ids.Slot) -> bool:
+        """Whether this node is the slot's owner and may act as such."""
+        return not self.fenced and self.is_me(self.placement.owner(slot))
+
+    def ready(self, slot: ids.Slot) -> bool:
+        """Whether the owner also knows all that was started before."""
+        return self.owns(slot) and (
+            self.owned_upto.get(slot, 0) == self.view.version
+        )
+
+    def mine(self) -> list[ids.Slot]:
+        """Returns the slots that this node owns under its view."""
+        every = map(ids.Slot, range(slots.SLOTS))
+        return [
+            slot for slot in every if self.is_me(self.placement.owner(slot))
+        ]
+
+    def missing(self) -> list[ids.Slot]:
+        """Returns the slots that this node owns without knowing everything."""
+        version = self.view.version
+        return [s for s in self.mine() if self.owned_upto.get(s, 0) < version]
+
+    def unfetched(self) -> list[ids.Slot]:
+        """Returns the slots with records that no new owner has asked for."""
+        return [
+            slot
+            for slot, version in self.owned_upto.items()
+            if self.fetched.get(slot, ids.ViewVersion(0)) <= version
+            and not self.is_me(self.placement.owner(slot))
+            and self.placement.owner(slot) is not None
+            and any(self.registry.in_slot(slot))
+        ]
+
+    def take(self, slot: ids.Slot) -> None:
+        """Notes that this owner knows everything started under older views."""
+        self.owned_upto[slot] = self.view.version
+
+    def knowledge(self, slot: ids.Slot) -> messages.SlotKnowledge:
+        """Returns what this node can vouch for in the slot."""
+        return messages.SlotKnowledge(
+            slot=slot,
+            owned_upto=self.owned_upto.get(slot, ids.ViewVersion(0)),
+            held_at=self.held_at.get(slot, ids.ViewVersion(0)),
+        )
+
+    def raise_floor(self, slot: ids.Slot, minted_before_ms: int) -> None:
+        """Answers `unknown` to keys that may have been minted before."""
+        old = self.floors.get(slot, 0)
+        self.floors[slot] = max(old, minted_before_ms)
+
+
+Answers = collections.abc.Mapping[Process, messages.SlotKnowledge]
+
+
+def knows_everything(tenure: Tenure, slot: ids.Slot, answers: Answers) -> bool:
+    """Whether the answers together hold all that was ever started in a slot.
+
+    Some process vouches for the slot up to a version.  Under each later view
+    the owner may have started more, but only after every holder of that view
+    acknowledged it, and a process that answered acknowledges nothing under an
+    older view any more.  So one answer from the owner or from a holder of
+    each later view is enough, whatever the clock of a silent owner says.
+
+    Args:
+      tenure: the new owner's.
+      slot: the slot in question.
+      answers: what each process that answered can vouch for, this node's own
+        knowledge included.
+    """
+    vouched = max(
+        (max(k.owned_upto, k.held_at) for k in answers.values()), default=0
+    )
+    formers = tenure.view.formers
+    oldest = formers[-1].version if formers else tenure.view.version
+    if vouched < oldest and not tenure.view.lineage_whole:
+        return False
+    later = (former for former in formers if former.version > vouched)
+    return all(_covered(tenure, former, slot, answers) for former in later)
+
+
+def _covered(
+    tenure: Tenure,
+    former: messages.FormerView,
+    slot: ids.Slot,
+    answers: Answers,
+) -> bool:
+    placement = tenure.placement_of(former.members)
+    owner = placement.owner(slot)
+    if owner is None:
+        return True
+    witnesses = [owner, *placement.holders(slot)]
+    return any(process_of(member) in answers for member in witnesses)
--- a/schema/messages.capnp
+++ b/schema/messages.capnp
@@ -159,10 +159,21 @@
   slots @2 :List(UInt16);
 }
 
+struct SlotKnowledge {
+  # What a node can vouch for in one slot.
+  slot @0 :UInt16 $id("Slot");
+  ownedUpto @1 :UInt64 $id("ViewVersion");
+  # Newest view under which it was the owner and knew everything; 0: never.
+  heldAt @2 :UInt64 $id("ViewVersion");
+  # Newest view whose owner gave it everything; 0: never.
+}
+
 struct CopyList {
-  entries @0 :List(OnceEntry);
-  completeSlots @1 :List(UInt16);
-  floors @2 :List(SlotFloor);
+  host @0 :Text $id("HostId");
+  incarnation @1 :Text $id("Incarnation");
+  entries @2 :List(OnceEntry);
+  knowledge @3 :List(SlotKnowledge);
+  floors @4 :List(SlotFloor);
 }
 
 struct SlotFloor {
@@ -198,6 +209,15 @@
   # The members that could own slots before this version.
   active @5 :Bool;
   # Every living member of the former view has seen this one.
+  formers @6 :List(FormerView);
+  # Views before this one, newest first; at most a fixed number.
+  lineageWhole @7 :Bool;
+  # `formers` reaches back to the first view of the service.
+}
+
+struct FormerView {
+  version @0 :UInt64 $id("ViewVersion");
+  members @1 :List(Member);
 }
 
 struct ViewAck {
