Random faults against the owners of keys; the holder's fence has a test

Cause: removing the fence in copies.keep broke no test: the lease alone held. Conclusion: with the fence removed the new test fails.

--- a/mangobay/copies.py
+++ b/mangobay/copies.py
@@ -118,7 +118,7 @@
     version = share.view.version
     by_holder: dict[str, list[ids.Slot]] = {}
     members = {}
-    for slot in share.mine():
+    for slot in share.mine:
         if not share.ready(slot):
             continue
         for holder in share.placement.holders(slot):
--- a/mangobay/once.py
+++ b/mangobay/once.py
@@ -431,7 +431,7 @@
             and record.runner == self.me.host
             for record in share.registry.by_key.values()
         )
-        return not running and not share.mine() and not share.unfetched()
+        return not running and not share.mine and not share.unfetched()
 
     async def close(self) -> None:
         """Ends every task of this part."""
--- a/mangobay/tenure.py
+++ b/mangobay/tenure.py
@@ -33,6 +33,7 @@
       seen: the newest version it heard of; above view.version it starts
         nothing, because another node may have taken its slots over.
       placement: owners and holders under the view.
+      mine: the slots that this node owns under the view.
       owned_upto: per slot, the newest version under which this node was the
         owner and knew everything.
       held_at: per slot, the newest version whose owner gave this node all.
@@ -58,6 +59,7 @@
         self.view = messages.ServiceView(service=service)
         self.seen = ids.ViewVersion(0)
         self.placement = self.placement_of([])
+        self.mine: list[ids.Slot] = []
         self.owned_upto: dict[ids.Slot, ids.ViewVersion] = {}
         self.held_at: dict[ids.Slot, ids.ViewVersion] = {}
         self.floors: dict[ids.Slot, int] = {}
@@ -82,6 +84,7 @@
         )
         if view.version > self.view.version:
             self.placement = self.placement_of(view.members)
+            self.mine = self._owned()
         self.view = view
         self.fence(view.version)
         self.changed()
@@ -109,8 +112,7 @@
             self.owned_upto.get(slot, 0) == self.view.version
         )
 
-    def mine(self) -> list[ids.Slot]:
-        """Returns the slots that this node owns under its view."""
+    def _owned(self) -> list[ids.Slot]:
         every = map(ids.Slot, range(slots.SLOTS))
         return [
             slot for slot in every if self.is_me(self.placement.owner(slot))
@@ -119,7 +121,7 @@
     def missing(self) -> list[ids.Slot]:
         """Returns the slots that this node owns without knowing everything."""
         version = self.view.version
-        return [s for s in self.mine() if self.owned_upto.get(s, 0) < version]
+        return [s for s in self.mine if self.owned_upto.get(s, 0) < version]
 
     def unfetched(self) -> list[ids.Slot]:
         """Returns the slots with records that no new owner has asked for."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests; fakes live beside the tests that use them."""
--- a/tests/test_once.py
+++ b/tests/test_once.py
@@ -1,179 +1,13 @@
 """At most once across nodes, with fakes for the network and the lease."""
 
 import asyncio
-import contextlib
 import dataclasses
 
 import pytest
-import uuid6
-
-from mangobay import errors, ids, invariants, once, slots, tenure
-from mangobay.generated import messages, settings
-
-SERVICE = ids.ServiceName("reservations")
-DELAY = 0.003
-RUN_TIME = 0.05
-START_MS = 1_800_000_000_000
-OPTIONS = settings.NodeOnce(
-    window=3600.0,
-    entries=1000,
-    copies=1,
-    copy_place="other_data_centre",
-    clock_skew=2.0,
-    copy_timeout=0.5,
-)
-
-
-@dataclasses.dataclass
-class FakeLease:
-    """A lease that the test takes away."""
-
-    held: bool = True
-
-    def holds(self) -> bool:
-        return self.held
-
-
-class Network:
-    """Nodes that reach each other but for the cut ones."""
-
-    def __init__(self, hosts: int, **changes):
-        self.nodes: dict[str, once.Once] = {}
-        self.leases: dict[str, FakeLease] = {}
-        self.members: dict[str, messages.Member] = {}
-        self.cut: set[str] = set()
-        self.runs: list[str] = []
-        self.options = dataclasses.replace(OPTIONS, **changes)
-        self.formers: list[messages.FormerView] = []
-        self.view = messages.ServiceView(service=SERVICE)
-        for number in range(hosts):
-            self.add(f"h{number}", number)
-
-    def wall_ms(self) -> int:
-        return START_MS + int(asyncio.get_running_loop().time() * 1000)
-
-    def add(self, host: str, number: int, incarnation: str = "1") -> None:
-        address = f"127.0.0.1:{1000 + number}"
-        self.members[host] = messages.Member(
-            host=host,
-            incarnation=incarnation,
-            data_centre=f"dc{number % 3}",
-            peer_address=address,
-        )
-        self.leases[host] = FakeLease()
-        self.nodes[address] = once.Once(
-            self.options,
-            tenure.Process(ids.HostId(host), ids.Incarnation(incarnation)),
-            Link(self, address),
-            self.leases[host],
-            self.wall_ms,
-        )
-
-    def node(self, host: str) -> once.Once:
-        return self.nodes[self.members[host].peer_address]
-
-    def publish(self, *hosts: str, active: bool = True, to=()) -> None:
-        """Commits a view of these hosts and hands it to `to`, or to all."""
-        if self.view.version:
-            former = messages.FormerView(
-                version=self.view.version, members=self.view.members
-            )
-            self.formers = [former, *self.formers]
-        self.view = messages.ServiceView(
-            service=SERVICE,
-            version=self.view.version + 1,
-            members=[self.members[host] for host in hosts],
-            formers=self.formers,
-            lineage_whole=True,
-            active=active,
-        )
-        self.hand_out(to or hosts)
-
-    def hand_out(self, hosts) -> None:
-        for host in hosts:
-            self.node(host).update({SERVICE: self.view})
-
-    def activate(self, *hosts: str) -> None:
-        self.view = dataclasses.replace(self.view, active=True)
-        self.hand_out(hosts)
-
-    def kill(self, host: str) -> None:
-        self.cut.add(self.members[host].peer_address)
-
-    def owner(self, key: str) -> str:
-        return slots.owner(self.view, slots.slot_of(key)).host
-
-    def holder(self, key: str) -> str:
-        share = self.node(self.owner(key)).share(SERVICE)
-        return share.placement.holders(slots.slot_of(key))[0].host
-
-    def call(self, key: str, body: bytes = b"unit 7") -> messages.Call:
-        return messages.Call(
-            service=SERVICE,
-            method="POST",
-            target="/units",
-            body=body,
-            key=key,
-            deadline_ms=3000,
-        )
-
-    async def execute(self, gate) -> messages.Reply:
-        await gate()
-        self.runs.append("run")
-        await asyncio.sleep(RUN_TIME)
-        return messages.Reply(
-            outcome=messages.Outcome.ANSWERED, status=201, body=b"slip 1"
-        )
-
-    async def send(self, host: str, key: str, **options) -> messages.Reply:
-        call = self.call(key, **options)
-        return await self.node(host).run(call, self.execute)
-
-    async def close(self) -> None:
-        for node in self.nodes.values():
-            await node.close()
-
-
-@dataclasses.dataclass
-class Link:
-    """One node's transport."""
-
-    network: Network
-    address: str
-
-    async def ask(self, address, body, timeout):
-        target = str(address)
-        cut = self.network.cut
-        if self.address in cut or target in cut:
-            await asyncio.sleep(timeout)
-            raise TimeoutError
-        if target not in self.network.nodes:
-            raise errors.PeerUnreachableError
-        await asyncio.sleep(DELAY)
-        answer = await self.network.nodes[target].handle(body)
-        await asyncio.sleep(DELAY)
-        if self.address in cut or target in cut:
-            raise errors.PeerBrokenError
-        return answer
-
-
-@contextlib.asynccontextmanager
-async def network(hosts: int = 4, **changes):
-    """A settled network of nodes that serve one service."""
-    made = Network(hosts, **changes)
-    made.publish(*made.members)
-    await asyncio.sleep(1)
-    try:
-        yield made
-    finally:
-        await made.close()
-
-
-def new_key() -> str:
-    """A key minted at the fake wall clock's present."""
-    now = START_MS + int(asyncio.get_running_loop().time() * 1000)
-    number = (now << 80) | (uuid6.uuid7().int & ((1 << 80) - 1))
-    return str(uuid6.UUID(int=number))
+
+from mangobay import invariants, slots
+from mangobay.generated import messages
+from tests import once_fakes
 
 
 @pytest.mark.looptime
@@ -181,8 +15,8 @@
     """The same key again, while nothing has failed."""
 
     async def test_a_repeat_gets_the_same_whole_answer(self):
-        async with network() as net:
-            key = new_key()
+        async with once_fakes.network() as net:
+            key = once_fakes.new_key()
             owner = net.owner(key)
             first = await net.send(owner, key)
             again = await net.send(owner, key)
@@ -190,8 +24,8 @@
             assert net.runs == ["run"]
 
     async def test_a_repeat_waits_for_the_run_in_flight(self):
-        async with network() as net:
-            key = new_key()
+        async with once_fakes.network() as net:
+            key = once_fakes.new_key()
             owner = net.owner(key)
             replies = await asyncio.gather(
                 *(net.send(owner, key) for _ in range(5))
@@ -200,8 +34,8 @@
             assert net.runs == ["run"]
 
     async def test_a_key_with_another_body_is_refused(self):
-        async with network() as net:
-            key = new_key()
+        async with once_fakes.network() as net:
+            key = once_fakes.new_key()
             owner = net.owner(key)
             await net.send(owner, key)
             other = await net.send(owner, key, body=b"unit 8")
@@ -210,8 +44,8 @@
             assert (await net.send(owner, key)).body == b"slip 1"
 
     async def test_a_key_older_than_the_window_never_runs(self):
-        async with network(window=10.0) as net:
-            key = new_key()
+        async with once_fakes.network(window=10.0) as net:
+            key = once_fakes.new_key()
             await asyncio.sleep(11)
             reply = await net.send(net.owner(key), key)
             assert reply.outcome is messages.Outcome.UNKNOWN
@@ -219,8 +53,8 @@
             assert net.runs == []
 
     async def test_another_node_than_the_owner_refuses(self):
-        async with network() as net:
-            key = new_key()
+        async with once_fakes.network() as net:
+            key = once_fakes.new_key()
             other = next(h for h in net.members if h != net.owner(key))
             reply = await net.send(other, key)
             assert reply.reason is messages.Reason.NOT_OWNER
@@ -231,11 +65,11 @@
         The run goes on; the repeat gets its answer.  A cancelled run would
         leave the booking's fate unknown for nothing.
         """
-        async with network() as net:
-            key = new_key()
+        async with once_fakes.network() as net:
+            key = once_fakes.new_key()
             owner = net.owner(key)
             hasty = asyncio.create_task(net.send(owner, key))
-            await asyncio.sleep(RUN_TIME / 2)
+            await asyncio.sleep(once_fakes.RUN_TIME / 2)
             hasty.cancel()
             assert (await net.send(owner, key)).body == b"slip 1"
             assert net.runs == ["run"]
@@ -245,7 +79,7 @@
 class TestTakeover:
     """The owner is lost, alone or with its copies."""
 
-    async def lose_owner(self, net: Network, key: str) -> str:
+    async def lose_owner(self, net: once_fakes.Network, key: str) -> str:
         """Kills the owner and commits the view without it."""
         owner = net.owner(key)
         net.kill(owner)
@@ -259,8 +93,8 @@
 
         The holder of the copy gives the new owner the whole answer.
         """
-        async with network() as net:
-            key = new_key()
+        async with once_fakes.network() as net:
+            key = once_fakes.new_key()
             first = await net.send(net.owner(key), key)
             await asyncio.sleep(0.1)
             await self.lose_owner(net, key)
@@ -274,11 +108,11 @@
         The copy says started, its runner is gone: the repeat is told that
         the fate is unknown, at once, and the booking does not run again.
         """
-        async with network() as net:
-            key = new_key()
+        async with once_fakes.network() as net:
+            key = once_fakes.new_key()
             owner = net.owner(key)
             task = asyncio.create_task(net.send(owner, key))
-            await asyncio.sleep(RUN_TIME / 2)
+            await asyncio.sleep(once_fakes.RUN_TIME / 2)
             await self.lose_owner(net, key)
             again = await net.send(net.owner(key), key)
             assert again.outcome is messages.Outcome.UNKNOWN
@@ -287,8 +121,8 @@
 
     async def test_killed_before_started(self):
         """The owner dies before it told anybody: the repeat simply runs."""
-        async with network() as net:
-            key = new_key()
+        async with once_fakes.network() as net:
+            key = once_fakes.new_key()
             await self.lose_owner(net, key)
             again = await net.send(net.owner(key), key)
             assert again.outcome is messages.Outcome.ANSWERED
@@ -299,8 +133,8 @@
 
         Older keys get `unknown`; a key minted after the takeover runs.
         """
-        async with network() as net:
-            key = new_key()
+        async with once_fakes.network() as net:
+            key = once_fakes.new_key()
             owner, holder = net.owner(key), net.holder(key)
             await net.send(owner, key)
             net.kill(owner)
@@ -312,9 +146,9 @@
             assert again.outcome is messages.Outcome.UNKNOWN
             assert net.runs == ["run"]
             await asyncio.sleep(3)
-            young = new_key()
+            young = once_fakes.new_key()
             while slots.slot_of(young) != slots.slot_of(key):
-                young = new_key()
+                young = once_fakes.new_key()
             reply = await net.send(net.owner(young), young)
             assert reply.outcome is messages.Outcome.ANSWERED
 
@@ -325,8 +159,8 @@
         it, so the newest owner still finds the first owner's copy and does
         not fall back to `unknown`.
         """
-        async with network(6) as net:
-            key = new_key()
+        async with once_fakes.network(6) as net:
+            key = once_fakes.new_key()
             first = await net.send(net.owner(key), key)
             await asyncio.sleep(0.1)
             owner = net.owner(key)
@@ -349,8 +183,8 @@
         Under its old address it answers the questions of the takeover, but
         as another process: keys from before get `unknown`.
         """
-        async with network(1) as net:
-            key = new_key()
+        async with once_fakes.network(1) as net:
+            key = once_fakes.new_key()
             await net.send("h0", key)
             await net.node("h0").close()
             net.add("h0", 0, incarnation="2")
@@ -365,15 +199,39 @@
 class TestFrozenOwner:
     """An owner that stops for a while and does not notice."""
 
+    async def test_its_holder_is_fenced_by_the_new_owner(self):
+        """The old owner wakes and believes in its view and its lease.
+
+        Nobody could tell it of the new view; the new owner asked the holder
+        instead, which from then on acknowledges no start under the old view.
+        So the old owner starts nothing and the booking runs once.
+        """
+        async with once_fakes.network() as net:
+            key = once_fakes.new_key()
+            owner, holder = net.owner(key), net.holder(key)
+            rest = [h for h in net.members if h != owner]
+            for host in rest:
+                if host != holder:
+                    net.part(owner, host)
+            net.publish(
+                *rest, active=False, to=[h for h in rest if h != holder]
+            )
+            await asyncio.sleep(1)
+            late = await net.send(owner, key)
+            assert late.reason is messages.Reason.COPY_FAILED
+            net.hand_out([holder])
+            await asyncio.sleep(1)
+            again = await net.send(net.owner(key), key)
+            assert again.outcome is messages.Outcome.ANSWERED
+            assert net.runs == ["run"]
+
     async def test_woken_after_its_slots_were_taken_over(self):
-        """The owner freezes while it waits for its holder, then wakes.
+        """The new owner asked the old one itself, which thereby learns.
 
-        Meanwhile the new owner asked the holder, which is fenced: it no
-        longer acknowledges the old view, so the woken owner starts nothing,
-        although its lease seems fine to it.
+        It starts nothing more, although its lease seems fine to it.
         """
-        async with network() as net:
-            key = new_key()
+        async with once_fakes.network() as net:
+            key = once_fakes.new_key()
             owner = net.owner(key)
             rest = [h for h in net.members if h != owner]
             net.publish(*rest)
@@ -390,8 +248,8 @@
         Nobody vouches for the slot, so the new owner waits until the view is
         active before it starts anything: until then the old owner may.
         """
-        async with network() as net:
-            key = new_key()
+        async with once_fakes.network() as net:
+            key = once_fakes.new_key()
             owner, holder = net.owner(key), net.holder(key)
             net.kill(owner)
             net.kill(holder)
@@ -402,15 +260,15 @@
             assert early.outcome is messages.Outcome.NOT_RUN
             net.activate(*rest)
             await asyncio.sleep(4)
-            young = new_key()
+            young = once_fakes.new_key()
             while slots.slot_of(young) != slots.slot_of(key):
-                young = new_key()
+                young = once_fakes.new_key()
             reply = await net.send(net.owner(young), young)
             assert reply.outcome is messages.Outcome.ANSWERED
 
     async def test_without_a_lease_nothing_starts(self):
-        async with network() as net:
-            key = new_key()
+        async with once_fakes.network() as net:
+            key = once_fakes.new_key()
             owner = net.owner(key)
             net.leases[owner].held = False
             reply = await net.send(owner, key)
@@ -422,11 +280,11 @@
 
         The second check, after the wait and before the first byte, sees it.
         """
-        async with network() as net:
-            key = new_key()
+        async with once_fakes.network() as net:
+            key = once_fakes.new_key()
             owner = net.owner(key)
             task = asyncio.create_task(net.send(owner, key))
-            await asyncio.sleep(DELAY)
+            await asyncio.sleep(once_fakes.DELAY)
             net.leases[owner].held = False
             reply = await task
             assert reply.reason is messages.Reason.NO_LEASE
@@ -443,8 +301,8 @@
         It stays until the new owners have asked, so that a repeat gets the
         same answer from the new owner.
         """
-        async with network() as net:
-            keys = [new_key() for _ in range(40)]
+        async with once_fakes.network() as net:
+            keys = [once_fakes.new_key() for _ in range(40)]
             leaver = net.owner(keys[0])
             for key in keys:
                 await net.send(net.owner(key), key)
@@ -464,8 +322,8 @@
 
         The repeat waits at the new owner; the old one sends the answer there.
         """
-        async with network() as net:
-            key = new_key()
+        async with once_fakes.network() as net:
+            key = once_fakes.new_key()
             leaver = net.owner(key)
             first = asyncio.create_task(net.send(leaver, key))
             await asyncio.sleep(0.02)
@@ -484,9 +342,9 @@
 
     async def test_it_is_checked_on_every_start(self):
         before = invariants.checks[invariants.Promise.AT_MOST_ONCE]
-        async with network() as net:
+        async with once_fakes.network() as net:
             for _ in range(10):
-                key = new_key()
+                key = once_fakes.new_key()
                 await net.send(net.owner(key), key)
         after = invariants.checks[invariants.Promise.AT_MOST_ONCE]
         assert after - before == 10
--- /dev/null
+++ b/tests/test_once_random.py
@@ -0,0 +1,249 @@
+"""At most once under random kills, cuts, late messages and restarts."""
+
+import asyncio
+import collections
+import dataclasses
+import os
+
+import hypothesis
+import looptime
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from mangobay import invariants
+from mangobay.generated import messages
+from tests import once_fakes
+
+HOSTS = 5
+KEYS = 6
+TTL = 2.0
+MARGIN = 0.5
+TICK = 0.2
+SOAK = "MANGOBAY_SOAK" in os.environ
+
+
+class ClockLease:
+    """A lease on the loop's clock, as a node counts it."""
+
+    def __init__(self):
+        self.until = 0.0
+
+    def holds(self) -> bool:
+        return asyncio.get_running_loop().time() < self.until
+
+
+@dataclasses.dataclass
+class Seen:
+    """What the fake control group knows of one process."""
+
+    renewed: float
+    version: int = 0
+
+
+class FakeControl:
+    """Grants leases and commits views by the rules of the real group."""
+
+    def __init__(self, net: once_fakes.Network):
+        self.net = net
+        self.seen: dict[tuple, Seen] = {}
+        self.leaving: set[str] = set()
+
+    def identity(self, host: str) -> tuple:
+        return (host, self.net.members[host].incarnation)
+
+    async def run(self) -> None:
+        while True:
+            self.tick(asyncio.get_running_loop().time())
+            await asyncio.sleep(TICK)
+
+    def tick(self, now: float) -> None:
+        for host, member in self.net.members.items():
+            if member.peer_address in self.net.nodes and self.net.passes(
+                member.peer_address, ""
+            ):
+                self.renew(host, now)
+        self.commit(now)
+
+    def renew(self, host: str, now: float) -> None:
+        seen = self.seen.setdefault(self.identity(host), Seen(now))
+        seen.renewed = now
+        self.net.leases[host].until = now + TTL
+        self.net.hand_out([host])
+        share = self.net.node(host).shares.get(once_fakes.SERVICE)
+        seen.version = share.view.version if share else 0
+
+    def living(self, identity: tuple, now: float) -> bool:
+        seen = self.seen.get(identity)
+        return seen is not None and now < seen.renewed + TTL + MARGIN
+
+    def commit(self, now: float) -> None:
+        wanted = [
+            member
+            for host, member in self.net.members.items()
+            if self.living(self.identity(host), now)
+        ]
+        if wanted != self.net.view.members:
+            self.net.publish_members(wanted)
+        formers = [m for f in self.net.view.formers for m in f.members]
+        active = all(
+            self.seen[key].version >= self.net.view.version
+            for key in {(m.host, m.incarnation) for m in formers}
+            if self.living(key, now)
+        )
+        if active != self.net.view.active:
+            self.net.view = dataclasses.replace(self.net.view, active=active)
+
+
+class OnceMachine(stateful.RuleBasedStateMachine):
+    """Random faults against real Once objects on a virtual-time loop."""
+
+    faults: collections.Counter = collections.Counter()
+
+    def __init__(self):
+        super().__init__()
+        self.loop = looptime.new_event_loop(start=0)
+        self.tasks = []
+        self.run(self.start())
+
+    def run(self, work):
+        return self.loop.run_until_complete(work)
+
+    async def start(self):
+        self.net = once_fakes.Network(HOSTS, window=600.0)
+        self.net.leases = {host: ClockLease() for host in self.net.members}
+        for host, lease in self.net.leases.items():
+            self.net.node(host).lease = lease
+        self.control = FakeControl(self.net)
+        self.keeper = asyncio.create_task(self.control.run())
+        await asyncio.sleep(1)
+        self.keys = [once_fakes.new_key() for _ in range(KEYS)]
+        self.runs = collections.defaultdict(list)
+        self.bodies = collections.defaultdict(set)
+        self.arrivals = 0
+
+    async def arrive(self, host: str, key: str) -> None:
+        self.arrivals += 1
+        arrival = self.arrivals
+
+        async def execute(gate):
+            await asyncio.sleep(0.01)
+            await gate()
+            self.runs[key].append(arrival)
+            await asyncio.sleep(1.0)
+            return messages.Reply(
+                outcome=messages.Outcome.ANSWERED,
+                status=200,
+                body=f"run {arrival}".encode(),
+            )
+
+        node = self.net.node(host)
+        reply = await node.run(self.net.call(key), execute)
+        match reply.outcome:
+            case messages.Outcome.NOT_RUN:
+                assert arrival not in self.runs[key], "a false not_run"
+            case messages.Outcome.ANSWERED:
+                self.bodies[key].add(reply.body)
+
+    @stateful.rule(host=st.integers(0, HOSTS - 1), key=st.integers(0, KEYS - 1))
+    def send(self, host, key):
+        work = self.arrive(f"h{host}", self.keys[key])
+        self.tasks.append(self.loop.create_task(work))
+
+    @stateful.rule(key=st.integers(0, KEYS - 1))
+    def send_to_the_owner(self, key):
+        if self.net.view.members:
+            host = self.net.owner(self.keys[key])
+            work = self.arrive(host, self.keys[key])
+            self.tasks.append(self.loop.create_task(work))
+
+    @stateful.rule(host=st.integers(0, HOSTS - 1))
+    def cut(self, host):
+        self.faults["cut"] += 1
+        self.net.kill(f"h{host}")
+
+    @stateful.rule(host=st.integers(0, HOSTS - 1))
+    def heal(self, host):
+        address = self.net.members[f"h{host}"].peer_address
+        self.net.cut.discard(address)
+        self.net.slow.discard(address)
+
+    @stateful.rule()
+    def heal_all(self):
+        self.net.cut.clear()
+        self.net.slow.clear()
+        self.run(asyncio.sleep(TTL))
+
+    @stateful.rule(host=st.integers(0, HOSTS - 1))
+    def slow(self, host):
+        self.faults["slow"] += 1
+        self.net.slow.add(self.net.members[f"h{host}"].peer_address)
+
+    @stateful.rule(host=st.integers(0, HOSTS - 1))
+    def restart(self, host):
+        self.faults["restart"] += 1
+        self.run(self.restarted(f"h{host}", host))
+
+    async def restarted(self, host: str, number: int):
+        # The killed process never speaks again; its calls hang as they are.
+        old = self.net.node(host)
+        for task in old.tasks:
+            task.cancel()
+        incarnation = str(int(self.net.members[host].incarnation) + 1)
+        self.net.add(host, number, incarnation)
+        self.net.leases[host] = ClockLease()
+        self.net.node(host).lease = self.net.leases[host]
+
+    @stateful.rule(seconds=st.sampled_from([0.004, 0.03, 0.5, 3.0, 7.0]))
+    def wait(self, seconds):
+        self.run(asyncio.sleep(seconds))
+        self.look()
+
+    def look(self):
+        for key in self.keys:
+            assert len(self.runs[key]) <= 1, f"{key} ran twice"
+            assert len(self.bodies[key]) <= 1, f"{key} has two answers"
+        for task in [task for task in self.tasks if task.done()]:
+            self.tasks.remove(task)
+            if not task.cancelled() and task.exception():
+                raise task.exception()
+
+    def teardown(self):
+        self.run(self.finish())
+        self.look()
+        self.loop.close()
+
+    async def finish(self):
+        self.net.cut.clear()
+        self.net.slow.clear()
+        await asyncio.sleep(10)
+        self.keeper.cancel()
+        await self.net.close()
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
+
+OnceMachine.TestCase.settings = hypothesis.settings(
+    max_examples=1000 if SOAK else 40,
+    stateful_step_count=60 if SOAK else 40,
+    deadline=None,
+    derandomize=not SOAK,
+    suppress_health_check=list(hypothesis.HealthCheck),
+)
+
+
+class TestRandomFaults:
+    """Random schedules; what was injected and checked is printed."""
+
+    def test_no_key_runs_twice_and_no_refusal_lies(self, capsys):
+        promise = invariants.Promise.AT_MOST_ONCE
+        before = invariants.checks[promise]
+        stateful.run_state_machine_as_test(
+            OnceMachine, settings=OnceMachine.TestCase.settings
+        )
+        checked = invariants.checks[promise] - before
+        with capsys.disabled():
+            faults = dict(OnceMachine.faults)
+            print(f"\nonce: faults {faults}, starts checked {checked}")
+        assert checked > 0
+        assert sum(OnceMachine.faults.values()) > 0
