Frames, mutual TLS and peer connections carrying many streams

Cause: nothing carried messages between the processes yet, and reading a call of six headers cost most of what a node may spend on a call.

Change: wire (length before each envelope, limits, typed errors), tls (files read again when they change, on the listener through the SNI callback), connections (one reading task, frames of one turn of the loop in one write, Cancel, late answers dropped), peers (one connection for each address, back-off, Listener with limits). Headers travel as one packed Data and readers use pycapnp's `_get`; the data classes stay. A new message Failure tells the asker that the receiver cannot answer.

A heartbeat of our own: TCP_USER_TIMEOUT and keepalive end a connection behind a silent cut.

--- /dev/null
+++ b/mangobay/connections.py
@@ -0,0 +1,289 @@
+"""One connection to another process, carrying many streams."""
+
+import asyncio
+import collections.abc
+import dataclasses
+import socket
+
+from mangobay import errors, logs, wire
+from mangobay.generated import messages
+
+PROTOCOL = 1
+"""Spoken version; another one is refused at the Hello."""
+UNACKNOWLEDGED_MS = 5000
+"""Bytes that the peer's kernel does not acknowledge end the connection."""
+KEEPALIVE_SECONDS = 2
+KEEPALIVE_PROBES = 3
+
+Handler = collections.abc.Callable[
+    [messages.Hello, messages.EnvelopeBody],
+    collections.abc.Awaitable[messages.EnvelopeBody],
+]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Limits:
+    """Bounds on what a peer may use.
+
+    Attributes:
+      frame_bytes: longest frame that is taken or sent.
+      connections: most connections taken by a listener.
+      frame_seconds: time a peer has to send its Hello, and to end a frame
+        that it began.
+      connect_seconds: longest wait for a connection and its Hello.
+      backlog_bytes: written but not taken by the peer; above it requests
+        are refused unsent.
+      streams: most requests of one connection that are answered at once.
+    """
+
+    frame_bytes: int = wire.FRAME_BYTES
+    connections: int = 2048
+    frame_seconds: float = 10
+    connect_seconds: float = 1
+    backlog_bytes: int = 4 * 1024 * 1024
+    streams: int = 20_000
+
+
+def tune(writer: asyncio.StreamWriter) -> None:
+    """Sets the socket so that a silent partition ends the connection.
+
+    A peer behind a cut that drops packets neither closes nor answers: calls
+    would wait on it until their deadlines, again and again.  Bounding the
+    time without an acknowledgement ends the connection; a peer that is
+    merely slow still acknowledges and is left alone.
+    """
+    sock = writer.get_extra_info("socket")
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    for name, value in (
+        ("TCP_USER_TIMEOUT", UNACKNOWLEDGED_MS),
+        ("TCP_KEEPIDLE", KEEPALIVE_SECONDS),
+        ("TCP_KEEPINTVL", KEEPALIVE_SECONDS),
+        ("TCP_KEEPCNT", KEEPALIVE_PROBES),
+    ):
+        if hasattr(socket, name):
+            sock.setsockopt(socket.IPPROTO_TCP, getattr(socket, name), value)
+
+
+class Connection:
+    """Requests and answers in both directions; one task reads.
+
+    Attributes:
+      hello: who the peer says it is, once it has said so.
+      waiting: futures of the requests sent, by stream.
+      serving: tasks of the requests received, by stream.
+      partial_since: loop time when a frame began that has not ended, or 0.
+    """
+
+    def __init__(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        limits: Limits,
+        handler: Handler | None = None,
+    ):
+        self.loop = asyncio.get_running_loop()
+        self.reader = reader
+        self.writer = writer
+        self.limits = limits
+        self.handler = handler
+        self.hello = messages.Hello()
+        self.waiting: dict[int, asyncio.Future] = {}
+        self.serving: dict[int, asyncio.Task] = {}
+        self.last_stream = 0
+        self.frames: list[bytes] = []
+        self.closed = False
+        self.partial_since = 0.0
+
+    async def greet(self, mine: messages.Hello, first: bool) -> None:
+        """Exchanges the Hellos; the connecting side sends first.
+
+        Raises:
+          errors.PeerError: the peer is none of the system's processes.
+        """
+        greeting = messages.Envelope(
+            body=dataclasses.replace(mine, protocol=PROTOCOL)
+        )
+        if first:
+            self.send(greeting)
+        theirs = (await wire.read(self.reader, self.limits.frame_bytes)).body
+        if not isinstance(theirs, messages.Hello):
+            raise errors.PeerProtocolError("the first message is no Hello")
+        if theirs.protocol != PROTOCOL:
+            raise errors.PeerProtocolError(
+                f"protocol {theirs.protocol}, not {PROTOCOL}"
+            )
+        self.hello = theirs
+        if not first:
+            self.send(greeting)
+
+    async def run(self) -> None:
+        """Reads until the connection ends; then nothing waits on it."""
+        why = "closed"
+        try:
+            while True:
+                await self.read_one()
+        except errors.PeerClosedError:
+            pass
+        except errors.PeerProtocolError as error:
+            why = str(error)
+            logs.say(logs.Part.PEER, "not understood", why=why)
+        except OSError as error:
+            why = str(error)
+        finally:
+            self.close(why)
+
+    async def read_one(self) -> None:
+        """Reads one frame and hands it to whom it is for."""
+        limit = self.limits.frame_bytes
+        length = await wire.read_length(self.reader, limit)
+        self.partial_since = self.loop.time()
+        envelope = await wire.read_body(self.reader, length)
+        self.partial_since = 0.0
+        match envelope.body:
+            case messages.Hello():
+                raise errors.PeerProtocolError("a second Hello")
+            case messages.Cancel():
+                self.cancel(envelope.stream)
+            case _ if envelope.stream in self.waiting:
+                self.settle(envelope)
+            case _ if self.handler is not None:
+                self.serve(envelope)
+            # What is left answers a request given up: dropped.
+
+    def settle(self, envelope: messages.Envelope) -> None:
+        """Gives an answer to the request of its stream."""
+        future = self.waiting[envelope.stream]
+        if not future.done():
+            future.set_result(envelope.body)
+
+    def serve(self, envelope: messages.Envelope) -> None:
+        """Starts the task that answers a request."""
+        stream = envelope.stream
+        if stream in self.serving or len(self.serving) >= self.limits.streams:
+            raise errors.PeerProtocolError("too many requests, or one twice")
+        self.serving[stream] = asyncio.create_task(
+            self.answer(stream, envelope.body)
+        )
+
+    async def answer(self, stream: int, body: messages.EnvelopeBody) -> None:
+        """Answers one request; its task is cancelled by the peer's Cancel."""
+        try:
+            answer = await self.handler(self.hello, body)
+        except errors.MangobayError as error:
+            answer = messages.Failure(text=str(error))
+        except Exception as error:  # noqa: BLE001
+            logs.say(logs.Part.PEER, "request failed", why=repr(error))
+            answer = messages.Failure(text="internal fault")
+        finally:
+            self.serving.pop(stream, None)
+        try:
+            self.send(messages.Envelope(stream=stream, body=answer))
+        except errors.FrameTooLargeError as error:
+            failure = messages.Failure(text=str(error))
+            self.send(messages.Envelope(stream=stream, body=failure))
+
+    def cancel(self, stream: int) -> None:
+        """Cancels the task that answers a request, if it still runs."""
+        task = self.serving.get(stream)
+        if task is not None:
+            task.cancel()
+
+    async def ask(
+        self, body: messages.EnvelopeBody, timeout: float
+    ) -> messages.EnvelopeBody:
+        """Sends a request and returns its answer within timeout seconds.
+
+        Raises:
+          errors.PeerUnreachableError: no byte of the request was sent.
+          errors.PeerBrokenError: sent, but no answer came or can come.
+          TimeoutError: no answer in time.
+        """
+        self.check_writable()
+        self.last_stream += 1
+        stream = self.last_stream
+        self.send(messages.Envelope(stream=stream, body=body))
+        future = self.loop.create_future()
+        self.waiting[stream] = future
+        timer = self.loop.call_later(timeout, expire, future)
+        try:
+            answer = await future
+        except (TimeoutError, asyncio.CancelledError):
+            self.send(messages.Envelope(stream=stream, body=messages.Cancel()))
+            raise
+        finally:
+            timer.cancel()
+            del self.waiting[stream]
+        if isinstance(answer, messages.Failure):
+            raise errors.PeerBrokenError(answer.text)
+        return answer
+
+    def check_writable(self) -> None:
+        """Refuses a request that would only wait in this process.
+
+        A peer that no longer reads (stopped, or its kernel's buffer full)
+        would let the backlog grow without bound while every caller waits;
+        refused unsent, the call can go to another host.
+
+        Raises:
+          errors.PeerUnreachableError: closed, or too much is unsent.
+        """
+        if self.closed or self.writer.transport.is_closing():
+            raise errors.PeerUnreachableError("the connection is closed")
+        backlog = self.writer.transport.get_write_buffer_size()
+        if backlog > self.limits.backlog_bytes:
+            raise errors.PeerUnreachableError("the peer does not read")
+
+    def send(self, envelope: messages.Envelope) -> None:
+        """Queues a frame; those of one turn of the loop go out in one write.
+
+        Raises:
+          errors.FrameTooLargeError: nothing was queued.
+        """
+        if self.closed:
+            return
+        frame = wire.pack(envelope, self.limits.frame_bytes)
+        if not self.frames:
+            self.loop.call_soon(self.flush)
+        self.frames.append(frame)
+
+    def flush(self) -> None:
+        """Writes what is queued."""
+        frames, self.frames = self.frames, []
+        if frames and not self.writer.transport.is_closing():
+            self.writer.write(b"".join(frames))
+        backlog = self.writer.transport.get_write_buffer_size()
+        if self.handler and backlog > 4 * self.limits.backlog_bytes:
+            # Answers that a peer asks for and never reads would fill the
+            # memory of this process; without the connection they go nowhere.
+            self.close("the peer does not read its answers")
+
+    def close(self, why: str = "closed") -> None:
+        """Ends the connection: requests sent break, tasks are cancelled."""
+        if self.closed:
+            return
+        self.flush_last()
+        self.closed = True
+        transport = self.writer.transport
+        if transport.get_write_buffer_size() > self.limits.backlog_bytes:
+            # A plain close would wait for a peer that does not read.
+            transport.abort()
+        else:
+            transport.close()
+        for future in self.waiting.values():
+            if not future.done():
+                future.set_exception(errors.PeerBrokenError(why))
+        for task in list(self.serving.values()):
+            task.cancel()
+
+    def flush_last(self) -> None:
+        """Writes what is queued before the connection ends."""
+        if self.frames and not self.writer.transport.is_closing():
+            self.writer.write(b"".join(self.frames))
+        self.frames = []
+
+
+def expire(future: asyncio.Future) -> None:
+    """Fails a request whose time has passed."""
+    if not future.done():
+        future.set_exception(TimeoutError("no answer in time"))
--- a/mangobay/errors.py
+++ b/mangobay/errors.py
@@ -46,10 +46,18 @@
     """The connection broke after the request was sent: its fate is unknown."""
 
 
+class PeerClosedError(PeerError):
+    """The peer ended the connection between two messages."""
+
+
 class PeerProtocolError(PeerError):
     """The peer sent something that is not a message of the system."""
 
 
+class FrameTooLargeError(PeerUnreachableError):
+    """The message is longer than a frame may be: no byte of it was sent."""
+
+
 class BackendError(MangobayError):
     """Base of errors of a call to the backend server on this host."""
 
--- /dev/null
+++ b/mangobay/peers.py
@@ -0,0 +1,304 @@
+"""Asking other processes, and answering them."""
+
+import asyncio
+import dataclasses
+import random
+import typing
+
+from mangobay import connections, errors, logs, options, tls
+from mangobay.generated import messages
+
+BACKOFF_FIRST = 0.05
+"""Seconds without another try after a failed connect; doubled each time."""
+BACKOFF_MOST = 1.0
+
+Handler = connections.Handler
+Limits = connections.Limits
+
+
+class Transport(typing.Protocol):
+    """What asks another process; tests put a fake in its place."""
+
+    async def ask(
+        self,
+        address: options.Address,
+        body: messages.EnvelopeBody,
+        timeout: float,
+    ) -> messages.EnvelopeBody:
+        """Returns the answer to one request within timeout seconds.
+
+        Raises:
+          errors.PeerUnreachableError: no byte of the request was sent.
+          errors.PeerBrokenError: sent, no answer came.
+          TimeoutError: sent, no answer in time.
+        """
+
+
+@dataclasses.dataclass(slots=True)
+class Peer:
+    """One process that is asked.
+
+    Attributes:
+      connection: the one that stands, None before and after.
+      connecting: the task that makes one.
+      failures: failed connects in a row.
+      closed_until: loop time before which no connect is tried.
+      reading: the task that reads the connection.
+    """
+
+    connection: connections.Connection | None = None
+    connecting: asyncio.Task | None = None
+    failures: int = 0
+    closed_until: float = 0.0
+    reading: asyncio.Task | None = None
+
+
+class Peers:
+    """Asks other processes; keeps one connection for each address."""
+
+    def __init__(
+        self,
+        hello: messages.Hello,
+        *,
+        identity: tls.Identity | None = None,
+        limits: Limits | None = None,
+        rng: random.Random | None = None,
+    ):
+        self.hello = hello
+        self.identity = identity
+        self.limits = limits or Limits()
+        self.random = rng or random.Random()
+        self.peers: dict[options.Address, Peer] = {}
+
+    async def ask(
+        self,
+        address: options.Address,
+        body: messages.EnvelopeBody,
+        timeout: float,
+    ) -> messages.EnvelopeBody:
+        """Returns the answer to one request within timeout seconds.
+
+        Cancelling the asking task, or its timeout, sends Cancel.
+
+        Raises:
+          errors.PeerUnreachableError: no byte of the request was sent.
+          errors.PeerBrokenError: sent, no answer came.
+          TimeoutError: sent, no answer in time.
+        """
+        peer = self.peers.get(address)
+        if peer is None:
+            peer = self.peers[address] = Peer()
+        connection = peer.connection
+        if connection is None or connection.closed:
+            loop = asyncio.get_running_loop()
+            deadline = loop.time() + timeout
+            connection = await self.reach(address, peer, timeout)
+            timeout = max(deadline - loop.time(), 0.0)
+        return await connection.ask(body, timeout)
+
+    async def reach(
+        self, address: options.Address, peer: Peer, timeout: float
+    ) -> connections.Connection:
+        """Returns a new connection; concurrent requests share it.
+
+        Raises:
+          errors.PeerUnreachableError: there is none, or not in time.
+        """
+        loop = asyncio.get_running_loop()
+        if loop.time() < peer.closed_until:
+            raise errors.PeerUnreachableError(f"{address} failed just now")
+        if peer.connecting is None:
+            peer.connecting = asyncio.create_task(self.connect(address, peer))
+        try:
+            # One who gives up must not end the connect that others wait for.
+            return await asyncio.wait_for(
+                asyncio.shield(peer.connecting), timeout
+            )
+        except TimeoutError:
+            raise errors.PeerUnreachableError(
+                f"{address} accepts too slowly"
+            ) from None
+
+    async def connect(
+        self, address: options.Address, peer: Peer
+    ) -> connections.Connection:
+        """Makes the connection and starts the task that reads it.
+
+        Raises:
+          errors.PeerUnreachableError: the peer refused, or is none.
+        """
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(self.limits.connect_seconds):
+                connection = await self.open(address)
+        except (OSError, errors.PeerError) as error:
+            peer.failures += 1
+            wait = min(
+                BACKOFF_FIRST * 2 ** min(peer.failures - 1, 8), BACKOFF_MOST
+            )
+            peer.closed_until = loop.time() + wait * self.random.uniform(0.5, 1)
+            if peer.failures == 1:
+                logs.say(
+                    logs.Part.PEER,
+                    "unreachable",
+                    address=str(address),
+                    why=str(error) or "timed out",
+                )
+            raise errors.PeerUnreachableError(f"{address}: {error}") from None
+        finally:
+            peer.connecting = None
+        peer.failures = 0
+        peer.connection = connection
+        peer.reading = asyncio.create_task(connection.run())
+        return connection
+
+    async def open(self, address: options.Address) -> connections.Connection:
+        """Returns a connection on which the Hellos were exchanged."""
+        context = self.identity.client() if self.identity else None
+        reader, writer = await asyncio.open_connection(
+            address.ip, address.port, ssl=context
+        )
+        try:
+            connections.tune(writer)
+            connection = connections.Connection(reader, writer, self.limits)
+            await connection.greet(self.hello, first=True)
+        except BaseException:
+            writer.close()
+            raise
+        return connection
+
+    async def close(self) -> None:
+        """Ends every connection."""
+        tasks = []
+        for peer in self.peers.values():
+            if peer.connecting is not None:
+                peer.connecting.cancel()
+                tasks.append(peer.connecting)
+            if peer.connection is not None:
+                peer.connection.close()
+                peer.reading.cancel()
+                tasks.append(peer.reading)
+        await asyncio.gather(*tasks, return_exceptions=True)
+        self.peers.clear()
+
+
+class Listener:
+    """Answers other processes.
+
+    Attributes:
+      address: where it listens; with port 0, the port taken once started.
+    """
+
+    def __init__(
+        self,
+        address: options.Address,
+        hello: messages.Hello,
+        handler: Handler,
+        *,
+        identity: tls.Identity | None = None,
+        limits: Limits | None = None,
+    ):
+        self.address = address
+        self.hello = hello
+        self.handler = handler
+        self.identity = identity
+        self.limits = limits or Limits()
+        self.server: asyncio.Server | None = None
+        self.standing: dict[connections.Connection, asyncio.Task] = {}
+        self.accepted = 0
+        self.sweeping: asyncio.TimerHandle | None = None
+
+    async def start(self) -> None:
+        """Opens the socket.
+
+        Raises:
+          errors.StartError: the address is in use or not of this host.
+        """
+        try:
+            self.server = await asyncio.start_server(
+                self.accept,
+                self.address.ip,
+                self.address.port,
+                ssl=self.identity.server() if self.identity else None,
+                ssl_handshake_timeout=(
+                    self.limits.frame_seconds if self.identity else None
+                ),
+            )
+        except OSError as error:
+            raise errors.StartError(
+                f"cannot listen on {self.address}: {error.strerror or error}"
+            ) from None
+        port = self.server.sockets[0].getsockname()[1]
+        self.address = options.Address(self.address.ip, port)
+        self.sweep()
+
+    async def accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Serves one connection until it ends."""
+        if self.accepted >= self.limits.connections:
+            writer.close()
+            return
+        self.accepted += 1
+        try:
+            await self.converse(reader, writer)
+        finally:
+            self.accepted -= 1
+
+    async def converse(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Greets, then answers requests."""
+        connection = connections.Connection(
+            reader, writer, self.limits, self.handler
+        )
+        try:
+            connections.tune(writer)
+            async with asyncio.timeout(self.limits.frame_seconds):
+                await connection.greet(self.hello, first=False)
+        except (OSError, errors.PeerError):
+            writer.close()
+            return
+        self.standing[connection] = asyncio.current_task()
+        try:
+            await connection.run()
+        finally:
+            del self.standing[connection]
+
+    def sweep(self) -> None:
+        """Ends connections that began a frame and do not end it.
+
+        A sender of one byte a second would hold a connection and the memory
+        of a frame for hours; looked at from time to time, this costs nothing
+        for each frame.
+        """
+        loop = asyncio.get_running_loop()
+        oldest = loop.time() - self.limits.frame_seconds
+        for connection in list(self.standing):
+            if 0 < connection.partial_since < oldest:
+                connection.close("a frame took too long")
+        self.sweeping = loop.call_later(
+            self.limits.frame_seconds / 2, self.sweep
+        )
+
+    def streams(self) -> int:
+        """Returns how many requests are being answered."""
+        return sum(len(each.serving) for each in self.standing)
+
+    async def close(self, grace: float = 0) -> None:
+        """Stops accepting, waits grace seconds for answers, and ends."""
+        if self.server is None:
+            return
+        self.server.close()
+        self.sweeping.cancel()
+        running = [
+            task for each in self.standing for task in each.serving.values()
+        ]
+        if running and grace:
+            await asyncio.wait(running, timeout=grace)
+        tasks = list(self.standing.values())
+        for connection in list(self.standing):
+            connection.close("leaving")
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
--- /dev/null
+++ b/mangobay/tls.py
@@ -0,0 +1,116 @@
+"""Mutual TLS between the processes, from files that may be replaced."""
+
+import os
+import ssl
+import typing
+
+from mangobay import errors, logs
+
+
+class Section(typing.Protocol):
+    """The [tls] section of a program's settings."""
+
+    certificate: str
+    key: str
+    authority: str
+
+
+class Identity:
+    """Certificate, key and authority of this process.
+
+    The files are looked at again for each new connection, so that replaced
+    certificates are in force without a restart; connections that stand keep
+    what they were made with.
+    """
+
+    def __init__(self, certificate: str, key: str, authority: str):
+        self.paths = (certificate, key, authority)
+        self.stamps = self.read_stamps()
+        self.client_context = self.make_context(ssl.PROTOCOL_TLS_CLIENT)
+        self.server_context = self.make_context(ssl.PROTOCOL_TLS_SERVER)
+        self.listening_context = self.make_context(ssl.PROTOCOL_TLS_SERVER)
+        self.listening_context.sni_callback = self.choose_context
+
+    def read_stamps(self) -> list[tuple[int, int]]:
+        """Returns what changes when one of the files is replaced.
+
+        Raises:
+          errors.StartError: a file cannot be read.
+        """
+        try:
+            found = [os.stat(path) for path in self.paths]
+        except OSError as error:
+            raise errors.StartError(f"TLS: {error}") from None
+        return [(stat.st_mtime_ns, stat.st_ino) for stat in found]
+
+    def make_context(self, protocol: int) -> ssl.SSLContext:
+        """Returns a context that demands a certificate of the authority.
+
+        Raises:
+          errors.StartError: a file holds no certificate or key.
+        """
+        certificate, key, authority = self.paths
+        context = ssl.SSLContext(protocol)
+        context.minimum_version = ssl.TLSVersion.TLSv1_3
+        # Peers are known by IP number, and the authority signs for this
+        # system alone: any certificate of the authority may speak.
+        context.check_hostname = False
+        context.verify_mode = ssl.CERT_REQUIRED
+        try:
+            context.load_cert_chain(certificate, key)
+            context.load_verify_locations(authority)
+        except (OSError, ssl.SSLError) as error:
+            raise errors.StartError(f"TLS: {error}") from None
+        return context
+
+    def refresh(self) -> None:
+        """Reads the files again if they changed; keeps the old if they fail.
+
+        A half-replaced set of files (new certificate, old key) would refuse
+        every connection until the second file is there; the old contexts
+        stay in use until the set fits together.
+        """
+        try:
+            stamps = self.read_stamps()
+            if stamps == self.stamps:
+                return
+            client = self.make_context(ssl.PROTOCOL_TLS_CLIENT)
+            server = self.make_context(ssl.PROTOCOL_TLS_SERVER)
+        except errors.StartError as error:
+            logs.say(logs.Part.PEER, "new TLS files refused", why=str(error))
+            return
+        self.stamps = stamps
+        self.client_context = client
+        self.server_context = server
+        logs.say(logs.Part.PEER, "TLS files read again")
+
+    def choose_context(self, connection, name, context) -> None:
+        """Gives a connection being accepted the newest context."""
+        del name, context
+        self.refresh()
+        connection.context = self.server_context
+
+    def client(self) -> ssl.SSLContext:
+        """Returns the context for a connection to a peer."""
+        self.refresh()
+        return self.client_context
+
+    def server(self) -> ssl.SSLContext:
+        """Returns the context for a listener; it follows the files."""
+        return self.listening_context
+
+
+def identity(section: Section) -> Identity | None:
+    """Returns the identity that the settings name, None for plain connections.
+
+    Raises:
+      errors.StartError: files are named that cannot be used, or only some.
+    """
+    paths = (section.certificate, section.key, section.authority)
+    if not any(paths):
+        return None
+    if not all(paths):
+        raise errors.StartError(
+            "[tls] needs certificate, key and authority, or none of them"
+        )
+    return Identity(*paths)
--- /dev/null
+++ b/mangobay/wire.py
@@ -0,0 +1,79 @@
+"""Frames: a length of four bytes, then one Cap'n Proto envelope."""
+
+import asyncio
+import struct
+
+import capnp
+
+from mangobay import errors
+from mangobay.generated import messages
+
+LENGTH = struct.Struct(">I")
+FRAME_BYTES = 16 * 1024 * 1024
+"""Longest frame where the settings name no other limit."""
+
+
+def pack(envelope: messages.Envelope, limit: int = FRAME_BYTES) -> bytes:
+    """Returns the frame of an envelope.
+
+    Raises:
+      errors.FrameTooLargeError: it is longer than limit bytes.
+    """
+    data = messages.encode_envelope(envelope)
+    if len(data) > limit:
+        raise errors.FrameTooLargeError(
+            f"a message of {len(data)} bytes is above the limit of {limit}"
+        )
+    return LENGTH.pack(len(data)) + data
+
+
+async def read_length(reader: asyncio.StreamReader, limit: int) -> int:
+    """Returns the length in bytes of the frame that comes next.
+
+    Raises:
+      errors.PeerClosedError: the stream ended between two frames.
+      errors.PeerProtocolError: the stream ended inside the length, or the
+        frame is longer than limit bytes.
+    """
+    try:
+        head = await reader.readexactly(LENGTH.size)
+    except asyncio.IncompleteReadError as error:
+        if not error.partial:
+            raise errors.PeerClosedError("the peer closed") from None
+        raise errors.PeerProtocolError("the stream ended in a length") from None
+    (length,) = LENGTH.unpack(head)
+    if length > limit:
+        raise errors.PeerProtocolError(
+            f"a frame of {length} bytes is above the limit of {limit}"
+        )
+    return length
+
+
+async def read_body(
+    reader: asyncio.StreamReader, length: int
+) -> messages.Envelope:
+    """Returns the envelope in the next length bytes.
+
+    Raises:
+      errors.PeerProtocolError: the stream ended inside the frame, or the
+        bytes are no envelope.
+    """
+    try:
+        return messages.decode_envelope(await reader.readexactly(length))
+    except asyncio.IncompleteReadError:
+        raise errors.PeerProtocolError("the stream ended in a frame") from None
+    except (capnp.KjException, ValueError) as error:
+        text = str(error).partition("\n")[0]
+        raise errors.PeerProtocolError(f"not an envelope: {text}") from None
+
+
+async def read(
+    reader: asyncio.StreamReader, limit: int = FRAME_BYTES
+) -> messages.Envelope:
+    """Returns the next envelope of the stream.
+
+    Raises:
+      errors.PeerClosedError: the stream ended between two frames.
+      errors.PeerProtocolError: the stream holds no frame of the system.
+    """
+    return await read_body(reader, await read_length(reader, limit))
--- a/schema/messages.capnp
+++ b/schema/messages.capnp
@@ -5,6 +5,10 @@
 annotation id @0xc0d1a5b7e2f34861 (field) :Text;
 # The NewType of mangobay/ids.py that the generated attribute has.
 
+annotation packed @0xc7a2d94b10e6f358 (field) :Void;
+# A list of Header in one Data, `name:value` lines: read in one step, where a
+# list of structs takes two steps a header on the path of every call.
+
 enum Importance {
   # Lower is shed first.
   background @0;
@@ -69,7 +73,7 @@
   operation @1 :Text $id("OperationName");
   method @2 :Text;
   target @3 :Text;
-  headers @4 :List(Header);
+  headers @4 :Data $packed;
   body @5 :Data;
   caller @6 :Text $id("CallerName");
   importance @7 :Importance;
@@ -94,7 +98,7 @@
   outcome @0 :Outcome;
   reason @1 :Reason;
   status @2 :UInt16;
-  headers @3 :List(Header);
+  headers @3 :Data $packed;
   body @4 :Data;
   triesLeft @5 :UInt16;
   # Extra tries handed back to the sender.
@@ -113,6 +117,11 @@
   # The sender no longer wants the answer of the call on this stream.
 }
 
+struct Failure {
+  # The receiver could not answer the request on this stream.
+  text @0 :Text;
+}
+
 # ---- node to node: at most once ----
 
 enum OnceState {
@@ -133,7 +142,7 @@
   ageMs @7 :UInt64;
   # Milliseconds since the entry was made, on the sender's clock.
   status @8 :UInt16;
-  headers @9 :List(Header);
+  headers @9 :Data $packed;
   body @10 :Data;
 }
 
@@ -423,5 +432,6 @@
     appendReply @14 :AppendReply;
     snapshotPut @15 :SnapshotPut;
     snapshotReply @16 :SnapshotReply;
+    failure @17 :Failure;
   }
 }
--- /dev/null
+++ b/tests/test_peers.py
@@ -0,0 +1,226 @@
+"""Connections between processes, over loopback."""
+
+import asyncio
+
+import pytest
+
+from mangobay import connections, errors, options, peers, wire
+from mangobay.generated import messages
+
+HELLO = messages.Hello(host="here", role="node")
+LOOPBACK = options.Address("127.0.0.1", 0)
+LONG = 20.0
+
+
+class Desk:
+    """A handler whose answers the test holds back by operation name."""
+
+    def __init__(self):
+        self.gates: dict[str, asyncio.Event] = {}
+        self.cancelled: list[str] = []
+        self.arrived = asyncio.Event()
+
+    async def __call__(self, hello, body):
+        self.arrived.set()
+        if body.operation == "fault":
+            raise errors.MangobayError("no")
+        try:
+            if body.operation in self.gates:
+                await self.gates[body.operation].wait()
+        except asyncio.CancelledError:
+            self.cancelled.append(body.operation)
+            raise
+        return messages.Reply(body=body.operation.encode(), host=hello.host)
+
+
+@pytest.fixture
+async def desk():
+    return Desk()
+
+
+@pytest.fixture
+async def listener(desk):
+    limits = peers.Limits(frame_bytes=70_000, connections=3)
+    there = peers.Listener(LOOPBACK, HELLO, desk, limits=limits)
+    await there.start()
+    yield there
+    await there.close()
+
+
+@pytest.fixture
+async def here():
+    limits = peers.Limits(frame_bytes=70_000)
+    asking = peers.Peers(HELLO, limits=limits)
+    yield asking
+    await asking.close()
+
+
+def call(operation: str, **fields) -> messages.Call:
+    return messages.Call(operation=operation, **fields)
+
+
+async def until(condition) -> None:
+    async with asyncio.timeout(LONG):
+        while not condition():
+            await asyncio.sleep(0.001)
+
+
+class TestAsk:
+    """One connection, many streams."""
+
+    async def test_answers_out_of_order_reach_their_own_request(
+        self, desk, listener, here
+    ):
+        """Two callers share a connection; the first one's answer is slow.
+
+        The second answer overtakes the first on the wire.  Each caller must
+        see its own answer, whatever the order.
+        """
+        desk.gates["slow"] = asyncio.Event()
+        slow = asyncio.create_task(
+            here.ask(listener.address, call("slow"), LONG)
+        )
+        fast = await here.ask(listener.address, call("fast"), LONG)
+        assert fast.body == b"fast"
+        desk.gates["slow"].set()
+        assert (await slow).body == b"slow"
+        assert len(listener.standing) == 1
+
+    async def test_a_late_answer_to_a_given_up_stream_is_dropped(
+        self, listener, here
+    ):
+        """The caller gives up, and the answer crosses the Cancel.
+
+        The answer arrives on a stream nobody waits on.  It must vanish, not
+        reach the next caller and not end the connection.
+        """
+        await here.ask(listener.address, call("first"), LONG)
+        connection = here.peers[listener.address].connection
+        (there,) = listener.standing
+        stray = messages.Envelope(stream=1, body=messages.Reply(body=b"old"))
+        there.send(stray)
+        answer = await here.ask(listener.address, call("next"), LONG)
+        assert answer.body == b"next"
+        assert not connection.closed
+
+    async def test_giving_up_cancels_the_handler(self, desk, listener, here):
+        """A caller hangs up while its call runs on the peer.
+
+        The asking task is cancelled, Cancel goes out, and the task that
+        answers there is cancelled: its slot is free again.
+        """
+        desk.gates["held"] = asyncio.Event()
+        asking = asyncio.create_task(
+            here.ask(listener.address, call("held"), LONG)
+        )
+        await desk.arrived.wait()
+        asking.cancel()
+        await until(lambda: desk.cancelled == ["held"])
+        with pytest.raises(asyncio.CancelledError):
+            await asking
+
+    async def test_a_timeout_says_so_and_cancels(self, desk, listener, here):
+        desk.gates["held"] = asyncio.Event()
+        await here.ask(listener.address, call("warm"), LONG)
+        with pytest.raises(TimeoutError):
+            await here.ask(listener.address, call("held"), 0.01)
+        await until(lambda: desk.cancelled == ["held"])
+
+    async def test_a_break_after_sending_is_broken_not_unreachable(
+        self, desk, listener, here
+    ):
+        """The peer dies while it runs a call.
+
+        The caller must not take this for a call that was not run: sent
+        requests break, and only what comes after is unreachable.
+        """
+        desk.gates["held"] = asyncio.Event()
+        asking = asyncio.create_task(
+            here.ask(listener.address, call("held"), LONG)
+        )
+        await desk.arrived.wait()
+        await listener.close()
+        with pytest.raises(errors.PeerBrokenError):
+            await asking
+        for _ in range(2):
+            with pytest.raises(errors.PeerUnreachableError):
+                await here.ask(listener.address, call("late"), LONG)
+        assert here.peers[listener.address].failures == 1
+
+    async def test_a_fault_of_the_handler_breaks_only_its_stream(
+        self, listener, here
+    ):
+        with pytest.raises(errors.PeerBrokenError, match="no"):
+            await here.ask(listener.address, call("fault"), LONG)
+        assert (await here.ask(listener.address, call("a"), LONG)).body == b"a"
+
+    async def test_a_message_above_the_limit_is_not_sent(self, listener, here):
+        big = call("big", body=bytes(80_000))
+        with pytest.raises(errors.PeerUnreachableError):
+            await here.ask(listener.address, big, LONG)
+        assert (await here.ask(listener.address, call("a"), LONG)).body == b"a"
+
+
+class TestListener:
+    """What a stranger gets."""
+
+    @pytest.mark.parametrize(
+        "data",
+        [
+            b"GET / HTTP/1.1\r\n\r\n",
+            wire.pack(messages.Envelope(stream=1, body=call("early"))),
+            wire.pack(messages.Envelope(body=messages.Hello(protocol=77))),
+        ],
+    )
+    async def test_who_does_not_greet_gets_nothing(self, desk, listener, data):
+        reader, writer = await asyncio.open_connection(*listener.address)
+        writer.write(data)
+        assert await asyncio.wait_for(reader.read(), LONG) == b""
+        assert not desk.arrived.is_set()
+        writer.close()
+
+    async def test_connections_above_the_limit_are_closed(self, listener):
+        held = [
+            await asyncio.open_connection(*listener.address) for _ in range(3)
+        ]
+        await until(lambda: listener.accepted == 3)
+        reader, writer = await asyncio.open_connection(*listener.address)
+        assert await asyncio.wait_for(reader.read(), LONG) == b""
+        for _, each in [*held, (reader, writer)]:
+            each.close()
+
+    async def test_a_sender_that_stops_inside_a_frame_is_closed(self, desk):
+        """A peer sends half a frame and then a byte now and then.
+
+        It would hold a connection and a buffer for hours.  The listener
+        ends it, and the next process connects as usual.
+        """
+        limits = peers.Limits(frame_seconds=0.05)
+        there = peers.Listener(LOOPBACK, HELLO, desk, limits=limits)
+        await there.start()
+        reader, writer = await asyncio.open_connection(*there.address)
+        greeting = messages.Hello(protocol=connections.PROTOCOL)
+        writer.write(wire.pack(messages.Envelope(body=greeting)))
+        writer.write(wire.LENGTH.pack(100) + b"half")
+        await asyncio.wait_for(reader.read(), LONG)
+        writer.close()
+        await there.close()
+
+    async def test_a_graceful_close_lets_answers_out(
+        self, desk, listener, here
+    ):
+        desk.gates["held"] = asyncio.Event()
+        asking = asyncio.create_task(
+            here.ask(listener.address, call("held"), LONG)
+        )
+        await desk.arrived.wait()
+        closing = asyncio.create_task(listener.close(LONG))
+        await asyncio.sleep(0)
+        desk.gates["held"].set()
+        assert (await asking).body == b"held"
+        await closing
+
+    async def test_a_port_in_use_is_one_clear_error(self, listener, desk):
+        second = peers.Listener(listener.address, HELLO, desk)
+        with pytest.raises(errors.StartError, match="cannot listen on"):
+            await second.start()
--- /dev/null
+++ b/tests/test_tls.py
@@ -0,0 +1,129 @@
+"""Mutual TLS between processes."""
+
+import datetime
+import os
+import pathlib
+
+import pytest
+from cryptography import x509
+from cryptography.hazmat.primitives import hashes, serialization
+from cryptography.hazmat.primitives.asymmetric import ec
+from cryptography.x509 import oid
+
+from mangobay import errors, options, peers, tls
+from mangobay.generated import messages
+
+HELLO = messages.Hello(host="here", role="node")
+LOOPBACK = options.Address("127.0.0.1", 0)
+LONG = 20.0
+START = datetime.datetime(2020, 1, 1)
+END = datetime.datetime(2120, 1, 1)
+
+
+def certify(subject: str, key, issuer: str, signer) -> x509.Certificate:
+    def name(text: str) -> x509.Name:
+        return x509.Name([x509.NameAttribute(oid.NameOID.COMMON_NAME, text)])
+
+    builder = x509.CertificateBuilder(
+        name(issuer), name(subject), key.public_key(), 1, START, END
+    )
+    constraints = x509.BasicConstraints(ca=subject == issuer, path_length=None)
+    builder = builder.add_extension(constraints, critical=True)
+    return builder.sign(signer, hashes.SHA256())
+
+
+def write_identity(folder: pathlib.Path, authority: str) -> tls.Section:
+    """Writes a new authority, and a certificate and key signed by it."""
+    folder.mkdir(exist_ok=True)
+    signer = ec.generate_private_key(ec.SECP256R1())
+    key = ec.generate_private_key(ec.SECP256R1())
+    pem = serialization.Encoding.PEM
+    root = certify(authority, signer, authority, signer)
+    leaf = certify("host", key, authority, signer)
+    (folder / "authority").write_bytes(root.public_bytes(pem))
+    (folder / "certificate").write_bytes(leaf.public_bytes(pem))
+    (folder / "key").write_bytes(
+        key.private_bytes(
+            pem,
+            serialization.PrivateFormat.PKCS8,
+            serialization.NoEncryption(),
+        )
+    )
+    return read_identity(folder)
+
+
+def read_identity(folder: pathlib.Path) -> tls.Identity:
+    names = ("certificate", "key", "authority")
+    return tls.Identity(*(str(folder / name) for name in names))
+
+
+async def answer(hello, body):
+    del hello, body
+    return messages.Reply(body=b"yes")
+
+
+async def ask(address, identity) -> messages.Reply:
+    asking = peers.Peers(HELLO, identity=identity)
+    try:
+        return await asking.ask(address, messages.Call(), LONG)
+    finally:
+        await asking.close()
+
+
+@pytest.fixture
+async def listener(tmp_path):
+    identity = write_identity(tmp_path / "ours", "authority")
+    there = peers.Listener(LOOPBACK, HELLO, answer, identity=identity)
+    await there.start()
+    yield there
+    await there.close()
+
+
+class TestIdentity:
+    """Who may speak."""
+
+    async def test_a_certificate_of_the_authority_is_answered(
+        self, listener, tmp_path
+    ):
+        ours = read_identity(tmp_path / "ours")
+        assert (await ask(listener.address, ours)).body == b"yes"
+
+    async def test_a_peer_that_fails_the_check_gets_nothing(
+        self, listener, tmp_path
+    ):
+        """A stranger connects with a certificate of its own, or with none.
+
+        The handshake fails before a message is read.  The stranger sees a
+        closed connection, and no request reaches the handler.
+        """
+        strange = write_identity(tmp_path / "theirs", "authority")
+        for identity in (strange, None):
+            with pytest.raises(errors.PeerUnreachableError):
+                await ask(listener.address, identity)
+
+    async def test_replaced_files_are_in_force_without_a_restart(
+        self, listener, tmp_path
+    ):
+        """The authority and its certificates are renewed under a running node.
+
+        Who still shows the old certificate is refused from then on, and who
+        shows a new one is answered.
+        """
+        old = read_identity(tmp_path / "ours")
+        old.refresh = lambda: None
+        new = write_identity(tmp_path / "ours", "authority")
+        with pytest.raises(errors.PeerUnreachableError):
+            await ask(listener.address, old)
+        assert (await ask(listener.address, new)).body == b"yes"
+
+    async def test_half_replaced_files_leave_the_old_ones_in_use(
+        self, listener, tmp_path
+    ):
+        ours = read_identity(tmp_path / "ours")
+        (tmp_path / "ours" / "key").write_text("not a key")
+        os.utime(tmp_path / "ours" / "key", ns=(1, 1))
+        assert (await ask(listener.address, ours)).body == b"yes"
+
+    def test_files_that_cannot_be_used_are_one_clear_error(self, tmp_path):
+        with pytest.raises(errors.StartError, match="TLS"):
+            read_identity(tmp_path)
--- a/tools/generate.py
+++ b/tools/generate.py
@@ -14,6 +14,7 @@
 SCHEMA = ROOT / "schema"
 TARGET = ROOT / "mangobay" / "generated"
 ID_ANNOTATION = 0xC0D1A5B7E2F34861
+PACKED_ANNOTATION = 0xC7A2D94B10E6F358
 INTEGERS = frozenset(
     f"{sign}int{bits}" for sign in ("", "u") for bits in (8, 16, 32, 64)
 )
@@ -28,6 +29,7 @@
     STRUCT = "struct"
     PLAIN_LIST = "plain list"
     STRUCT_LIST = "struct list"
+    PACKED = "packed headers"
 
 
 def snake(name: str) -> str:
@@ -49,7 +51,11 @@
         slot = field.slot.type
         which = str(slot.which())
         self.kind = Kind.PLAIN
-        if which == "enum":
+        if any(a.id == PACKED_ANNOTATION for a in field.annotations):
+            self.kind = Kind.PACKED
+            self.type = "list[Header]"
+            self.default = "dataclasses.field(default_factory=list)"
+        elif which == "enum":
             self.kind = Kind.ENUM
             self.type = names[slot.enum.typeId]
             self.default = f"{self.type}(0)"
@@ -102,6 +108,11 @@
                     f"    if {mine}:",
                     f"        builder.{self.wire} = {mine}",
                 ]
+            case Kind.PACKED:
+                return [
+                    f"    if {mine}:",
+                    f"        builder.{self.wire} = _pack_headers({mine})",
+                ]
             case Kind.STRUCT:
                 return [
                     f"    _put_{snake(self.type)}(builder.{self.wire}, {mine})"
@@ -115,7 +126,7 @@
 
     def read_expression(self) -> str:
         """Returns the expression that takes the field out of a reader."""
-        theirs = f"reader.{self.wire}"
+        theirs = f'get("{self.wire}")'
         match self.kind:
             case Kind.PLAIN:
                 return f"{self.type}({theirs})" if self.new_type else theirs
@@ -125,9 +136,27 @@
                 return f"_get_{snake(self.type)}({theirs})"
             case Kind.PLAIN_LIST:
                 return f"list({theirs})"
+            case Kind.PACKED:
+                return f"_unpack_headers({theirs})"
         return f"[_get_{snake(self.item)}(item) for item in {theirs}]"
 
 
+PACKING = """
+
+def _pack_headers(headers: list[Header]) -> bytes:
+    lines = [f"{header.name}:{header.value}" for header in headers]
+    return "\\n".join(lines).encode("utf-8", "surrogateescape")
+
+
+def _unpack_headers(data: bytes) -> list[Header]:
+    if not data:
+        return []
+    lines = data.decode("utf-8", "surrogateescape").split("\\n")
+    parts = [line.partition(":") for line in lines]
+    return [Header(name=name, value=value) for name, _, value in parts]
+"""
+
+
 def enum_lines(name: str, schema) -> list[str]:
     """Returns the class of an enumeration."""
     lines = ["", "", f"class {name}(enum.IntEnum):"]
@@ -166,6 +195,8 @@
     if not fields:
         lines.append("    del builder, message")
     lines += ["", "", f"def _get_{snake(name)}(reader) -> {name}:"]
+    if plain:
+        lines.append("    get = reader._get")
     lines.append(f"    return {name}(")
     lines += [
         f"        {field.name}={field.read_expression()}," for field in plain
@@ -175,11 +206,11 @@
     lines.append("    )")
     if union:
         lines += ["", "", f"def _get_{snake(name)}_body(reader):"]
-        lines.append("    match str(reader.which()):")
+        lines.append("    match reader._which_str():")
         for field in union:
             lines.append(f'        case "{field.wire}":')
             lines.append(
-                f"            return _get_{snake(field.type)}(reader.{field.wire})"
+                f'            return _get_{snake(field.type)}(reader._get("{field.wire}"))'
             )
         lines.append('    raise ValueError("the message holds no known body")')
     return lines
@@ -223,6 +254,7 @@
         '_schema = capnp.load(str(pathlib.Path(__file__).with_name("messages.capnp")))'
     )
     lines.append("TRAVERSAL_LIMIT_WORDS = 1 << 27")
+    lines += PACKING.splitlines()
     unions: list[str] = []
     for name, _ in nodes:
         if name[0].islower():
