Calls to the backend server, each sent at most once

Cause: aiohttp's ClientSession sends GET, PUT, DELETE and other methods it takes for idempotent a second time when a kept connection breaks.

Ruled out: trusting an answer that ends with its connection. It looks whole wherever the backend server died, so it is an incomplete answer.

--- a/mangobay/errors.py
+++ b/mangobay/errors.py
@@ -4,6 +4,7 @@
 
 if typing.TYPE_CHECKING:
     from mangobay import findings as findings_module
+    from mangobay.generated import messages
 
 
 class MangobayError(Exception):
@@ -70,6 +71,30 @@
     """The backend server may have run the request; no whole answer came."""
 
 
+class IncompleteAnswerError(BackendBrokenError):
+    """The answer ended early, or nothing says that it is whole."""
+
+
+class AnswerTooLargeError(BackendBrokenError):
+    """The answer is longer than the settings allow."""
+
+
+class BackendTimeoutError(BackendError):
+    """The deadline passed; the attempt tells whether a byte was sent."""
+
+
+class RequestError(MangobayError):
+    """An HTTP request was refused before it became a call.
+
+    Attributes:
+      reason: why.
+    """
+
+    def __init__(self, reason: "messages.Reason", detail: str):
+        super().__init__(detail)
+        self.reason = reason
+
+
 class StorageError(MangobayError):
     """The data folder cannot be read or written."""
 
--- /dev/null
+++ b/mangobay/fields.py
@@ -0,0 +1,175 @@
+"""HTTP header fields: which are passed on, and what those of the system say."""
+
+import collections.abc
+import dataclasses
+import math
+import random
+import re
+
+from mangobay import ids
+from mangobay.generated import messages
+
+REQUEST_TIMEOUT = "Request-Timeout"
+"""Time left for the answer, decimal seconds."""
+IDEMPOTENCY_KEY = "Idempotency-Key"
+TRACEPARENT = "traceparent"
+TRACESTATE = "tracestate"
+OUTCOME = "Mangobay-Outcome"
+REASON = "Mangobay-Reason"
+SERVICE = "Mangobay-Service"
+"""On the local listener: which of several announced services calls."""
+RETRY_AFTER = "Retry-After"
+
+SYSTEM_PREFIX = "mangobay-"
+STATE_KEY = "mangobay"
+"""The system's entry of tracestate; its value is the id of the parent call."""
+LONGEST_TIMEOUT = 3600.0
+LONGEST_KEY = 255
+
+DROPPED = frozenset(
+    {
+        "connection",
+        "content-length",
+        "expect",
+        "host",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "request-timeout",
+        "te",
+        "traceparent",
+        "tracestate",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+"""Of one connection, or made anew for each hop."""
+
+Fields = collections.abc.Mapping[str, str]
+"""Names in any case; a name may stand several times in `items`."""
+
+TRACEPARENT_FORM = re.compile(
+    r"(?P<version>[0-9a-f]{2})-(?P<trace>[0-9a-f]{32})"
+    r"-(?P<span>[0-9a-f]{16})-(?P<flags>[0-9a-f]{2})(-.*)?"
+)
+SAMPLED = 1
+
+
+def passed_on(received: Fields) -> list[messages.Header]:
+    """Returns the end-to-end fields, without those only the system may set.
+
+    A field that a caller smuggles in (`Mangobay-Outcome`, say) would be taken
+    for the word of a node; nothing with the system's prefix is passed on.
+    """
+    dropped = DROPPED
+    if "Connection" in received:
+        tokens = received["Connection"].lower().split(",")
+        dropped = DROPPED.union(token.strip() for token in tokens)
+    return [
+        messages.Header(name=name, value=value)
+        for name, value in received.items()
+        if (low := name.lower()) not in dropped
+        and not low.startswith(SYSTEM_PREFIX)
+    ]
+
+
+def parse_timeout(text: str) -> float:
+    """Returns the seconds of a Request-Timeout.
+
+    Raises:
+      ValueError: with a message fit for the caller.
+    """
+    try:
+        seconds = float(text)
+    except ValueError:
+        seconds = math.nan
+    if not 0 < seconds < math.inf:
+        raise ValueError(f"{REQUEST_TIMEOUT} must be seconds above 0")
+    return min(seconds, LONGEST_TIMEOUT)
+
+
+def parse_key(text: str) -> ids.IdempotencyKey:
+    """Returns an idempotency key; the quotes of a structured field go.
+
+    Raises:
+      ValueError: with a message fit for the caller.
+    """
+    key = text.strip()
+    if len(key) > 1 and key[0] == key[-1] == '"':
+        key = key[1:-1]
+    if not key or len(key) > LONGEST_KEY or not key.isprintable():
+        raise ValueError(
+            f"{IDEMPOTENCY_KEY} must be 1 to {LONGEST_KEY} printable characters"
+        )
+    return ids.IdempotencyKey(key)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Trace:
+    """Where a call stands in its trace.
+
+    Attributes:
+      trace_id: 32 hex digits, the same for the whole call tree.
+      parent: span of the caller, 16 hex digits, or empty.
+      sampled: spans are recorded.
+    """
+
+    trace_id: str
+    parent: str
+    sampled: bool
+
+    def traceparent(self, span: str) -> str:
+        """Returns the field that makes the span the parent."""
+        return f"00-{self.trace_id}-{span}-{'01' if self.sampled else '00'}"
+
+
+def parse_traceparent(text: str) -> Trace | None:
+    """Returns the trace that a traceparent names, None where it is malformed."""
+    match = TRACEPARENT_FORM.fullmatch(text)
+    if match is None or match["version"] == "ff":
+        return None
+    if not int(match["trace"], 16) or not int(match["span"], 16):
+        return None
+    sampled = bool(int(match["flags"], 16) & SAMPLED)
+    return Trace(match["trace"], match["span"], sampled)
+
+
+def new_span() -> ids.CallId:
+    """Returns a fresh id of a call; it is the id of its span as well."""
+    return ids.CallId(f"{random.getrandbits(64) or 1:016x}")
+
+
+def new_trace(sample: float) -> Trace:
+    """Returns a trace of its own; sample is the share that is recorded."""
+    trace_id = f"{random.getrandbits(128) or 1:032x}"
+    return Trace(trace_id, "", random.random() < sample)
+
+
+def split_state(tracestate: str) -> tuple[ids.CallId, str]:
+    """Returns the system's entry of a tracestate, and the other entries."""
+    mine = ids.CallId("")
+    others = []
+    for entry in tracestate.split(","):
+        key, _, value = entry.strip().partition("=")
+        if key == STATE_KEY:
+            mine = ids.CallId(value)
+        elif key:
+            others.append(entry.strip())
+    return mine, ",".join(others)
+
+
+def join_state(call_id: ids.CallId, others: str) -> str:
+    """Returns a tracestate with the system's entry in front."""
+    mine = f"{STATE_KEY}={call_id}"
+    return f"{mine},{others}" if others else mine
+
+
+def find(headers: list[messages.Header], name: str) -> str:
+    """Returns the value of the first field of a name, or an empty text."""
+    low = name.lower()
+    for header in headers:
+        if header.name.lower() == low:
+            return header.value
+    return ""
--- /dev/null
+++ b/tests/test_backend.py
@@ -0,0 +1,247 @@
+"""Calls to the backend server, against small real sockets."""
+
+import asyncio
+import contextlib
+
+import pytest
+
+from mangobay import backend, errors, fields, invariants, options
+from mangobay.generated import messages
+
+LONG = 20.0
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+
+class Part(bytes):
+    """Bytes after which the backend server drops the connection."""
+
+
+DROP = Part()
+SILENCE = b""
+
+
+class Server:
+    """Reads requests and answers each with the next of its scripts."""
+
+    def __init__(self, scripts):
+        self.scripts = list(scripts)
+        self.requests: list[bytes] = []
+        self.connections = 0
+        self.closed = asyncio.Event()
+
+    async def serve(self, reader, writer):
+        self.connections += 1
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                self.requests.append(head)
+                script = self.scripts.pop(0)
+                writer.write(script)
+                if isinstance(script, Part):
+                    break
+        self.closed.set()
+        writer.close()
+
+
+@contextlib.asynccontextmanager
+async def running(*scripts):
+    server = Server(scripts)
+    listening = await asyncio.start_server(server.serve, "127.0.0.1", 0)
+    port = listening.sockets[0].getsockname()[1]
+    calling = backend.Backend(100, 2.0, 100)
+    try:
+        yield server, calling, options.Address("127.0.0.1", port)
+    finally:
+        await calling.close()
+        listening.close()
+
+
+def request(method="GET", idempotent=True, seconds=LONG, headers=()):
+    end = asyncio.get_running_loop().time() + seconds
+    return backend.Request(
+        method=method,
+        target="/units/7?x=%20y",
+        headers=list(headers),
+        body=b"",
+        idempotent=idempotent,
+        deadline=end,
+        cut_at=end,
+    )
+
+
+class TestSend:
+    """Exactly one request, and a true word on its fate."""
+
+    async def test_a_whole_answer_comes_back_and_nothing_is_added(self):
+        async with running(OK) as (server, calling, address):
+            given = messages.Header(name="X-Sale", value="1")
+            answer = await calling.send(
+                address, request(headers=[given]), backend.Attempt()
+            )
+        assert (answer.status, answer.body) == (200, b"ok")
+        lines = server.requests[0].split(b"\r\n")
+        assert lines[0] == b"GET /units/7?x=%20y HTTP/1.1"
+        names = {line.split(b":")[0].lower() for line in lines[1:] if line}
+        assert names == {b"host", b"x-sale", b"request-timeout"}
+
+    @pytest.mark.parametrize("method", ["GET", "PUT", "DELETE", "POST"])
+    @pytest.mark.parametrize("idempotent", [True, False])
+    async def test_a_dropped_connection_is_never_repeated(
+        self, method, idempotent
+    ):
+        """The backend server reads a request on a kept connection and dies.
+
+        aiohttp would send an idempotent method again on a new connection: a
+        run that nobody counted.  Exactly one request must be seen there, and
+        its outcome is unknown.
+        """
+        async with running(OK, DROP, OK) as (server, calling, address):
+            await calling.send(
+                address, request(method, idempotent), backend.Attempt()
+            )
+            attempt = backend.Attempt()
+            with pytest.raises(errors.BackendBrokenError):
+                await calling.send(
+                    address, request(method, idempotent), attempt
+                )
+            assert server.connections == 1
+        assert attempt.sent
+        assert len(server.requests) == 2
+
+    async def test_the_check_holds_without_the_switch_of_aiohttp(self):
+        """A new aiohttp drops the switch that stops its silent repeats.
+
+        The second sending of the same attempt must be stopped by the
+        system's own check, and counted as a promise about to be broken.
+        """
+        broken = invariants.Promise.AT_MOST_ONCE
+        before = invariants.broken[broken]
+        async with running(OK, DROP, OK) as (server, calling, address):
+            calling.any_session._retry_connection = True
+            await calling.send(address, request(), backend.Attempt())
+            with pytest.raises(errors.InvariantError):
+                await calling.send(address, request(), backend.Attempt())
+        assert len(server.requests) == 2
+        assert invariants.broken.pop(broken) == before + 1
+
+    @pytest.mark.parametrize(
+        ("script", "error"),
+        [
+            (
+                b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf",
+                errors.IncompleteAnswerError,
+            ),
+            (
+                b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab",
+                errors.IncompleteAnswerError,
+            ),
+            (b"HTTP/1.1 200 OK\r\n\r\nall?", errors.IncompleteAnswerError),
+            (
+                b"HTTP/1.1 200 OK\r\nContent-Length: 101\r\n\r\n" + bytes(101),
+                errors.AnswerTooLargeError,
+            ),
+            (
+                b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                b"70\r\n" + bytes(112) + b"\r\n0\r\n\r\n",
+                errors.AnswerTooLargeError,
+            ),
+            (b"rubbish\r\n\r\n", errors.BackendBrokenError),
+        ],
+    )
+    async def test_part_of_an_answer_is_an_error(self, script, error):
+        """The backend server answers half a body, or one without an end.
+
+        Passed on, the caller would take the part for the whole.  It gets an
+        error instead, and since the request was sent its fate is unknown.
+        """
+        async with running(Part(script)) as (_, calling, address):
+            attempt = backend.Attempt()
+            with pytest.raises(error):
+                await calling.send(address, request(), attempt)
+            assert attempt.sent
+
+    async def test_nobody_listening_means_that_nothing_was_sent(self):
+        async with running() as (_, calling, address):
+            nobody = options.Address(address.ip, 1)
+            attempt = backend.Attempt()
+            with pytest.raises(errors.BackendUnreachableError):
+                await calling.send(nobody, request(), attempt)
+            assert not attempt.sent
+
+    async def test_a_shut_gate_sends_no_byte(self):
+        class ShutError(Exception):
+            pass
+
+        async def gate():
+            raise ShutError
+
+        async with running(OK) as (server, calling, address):
+            attempt = backend.Attempt(gate)
+            with pytest.raises(ShutError):
+                await calling.send(address, request(), attempt)
+            assert not attempt.sent
+            await calling.send(address, request(), backend.Attempt())
+            assert len(server.requests) == 1
+
+    async def test_the_deadline_and_a_hang_up_close_the_connection(self):
+        """The backend server is slow, and its caller gives up.
+
+        Both at the deadline and when the caller hangs up, the connection is
+        closed, so that the backend server sees that nobody waits.
+        """
+        async with running(SILENCE) as (server, calling, address):
+            with pytest.raises(errors.BackendTimeoutError):
+                await calling.send(
+                    address, request(seconds=0.05), backend.Attempt()
+                )
+            await asyncio.wait_for(server.closed.wait(), LONG)
+        async with running(SILENCE) as (server, calling, address):
+            sending = asyncio.create_task(
+                calling.send(address, request(), backend.Attempt())
+            )
+            while not server.requests:
+                await asyncio.sleep(0.001)
+            sending.cancel()
+            await asyncio.wait_for(server.closed.wait(), LONG)
+            assert calling.inflight == 0
+
+    async def test_redirects_and_cookies_are_left_to_the_caller(self):
+        moved = (
+            b"HTTP/1.1 302 Found\r\nLocation: /x\r\nSet-Cookie: a=1\r\n"
+            b"Content-Encoding: gzip\r\nContent-Length: 3\r\n\r\nraw"
+        )
+        async with running(moved, OK) as (server, calling, address):
+            answer = await calling.send(address, request(), backend.Attempt())
+            await calling.send(address, request(), backend.Attempt())
+        assert (answer.status, answer.body) == (302, b"raw")
+        assert fields.find(answer.headers, "set-cookie") == "a=1"
+        assert b"ookie" not in server.requests[1]
+
+    async def test_an_old_connection_carries_no_booking(self, monkeypatch):
+        """A kept connection has been idle for a while when a booking comes.
+
+        The backend server may be closing it just now, and then nobody knows
+        whether the booking ran.  It goes over a fresh connection; a read may
+        use the old one, since it can be repeated.
+        """
+        monkeypatch.setattr(backend, "FRESH_SECONDS", 0.01)
+        async with running(*[OK] * 4) as (server, calling, address):
+            for idempotent in (True, False):
+                for _ in range(2):
+                    await calling.send(
+                        address,
+                        request(idempotent=idempotent),
+                        backend.Attempt(),
+                    )
+                    await asyncio.sleep(0.05)
+            assert server.connections == 3
+
+    async def test_a_backend_server_may_say_that_it_shed(self):
+        shed = (
+            b"HTTP/1.1 503 Busy\r\nMangobay-Outcome: not_run\r\n"
+            b"Content-Length: 0\r\n\r\n"
+        )
+        async with running(shed) as (_, calling, address):
+            answer = await calling.send(address, request(), backend.Attempt())
+        assert answer.shed
+        assert not fields.find(answer.headers, fields.OUTCOME)
--- /dev/null
+++ b/tests/test_fields.py
@@ -0,0 +1,69 @@
+"""Header fields."""
+
+import multidict
+import pytest
+
+from mangobay import fields
+
+
+class TestPassedOn:
+    """What a caller may say."""
+
+    def test_what_only_the_system_may_say_is_stripped(self):
+        received = multidict.CIMultiDict(
+            [
+                ("Accept", "*/*"),
+                ("MANGOBAY-Outcome", "answered"),
+                ("Connection", "close, X-Hop"),
+                ("x-hop", "1"),
+                ("Set-Cookie", "a"),
+                ("Set-Cookie", "b"),
+                ("Transfer-Encoding", "chunked"),
+            ]
+        )
+        kept = [(each.name, each.value) for each in fields.passed_on(received)]
+        assert kept == [
+            ("Accept", "*/*"),
+            ("Set-Cookie", "a"),
+            ("Set-Cookie", "b"),
+        ]
+
+
+class TestParse:
+    """Values from outside."""
+
+    @pytest.mark.parametrize("text", ["0", "-1", "nan", "inf", "soon", ""])
+    def test_a_timeout_must_be_seconds(self, text):
+        with pytest.raises(ValueError, match="seconds above 0"):
+            fields.parse_timeout(text)
+
+    def test_a_key_loses_its_quotes_and_is_bounded(self):
+        assert fields.parse_key('"a-b"') == "a-b"
+        for text in ("", '""', "x" * 256, "a\x00b"):
+            with pytest.raises(ValueError, match="printable"):
+                fields.parse_key(text)
+
+    @pytest.mark.parametrize(
+        "text",
+        [
+            "00-" + "0" * 32 + "-" + "1" * 16 + "-01",
+            "ff-" + "1" * 32 + "-" + "1" * 16 + "-01",
+            "00-" + "1" * 31 + "-" + "1" * 16 + "-01",
+            "",
+        ],
+    )
+    def test_a_malformed_traceparent_is_none(self, text):
+        assert fields.parse_traceparent(text) is None
+
+    def test_a_traceparent_names_its_parent(self):
+        trace = fields.new_trace(1.0)
+        text = trace.traceparent(fields.new_span())
+        parsed = fields.parse_traceparent(text)
+        assert parsed.trace_id == trace.trace_id
+        assert parsed.traceparent(parsed.parent) == text
+
+    def test_tracestate_keeps_the_entries_of_others(self):
+        mine, others = fields.split_state("a=1, mangobay=77 ,b=2")
+        assert (mine, others) == ("77", "a=1,b=2")
+        assert fields.join_state("8", others) == "mangobay=8,a=1,b=2"
+        assert fields.split_state("") == ("", "")
