The entry and the serving side of a call

Change: entry brings a call to a host (own backend server with room first, else the router; the owner of a key for keyed non-idempotent calls) and is the only place that repeats an attempt; serving admits and runs it and says what happened; traces records one span for each attempt of a sampled tree, with the call's id as the span's id.

Weighed: do hosts that refuse as leaving, as not the owner, or that no byte could be sent to cost an extra try? They did no work, so going on multiplies nothing; charging them would make a rolling restart fail calls of operations without tries. They are free, three at most for each call.

Weighed: cutting a started non-idempotent call at its deadline. Its fate would stay unknown for ever; it runs up to 30 s longer, the caller is told `unknown` at the deadline and a repeat with the key gets the answer.

A backend server's word that it shed a call counts only when it made no child call meanwhile: it may hand on the refusal of a deeper service.

--- /dev/null
+++ b/mangobay/calls.py
@@ -0,0 +1,101 @@
+"""What both sides of a call share."""
+
+import dataclasses
+import typing
+
+from mangobay import fields, ids
+from mangobay.generated import messages
+
+if typing.TYPE_CHECKING:
+    from mangobay import tries
+
+Outcome = messages.Outcome
+Reason = messages.Reason
+
+DEFAULT_DEADLINE = 5.0
+"""Seconds, where neither the sheet nor the caller gives a deadline."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Process:
+    """This run of the node.
+
+    Attributes:
+      host: its name in the settings.
+      data_centre: where it stands.
+      incarnation: fresh at each start.
+    """
+
+    host: ids.HostId
+    data_centre: ids.DataCentre
+    incarnation: ids.Incarnation
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Request:
+    """A call as it enters at a node, from outside or from a backend server.
+
+    Attributes:
+      operation: what the table says of it, at the revision.
+      revision: the table under which the whole call is judged.
+      target: path below the service, with the query.
+      headers: those that are passed on.
+      caller: the calling service, or OUTSIDE.
+      client: who entered the call tree.
+      importance: of the whole call tree.
+      depth: hops from the first node.
+      deadline: loop time.
+      grant: extra tries for this call and what is below it.
+      key: idempotency key, empty without.
+      trace: where the call stands in its trace.
+    """
+
+    operation: messages.Operation
+    revision: ids.Revision
+    target: str
+    headers: list[messages.Header]
+    body: bytes
+    caller: ids.CallerName
+    client: ids.ClientId
+    importance: messages.Importance
+    depth: int
+    deadline: float
+    grant: "tries.Grant"
+    key: ids.IdempotencyKey
+    trace: fields.Trace
+
+    @property
+    def owned(self) -> bool:
+        """Whether only the owner of its key may run it."""
+        return bool(self.key) and not self.operation.idempotent
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Parent:
+    """A call that runs at the backend server here, and may have children.
+
+    Attributes:
+      call: as it came.
+      deadline: loop time.
+      trace: with this call's span as the parent.
+      running: its tries and its child calls.
+    """
+
+    call: messages.Call
+    deadline: float
+    trace: fields.Trace
+    running: "tries.Running"
+
+
+def not_run(reason: Reason, retry_after: float = 0.0) -> messages.Reply:
+    """Returns the reply of a call of which nothing ran; retry_after seconds."""
+    return messages.Reply(
+        outcome=Outcome.NOT_RUN,
+        reason=reason,
+        retry_after_ms=int(retry_after * 1000),
+    )
+
+
+def unknown(reason: Reason) -> messages.Reply:
+    """Returns the reply of a call that may have run."""
+    return messages.Reply(outcome=Outcome.UNKNOWN, reason=reason)
--- /dev/null
+++ b/mangobay/entry.py
@@ -0,0 +1,337 @@
+"""The entry side: brings a call to a host that runs it, within its tries."""
+
+import asyncio
+import dataclasses
+import functools
+import random
+import typing
+
+from mangobay import (
+    calls,
+    errors,
+    fields,
+    hosts,
+    ids,
+    options,
+    peers,
+    ratio,
+    routing,
+    serving,
+    slots,
+    traces,
+)
+from mangobay.generated import messages, settings
+
+Outcome = messages.Outcome
+Reason = messages.Reason
+
+MOST_REDIRECTS = 3
+"""Free attempts of one call after hosts that cannot have touched it.
+
+A host that is leaving, is not the owner or cannot be reached did no work, so
+going on to another one multiplies nothing; the bound keeps stale views from
+sending a call around for long.
+"""
+REDIRECTS = frozenset(
+    {Reason.LEAVING, Reason.NOT_OWNER, Reason.CONNECTION_FAILED}
+)
+RETRIED_REFUSALS = frozenset(
+    {
+        Reason.OVERLOADED,
+        Reason.QUEUE_TIMEOUT,
+        Reason.BACKEND_SHED,
+        Reason.NO_BACKEND,
+        Reason.CONNECTION_FAILED,
+    }
+)
+RETRIED_UNKNOWNS = frozenset(
+    {Reason.CONNECTION_BROKEN, Reason.INCOMPLETE_ANSWER, Reason.INTERNAL}
+)
+"""Only for idempotent calls."""
+OWNER_WAIT = 0.05
+"""Seconds before the owner of a key is looked up again; tripled each time."""
+REPLY_GRACE = 0.05
+"""Seconds after the deadline in which a reply that says why is awaited."""
+
+
+class Lease(typing.Protocol):
+    """What is needed of `lease.Lease`."""
+
+    def holds(self) -> bool:
+        """Whether the lease has not ended."""
+
+
+class Views(typing.Protocol):
+    """What is needed of the subject of views."""
+
+    value: dict[ids.ServiceName, messages.ServiceView]
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Tools:
+    """What the entry side works with."""
+
+    process: calls.Process
+    router: routing.Router
+    ratio: ratio.RetryRatio
+    transport: peers.Transport
+    serving: serving.Serving
+    lease: Lease
+    views: Views
+    tracer: "traces.Tracer"
+    dice: random.Random
+
+
+@dataclasses.dataclass(slots=True)
+class Attempts:
+    """How one call has fared so far.
+
+    Attributes:
+      excluded: hosts that are not tried again.
+      retries: extra tries used here.
+      redirects: free attempts used.
+    """
+
+    excluded: set[ids.HostId] = dataclasses.field(default_factory=set)
+    retries: int = 0
+    redirects: int = 0
+
+
+class Entry:
+    """Brings calls to hosts; the only place that repeats an attempt."""
+
+    def __init__(self, retries: settings.NodeRetries, tools: Tools):
+        self.retries = retries
+        self.tools = tools
+        self.entered = 0
+
+    async def handle(self, request: calls.Request) -> messages.Reply:
+        """Returns the reply to a call, after other attempts where allowed.
+
+        Cancelling gives up what may be given up; see `serving`.
+        """
+        operation = request.operation
+        if operation.key_required and not request.key:
+            return calls.not_run(Reason.KEY_REQUIRED)
+        if not operation.idempotent and not self.tools.lease.holds():
+            return calls.not_run(Reason.NO_LEASE)
+        self.entered += 1
+        try:
+            if request.owned:
+                reply = await self.run_owned(request)
+            else:
+                reply = await self.run_routed(request)
+        finally:
+            self.entered -= 1
+        if reply.outcome == Outcome.ANSWERED:
+            self.tools.ratio.answered(operation.service)
+        return reply
+
+    async def run_routed(self, request: calls.Request) -> messages.Reply:
+        """Tries hosts that the router picks."""
+        made = Attempts()
+        reply = None
+        while True:
+            member = self.pick(request, made.excluded)
+            if isinstance(member, messages.Reply):
+                return reply or member
+            made.excluded.add(member.host)
+            reply = await self.attempt(request, member)
+            wait = self.wait_before_next(request, reply, made)
+            if wait is None:
+                return reply
+            if wait:
+                await asyncio.sleep(wait)
+
+    def pick(
+        self, request: calls.Request, excluded: set[ids.HostId]
+    ) -> messages.Member | messages.Reply:
+        """Returns the host to try, or the refusal where there is none."""
+        service = request.operation.service
+        if self.prefers_own(service, excluded):
+            return messages.Member(host=self.tools.process.host)
+        try:
+            return self.tools.router.pick(
+                service,
+                excluded,
+                request.importance,
+                request.depth,
+                idempotent=request.operation.idempotent,
+                tree=request.trace.trace_id,
+            )
+        except routing.EarlyRefusalError as error:
+            return calls.not_run(Reason.OVERLOADED, error.retry_after)
+        except routing.NoHostError:
+            return calls.not_run(Reason.NO_BACKEND)
+
+    def prefers_own(
+        self, service: ids.ServiceName, excluded: set[ids.HostId]
+    ) -> bool:
+        """Whether the backend server here has room: that saves a hop."""
+        here = self.tools.serving
+        place = here.served.find(service)
+        host = self.tools.process.host
+        if place is None or here.leaving or host in excluded:
+            return False
+        if not place.said.healthy or place.admission.threshold:
+            return False
+        if place.admission.running >= place.admission.limit:
+            return False
+        known = self.tools.router.services.get(service)
+        found = known.known.get(host) if known else None
+        now = asyncio.get_running_loop().time()
+        return found is None or known.usable(found, excluded, now)
+
+    def wait_before_next(
+        self, request: calls.Request, reply: messages.Reply, made: Attempts
+    ) -> float | None:
+        """Returns the seconds before another attempt, None for none."""
+        left = request.deadline - asyncio.get_running_loop().time()
+        if left <= 0 or reply.outcome == Outcome.ANSWERED:
+            return None
+        if is_redirect(reply) and made.redirects < MOST_REDIRECTS:
+            made.redirects += 1
+            return 0.0
+        if not may_retry(request, reply):
+            return None
+        if made.retries >= self.retries.hop_tries:
+            return None
+        wait = ratio.backoff(
+            self.retries.backoff, made.retries + 1, left, self.tools.dice
+        )
+        if wait is None:
+            return None
+        service = request.operation.service
+        if request.grant.left < 1 or not self.tools.ratio.take(service):
+            return None
+        request.grant.take()
+        made.retries += 1
+        return wait
+
+    async def run_owned(self, request: calls.Request) -> messages.Reply:
+        """Brings a keyed call to the owner of its key.
+
+        The owner's own refusals are final here: the same host is never tried
+        again, and no other one may run the key.
+        """
+        service = request.operation.service
+        slot = slots.slot_of(request.key)
+        for redirect in range(MOST_REDIRECTS + 1):
+            view = self.tools.views.value.get(service)
+            owner = slots.owner(view, slot) if view else None
+            if owner is None:
+                reply = calls.not_run(Reason.NO_BACKEND)
+            else:
+                reply = await self.attempt(request, owner)
+            if not is_redirect(reply) or redirect == MOST_REDIRECTS:
+                return reply
+            left = request.deadline - asyncio.get_running_loop().time()
+            wait = OWNER_WAIT * 3**redirect * self.tools.dice.uniform(0.5, 1)
+            if wait >= left:
+                return reply
+            await asyncio.sleep(wait)
+        return reply
+
+    async def attempt(
+        self, request: calls.Request, member: messages.Member
+    ) -> messages.Reply:
+        """Returns the reply of one host, or what its silence means."""
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        left = request.deadline - began
+        if left <= 0:
+            return calls.not_run(Reason.DEADLINE_EXCEEDED)
+        service = request.operation.service
+        lent = request.grant.lend()
+        call = self.to_call(request, left, lent)
+        router = self.tools.router
+        router.began(service, member.host)
+        reply = calls.unknown(Reason.CANCELLED)
+        try:
+            reply = await self.deliver(call, member, left)
+        finally:
+            router.ended(service, member.host, seen(reply, loop.time() - began))
+            if request.trace.sampled:
+                self.tools.tracer.record(request, call, member, reply, began)
+        request.grant.give_back(min(reply.tries_left, lent))
+        return reply
+
+    def to_call(
+        self, request: calls.Request, left: float, lent: int
+    ) -> messages.Call:
+        """Returns the message of one attempt."""
+        operation = request.operation
+        view = self.tools.views.value.get(operation.service)
+        call_id = fields.new_span()
+        return messages.Call(
+            service=operation.service,
+            operation=operation.name,
+            method=operation.method,
+            target=request.target,
+            headers=request.headers,
+            body=request.body,
+            caller=request.caller,
+            importance=request.importance,
+            depth=request.depth,
+            deadline_ms=max(int(left * 1000), 1),
+            tries=lent,
+            idempotent=operation.idempotent,
+            key=request.key if request.owned else ids.IdempotencyKey(""),
+            traceparent=request.trace.traceparent(call_id),
+            revision=request.revision,
+            call_id=call_id,
+            view_version=view.version if view else ids.ViewVersion(0),
+            client=request.client,
+        )
+
+    async def deliver(
+        self, call: messages.Call, member: messages.Member, left: float
+    ) -> messages.Reply:
+        """Hands the call to this host's serving side or to a peer."""
+        if member.host == self.tools.process.host:
+            return await self.tools.serving.serve(call)
+        try:
+            reply = await self.tools.transport.ask(
+                address_of(member.peer_address), call, left + REPLY_GRACE
+            )
+        except errors.PeerUnreachableError:
+            reply = calls.not_run(Reason.CONNECTION_FAILED)
+            reply.tries_left = call.tries
+            return reply
+        except errors.PeerError:
+            return calls.unknown(Reason.CONNECTION_BROKEN)
+        except TimeoutError:
+            return calls.unknown(Reason.DEADLINE_EXCEEDED)
+        if not isinstance(reply, messages.Reply):
+            return calls.unknown(Reason.INTERNAL)
+        return reply
+
+
+def is_redirect(reply: messages.Reply) -> bool:
+    """Returns whether the host cannot have touched the call."""
+    return reply.outcome == Outcome.NOT_RUN and reply.reason in REDIRECTS
+
+
+def may_retry(request: calls.Request, reply: messages.Reply) -> bool:
+    """Returns whether an extra try may go to another host."""
+    if reply.outcome == Outcome.NOT_RUN:
+        return reply.reason in RETRIED_REFUSALS
+    return request.operation.idempotent and reply.reason in RETRIED_UNKNOWNS
+
+
+def seen(reply: messages.Reply, seconds: float) -> hosts.Observation:
+    """Returns what the reply shows of its host."""
+    return hosts.Observation(
+        outcome=reply.outcome,
+        reason=reply.reason,
+        seconds=seconds,
+        threshold=reply.threshold,
+        inflight=reply.inflight,
+        limit=reply.limit,
+    )
+
+
+@functools.lru_cache(maxsize=65536)
+def address_of(text: str) -> options.Address:
+    """Returns a member's peer address."""
+    return options.parse_address(text)
--- /dev/null
+++ b/mangobay/serving.py
@@ -0,0 +1,322 @@
+"""The serving side: runs calls at the backend server on this host."""
+
+import asyncio
+import collections.abc
+import dataclasses
+import functools
+import typing
+
+from mangobay import (
+    admission,
+    announcements,
+    backend,
+    calls,
+    errors,
+    fields,
+    ids,
+    invariants,
+    logs,
+    tries,
+)
+from mangobay.generated import messages
+
+FINISH_SECONDS = 30.0
+"""How long a started non-idempotent call may run past its deadline.
+
+Cut at the deadline its fate would stay unknown for ever; finished, the answer
+waits for the caller's repeat with the same key.
+"""
+
+Outcome = messages.Outcome
+Reason = messages.Reason
+Execute = collections.abc.Callable[
+    [backend.Gate | None], collections.abc.Awaitable[messages.Reply]
+]
+
+
+class Once(typing.Protocol):
+    """What is needed of `once.Once`."""
+
+    async def run(
+        self, call: messages.Call, execute: Execute
+    ) -> messages.Reply:
+        """Runs a keyed call unless it ran or may have run before."""
+
+
+class Serving:
+    """Takes calls from nodes and from the entry side of this one.
+
+    Attributes:
+      leaving: new calls are refused.
+      parents: calls that run at the backend server, by id.
+      started: tasks of non-idempotent calls without a key.
+      entered: calls that have not been replied to.
+    """
+
+    def __init__(
+        self,
+        process: calls.Process,
+        served: announcements.Announcements,
+        grants: tries.Grants,
+        sender: backend.Backend,
+        once: Once,
+    ):
+        self.process = process
+        self.served = served
+        self.grants = grants
+        self.sender = sender
+        self.once = once
+        self.leaving = False
+        self.parents: dict[ids.CallId, calls.Parent] = {}
+        self.started: set[asyncio.Task] = set()
+        self.entered = 0
+
+    @property
+    def idle(self) -> bool:
+        """Whether no call is in flight."""
+        return not (self.entered or self.started or self.parents)
+
+    async def serve(self, call: messages.Call) -> messages.Reply:
+        """Returns the reply to a call; cancelling ends only what may end.
+
+        An idempotent call is given up, down to the backend server. Another
+        one is given up only before its first byte; afterwards it goes on.
+        """
+        place = self.served.find(call.service)
+        if self.leaving:
+            return self.refuse(call, place, calls.not_run(Reason.LEAVING))
+        if place is None:
+            return self.refuse(call, place, calls.not_run(Reason.NO_BACKEND))
+        if not call.deadline_ms:
+            late = calls.not_run(Reason.DEADLINE_EXCEEDED)
+            return self.refuse(call, place, late)
+        deadline = asyncio.get_running_loop().time() + call.deadline_ms / 1000
+        grant = tries.Grant(call.tries)
+        execute = functools.partial(self.execute, call, place, grant, deadline)
+        self.entered += 1
+        try:
+            if call.idempotent:
+                reply = await execute(None)
+            else:
+                reply = await self.serve_started(call, execute, deadline)
+        finally:
+            self.entered -= 1
+        return self.finished(reply, place, grant.close())
+
+    def refuse(
+        self,
+        call: messages.Call,
+        place: announcements.Served | None,
+        reply: messages.Reply,
+    ) -> messages.Reply:
+        """Returns a refusal that hands every extra try back."""
+        return self.finished(reply, place, call.tries)
+
+    def finished(
+        self,
+        reply: messages.Reply,
+        place: announcements.Served | None,
+        tries_left: int,
+    ) -> messages.Reply:
+        """Returns the reply with what this host says of itself.
+
+        A copy, since every repeat of a key gets the same stored reply.
+        """
+        reply = dataclasses.replace(
+            reply, tries_left=tries_left, host=self.process.host
+        )
+        if place is not None:
+            reply.threshold = place.admission.threshold
+            reply.inflight = place.admission.running
+            reply.limit = place.admission.limit
+        return reply
+
+    async def serve_started(
+        self, call: messages.Call, execute: Execute, deadline: float
+    ) -> messages.Reply:
+        """Waits for a non-idempotent call up to its deadline.
+
+        The call itself is finished and recorded even when nobody waits.
+        """
+        if call.key:
+            run = self.once.run(call, execute)
+        else:
+            run = self.run_unkeyed(execute)
+        waiting = asyncio.ensure_future(run)
+        try:
+            done, _ = await asyncio.wait(
+                {waiting}, timeout=deadline - asyncio.get_running_loop().time()
+            )
+        except asyncio.CancelledError:
+            waiting.cancel()
+            raise
+        if done:
+            return waiting.result()
+        waiting.cancel()
+        return await self.end_waiting(waiting)
+
+    async def end_waiting(self, waiting: asyncio.Task) -> messages.Reply:
+        """Returns the reply at the deadline; it may just have come."""
+        try:
+            return await waiting
+        except asyncio.CancelledError:
+            return calls.unknown(Reason.DEADLINE_EXCEEDED)
+
+    async def run_unkeyed(self, execute: Execute) -> messages.Reply:
+        """Runs a non-idempotent call that has no key."""
+        started = asyncio.Event()
+
+        async def gate() -> None:
+            started.set()
+
+        task = asyncio.create_task(execute(gate))
+        self.started.add(task)
+        task.add_done_callback(self.started.discard)
+        try:
+            return await asyncio.shield(task)
+        except asyncio.CancelledError:
+            if not started.is_set():
+                task.cancel()
+            raise
+
+    async def execute(
+        self,
+        call: messages.Call,
+        place: announcements.Served,
+        grant: tries.Grant,
+        deadline: float,
+        gate: backend.Gate | None,
+    ) -> messages.Reply:
+        """Admits a call and runs it at the backend server.
+
+        Raises:
+          Exception: whatever the gate raises; no byte was sent.
+        """
+        trace = fields.parse_traceparent(call.traceparent)
+        ticket = admission.Ticket(
+            importance=call.importance,
+            depth=call.depth,
+            deadline=deadline,
+            client=call.client,
+            tree=trace.trace_id if trace else "",
+        )
+        try:
+            permit = await place.admission.enter(ticket)
+        except admission.ShedError as shed:
+            return calls.not_run(shed.reason, shed.retry_after)
+        running = self.grants.open(call.call_id, grant)
+        self.parents[call.call_id] = calls.Parent(
+            call=call,
+            deadline=deadline,
+            trace=trace or fields.new_trace(0),
+            running=running,
+        )
+        attempt = backend.Attempt(gate)
+        began = asyncio.get_running_loop().time()
+        reply = calls.unknown(Reason.CANCELLED)
+        try:
+            reply = await self.send(call, place, running, attempt, deadline)
+        finally:
+            del self.parents[call.call_id]
+            self.grants.close(call.call_id)
+            now = asyncio.get_running_loop().time()
+            permit.leave(
+                now - began,
+                ok=reply.outcome == Outcome.ANSWERED,
+                awaited=running.awaited_at(now),
+                shed=reply.reason == Reason.BACKEND_SHED,
+            )
+        invariants.check(
+            invariants.Promise.NOT_RUN_IS_TRUE,
+            reply.outcome != Outcome.NOT_RUN
+            or not attempt.sent
+            or reply.reason == Reason.BACKEND_SHED,
+            f"{reply.reason.name} after a byte was sent",
+        )
+        return reply
+
+    async def send(
+        self,
+        call: messages.Call,
+        place: announcements.Served,
+        running: tries.Running,
+        attempt: backend.Attempt,
+        deadline: float,
+    ) -> messages.Reply:
+        """Returns the reply that is true of what happened to the request."""
+        late = 0.0 if call.idempotent else FINISH_SECONDS
+        request = backend.Request(
+            method=call.method,
+            target=call.target,
+            headers=self.headers(call),
+            body=call.body,
+            idempotent=call.idempotent,
+            deadline=deadline,
+            cut_at=deadline + late,
+        )
+        try:
+            answer = await self.sender.send(
+                place.said.address, request, attempt
+            )
+        except errors.BackendError as error:
+            return broken(error, attempt)
+        except errors.InvariantError as error:
+            logs.say(logs.Part.CALL, "stopped", why=str(error))
+            return calls.unknown(Reason.INTERNAL)
+        if answer.shed and not running.attempts:
+            return calls.not_run(Reason.BACKEND_SHED)
+        # A backend server may pass the refusal of a deeper service on as its
+        # own. After child calls some of its work was done, so its word that
+        # nothing ran does not count, and the answer is its answer.
+        return messages.Reply(
+            outcome=Outcome.ANSWERED,
+            status=answer.status,
+            headers=answer.headers,
+            body=answer.body,
+            service_ms=int(answer.seconds * 1000),
+        )
+
+    def headers(self, call: messages.Call) -> list[messages.Header]:
+        """Returns the fields for the backend server."""
+        others = fields.find(call.headers, fields.TRACESTATE)
+        kept = call.headers
+        if others:
+            kept = [
+                each for each in kept if each.name.lower() != fields.TRACESTATE
+            ]
+        state = fields.join_state(call.call_id, others)
+        return [
+            *kept,
+            messages.Header(name=fields.TRACEPARENT, value=call.traceparent),
+            messages.Header(name=fields.TRACESTATE, value=state),
+        ]
+
+    def parent_of(
+        self, tracestate: str, traceparent: str
+    ) -> calls.Parent | None:
+        """Returns the running call that a backend server's call belongs to."""
+        named, _ = fields.split_state(tracestate)
+        if named in self.parents:
+            return self.parents[named]
+        trace = fields.parse_traceparent(traceparent)
+        return self.parents.get(ids.CallId(trace.parent)) if trace else None
+
+
+def broken(
+    error: errors.BackendError, attempt: backend.Attempt
+) -> messages.Reply:
+    """Returns the reply for a request that got no whole answer."""
+    match error:
+        case errors.BackendTimeoutError():
+            reason = Reason.DEADLINE_EXCEEDED
+        case errors.AnswerTooLargeError():
+            reason = Reason.TOO_LARGE
+        case errors.IncompleteAnswerError():
+            reason = Reason.INCOMPLETE_ANSWER
+        case errors.BackendBrokenError():
+            reason = Reason.CONNECTION_BROKEN
+        case _:
+            reason = Reason.CONNECTION_FAILED
+    if attempt.sent:
+        return calls.unknown(reason)
+    return calls.not_run(reason)
