--- /dev/null
+++ b/mangobay/cmdnode.py
@@ -0,0 +1,54 @@
+"""Entry point of mangobay-node."""
+
+import argparse
+import asyncio
+import sys
+
+from mangobay import errors, logs, node, settings
+from mangobay.generated import settings as generated
+
+BAD_SETTINGS = 2
+CANNOT_START = 1
+
+
+def make_parser() -> argparse.ArgumentParser:
+    """Returns the parser of the command line."""
+    parser = argparse.ArgumentParser(prog="mangobay-node", description=__doc__)
+    parser.add_argument(
+        "--settings", required=True, metavar="FILE", help="settings, INI"
+    )
+    parser.add_argument(
+        "--check", action="store_true", help="only check the settings"
+    )
+    return parser
+
+
+async def run(config: generated.Node) -> int:
+    """Runs a node until it has left; returns the exit code."""
+    return await node.Node(config).run()
+
+
+def main(arguments: list[str] | None = None) -> int:
+    """Runs mangobay-node; returns the exit code."""
+    parsed = make_parser().parse_args(arguments)
+    try:
+        config = settings.load(
+            parsed.settings, generated.NODE_SECTIONS, generated.Node
+        )
+    except errors.SettingsError as error:
+        print(error, file=sys.stderr)
+        return BAD_SETTINGS
+    if parsed.check:
+        return 0
+    try:
+        logs.open_log(config.log.file)
+        return asyncio.run(run(config))
+    except OSError as error:
+        print(f"mangobay-node: log file: {error}", file=sys.stderr)
+    except errors.StartError as error:
+        print(f"mangobay-node: {error}", file=sys.stderr)
+    return CANNOT_START
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/mangobay/edges.py
@@ -0,0 +1,384 @@
+"""The two HTTP edges: callers outside, and the backend server on this host."""
+
+import asyncio
+import hashlib
+import logging
+import random
+import secrets
+import typing
+
+from aiohttp import web
+
+from mangobay import (
+    calls,
+    entry,
+    errors,
+    fields,
+    httpserver,
+    ids,
+    logs,
+    metrics,
+    serving,
+    table,
+    tries,
+)
+from mangobay.generated import messages, settings
+
+Outcome = messages.Outcome
+Reason = messages.Reason
+
+API_PREFIX = "/mangobay/"
+FINGERPRINT_BYTES = 8
+
+
+class Tables(typing.Protocol):
+    """What is needed of the subject of tables."""
+
+    value: table.Table
+
+
+class Directory(typing.Protocol):
+    """What is needed of `controlclient.ControlClient`."""
+
+    tables: Tables
+
+    async def interest(self, service: ids.ServiceName) -> None:
+        """Returns once the table holds what control knows of a service."""
+
+
+class Edge:
+    """What both edges do with a request."""
+
+    def __init__(
+        self,
+        limits: settings.NodeLimits,
+        directory: Directory,
+        entry_side: entry.Entry,
+        serving_side: serving.Serving,
+        counts: metrics.Metrics,
+        sample: float,
+    ):
+        self.limits = limits
+        self.directory = directory
+        self.entry = entry_side
+        self.serving = serving_side
+        self.metrics = counts
+        self.sample = sample
+        self.dice = random.Random()
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answers one request; every answer says its outcome."""
+        detail = ""
+        try:
+            reply = await self.call(request)
+        except errors.RequestError as error:
+            reply = calls.not_run(error.reason)
+            detail = str(error)
+        except errors.MangobayError as error:
+            logs.say(logs.Part.CALL, "call failed", why=str(error))
+            reply = calls.unknown(Reason.INTERNAL)
+        return httpserver.to_response(reply, self.dice, detail)
+
+    async def call(self, request: web.BaseRequest) -> messages.Reply:
+        """Returns the reply to a request.
+
+        Raises:
+          errors.RequestError: it became no call.
+        """
+        raise NotImplementedError
+
+    async def run(self, request: calls.Request) -> messages.Reply:
+        """Brings a call in and counts how it ended."""
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        reply = await self.entry.handle(request)
+        self.metrics.ended(request.operation, reply, loop.time() - began)
+        return reply
+
+    async def body_of(self, request: web.BaseRequest) -> bytes:
+        """Returns the whole body.
+
+        Raises:
+          errors.RequestError: it is too long, too slow or incomplete.
+        """
+        return await httpserver.read_body(
+            request, self.limits.body_bytes, self.limits.header_timeout
+        )
+
+    def find(
+        self, service: ids.ServiceName, method: str, target: str, caller
+    ) -> messages.Operation | None:
+        """Returns the operation if the caller may reach it."""
+        found = self.directory.tables.value.find(service, method, target)
+        if found is None or not table.Table.allows(found, caller):
+            return None
+        return found
+
+    async def ask_control(self, *services: ids.ServiceName) -> None:
+        """Waits until control told of the services.
+
+        Raises:
+          errors.RequestError: no control host answers.
+        """
+        try:
+            await asyncio.gather(*map(self.directory.interest, services))
+        except errors.MangobayError as error:
+            raise errors.RequestError(Reason.NO_LEASE, str(error)) from None
+
+
+class Outside(Edge):
+    """Takes requests from callers: /SERVICE/path.
+
+    Attributes:
+      decoy: makes service names that nobody has.
+    """
+
+    def __init__(self, *arguments):
+        super().__init__(*arguments)
+        self.decoy = secrets.token_hex(8)
+
+    async def call(self, request: web.BaseRequest) -> messages.Reply:
+        """Returns the reply to a caller's request.
+
+        Raises:
+          errors.RequestError: it became no call.
+        """
+        if self.serving.leaving:
+            return calls.not_run(Reason.LEAVING)
+        service, target = split_path(request.raw_path)
+        operation = await self.resolve(service, request.method, target)
+        received = request.headers
+        deadline = deadline_of(operation, received)
+        key = key_of(received)
+        body = await self.body_of(request)
+        return await self.run(
+            calls.Request(
+                operation=operation,
+                revision=self.directory.tables.value.revision,
+                target=target,
+                headers=headers_of(received),
+                body=body,
+                caller=ids.OUTSIDE,
+                client=client_of(request),
+                importance=operation.importance,
+                depth=0,
+                deadline=deadline,
+                grant=tries.Grant(operation.tries),
+                key=key,
+                trace=self.trace_of(received),
+            )
+        )
+
+    async def resolve(
+        self, service: ids.ServiceName, method: str, target: str
+    ) -> messages.Operation:
+        """Returns an operation that is visible from outside.
+
+        A hidden service that this node knows would be refused at once, where
+        a name that it does not know costs a round trip to control: the time
+        would tell them apart.  So every refusal waits for the round trip of
+        the name and of a decoy that control never knows; both are remembered
+        equally long.
+
+        Raises:
+          errors.RequestError: there is none, or none that may be seen.
+        """
+        found = self.find(service, method, target, ids.OUTSIDE)
+        if found is None:
+            decoy = ids.ServiceName(f"{service}~{self.decoy}")
+            await self.ask_control(service, decoy)
+            found = self.find(service, method, target, ids.OUTSIDE)
+        if found is None:
+            raise errors.RequestError(Reason.NO_SUCH_OPERATION, "")
+        return found
+
+    def trace_of(self, received: fields.Fields) -> fields.Trace:
+        """Returns the caller's trace, or a new one.
+
+        Whether it is sampled is decided here: callers that set the flag on
+        every request would have every span recorded.
+        """
+        fresh = fields.new_trace(self.sample)
+        theirs = fields.parse_traceparent(received.get(fields.TRACEPARENT, ""))
+        if theirs is None:
+            return fresh
+        return fields.Trace(theirs.trace_id, theirs.parent, fresh.sampled)
+
+
+class Local(Edge):
+    """Takes the calls that the backend server on this host makes."""
+
+    async def call(self, request: web.BaseRequest) -> messages.Reply:
+        """Returns the reply to a call of the backend server.
+
+        Raises:
+          errors.RequestError: it became no call.
+        """
+        received = request.headers
+        parent = self.serving.parent_of(
+            received.get(fields.TRACESTATE, ""),
+            received.get(fields.TRACEPARENT, ""),
+        )
+        caller = self.caller_of(received, parent)
+        service, target = split_path(request.raw_path)
+        operation = await self.resolve(service, request.method, target, caller)
+        deadline = deadline_of(operation, received)
+        key = key_of(received)
+        body = await self.body_of(request)
+        call = calls.Request(
+            operation=operation,
+            revision=self.directory.tables.value.revision,
+            target=target,
+            headers=headers_of(received),
+            body=body,
+            caller=caller,
+            client=ids.ClientId(caller),
+            importance=operation.importance,
+            depth=0,
+            deadline=deadline,
+            grant=tries.Grant(0),
+            key=key,
+            trace=fields.new_trace(self.sample),
+        )
+        if parent is None:
+            return await self.run(call)
+        return await self.run_child(call, parent)
+
+    async def run_child(
+        self, call: calls.Request, parent: calls.Parent
+    ) -> messages.Reply:
+        """Brings in a call that is part of a tree, with part of its tries."""
+        running = parent.running
+        where = f"{call.operation.service}{call.target}"
+        if not running.child(call.operation.method, where, call.body):
+            return calls.not_run(Reason.TRIES_EXHAUSTED)
+        call.client = parent.call.client
+        call.importance = parent.call.importance
+        call.depth = parent.call.depth + 1
+        call.deadline = min(call.deadline, parent.deadline)
+        call.trace = parent.trace
+        call.grant = tries.Grant(running.grant.lend())
+        loop = asyncio.get_running_loop()
+        running.child_began(loop.time())
+        try:
+            return await self.run(call)
+        finally:
+            running.child_ended(loop.time())
+            running.grant.give_back(call.grant.close())
+
+    def caller_of(
+        self, received: fields.Fields, parent: calls.Parent | None
+    ) -> ids.CallerName:
+        """Returns the service that calls.
+
+        Raises:
+          errors.RequestError: none announced itself, or it is not clear
+            which of several calls.
+        """
+        if parent is not None:
+            return ids.CallerName(parent.call.service)
+        names = list(self.serving.served.served)
+        named = received.get(fields.SERVICE, "")
+        if named in names:
+            return ids.CallerName(named)
+        if named or len(names) != 1:
+            raise errors.RequestError(
+                Reason.MALFORMED,
+                f"announce the calling service first, and name it in "
+                f"{fields.SERVICE} where several are announced",
+            )
+        return ids.CallerName(names[0])
+
+    async def resolve(
+        self,
+        service: ids.ServiceName,
+        method: str,
+        target: str,
+        caller: ids.CallerName,
+    ) -> messages.Operation:
+        """Returns the operation that the caller asks for.
+
+        Raises:
+          errors.RequestError: there is none, or the caller may not reach it.
+        """
+        found = self.find(service, method, target, caller)
+        if found is None:
+            await self.ask_control(service)
+            found = self.find(service, method, target, caller)
+        if found is None:
+            raise errors.RequestError(Reason.NO_SUCH_OPERATION, "")
+        return found
+
+
+def split_path(raw_path: str) -> tuple[ids.ServiceName, str]:
+    """Returns the service and the target in /SERVICE/rest?query.
+
+    Raises:
+      errors.RequestError: the request names a whole URL.
+    """
+    if not raw_path.startswith("/"):
+        raise errors.RequestError(Reason.MALFORMED, "not a path")
+    path, mark, query = raw_path.partition("?")
+    service, _, rest = path[1:].partition("/")
+    return ids.ServiceName(service), f"/{rest}{mark}{query}"
+
+
+def deadline_of(
+    operation: messages.Operation, received: fields.Fields
+) -> float:
+    """Returns the loop time by which the caller must have its answer.
+
+    Raises:
+      errors.RequestError: Request-Timeout is malformed.
+    """
+    seconds = operation.deadline_ms / 1000 or calls.DEFAULT_DEADLINE
+    given = received.get(fields.REQUEST_TIMEOUT)
+    if given is not None:
+        try:
+            seconds = min(seconds, fields.parse_timeout(given))
+        except ValueError as error:
+            raise errors.RequestError(Reason.MALFORMED, str(error)) from None
+    return asyncio.get_running_loop().time() + seconds
+
+
+def key_of(received: fields.Fields) -> ids.IdempotencyKey:
+    """Returns the idempotency key, empty where there is none.
+
+    Raises:
+      errors.RequestError: it is malformed.
+    """
+    given = received.get(fields.IDEMPOTENCY_KEY)
+    if given is None:
+        return ids.IdempotencyKey("")
+    try:
+        return fields.parse_key(given)
+    except ValueError as error:
+        raise errors.RequestError(Reason.MALFORMED, str(error)) from None
+
+
+def headers_of(received: fields.Fields) -> list[messages.Header]:
+    """Returns the fields passed on, with the tracestate of others."""
+    kept = fields.passed_on(received)
+    if fields.TRACESTATE in received:
+        _, others = fields.split_state(received[fields.TRACESTATE])
+        if others:
+            kept.append(messages.Header(name=fields.TRACESTATE, value=others))
+    return kept
+
+
+def client_of(request: web.BaseRequest) -> ids.ClientId:
+    """Returns who calls: the address and a fingerprint of its credentials.
+
+    Callers behind one address are told apart by what they sign in with; the
+    credentials themselves are never kept nor passed on in this place.
+    """
+    client = request.remote or ""
+    credentials = request.headers.get("Authorization")
+    if credentials:
+        data = credentials.encode("utf-8", "surrogateescape")
+        digest = hashlib.blake2b(data, digest_size=FINGERPRINT_BYTES)
+        client = f"{client}/{digest.hexdigest()}"
+    return ids.ClientId(client)
+
+
+logging.getLogger("aiohttp.server").setLevel(logging.CRITICAL)
--- /dev/null
+++ b/mangobay/httpserver.py
@@ -0,0 +1,199 @@
+"""HTTP listeners with bounds on connections, sizes and slow senders."""
+
+import asyncio
+import collections.abc
+import random
+
+import multidict
+from aiohttp import web
+
+from mangobay import calls, errors, fields, logs, options, problems
+from mangobay.generated import messages
+
+LONGEST_LINE = 16 * 1024
+"""Bytes of the request line, and of one header line."""
+MOST_HEADERS = 128
+KEEPALIVE_SECONDS = 75.0
+LINGERING_SECONDS = 1.0
+"""How long the rest of a refused body is read and thrown away."""
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+BACKLOG = 1024
+
+Handle = collections.abc.Callable[
+    [web.BaseRequest], collections.abc.Awaitable[web.StreamResponse]
+]
+
+
+class Connection(web.RequestHandler):
+    """One connection of a caller.
+
+    Attributes:
+      begun: a whole request head has come.
+    """
+
+    begun = False
+
+    def connection_made(self, transport) -> None:
+        """Ends the connection where no request comes in time.
+
+        aiohttp bounds the wait only after a first request: a caller that
+        sends a byte now and then would hold a connection for ever.
+        """
+        super().connection_made(transport)
+        server = self._manager
+        if len(server.connections) > server.most_connections:
+            self.force_close()
+            return
+        self._loop.call_later(server.head_seconds, self.look)
+
+    def look(self) -> None:
+        """Ends the connection if no request head has come."""
+        if not self.begun:
+            self.force_close()
+
+    def handle_error(self, request, status=500, exc=None, message=None):
+        """Returns the answer to what is no HTTP request."""
+        reason = messages.Reason.INTERNAL
+        reply = calls.unknown(reason)
+        if status < 500:
+            reply = calls.not_run(messages.Reason.MALFORMED)
+        else:
+            logs.say(logs.Part.CALL, "request failed", why=repr(exc))
+        detail = "not an HTTP request" if status < 500 else ""
+        response = to_response(reply, random, detail)
+        response.force_close()
+        return response
+
+
+class Server(web.Server):
+    """Makes the connections of one listener."""
+
+    def __init__(
+        self, handle: Handle, most_connections: int, head_seconds: float
+    ):
+        super().__init__(self.mark, handler_cancellation=True)
+        self.handle = handle
+        self.most_connections = most_connections
+        self.head_seconds = head_seconds
+
+    def __call__(self) -> Connection:
+        """Returns the protocol of a new connection."""
+        return Connection(
+            self,
+            loop=asyncio.get_running_loop(),
+            access_log=None,
+            auto_decompress=False,
+            keepalive_timeout=KEEPALIVE_SECONDS,
+            lingering_time=LINGERING_SECONDS,
+            max_line_size=LONGEST_LINE,
+            max_field_size=LONGEST_LINE,
+            max_headers=MOST_HEADERS,
+        )
+
+    async def mark(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Notes that the request head came in time, and answers."""
+        request.protocol.begun = True
+        return await self.handle(request)
+
+
+class Listener:
+    """One HTTP listener.
+
+    Attributes:
+      address: where it listens; with port 0, the port taken once started.
+    """
+
+    def __init__(
+        self,
+        address: options.Address,
+        handle: Handle,
+        *,
+        connections: int,
+        head_seconds: float,
+    ):
+        self.address = address
+        self.server = Server(handle, connections, head_seconds)
+        self.listening: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        """Opens the socket.
+
+        Raises:
+          errors.StartError: the address is in use or not of this host.
+        """
+        loop = asyncio.get_running_loop()
+        try:
+            self.listening = await loop.create_server(
+                self.server, self.address.ip, self.address.port, backlog=BACKLOG
+            )
+        except OSError as error:
+            raise errors.StartError(
+                f"cannot listen on {self.address}: {error.strerror or error}"
+            ) from None
+        port = self.listening.sockets[0].getsockname()[1]
+        self.address = options.Address(self.address.ip, port)
+
+    async def close(self, grace: float = 0.0) -> None:
+        """Stops accepting; requests being answered have grace seconds."""
+        if self.listening is None:
+            return
+        self.listening.close()
+        self.server.pre_shutdown()
+        await self.server.shutdown(grace)
+
+
+async def read_body(
+    request: web.BaseRequest, most: int, seconds: float
+) -> bytes:
+    """Returns the whole body of at most `most` bytes.
+
+    Raises:
+      errors.RequestError: too long, too slow, or ended early.
+    """
+    if not request.body_exists:
+        return b""
+    if (request.content_length or 0) > most:
+        raise too_large(most)
+    if request.headers.get("Expect", "").lower() == "100-continue":
+        request.transport.write(CONTINUE)
+    parts = []
+    size = 0
+    try:
+        async with asyncio.timeout(seconds):
+            async for part in request.content.iter_any():
+                size += len(part)
+                if size > most:
+                    raise too_large(most)
+                parts.append(part)
+    except TimeoutError:
+        raise errors.RequestError(
+            messages.Reason.MALFORMED, f"no whole body in {seconds:g} s"
+        ) from None
+    except web.RequestPayloadError:
+        raise errors.RequestError(
+            messages.Reason.MALFORMED, "the body ended early"
+        ) from None
+    return b"".join(parts)
+
+
+def too_large(most: int) -> errors.RequestError:
+    """Returns the error of a body above the limit."""
+    return errors.RequestError(
+        messages.Reason.TOO_LARGE, f"the body is above {most} bytes"
+    )
+
+
+def to_response(
+    reply: messages.Reply, dice: random.Random, detail: str = ""
+) -> web.Response:
+    """Returns the HTTP answer that says what a reply says."""
+    if reply.outcome != messages.Outcome.ANSWERED:
+        shown = problems.problem(reply, dice, detail)
+        return web.Response(
+            status=shown.status, headers=shown.headers, body=shown.body
+        )
+    headers = multidict.CIMultiDict(
+        (header.name, header.value) for header in reply.headers
+    )
+    headers[fields.OUTCOME] = "answered"
+    return web.Response(status=reply.status, headers=headers, body=reply.body)
--- /dev/null
+++ b/mangobay/node.py
@@ -0,0 +1,363 @@
+"""The node: assembles its parts, runs them, and leaves in good order."""
+
+import asyncio
+import gc
+import random
+import secrets
+import signal
+
+from mangobay import (
+    admission,
+    announcements,
+    backend,
+    calls,
+    controlclient,
+    edges,
+    entry,
+    errors,
+    httpserver,
+    ids,
+    localapi,
+    logs,
+    metrics,
+    once,
+    peers,
+    ratio,
+    routing,
+    serving,
+    tenure,
+    tls,
+    traces,
+    tries,
+)
+from mangobay.generated import messages, settings
+
+ROLE = "node"
+IDLE_POLL = 0.02
+"""Seconds between two looks whether everything in flight has ended."""
+CLOSE_SECONDS = 1.0
+"""Time for the last answers to leave the listeners."""
+INCARNATION_BYTES = 8
+ALLOCATIONS_BETWEEN_COLLECTIONS = 50_000
+"""Calls make few reference cycles; a collection stops every call."""
+
+
+class Node:
+    """One mangobay-node.
+
+    Attributes:
+      ended: set once the node has left or was told to stop at once.
+      cut: what was in flight when it was told to stop at once.
+    """
+
+    def __init__(self, config: settings.Node):
+        self.config = config
+        self.process = calls.Process(
+            ids.HostId(config.host.name),
+            ids.DataCentre(config.host.data_centre),
+            ids.Incarnation(secrets.token_hex(INCARNATION_BYTES)),
+        )
+        self.dice = random.Random()
+        self.metrics = metrics.Metrics()
+        self.tasks: list[asyncio.Task] = []
+        self.leaving: asyncio.Task | None = None
+        self.ended = asyncio.Event()
+        self.cut = 0
+        self.make_peers()
+        self.make_serving()
+        self.make_entry()
+        self.make_edges()
+        self.make_gauges()
+
+    def make_peers(self) -> None:
+        """Makes what speaks to other processes."""
+        config = self.config
+        hello = messages.Hello(
+            host=self.process.host,
+            data_centre=self.process.data_centre,
+            incarnation=self.process.incarnation,
+            role=ROLE,
+        )
+        limits = peers.Limits(
+            frame_bytes=config.limits.frame_bytes,
+            connections=config.limits.connections,
+            frame_seconds=config.limits.header_timeout,
+        )
+        identity = tls.identity(config.tls)
+        self.peers = peers.Peers(hello, identity=identity, limits=limits)
+        self.peer_listener = peers.Listener(
+            config.listen.peer,
+            hello,
+            self.answer,
+            identity=identity,
+            limits=limits,
+        )
+        self.control = controlclient.ControlClient(
+            config.control,
+            controlclient.NodeIdentity(
+                host=self.process.host,
+                incarnation=self.process.incarnation,
+                data_centre=self.process.data_centre,
+                peer_address=config.listen.peer,
+            ),
+            self.peers,
+            self.dice,
+        )
+
+    def make_serving(self) -> None:
+        """Makes what runs calls at the backend server here."""
+        config = self.config
+        self.once = once.Once(
+            config.once,
+            tenure.Process(self.process.host, self.process.incarnation),
+            self.peers,
+            self.control.lease,
+        )
+        self.served = announcements.Announcements(
+            config.backend.silence, self.new_admission, self.serves
+        )
+        self.backend = backend.Backend(
+            config.backend.connections,
+            config.backend.idle,
+            config.limits.answer_bytes,
+        )
+        self.serving = serving.Serving(
+            self.process, self.served, tries.Grants(), self.backend, self.once
+        )
+
+    def new_admission(self) -> admission.Admission:
+        """Returns the admission of a service announced here."""
+        config = self.config
+        return admission.Admission(
+            config.admission, config.retries, config.recovery, self.dice
+        )
+
+    def serves(self, served: list[messages.ServedService]) -> None:
+        """Tells control what the backend server here serves."""
+        self.control.serves = served
+
+    def make_entry(self) -> None:
+        """Makes what brings calls to hosts."""
+        config = self.config
+        self.router = routing.Router(
+            config.routing,
+            config.admission,
+            self.process.data_centre,
+            self.dice,
+        )
+        self.tracer: traces.Tracer = traces.NoTracer()
+        if config.trace.file:
+            try:
+                self.tracer = traces.FileTracer(config.trace.file, self.process)
+            except OSError as error:
+                raise errors.StartError(f"trace file: {error}") from None
+        self.entry = entry.Entry(
+            config.retries,
+            entry.Tools(
+                process=self.process,
+                router=self.router,
+                ratio=ratio.RetryRatio(config.retries),
+                transport=self.peers,
+                serving=self.serving,
+                lease=self.control.lease,
+                views=self.control.views,
+                tracer=self.tracer,
+                dice=self.dice,
+            ),
+        )
+
+    def make_edges(self) -> None:
+        """Makes the two HTTP listeners."""
+        config = self.config
+        sample = config.trace.sample if config.trace.file else 0.0
+        parts = (
+            config.limits,
+            self.control,
+            self.entry,
+            self.serving,
+            self.metrics,
+            sample,
+        )
+        self.local_api = localapi.LocalApi(
+            edges.Local(*parts), self.served, self.metrics, self
+        )
+        self.outside_listener = self.listener(
+            config.listen.outside, edges.Outside(*parts).handle
+        )
+        self.local_listener = self.listener(
+            config.listen.local, self.local_api.handle
+        )
+
+    def listener(self, address, handle) -> httpserver.Listener:
+        """Returns an HTTP listener within the settings' limits."""
+        limits = self.config.limits
+        return httpserver.Listener(
+            address,
+            handle,
+            connections=limits.connections,
+            head_seconds=limits.header_timeout,
+        )
+
+    def make_gauges(self) -> None:
+        """Names the numbers that the metrics read when asked."""
+        places = self.served.served
+        self.metrics.gauges += [
+            metrics.Gauge(
+                name="lease",
+                help="1 while this node holds a lease.",
+                read=lambda: float(self.control.lease.holds()),
+            ),
+            metrics.Gauge(
+                name="revision",
+                help="Revision of the table in force here.",
+                read=lambda: self.control.tables.value.revision,
+            ),
+            metrics.Gauge(
+                name="running",
+                help="Calls that run at the backend server here.",
+                read=lambda: len(self.serving.parents),
+            ),
+            metrics.Gauge(
+                name="limit",
+                help="Calls that may run at the backend server here.",
+                read=lambda: sum(p.admission.limit for p in places.values()),
+            ),
+            metrics.Gauge(
+                name="threshold",
+                help="Highest level below which calls are refused here.",
+                read=lambda: max(
+                    (p.admission.threshold for p in places.values()), default=0
+                ),
+            ),
+            metrics.Gauge(
+                name="leaving",
+                help="1 while this node leaves.",
+                read=lambda: float(self.serving.leaving),
+            ),
+        ]
+
+    def readiness(self) -> localapi.Readiness:
+        """Returns whether callers should be sent here."""
+        missing = []
+        if not self.control.lease.holds():
+            missing.append("lease")
+        if self.serving.leaving:
+            missing.append("the node is leaving")
+        return localapi.Readiness(tuple(missing))
+
+    async def answer(
+        self, hello: messages.Hello, body: messages.EnvelopeBody
+    ) -> messages.EnvelopeBody:
+        """Answers another process of the system.
+
+        Raises:
+          errors.PeerProtocolError: a node does not answer such a request.
+        """
+        match body:
+            case messages.Call():
+                reply = await self.serving.serve(body)
+                reply.revision = self.control.tables.value.revision
+                return reply
+            case messages.CopyPut() | messages.CopyFetch():
+                return await self.once.handle(body)
+        raise errors.PeerProtocolError(
+            f"a node does not answer {type(body).__name__} of {hello.host}"
+        )
+
+    async def start(self) -> None:
+        """Opens the listeners and starts the parts.
+
+        Raises:
+          errors.StartError: an address cannot be used.
+        """
+        await self.peer_listener.start()
+        await self.local_listener.start()
+        await self.outside_listener.start()
+        self.control.views.subscribe(self.router.update)
+        self.control.views.subscribe(self.once.update)
+        self.control.draining.subscribe(self.drained)
+        for work in (
+            self.control.run(),
+            self.served.run(),
+            self.once.expire(),
+        ):
+            self.tasks.append(asyncio.create_task(work))
+        logs.say(logs.Part.NODE, "started", host=self.process.host)
+
+    async def run(self) -> int:
+        """Runs until the node has left; returns the exit code."""
+        await self.start()
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self.stop)
+        gc.collect()
+        gc.freeze()
+        gc.set_threshold(ALLOCATIONS_BETWEEN_COLLECTIONS, 10, 10)
+        await self.ended.wait()
+        await self.close()
+        return 1 if self.cut else 0
+
+    def drained(self, draining: bool) -> None:
+        """Leaves when an operator asked for it."""
+        if draining and self.leaving is None:
+            self.stop()
+
+    def stop(self) -> None:
+        """Leaves in good order; told a second time, stops at once."""
+        if self.leaving is None:
+            self.leaving = asyncio.create_task(self.leave())
+            return
+        self.end("told to stop at once")
+
+    async def leave(self) -> None:
+        """Takes no new work, finishes what is in flight, hands keys over."""
+        grace = self.config.leaving.grace
+        logs.say(logs.Part.NODE, "leaving", grace=grace)
+        self.serving.leaving = True
+        self.control.leaving = True
+        try:
+            async with asyncio.timeout(grace):
+                await self.finished()
+                await self.once.handed_over()
+        except TimeoutError:
+            self.end(f"still in flight after {grace:g} s")
+            return
+        logs.say(logs.Part.NODE, "left", host=self.process.host)
+        self.ended.set()
+
+    async def finished(self) -> None:
+        """Returns once nothing is in flight here."""
+        while self.entry.entered or not self.serving.idle:
+            await asyncio.sleep(IDLE_POLL)
+
+    def end(self, why: str) -> None:
+        """Stops at once and says what that cuts."""
+        if self.ended.is_set():
+            return
+        running = [
+            parent.call.operation for parent in self.serving.parents.values()
+        ]
+        self.cut = self.entry.entered + len(running)
+        logs.say(
+            logs.Part.NODE,
+            "stopping at once",
+            why=why,
+            calls_entered_here=self.entry.entered,
+            operations_running_here=running,
+        )
+        self.ended.set()
+
+    async def close(self) -> None:
+        """Closes listeners, tasks and connections."""
+        await self.outside_listener.close(CLOSE_SECONDS)
+        await self.local_listener.close(CLOSE_SECONDS)
+        await self.peer_listener.close(CLOSE_SECONDS)
+        if self.leaving is not None:
+            self.tasks.append(self.leaving)
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await self.once.close()
+        await self.peers.close()
+        await self.backend.close()
+        self.tracer.close()
--- a/mangobay/peers.py
+++ b/mangobay/peers.py
@@ -11,6 +11,8 @@
 BACKOFF_FIRST = 0.05
 """Seconds without another try after a failed connect; doubled each time."""
 BACKOFF_MOST = 1.0
+CLOSE_SECONDS = 1.0
+"""Time for closed connections to be seen as such by their tasks."""
 
 Handler = connections.Handler
 Limits = connections.Limits
@@ -299,6 +301,5 @@
         tasks = list(self.standing.values())
         for connection in list(self.standing):
             connection.close("leaving")
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        if tasks:
+            await asyncio.wait(tasks, timeout=CLOSE_SECONDS)
--- /dev/null
+++ b/tests/nodes.py
@@ -0,0 +1,190 @@
+"""A whole node in the test's own process, with control and peers faked."""
+
+import asyncio
+import contextlib
+import json
+
+import aiohttp
+import yarl
+from aiohttp import web
+
+from mangobay import ids, node, options, settings, table
+from mangobay.generated import messages
+from mangobay.generated import settings as generated
+
+LONG = 20.0
+SETTINGS = """
+[host]
+name = {host}
+data_centre = {host}-centre
+[listen]
+outside = 127.0.0.1:0
+local = 127.0.0.2:0
+peer = 127.0.0.3:0
+[control]
+hosts = 127.0.0.1:1
+[limits]
+body_bytes = 1000
+header_timeout = 0.3
+"""
+
+
+def operation(name: str, method: str = "GET", **more) -> messages.Operation:
+    """Returns a row of the sheet for service `stock`, visible from outside."""
+    given = {
+        "service": "stock",
+        "path": f"/{name}",
+        "idempotent": method == "GET",
+        "callers": ["*"],
+        "outside": True,
+        "deadline_ms": 20_000,
+        "tries": 4,
+        "importance": messages.Importance.HIGH,
+    }
+    return messages.Operation(name=name, method=method, **(given | more))
+
+
+ROWS = [
+    operation("price"),
+    operation("book", "POST"),
+    operation("sign", "POST", key_required=True),
+    operation("inside", outside=False),
+    operation("freight", service="freight", outside=False),
+    operation("late", deadline_ms=50),
+]
+
+
+class BackendServer:
+    """A backend server whose behaviour is one function of the test."""
+
+    def __init__(self, handle):
+        self.handle = handle
+        self.requests: list[web.BaseRequest] = []
+        self.cancelled = 0
+
+    async def answer(self, request: web.BaseRequest) -> web.Response:
+        self.requests.append(request)
+        try:
+            return await self.handle(request)
+        except asyncio.CancelledError:
+            self.cancelled += 1
+            raise
+
+
+class World:
+    """Nodes that were started, each with its backend server and addresses."""
+
+    def __init__(self, folder, stack: contextlib.AsyncExitStack):
+        self.folder = folder
+        self.stack = stack
+        self.nodes: list[node.Node] = []
+        self.asked: list[ids.ServiceName] = []
+        self.views: list[messages.ServiceView] = []
+
+    async def start(self, host: str, handle, extra: str = "") -> node.Node:
+        """Starts a node with a backend server, announced as `stock`."""
+        path = self.folder / f"{host}.ini"
+        path.write_text(SETTINGS.format(host=host) + extra)
+        config = settings.load(
+            str(path), generated.NODE_SECTIONS, generated.Node
+        )
+        started = node.Node(config)
+        started.control.interest = self.interest
+        started.control.run = asyncio.Event().wait
+        await started.start()
+        self.stack.push_async_callback(started.close)
+        now = asyncio.get_running_loop().time()
+        started.control.lease.extend(now, 1e6)
+        started.control.tables.on_next(self.table())
+        self.nodes.append(started)
+        if handle is not None:
+            await self.serve(started, BackendServer(handle))
+        self.tell_views()
+        return started
+
+    async def interest(self, service: ids.ServiceName) -> None:
+        self.asked.append(service)
+
+    @staticmethod
+    def table() -> table.Table:
+        update = messages.TableUpdate(revision=5, changed=ROWS)
+        return table.Table().updated(update)
+
+    async def serve(self, started: node.Node, server: BackendServer) -> None:
+        """Starts the backend server and announces it over HTTP."""
+        listening = await asyncio.get_running_loop().create_server(
+            web.Server(server.answer, handler_cancellation=True),
+            "127.0.0.1",
+            0,
+        )
+        self.stack.callback(listening.close)
+        port = listening.sockets[0].getsockname()[1]
+        started.backend_server = server
+        status, _, body = await self.send(
+            started.local_listener.address,
+            "POST",
+            "/mangobay/announce",
+            data=json.dumps(
+                {"service": "stock", "address": f"127.0.0.1:{port}", "slots": 4}
+            ),
+        )
+        assert status == 200, body
+
+    def tell_views(self) -> None:
+        """Gives every node the view of all that serve `stock`."""
+        members = [
+            messages.Member(
+                host=each.process.host,
+                incarnation=each.process.incarnation,
+                data_centre="centre",
+                peer_address=str(each.peer_listener.address),
+                slots=4,
+                leaving=each.serving.leaving,
+            )
+            for each in self.nodes
+            if each.served.served
+        ]
+        view = messages.ServiceView(
+            service="stock",
+            version=len(self.views) + 1,
+            members=members,
+            formers=[
+                messages.FormerView(version=old.version, members=old.members)
+                for old in reversed(self.views)
+            ],
+            lineage_whole=True,
+            active=True,
+        )
+        self.views.append(view)
+        for each in self.nodes:
+            each.control.views.on_next({"stock": view})
+
+    async def send(
+        self, address: options.Address, method: str, path: str, **more
+    ) -> tuple[int, dict, bytes]:
+        """Sends one request; returns status, headers and body."""
+        url = yarl.URL(f"http://{address}{path}", encoded=True)
+        async with (
+            aiohttp.ClientSession() as session,
+            session.request(method, url, **more) as response,
+        ):
+            return response.status, response.headers, await response.read()
+
+    async def outside(self, started: node.Node, method, path, **more):
+        """Sends one request to a node's outside listener."""
+        address = started.outside_listener.address
+        return await self.send(address, method, path, **more)
+
+
+@contextlib.asynccontextmanager
+async def world(folder):
+    """Gives a world whose nodes are closed at the end."""
+    async with contextlib.AsyncExitStack() as stack:
+        yield World(folder, stack)
+
+
+async def until(condition) -> None:
+    """Waits until a condition holds."""
+    async with asyncio.timeout(LONG):
+        while not condition():
+            await asyncio.sleep(0.002)
--- /dev/null
+++ b/tests/test_edges.py
@@ -0,0 +1,395 @@
+"""The HTTP edges, on whole nodes in this process."""
+
+import asyncio
+import json
+
+import pytest
+from aiohttp import web
+
+from mangobay import fields
+from tests import nodes
+
+
+async def answer(request):
+    return web.Response(text=f"{request.method} {request.raw_path}")
+
+
+@pytest.fixture
+async def world(tmp_path):
+    async with nodes.world(tmp_path) as made:
+        yield made
+
+
+def reason_of(body: bytes) -> str:
+    return json.loads(body)["reason"]
+
+
+class TestOutside:
+    """What a caller gets."""
+
+    async def test_a_call_reaches_the_backend_server_and_comes_back(
+        self, world
+    ):
+        one = await world.start("one", answer)
+        status, headers, body = await world.outside(
+            one, "GET", "/stock/price?a=%2f"
+        )
+        assert (status, body) == (200, b"GET /price?a=%2f")
+        assert headers[fields.OUTCOME] == "answered"
+        (request,) = one.backend_server.requests
+        state = request.headers[fields.TRACESTATE]
+        assert request.headers[fields.TRACEPARENT].split("-")[2] in state
+        assert 0 < float(request.headers[fields.REQUEST_TIMEOUT]) <= 20
+
+    async def test_callers_cannot_set_what_the_system_sets(self, world):
+        """A caller poses as a running call of a backend server.
+
+        It sends the system's own headers and a parent call's id.  None of
+        them reaches the backend server, and its call stays a first call.
+        """
+        one = await world.start("one", answer)
+        forged = {
+            "Mangobay-Service": "stock",
+            "Mangobay-Outcome": "answered",
+            "tracestate": "a=1,mangobay=0123456789abcdef",
+        }
+        await world.outside(one, "GET", "/stock/price", headers=forged)
+        (request,) = one.backend_server.requests
+        assert not [n for n in request.headers if n.startswith("Mangobay")]
+        assert request.headers["tracestate"].endswith(",a=1")
+        assert "0123456789abcdef" not in request.headers["tracestate"]
+
+    async def test_a_hidden_operation_answers_as_one_that_does_not_exist(
+        self, world
+    ):
+        """An outsider guesses at the names of internal services.
+
+        Hidden service, hidden operation, unknown service, unknown path and
+        wrong method: status, headers and body are the same bytes, and each
+        asks control for as much, so that the time tells nothing either.
+        """
+        one = await world.start("one", answer)
+        seen = []
+        for method, path in (
+            ("GET", "/freight/freight"),
+            ("GET", "/stock/inside"),
+            ("GET", "/nothing/freight"),
+            ("GET", "/stock/nothing"),
+            ("DELETE", "/stock/price"),
+        ):
+            world.asked.clear()
+            status, headers, body = await world.outside(one, method, path)
+            kept = {n: v for n, v in headers.items() if n != "Date"}
+            seen.append((status, kept, body, len(world.asked)))
+        assert seen[0][0] == 404
+        assert all(each == seen[0] for each in seen)
+        assert seen[0][3] == 2
+        assert not one.backend_server.requests
+
+    @pytest.mark.parametrize(
+        ("path", "more", "status", "reason"),
+        [
+            ("/stock/book", {"data": bytes(1001)}, 413, "too_large"),
+            ("/stock/sign", {}, 400, "key_required"),
+            (
+                "/stock/book",
+                {"headers": {"Request-Timeout": "x"}},
+                400,
+                "malformed",
+            ),
+            (
+                "/stock/book",
+                {"headers": {"Idempotency-Key": "k" * 256}},
+                400,
+                "malformed",
+            ),
+        ],
+    )
+    async def test_bad_requests_are_problems_that_did_not_run(
+        self, world, path, more, status, reason
+    ):
+        one = await world.start("one", answer)
+        got, headers, body = await world.outside(one, "POST", path, **more)
+        assert (got, reason_of(body)) == (status, reason)
+        assert headers[fields.OUTCOME] == "not_run"
+        assert headers["Content-Type"] == "application/problem+json"
+        assert not one.backend_server.requests
+
+    @pytest.mark.parametrize(
+        "sent",
+        [
+            b"POST /stock/book HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\nab",
+            b"\x16\x03\x01\x02rubbish\r\n\r\n",
+            b"GET /stock/pr",
+            b"",
+        ],
+    )
+    async def test_slow_and_broken_senders_are_ended(self, world, sent):
+        """A caller sends half a body, half a head, nothing, or no HTTP.
+
+        It gets a refusal where HTTP allows one, and the connection ends
+        within the settings' time, so that it holds nothing.
+        """
+        one = await world.start("one", answer)
+        reader, writer = await asyncio.open_connection(
+            *one.outside_listener.address
+        )
+        writer.write(sent)
+        got = await asyncio.wait_for(reader.read(), nodes.LONG)
+        writer.close()
+        assert not got or b"Mangobay-Outcome: not_run" in got
+        assert not one.backend_server.requests
+
+    async def test_a_caller_that_hangs_up_frees_idempotent_work_only(
+        self, world
+    ):
+        """Two callers hang up, one on a price and one on a booking.
+
+        The price is cancelled down to the backend server.  The booking may
+        have been made already, so it is finished.
+        """
+        one = await world.start("one", self.wait_for_booking)
+        self.release = asyncio.Event()
+        for method, path in (("GET", "/stock/price"), ("POST", "/stock/book")):
+            asking = asyncio.create_task(world.outside(one, method, path))
+            seen = len(one.backend_server.requests) + 1
+            await nodes.until(
+                lambda seen=seen: len(one.backend_server.requests) == seen
+            )
+            asking.cancel()
+        await nodes.until(lambda: one.backend_server.cancelled == 1)
+        await nodes.until(lambda: not one.entry.entered)
+        assert len(one.serving.parents) == 1
+        self.release.set()
+        await nodes.until(lambda: one.serving.idle)
+        assert one.backend_server.cancelled == 1
+
+    async def wait_for_booking(self, request):
+        await self.release.wait()
+        return await answer(request)
+
+    async def test_the_deadline_ends_a_call_with_its_true_outcome(self, world):
+        async def never(request):
+            await asyncio.Event().wait()
+
+        one = await world.start("one", never)
+        status, _, body = await world.outside(one, "GET", "/stock/late")
+        assert (status, reason_of(body)) == (504, "deadline_exceeded")
+        assert json.loads(body)["outcome"] == "unknown"
+
+
+class TestPeers:
+    """A call that another node serves."""
+
+    async def test_a_call_goes_to_the_node_of_the_service(self, world):
+        one = await world.start("one", None)
+        two = await world.start("two", answer)
+        status, _, body = await world.outside(
+            one, "POST", "/stock/book", data=b"x"
+        )
+        assert (status, body) == (200, b"POST /book")
+        assert len(two.backend_server.requests) == 1
+
+    async def test_a_leaving_node_refuses_and_another_one_serves(self, world):
+        """A host is asked to leave while the others do not know it yet.
+
+        Their calls still arrive there.  It refuses them unrun, the sender
+        goes on to another host at once, and the caller sees only answers.
+        """
+        one = await world.start("one", None)
+        two = await world.start("two", answer)
+        three = await world.start("three", answer)
+        two.serving.leaving = True
+        for _ in range(6):
+            status, _, body = await world.outside(one, "POST", "/stock/book")
+            assert status == 200, body
+        assert not two.backend_server.requests
+        assert len(three.backend_server.requests) == 6
+
+    async def test_a_dead_host_costs_no_call(self, world):
+        one = await world.start("one", None)
+        two = await world.start("two", answer)
+        await world.start("three", answer)
+        await two.peer_listener.close()
+        for _ in range(6):
+            status, _, body = await world.outside(one, "GET", "/stock/price")
+            assert status == 200, body
+
+    async def test_a_keyed_call_runs_once_whichever_node_is_asked(self, world):
+        one = await world.start("one", answer)
+        two = await world.start("two", answer)
+        headers = {"Idempotency-Key": "0190b0aa-foreign"}
+        for started in (one, two, one):
+            status, _, body = await world.outside(
+                started, "POST", "/stock/sign", headers=headers
+            )
+            assert (status, body) == (200, b"POST /sign")
+        requests = one.backend_server.requests + two.backend_server.requests
+        assert len(requests) == 1
+
+    async def test_without_a_lease_only_idempotent_calls_go(self, world):
+        one = await world.start("one", answer)
+        one.control.lease.until = 0
+        status, _, _ = await world.outside(one, "GET", "/stock/price")
+        assert status == 200
+        status, headers, body = await world.outside(one, "POST", "/stock/book")
+        assert (status, reason_of(body)) == (503, "no_lease")
+        assert int(headers["Retry-After"]) >= 1
+
+
+class TestLocal:
+    """Calls that the backend server makes, and its announcements."""
+
+    async def test_a_child_call_inherits_from_its_parent(self, world):
+        """A price needs a freight estimate, which only services may ask for.
+
+        The backend server passes on the tracestate that came with its call.
+        The child has the importance, client and deadline of the tree, one
+        level deeper, and part of its tries.
+        """
+        calls = []
+
+        async def ask_freight(request):
+            if request.raw_path == "/inside":
+                return web.Response(text="child")
+            state = request.headers["tracestate"]
+            local = one.local_listener.address
+            _, _, body = await world.send(
+                local, "GET", "/stock/inside", headers={"tracestate": state}
+            )
+            return web.Response(body=body)
+
+        one = await world.start("one", ask_freight)
+        serve = one.serving.serve
+
+        async def note(call):
+            calls.append(call)
+            return await serve(call)
+
+        one.serving.serve = note
+        _, _, body = await world.outside(
+            one, "GET", "/stock/price", headers={"Request-Timeout": "9"}
+        )
+        assert body == b"child"
+        parent, child = calls
+        assert (child.depth, child.caller) == (1, "stock")
+        assert child.importance == parent.importance
+        assert child.client == parent.client
+        assert child.deadline_ms <= parent.deadline_ms <= 9000
+        assert child.traceparent[3:35] == parent.traceparent[3:35]
+        assert 0 < child.tries < parent.tries
+
+    async def test_a_backend_server_that_repeats_spends_the_trees_tries(
+        self, world
+    ):
+        """A backend server repeats its child call in a loop of its own.
+
+        Each repeat costs one of the tree's tries; when they are spent, it is
+        refused unrun, so that loops of several hops cannot multiply.
+        """
+        statuses = []
+
+        async def repeat(request):
+            if request.raw_path == "/inside":
+                return web.Response(status=500)
+            state = {"tracestate": request.headers["tracestate"]}
+            for _ in range(9):
+                status, _, _ = await world.send(
+                    one.local_listener.address,
+                    "GET",
+                    "/stock/inside",
+                    headers=state,
+                )
+                statuses.append(status)
+            return web.Response()
+
+        one = await world.start("one", repeat)
+        await world.outside(one, "GET", "/stock/price")
+        assert statuses.count(500) <= 1 + 4
+        assert statuses[-1] == 503
+        assert not one.serving.parents
+
+    async def test_who_has_not_announced_itself_may_not_call(self, world):
+        one = await world.start("one", None)
+        local = one.local_listener.address
+        status, _, body = await world.send(local, "GET", "/stock/price")
+        assert (status, reason_of(body)) == (400, "malformed")
+
+    async def test_announcements_tell_all_faults_and_can_be_withdrawn(
+        self, world
+    ):
+        one = await world.start("one", answer)
+        local = one.local_listener.address
+        path = "/mangobay/announce"
+        bad = json.dumps({"service": "a/b", "address": "db:1", "slots": 0})
+        status, _, body = await world.send(local, "POST", path, data=bad)
+        assert status == 400
+        detail = json.loads(body)["detail"]
+        assert all(word in detail for word in ("service", "address", "slots"))
+        status, _, _ = await world.send(
+            local, "DELETE", path, data='{"service": "stock"}'
+        )
+        assert (status, one.control.serves) == (200, [])
+
+    async def test_a_silent_backend_server_is_gone(self, world):
+        one = await world.start("one", answer, "[backend]\nsilence = 0.2\n")
+        assert one.control.serves
+        await nodes.until(lambda: not one.control.serves)
+
+    async def test_health_readiness_and_metrics_are_told(self, world):
+        one = await world.start("one", answer)
+        await world.outside(one, "GET", "/stock/price")
+        local = one.local_listener.address
+        assert (await world.send(local, "GET", "/mangobay/health"))[0] == 200
+        assert (await world.send(local, "GET", "/mangobay/ready"))[0] == 200
+        _, _, body = await world.send(local, "GET", "/mangobay/metrics")
+        text = body.decode()
+        assert 'outcome="answered"' in text
+        assert 'promise="not_run_is_true"' in text
+        one.control.lease.until = 0
+        assert (await world.send(local, "GET", "/mangobay/ready"))[0] == 503
+
+
+class TestLeaving:
+    """A planned stop."""
+
+    async def test_what_is_in_flight_is_finished_and_nothing_new_taken(
+        self, world
+    ):
+        """An operator drains a host while a booking runs there.
+
+        New calls are refused unrun, the booking is answered whole, and only
+        then the node ends, with nothing cut.
+        """
+        release = asyncio.Event()
+
+        async def wait(request):
+            await release.wait()
+            return await answer(request)
+
+        one = await world.start("one", wait)
+        asking = asyncio.create_task(world.outside(one, "POST", "/stock/book"))
+        await nodes.until(lambda: one.backend_server.requests)
+        one.control.draining.on_next(True)
+        await nodes.until(lambda: one.serving.leaving)
+        status, _, body = await world.outside(one, "GET", "/stock/price")
+        assert (status, reason_of(body)) == (503, "leaving")
+        assert one.control.leaving
+        release.set()
+        assert (await asking)[0] == 200
+        world.tell_views()
+        await asyncio.wait_for(one.ended.wait(), nodes.LONG)
+        assert one.cut == 0
+
+    async def test_told_a_second_time_it_says_what_it_cuts(self, world):
+        async def never(request):
+            await asyncio.Event().wait()
+
+        one = await world.start("one", never)
+        asking = asyncio.create_task(world.outside(one, "POST", "/stock/book"))
+        await nodes.until(lambda: one.backend_server.requests)
+        one.stop()
+        one.stop()
+        assert one.ended.is_set()
+        assert one.cut == 2
+        asking.cancel()
