Extra tries come back with the reply; tests of both sides of a call

Change: `tries.Running` is kept with the parent call, so `tries.Grants` is not needed on the path. Opening a listening socket stands once (listening). An attempt to be traced is one data class.

--- a/mangobay/entry.py
+++ b/mangobay/entry.py
@@ -78,7 +78,7 @@
     serving: serving.Serving
     lease: Lease
     views: Views
-    tracer: "traces.Tracer"
+    tracer: traces.Tracer
     dice: random.Random
 
 
@@ -252,7 +252,14 @@
         finally:
             router.ended(service, member.host, seen(reply, loop.time() - began))
             if request.trace.sampled:
-                self.tools.tracer.record(request, call, member, reply, began)
+                attempt = traces.Attempt(
+                    request=request,
+                    call=call,
+                    member=member,
+                    reply=reply,
+                    began=began,
+                )
+                self.tools.tracer.record(attempt)
         request.grant.give_back(min(reply.tries_left, lent))
         return reply
 
--- a/mangobay/httpserver.py
+++ b/mangobay/httpserver.py
@@ -7,7 +7,15 @@
 import multidict
 from aiohttp import web
 
-from mangobay import calls, errors, fields, logs, options, problems
+from mangobay import (
+    calls,
+    errors,
+    fields,
+    listening,
+    logs,
+    options,
+    problems,
+)
 from mangobay.generated import messages
 
 LONGEST_LINE = 16 * 1024
@@ -122,16 +130,13 @@
           errors.StartError: the address is in use or not of this host.
         """
         loop = asyncio.get_running_loop()
-        try:
-            self.listening = await loop.create_server(
+        self.listening = await listening.open_server(
+            self.address,
+            loop.create_server(
                 self.server, self.address.ip, self.address.port, backlog=BACKLOG
-            )
-        except OSError as error:
-            raise errors.StartError(
-                f"cannot listen on {self.address}: {error.strerror or error}"
-            ) from None
-        port = self.listening.sockets[0].getsockname()[1]
-        self.address = options.Address(self.address.ip, port)
+            ),
+        )
+        self.address = listening.bound_to(self.address, self.listening)
 
     async def close(self, grace: float = 0.0) -> None:
         """Stops accepting; requests being answered have grace seconds."""
--- /dev/null
+++ b/mangobay/listening.py
@@ -0,0 +1,30 @@
+"""Opening listening sockets."""
+
+import asyncio
+import collections.abc
+
+from mangobay import errors, options
+
+
+async def open_server(
+    address: options.Address,
+    opening: collections.abc.Awaitable[asyncio.Server],
+) -> asyncio.Server:
+    """Returns the server that is being opened at an address.
+
+    Raises:
+      errors.StartError: the address is in use or not of this host.
+    """
+    try:
+        return await opening
+    except OSError as error:
+        why = error.strerror or error
+        raise errors.StartError(f"cannot listen on {address}: {why}") from None
+
+
+def bound_to(
+    address: options.Address, server: asyncio.Server
+) -> options.Address:
+    """Returns the address with the port taken, where it was given as 0."""
+    port = server.sockets[0].getsockname()[1]
+    return options.Address(address.ip, port)
--- a/mangobay/node.py
+++ b/mangobay/node.py
@@ -28,7 +28,6 @@
     tenure,
     tls,
     traces,
-    tries,
 )
 from mangobay.generated import messages, settings
 
@@ -122,7 +121,7 @@
             config.limits.answer_bytes,
         )
         self.serving = serving.Serving(
-            self.process, self.served, tries.Grants(), self.backend, self.once
+            self.process, self.served, self.backend, self.once
         )
 
     def new_admission(self) -> admission.Admission:
@@ -145,7 +144,7 @@
             self.process.data_centre,
             self.dice,
         )
-        self.tracer: traces.Tracer = traces.NoTracer()
+        self.tracer = traces.Tracer()
         if config.trace.file:
             try:
                 self.tracer = traces.FileTracer(config.trace.file, self.process)
--- a/mangobay/peers.py
+++ b/mangobay/peers.py
@@ -5,7 +5,7 @@
 import random
 import typing
 
-from mangobay import connections, errors, logs, options, tls
+from mangobay import connections, errors, listening, logs, options, tls
 from mangobay.generated import messages
 
 BACKOFF_FIRST = 0.05
@@ -216,8 +216,9 @@
         Raises:
           errors.StartError: the address is in use or not of this host.
         """
-        try:
-            self.server = await asyncio.start_server(
+        self.server = await listening.open_server(
+            self.address,
+            asyncio.start_server(
                 self.accept,
                 self.address.ip,
                 self.address.port,
@@ -225,13 +226,9 @@
                 ssl_handshake_timeout=(
                     self.limits.frame_seconds if self.identity else None
                 ),
-            )
-        except OSError as error:
-            raise errors.StartError(
-                f"cannot listen on {self.address}: {error.strerror or error}"
-            ) from None
-        port = self.server.sockets[0].getsockname()[1]
-        self.address = options.Address(self.address.ip, port)
+            ),
+        )
+        self.address = listening.bound_to(self.address, self.server)
         self.sweep()
 
     async def accept(
--- a/mangobay/serving.py
+++ b/mangobay/serving.py
@@ -57,13 +57,11 @@
         self,
         process: calls.Process,
         served: announcements.Announcements,
-        grants: tries.Grants,
         sender: backend.Backend,
         once: Once,
     ):
         self.process = process
         self.served = served
-        self.grants = grants
         self.sender = sender
         self.once = once
         self.leaving = False
@@ -204,7 +202,7 @@
             permit = await place.admission.enter(ticket)
         except admission.ShedError as shed:
             return calls.not_run(shed.reason, shed.retry_after)
-        running = self.grants.open(call.call_id, grant)
+        running = tries.Running(grant)
         self.parents[call.call_id] = calls.Parent(
             call=call,
             deadline=deadline,
@@ -218,7 +216,6 @@
             reply = await self.send(call, place, running, attempt, deadline)
         finally:
             del self.parents[call.call_id]
-            self.grants.close(call.call_id)
             now = asyncio.get_running_loop().time()
             permit.leave(
                 now - began,
--- a/mangobay/traces.py
+++ b/mangobay/traces.py
@@ -1,9 +1,9 @@
 """Spans: one for each attempt of a hop, only for sampled call trees."""
 
 import asyncio
+import dataclasses
 import json
 import time
-import typing
 
 from opentelemetry import trace
 from opentelemetry.sdk import resources
@@ -51,34 +51,32 @@
         self.file.close()
 
 
-class Tracer(typing.Protocol):
-    """Records the spans of sampled calls."""
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Attempt:
+    """What is recorded of one attempt.
 
-    def record(
-        self,
-        request: calls.Request,
-        call: messages.Call,
-        member: messages.Member,
-        reply: messages.Reply,
-        began: float,
-    ) -> None:
-        """Records one attempt; began is its loop time."""
+    Attributes:
+      began: loop time.
+    """
 
-    def close(self) -> None:
-        """Writes what is still unwritten."""
+    request: calls.Request
+    call: messages.Call
+    member: messages.Member
+    reply: messages.Reply
+    began: float
 
 
-class NoTracer:
+class Tracer:
     """Records nothing."""
 
-    def record(self, request, call, member, reply, began) -> None:
-        """Does nothing."""
+    def record(self, attempt: Attempt) -> None:
+        """Records one attempt that has ended."""
 
     def close(self) -> None:
-        """Does nothing."""
+        """Writes what is still unwritten."""
 
 
-class FileTracer:
+class FileTracer(Tracer):
     """Records spans with OpenTelemetry into a file."""
 
     def __init__(self, path: str, process: calls.Process):
@@ -98,28 +96,22 @@
         self.provider.add_span_processor(export.BatchSpanProcessor(exporter))
         self.tracer = self.provider.get_tracer("mangobay")
 
-    def record(
-        self,
-        request: calls.Request,
-        call: messages.Call,
-        member: messages.Member,
-        reply: messages.Reply,
-        began: float,
-    ) -> None:
-        """Records one attempt; began is its loop time."""
+    def record(self, attempt: Attempt) -> None:
+        """Records one attempt that has ended."""
+        call, reply = attempt.call, attempt.reply
         end = time.time_ns()
-        seconds = asyncio.get_running_loop().time() - began
+        seconds = asyncio.get_running_loop().time() - attempt.began
         self.ids.next_span = int(call.call_id, 16)
         span = self.tracer.start_span(
             f"{call.service} {call.operation}",
-            context=parent_context(request),
+            context=parent_context(attempt.request),
             kind=trace.SpanKind.CLIENT,
             attributes={
                 "mangobay.service": call.service,
                 "mangobay.operation": call.operation,
                 "mangobay.caller": call.caller,
-                "mangobay.host": member.host,
-                "mangobay.data_centre": member.data_centre
+                "mangobay.host": attempt.member.host,
+                "mangobay.data_centre": attempt.member.data_centre
                 or self.process.data_centre,
                 "mangobay.outcome": reply.outcome.name.lower(),
                 "mangobay.reason": reply.reason.name.lower(),
--- /dev/null
+++ b/tests/test_entry.py
@@ -0,0 +1,286 @@
+"""Which attempts a call gets, with hosts that a test scripts."""
+
+import asyncio
+import random
+
+import pytest
+
+from mangobay import (
+    announcements,
+    calls,
+    entry,
+    errors,
+    fields,
+    options,
+    ratio,
+    routing,
+    serving,
+    slots,
+    traces,
+    tries,
+)
+from mangobay.generated import messages, settings
+
+Outcome = messages.Outcome
+Reason = messages.Reason
+ME = calls.Process("me", "centre", "run-1")
+HOSTS = ("a", "b", "c", "d", "e", "f")
+NEXT = {"a": "b", "b": "a"}
+
+
+def defaults(cls, chosen, **given):
+    """Returns a section of the settings with its defaults."""
+    values = {each.name: each.parse(each.default) for each in chosen}
+    return cls(**(values | given))
+
+
+def address(host: str) -> options.Address:
+    return options.Address("127.0.0.1", 1000 + HOSTS.index(host))
+
+
+class Hosts:
+    """A transport; `script` answers each attempt, by host and number."""
+
+    def __init__(self, script):
+        self.script = script
+        self.asked: list[str] = []
+        self.calls: list[messages.Call] = []
+
+    async def ask(self, where, body, timeout):
+        host = HOSTS[where.port - 1000]
+        self.asked.append(host)
+        self.calls.append(body)
+        reply = self.script(host, body)
+        if isinstance(reply, Exception):
+            raise reply
+        if reply is None:
+            await asyncio.sleep(timeout)
+            raise TimeoutError
+        return reply
+
+
+class Lease:
+    """Held unless a test says otherwise."""
+
+    held = True
+
+    def holds(self):
+        return self.held
+
+
+class Views:
+    """The view of the one service, as a subject has it."""
+
+    def __init__(self, names):
+        members = [
+            messages.Member(host=each, peer_address=str(address(each)), slots=9)
+            for each in names
+        ]
+        view = messages.ServiceView(service="stock", version=1, members=members)
+        self.value = {"stock": view}
+
+
+def make_entry(script, names=HOSTS, **retries):
+    hosts = Hosts(script)
+    dice = random.Random(7)
+    views = Views(names)
+    router = routing.Router(
+        defaults(settings.NodeRouting, settings.NODE_ROUTING_OPTIONS),
+        defaults(settings.NodeAdmission, settings.NODE_ADMISSION_OPTIONS),
+        "centre",
+        dice,
+    )
+    router.update(views.value)
+    section = defaults(
+        settings.NodeRetries, settings.NODE_RETRIES_OPTIONS, **retries
+    )
+    served = announcements.Announcements(1, None, None)
+    tools = entry.Tools(
+        process=ME,
+        router=router,
+        ratio=ratio.RetryRatio(section),
+        transport=hosts,
+        serving=serving.Serving(ME, served, None, None),
+        lease=Lease(),
+        views=views,
+        tracer=traces.Tracer(),
+        dice=dice,
+    )
+    return entry.Entry(section, tools), hosts
+
+
+def make_request(idempotent=True, key="", granted=9, seconds=10.0):
+    operation = messages.Operation(
+        service="stock", name="x", method="GET", idempotent=idempotent
+    )
+    return calls.Request(
+        operation=operation,
+        revision=3,
+        target="/x",
+        headers=[],
+        body=b"",
+        caller="outside",
+        client="c",
+        importance=messages.Importance.HIGH,
+        depth=0,
+        deadline=asyncio.get_running_loop().time() + seconds,
+        grant=tries.Grant(granted),
+        key=key,
+        trace=fields.new_trace(0),
+    )
+
+
+def refused(reason=Reason.OVERLOADED):
+    """Returns a script in which every host refuses and hands tries back."""
+
+    def script(host, call):
+        reply = calls.not_run(reason)
+        reply.tries_left = call.tries
+        return reply
+
+    return script
+
+
+def answered(host, call):
+    return messages.Reply(outcome=Outcome.ANSWERED, tries_left=call.tries)
+
+
+@pytest.mark.looptime
+class TestRetries:
+    """Extra tries, bounded and only where nothing can run twice."""
+
+    async def test_a_refusal_is_tried_again_on_other_hosts_only(self):
+        made, hosts = make_entry(refused(), hop_tries=4)
+        request = make_request()
+        reply = await made.handle(request)
+        assert reply.reason == Reason.OVERLOADED
+        assert len(hosts.asked) == 5
+        assert len(set(hosts.asked)) == 5
+        assert request.grant.left == 9 - 4
+
+    @pytest.mark.parametrize("granted", [0, 1, 2])
+    async def test_attempts_never_exceed_the_grant(self, granted):
+        made, hosts = make_entry(refused(), hop_tries=100)
+        await made.handle(make_request(granted=granted))
+        assert len(hosts.asked) == 1 + granted
+
+    async def test_the_retry_ratio_ends_retries_of_a_dead_service(self):
+        made, hosts = make_entry(refused(), burst=3, ratio=0)
+        for _ in range(10):
+            await made.handle(make_request())
+        assert len(hosts.asked) == 10 + 3
+
+    @pytest.mark.parametrize(
+        ("idempotent", "attempts"), [(True, 3), (False, 1)]
+    )
+    async def test_after_unknown_only_idempotent_calls_go_on(
+        self, idempotent, attempts
+    ):
+        """The connection breaks after a call was sent.
+
+        It may have run.  A price is asked for again; a booking is not, and
+        its caller is told that nobody knows.
+        """
+        made, hosts = make_entry(
+            lambda host, call: errors.PeerBrokenError("cut")
+        )
+        reply = await made.handle(make_request(idempotent))
+        assert reply.outcome == Outcome.UNKNOWN
+        assert len(hosts.asked) == attempts
+
+    async def test_a_refusal_that_time_will_not_mend_is_final(self):
+        for reason in (Reason.DEADLINE_EXCEEDED, Reason.TRIES_EXHAUSTED):
+            made, hosts = make_entry(refused(reason))
+            await made.handle(make_request())
+            assert len(hosts.asked) == 1
+
+    async def test_a_host_that_did_nothing_costs_no_try(self):
+        """Two of six hosts leave and one is dead while views lag.
+
+        None of them touched the call, so it goes on without a try, even for
+        an operation that has none; but not for ever.
+        """
+        tired = [calls.not_run(Reason.LEAVING), calls.not_run(Reason.LEAVING)]
+        tired.append(errors.PeerUnreachableError("dead"))
+
+        def script(host, call):
+            return tired.pop() if tired else answered(host, call)
+
+        made, hosts = make_entry(script)
+        request = make_request(idempotent=False, granted=0)
+        reply = await made.handle(request)
+        assert reply.outcome == Outcome.ANSWERED
+        made, hosts = make_entry(refused(Reason.LEAVING))
+        await made.handle(make_request(idempotent=False, granted=0))
+        assert len(hosts.asked) == 1 + entry.MOST_REDIRECTS
+
+    async def test_tries_given_down_come_back_once(self):
+        def script(host, call):
+            return messages.Reply(outcome=Outcome.ANSWERED, tries_left=99)
+
+        made, _ = make_entry(script)
+        request = make_request(granted=8)
+        await made.handle(request)
+        assert request.grant.left == 8
+        made, _ = make_entry(lambda host, call: None)
+        request = make_request(granted=8, seconds=1)
+        reply = await made.handle(request)
+        assert reply.reason == Reason.DEADLINE_EXCEEDED
+        assert request.grant.left == 4
+
+
+@pytest.mark.looptime
+class TestOwned:
+    """Keyed calls that must not run twice."""
+
+    async def test_they_go_to_the_owner_of_the_key(self):
+        made, hosts = make_entry(answered)
+        request = make_request(idempotent=False, key="k1")
+        await made.handle(request)
+        view = made.tools.views.value["stock"]
+        owner = slots.owner(view, slots.slot_of("k1"))
+        assert hosts.asked == [owner.host]
+        assert hosts.calls[0].key == "k1"
+
+    @pytest.mark.parametrize("reason", [Reason.OVERLOADED, Reason.KEY_REUSED])
+    async def test_the_owners_refusal_is_final(self, reason):
+        made, hosts = make_entry(refused(reason))
+        await made.handle(make_request(idempotent=False, key="k"))
+        assert len(hosts.asked) == 1
+
+    async def test_a_new_owner_is_looked_up_a_few_times(self):
+        """The owner of a key changes while a booking is on its way.
+
+        The former owner refuses it unrun.  The view is looked up again, and
+        the new owner runs it; a view that stays wrong ends in a refusal.
+        """
+        made, hosts = make_entry(None, names=("a", "b"))
+        request = make_request(idempotent=False, key="k")
+        view = made.tools.views.value["stock"]
+        owner = slots.owner(view, slots.slot_of("k")).host
+
+        def script(host, call):
+            if host != owner:
+                return answered(host, call)
+            made.tools.views.value = Views([NEXT[owner]]).value
+            return calls.not_run(Reason.NOT_OWNER)
+
+        hosts.script = script
+        reply = await made.handle(request)
+        assert reply.outcome == Outcome.ANSWERED
+        assert hosts.asked == [owner, NEXT[owner]]
+        made, hosts = make_entry(refused(Reason.NOT_OWNER))
+        reply = await made.handle(make_request(idempotent=False, key="k"))
+        assert reply.reason == Reason.NOT_OWNER
+        assert len(hosts.asked) == 1 + entry.MOST_REDIRECTS
+
+    async def test_without_a_lease_nothing_is_sent(self):
+        made, hosts = make_entry(answered)
+        made.tools.lease.held = False
+        reply = await made.handle(make_request(idempotent=False, key="k"))
+        assert (reply.outcome, reply.reason) == (
+            Outcome.NOT_RUN,
+            Reason.NO_LEASE,
+        )
+        assert not hosts.asked
+        assert (await made.handle(make_request())).outcome == Outcome.ANSWERED
--- /dev/null
+++ b/tests/test_serving.py
@@ -0,0 +1,253 @@
+"""Calls at the backend server's node, with a backend server that is scripted."""
+
+import asyncio
+
+import pytest
+
+from mangobay import (
+    announcements,
+    backend,
+    calls,
+    errors,
+    fields,
+    options,
+    serving,
+)
+from mangobay.generated import messages
+
+Outcome = messages.Outcome
+Reason = messages.Reason
+ME = calls.Process("me", "centre", "run-1")
+LONG = 60.0
+
+
+class Permit:
+    """Notes how a slot was given back."""
+
+    def __init__(self):
+        self.left: list[bool] = []
+
+    def leave(self, seconds, ok, awaited=0.0, shed=False):
+        self.left.append(ok)
+
+
+class Gatekeeper:
+    """An admission that admits at once."""
+
+    threshold = 300
+    running = 2
+    limit = 7
+
+    def __init__(self):
+        self.permit = Permit()
+
+    async def enter(self, ticket):
+        return self.permit
+
+    def set_slots(self, slots):
+        pass
+
+
+class Sender:
+    """Opens the gate, then does what the test says."""
+
+    def __init__(self, act):
+        self.act = act
+        self.cancelled = 0
+
+    async def send(self, address, request, attempt):
+        if attempt.gate is not None:
+            await attempt.gate()
+        try:
+            return await self.act(attempt)
+        except asyncio.CancelledError:
+            self.cancelled += 1
+            raise
+
+
+def make_serving(act) -> serving.Serving:
+    served = announcements.Announcements(5, Gatekeeper, lambda services: None)
+    address = options.Address("127.0.0.1", 1)
+    served.announce(
+        announcements.Announcement(service="stock", address=address, slots=4)
+    )
+    return serving.Serving(ME, served, Sender(act), None)
+
+
+def call(idempotent=True, deadline_ms=1000) -> messages.Call:
+    return messages.Call(
+        service="stock",
+        method="GET",
+        call_id="00000000000000ab",
+        deadline_ms=deadline_ms,
+        tries=5,
+        idempotent=idempotent,
+        traceparent=fields.new_trace(0).traceparent("00000000000000ab"),
+    )
+
+
+def failing(error, sent):
+    async def act(attempt):
+        attempt.sent = sent
+        raise error
+
+    return act
+
+
+def shedding():
+    async def act(attempt):
+        attempt.sent = True
+        return backend.Answer(
+            status=503, headers=[], body=b"", seconds=0.1, shed=True
+        )
+
+    return act
+
+
+@pytest.mark.looptime
+class TestOutcome:
+    """What is said of a call is true."""
+
+    @pytest.mark.parametrize(
+        ("error", "sent", "outcome", "reason"),
+        [
+            (
+                errors.BackendUnreachableError(""),
+                False,
+                Outcome.NOT_RUN,
+                Reason.CONNECTION_FAILED,
+            ),
+            (
+                errors.BackendTimeoutError(""),
+                False,
+                Outcome.NOT_RUN,
+                Reason.DEADLINE_EXCEEDED,
+            ),
+            (
+                errors.BackendTimeoutError(""),
+                True,
+                Outcome.UNKNOWN,
+                Reason.DEADLINE_EXCEEDED,
+            ),
+            (
+                errors.BackendBrokenError(""),
+                True,
+                Outcome.UNKNOWN,
+                Reason.CONNECTION_BROKEN,
+            ),
+            (
+                errors.IncompleteAnswerError(""),
+                True,
+                Outcome.UNKNOWN,
+                Reason.INCOMPLETE_ANSWER,
+            ),
+            (
+                errors.InvariantError(""),
+                True,
+                Outcome.UNKNOWN,
+                Reason.INTERNAL,
+            ),
+        ],
+    )
+    async def test_not_run_is_said_only_before_the_first_byte(
+        self, error, sent, outcome, reason
+    ):
+        made = make_serving(failing(error, sent))
+        reply = await made.serve(call())
+        assert (reply.outcome, reply.reason) == (outcome, reason)
+        assert reply.tries_left == 5
+        assert (reply.threshold, reply.inflight, reply.limit) == (300, 2, 7)
+        assert made.idle
+
+    async def test_a_shed_call_counts_as_not_run_unless_it_had_children(self):
+        """A backend server hands on the refusal of a service below it.
+
+        It had already booked elsewhere, so "not run" would be false.  Only
+        where it made no child call its word is taken.
+        """
+        made = make_serving(shedding())
+        assert (await made.serve(call())).reason == Reason.BACKEND_SHED
+
+        async def with_child(attempt):
+            (parent,) = made.parents.values()
+            assert parent.running.child("POST", "/book", b"")
+            return await shedding()(attempt)
+
+        made.sender.act = with_child
+        reply = await made.serve(call())
+        assert (reply.outcome, reply.status) == (Outcome.ANSWERED, 503)
+
+    async def test_refusals_hand_every_try_back(self):
+        made = make_serving(None)
+        reply = await made.serve(call(deadline_ms=0))
+        assert (reply.reason, reply.tries_left) == (Reason.DEADLINE_EXCEEDED, 5)
+        made.leaving = True
+        reply = await made.serve(call())
+        assert (reply.reason, reply.tries_left) == (Reason.LEAVING, 5)
+
+
+@pytest.mark.looptime
+class TestStarted:
+    """A booking that has started is finished."""
+
+    async def run_for(self, made, seconds):
+        asking = asyncio.create_task(made.serve(call(idempotent=False)))
+        await asyncio.sleep(seconds)
+        return asking
+
+    async def test_a_cancelled_booking_goes_on(self):
+        """The caller hangs up while its booking runs.
+
+        Its slot stays taken and the backend server is not disturbed; once it
+        has answered, nothing is left behind.
+        """
+        done = asyncio.Event()
+
+        async def book(attempt):
+            attempt.sent = True
+            await asyncio.sleep(0.5)
+            done.set()
+            return await shedding()(attempt)
+
+        made = make_serving(book)
+        asking = await self.run_for(made, 0.1)
+        asking.cancel()
+        await asyncio.wait({asking})
+        assert asking.cancelled()
+        assert not made.idle
+        await done.wait()
+        await asyncio.sleep(0.01)
+        assert made.idle
+        assert made.sender.cancelled == 0
+
+    async def test_at_its_deadline_the_caller_is_told_unknown(self):
+        async def book(attempt):
+            attempt.sent = True
+            await asyncio.sleep(3)
+            return await shedding()(attempt)
+
+        made = make_serving(book)
+        reply = await made.serve(call(idempotent=False))
+        assert (reply.outcome, reply.reason) == (
+            Outcome.UNKNOWN,
+            Reason.DEADLINE_EXCEEDED,
+        )
+        assert asyncio.get_running_loop().time() < 2
+        assert made.started
+        await asyncio.sleep(3)
+        assert made.idle
+
+    async def test_a_cancelled_read_frees_its_slot(self):
+        async def read(attempt):
+            attempt.sent = True
+            await asyncio.sleep(LONG)
+
+        made = make_serving(read)
+        asking = asyncio.create_task(made.serve(call()))
+        await asyncio.sleep(0.1)
+        asking.cancel()
+        await asyncio.wait({asking})
+        assert made.idle
+        permit = made.served.find("stock").admission.permit
+        assert permit.left == [False]
+        assert made.sender.cancelled == 1
