--- a/mangobay/errors.py
+++ b/mangobay/errors.py
@@ -4,6 +4,7 @@
 
 if typing.TYPE_CHECKING:
     from mangobay import findings as findings_module
+    from mangobay.generated import messages
 
 
 class MangobayError(Exception):
@@ -46,10 +47,18 @@
     """The connection broke after the request was sent: its fate is unknown."""
 
 
+class PeerClosedError(PeerError):
+    """The peer ended the connection between two messages."""
+
+
 class PeerProtocolError(PeerError):
     """The peer sent something that is not a message of the system."""
 
 
+class FrameTooLargeError(PeerUnreachableError):
+    """The message is longer than a frame may be: no byte of it was sent."""
+
+
 class BackendError(MangobayError):
     """Base of errors of a call to the backend server on this host."""
 
@@ -62,6 +71,30 @@
     """The backend server may have run the request; no whole answer came."""
 
 
+class IncompleteAnswerError(BackendBrokenError):
+    """The answer ended early, or nothing says that it is whole."""
+
+
+class AnswerTooLargeError(BackendBrokenError):
+    """The answer is longer than the settings allow."""
+
+
+class BackendTimeoutError(BackendError):
+    """The deadline passed; the attempt tells whether a byte was sent."""
+
+
+class RequestError(MangobayError):
+    """An HTTP request was refused before it became a call.
+
+    Attributes:
+      reason: why.
+    """
+
+    def __init__(self, reason: "messages.Reason", detail: str):
+        super().__init__(detail)
+        self.reason = reason
+
+
 class StorageError(MangobayError):
     """The data folder cannot be read or written."""
 
