Operators' client and command line

Cause: a sheet must reach the control group, be sent again safely after a lost answer, and tell when it is in force everywhere. Ruled out: learning the leader's address from an answer, since the control hosts know one another's peer addresses only; asking every address in turn needs no more and also passes a host that is cut off. Change: operatorclient asks each control host until one answers, the one that answered last first; commands and cmdline offer check, apply, status, history, hosts, drain and settings with documented exit codes, JSON and shell completion. Conclusion: tests against fake control hosts on loopback pass, among them a broken connection after the sheet was sent.

--- /dev/null
+++ b/mangobay/cmdline.py
@@ -0,0 +1,99 @@
+"""The operators' command line, `mangobay`."""
+
+import argparse
+import asyncio
+import dataclasses
+import json
+import os
+import sys
+
+import shtab
+
+from mangobay import commands, errors, operatorclient, options
+
+CONTROL_VARIABLE = "MANGOBAY_CONTROL"
+
+
+EXIT_OF_ERROR = {
+    errors.FindingsError: commands.Exit.BAD_INPUT,
+    errors.ConflictError: commands.Exit.CONFLICT,
+    errors.ControlUnreachableError: commands.Exit.UNREACHABLE,
+    errors.MangobayError: commands.Exit.FAILED,
+}
+"""The first class that fits counts."""
+
+
+def addresses(text: str) -> tuple[options.Address, ...]:
+    """Returns the addresses of a list with commas.
+
+    Raises:
+      argparse.ArgumentTypeError: one is no IP:PORT.
+    """
+    try:
+        return tuple(options.parse_address(part) for part in text.split(","))
+    except ValueError as error:
+        raise argparse.ArgumentTypeError(str(error)) from None
+
+
+def make_parser() -> argparse.ArgumentParser:
+    """Returns the parser of the whole command line."""
+    parser = argparse.ArgumentParser(
+        prog="mangobay", description=__doc__, epilog=commands.EXIT_HELP
+    )
+    parser.add_argument(
+        "--control",
+        type=addresses,
+        metavar="IP:PORT,...",
+        default=os.environ.get(CONTROL_VARIABLE),
+        help=f"operator addresses of the control hosts (or {CONTROL_VARIABLE})",
+    )
+    parser.add_argument(
+        "--json", action="store_true", help="print JSON, for scripts"
+    )
+    shtab.add_argument_to(parser, ["--print-completion"])
+    parsers = parser.add_subparsers(required=True, metavar="COMMAND")
+    for command in commands.COMMANDS:
+        command().add(parsers)
+    return parser
+
+
+async def run(arguments: argparse.Namespace) -> commands.Result:
+    """Runs the command with a client where it needs one."""
+    command = arguments.command
+    if not command.asks_control:
+        return await command.run(arguments, None)
+    async with operatorclient.OperatorClient(arguments.control) as client:
+        return await command.run(arguments, client)
+
+
+def report_error(error: errors.MangobayError, as_json: bool) -> commands.Exit:
+    """Prints an error and returns its exit code."""
+    if as_json and isinstance(error, errors.FindingsError):
+        found = [dataclasses.asdict(finding) for finding in error.findings]
+        print(json.dumps({"findings": found}, indent=2))
+    else:
+        print(f"mangobay: {error}", file=sys.stderr)
+    return next(
+        code for cls, code in EXIT_OF_ERROR.items() if isinstance(error, cls)
+    )
+
+
+def main(argv: list[str] | None = None) -> int:
+    """Runs the command line; returns the exit code."""
+    parser = make_parser()
+    arguments = parser.parse_args(argv)
+    if arguments.command.asks_control and not arguments.control:
+        parser.error(f"give --control IP:PORT,... or set {CONTROL_VARIABLE}")
+    try:
+        result = asyncio.run(run(arguments))
+    except errors.MangobayError as error:
+        return report_error(error, arguments.json)
+    if arguments.json:
+        print(json.dumps(result.data, indent=2))
+    else:
+        print("\n".join(result.lines))
+    return result.code
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/mangobay/commands.py
@@ -0,0 +1,315 @@
+"""The operators' commands: what each asks and how it tells the answer."""
+
+import argparse
+import dataclasses
+import datetime
+import enum
+import getpass
+import typing
+
+from mangobay import errors, findings, ids, operatorclient, settings, sheet
+from mangobay.generated import settings as generated
+
+
+class Exit(enum.IntEnum):
+    """What the exit codes mean."""
+
+    OK = 0
+    FAILED = 1
+    BAD_INPUT = 2
+    CONFLICT = 3
+    NOT_IN_FORCE = 4
+    UNREACHABLE = 5
+
+
+EXIT_HELP = (
+    "exit codes: 0 done; 1 failed; 2 bad input (sheet, settings or command"
+    " line); 3 the version is taken by another sheet; 4 accepted, but not in"
+    " force everywhere in the time given; 5 no control host answered"
+)
+
+
+@dataclasses.dataclass(slots=True)
+class Result:
+    """What a command tells.
+
+    Attributes:
+      data: for scripts, by --json; plain values or data classes.
+      lines: for people.
+      code: the exit code.
+    """
+
+    data: typing.Any
+    lines: list[str]
+    code: Exit = Exit.OK
+
+
+def columns(titles: tuple[str, ...], rows: list[tuple]) -> list[str]:
+    """Returns a table as lines with columns of equal width."""
+    cells = [titles, *([str(cell) for cell in row] for row in rows)]
+    widths = [max(map(len, column)) for column in zip(*cells)]
+    return [
+        "  ".join(
+            cell.ljust(width) for cell, width in zip(row, widths)
+        ).rstrip()
+        for row in cells
+    ]
+
+
+def moment(milliseconds: int) -> str:
+    """Returns a Unix time as UTC text."""
+    return datetime.datetime.fromtimestamp(
+        milliseconds / 1000, datetime.UTC
+    ).isoformat(timespec="milliseconds")
+
+
+def read_sheet(path: str) -> bytes:
+    """Returns the bytes of a sheet.
+
+    Raises:
+      errors.SheetError: it cannot be read.
+    """
+    try:
+        with open(path, "rb") as file:
+            return file.read()
+    except OSError as error:
+        finding = findings.Finding(path, f"cannot be read: {error.strerror}")
+        raise errors.SheetError([finding]) from None
+
+
+def in_force_lines(state: operatorclient.InForce) -> list[str]:
+    """Returns how far a revision has come, and who lags."""
+    lines = [f"in force on {state.count} of {state.of} hosts"]
+    if state.stragglers:
+        lines.append(f"not yet on {', '.join(state.stragglers)}")
+    return lines
+
+
+def host_lines(hosts: list[operatorclient.Host]) -> list[str]:
+    """Returns the hosts as a table."""
+    return columns(
+        ("host", "data centre", "revision", "lease", "leaving", "serves"),
+        [
+            (
+                host.host,
+                host.data_centre,
+                host.revision,
+                "held" if host.lease else "none",
+                "yes" if host.leaving else "no",
+                ", ".join(host.serves),
+            )
+            for host in hosts
+        ],
+    )
+
+
+class Command:
+    """A subcommand; subclasses say its name, arguments and work."""
+
+    name = ""
+    help = ""
+    arguments: dict[str, dict] = {}
+    asks_control = True
+
+    def add(self, parsers) -> None:
+        """Adds the parser of this command."""
+        parser = parsers.add_parser(
+            self.name, help=self.help, description=self.help, epilog=EXIT_HELP
+        )
+        for name, details in self.arguments.items():
+            parser.add_argument(name, **details)
+        parser.set_defaults(command=self)
+
+    async def run(
+        self,
+        arguments: argparse.Namespace,
+        client: operatorclient.OperatorClient | None,
+    ) -> Result:
+        """Does the work.
+
+        Raises:
+          errors.MangobayError: with a text for the operator.
+        """
+        raise NotImplementedError
+
+
+SHEET_ARGUMENT = {"metavar": "SHEET", "help": "CSV file"}
+
+
+class Check(Command):
+    """Checks a sheet without sending it."""
+
+    name = "check"
+    help = "check a sheet and tell every finding; nothing is sent"
+    arguments = {"sheet": SHEET_ARGUMENT}
+    asks_control = False
+
+    async def run(self, arguments, client):
+        """Checks the file."""
+        checked = sheet.parse(read_sheet(arguments.sheet), arguments.sheet)
+        services = {operation.service for operation in checked.operations}
+        data = {
+            "operations": len(checked.operations),
+            "services": len(services),
+            "digest": checked.digest.hex(),
+        }
+        line = (
+            f"{arguments.sheet}: {len(checked.operations)} operations of"
+            f" {len(services)} services, digest {checked.digest.hex()[:12]}"
+        )
+        return Result(data, [line])
+
+
+class Apply(Command):
+    """Sends a sheet."""
+
+    name = "apply"
+    help = "send a sheet; it takes effect everywhere or not at all"
+    arguments = {
+        "sheet": SHEET_ARGUMENT,
+        "--version": {
+            "required": True,
+            "help": "the sheet's version; the first content to be"
+            " committed under a version wins",
+        },
+        "--operator": {"help": "who sends it (default: the user's name)"},
+        "--wait": {
+            "type": float,
+            "metavar": "SECONDS",
+            "help": "wait until it is in force everywhere",
+        },
+    }
+
+    async def run(self, arguments, client):
+        """Checks the sheet here, sends it, and waits when asked to."""
+        data = read_sheet(arguments.sheet)
+        sheet.parse(data, arguments.sheet)
+        accepted = await client.apply(
+            data,
+            ids.SheetVersion(arguments.version),
+            arguments.operator or getpass.getuser(),
+        )
+        again = " (accepted before)" if accepted.repeated else ""
+        line = (
+            f"revision {accepted.revision}{again}: {accepted.changed} rows"
+            f" changed, {accepted.removed} removed"
+        )
+        if arguments.wait is None:
+            return Result(dataclasses.asdict(accepted), [line])
+        return await self.wait(arguments.wait, accepted, line, client)
+
+    async def wait(self, seconds, accepted, line, client) -> Result:
+        """Waits until the revision is in force everywhere."""
+        state = await client.in_force(accepted.revision, seconds)
+        facts = dataclasses.asdict(accepted)
+        facts["in_force"] = dataclasses.asdict(state)
+        code = Exit.OK if state.everywhere else Exit.NOT_IN_FORCE
+        return Result(facts, [line, *in_force_lines(state)], code)
+
+
+class ShowStatus(Command):
+    """Shows the control group and the hosts."""
+
+    name = "status"
+    help = "show the leader, the newest revision and every host"
+
+    async def run(self, arguments, client):
+        """Asks for the status."""
+        status = await client.status()
+        lines = [
+            f"leader {status.leader}, term {status.term},"
+            f" log committed to {status.commit}",
+            f"revision {status.revision}",
+            *in_force_lines(status.in_force),
+            *host_lines(status.hosts),
+        ]
+        return Result(dataclasses.asdict(status), lines)
+
+
+class ShowHistory(Command):
+    """Shows the accepted sheets."""
+
+    name = "history"
+    help = "show every accepted sheet, oldest first"
+
+    async def run(self, arguments, client):
+        """Asks for the history."""
+        changes = await client.history()
+        lines = columns(
+            ("revision", "accepted", "version", "operator", "rows"),
+            [
+                (
+                    change.revision,
+                    moment(change.accepted_ms),
+                    change.version,
+                    change.operator,
+                    f"{change.changed_rows} changed,"
+                    f" {change.removed_rows} removed",
+                )
+                for change in changes
+            ],
+        )
+        return Result([dataclasses.asdict(item) for item in changes], lines)
+
+
+class ShowHosts(Command):
+    """Shows the hosts."""
+
+    name = "hosts"
+    help = "show every host with its revision, lease and services"
+
+    async def run(self, arguments, client):
+        """Asks for the hosts."""
+        hosts = await client.hosts()
+        data = [dataclasses.asdict(host) for host in hosts]
+        return Result(data, host_lines(hosts))
+
+
+class Drain(Command):
+    """Asks a host to leave."""
+
+    name = "drain"
+    help = "ask a host to take no new work and finish what it has"
+    arguments = {"host": {"metavar": "HOST", "help": "name of the host"}}
+
+    async def run(self, arguments, client):
+        """Asks for the drain."""
+        await client.drain(ids.HostId(arguments.host))
+        line = f"{arguments.host} was asked to leave; see `mangobay hosts`"
+        return Result({"host": arguments.host}, [line])
+
+
+class ShowSettings(Command):
+    """Prints every setting of a program."""
+
+    programs = {
+        "node": generated.NODE_SECTIONS,
+        "control": generated.CONTROL_SECTIONS,
+    }
+    name = "settings"
+    help = "print every setting of a program with default, unit and meaning"
+    arguments = {"program": {"choices": tuple(programs)}}
+    asks_control = False
+
+    async def run(self, arguments, client):
+        """Describes the settings."""
+        sections = self.programs[arguments.program]
+        data = {
+            name: [
+                {**dataclasses.asdict(option), "kind": option.kind.value}
+                for option in known
+            ]
+            for name, (_, known) in sections.items()
+        }
+        return Result(data, [settings.describe(sections).rstrip()])
+
+
+COMMANDS: tuple[type[Command], ...] = (
+    Check,
+    Apply,
+    ShowStatus,
+    ShowHistory,
+    ShowHosts,
+    Drain,
+    ShowSettings,
+)
--- a/mangobay/errors.py
+++ b/mangobay/errors.py
@@ -108,5 +108,33 @@
         super().__init__(f"update of revision {base}, but {revision} is here")
 
 
+class OperatorError(MangobayError):
+    """Base of errors of an operator's request."""
+
+
+class OperatorProtocolError(OperatorError):
+    """A control host's answer is not what the operator API says."""
+
+
+class OperatorRefusedError(OperatorError):
+    """A control host refused the request.
+
+    Attributes:
+      status: the HTTP status.
+    """
+
+    def __init__(self, status: int, detail: str):
+        super().__init__(f"refused with status {status}: {detail}")
+        self.status = status
+
+
+class ControlUnreachableError(OperatorError):
+    """No control host could answer; each with what went wrong."""
+
+    def __init__(self, trouble: dict):
+        told = "; ".join(f"{host}: {why}" for host, why in trouble.items())
+        super().__init__(f"no control host answered: {told}")
+
+
 class InvariantError(MangobayError):
     """A promise of the system was about to be broken; the action was stopped."""
--- /dev/null
+++ b/mangobay/operatorclient.py
@@ -0,0 +1,331 @@
+"""Client of the operator API that every control host offers over HTTP."""
+
+import asyncio
+import dataclasses
+import typing
+
+import aiohttp
+
+from mangobay import errors, findings, ids, options
+
+ATTEMPT_TIMEOUT = 3.0
+"""Seconds to wait for one control host before the next one is asked."""
+ROUND_PAUSE = 0.2
+"""Seconds between two rounds over all control hosts: an election's length."""
+Record = typing.TypeVar("Record")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Accepted:
+    """The answer to a sheet.
+
+    Attributes:
+      revision: the revision that holds it.
+      changed: rows that are new or differ.
+      removed: rows that are gone.
+      repeated: the same sheet had been accepted before.
+    """
+
+    revision: ids.Revision
+    changed: int
+    removed: int
+    repeated: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class InForce:
+    """How far a revision has come.
+
+    Attributes:
+      count: hosts that act by it.
+      of: hosts that hold a lease.
+      stragglers: the hosts that do not act by it yet.
+    """
+
+    count: int
+    of: int
+    stragglers: list[ids.HostId]
+
+    @property
+    def everywhere(self) -> bool:
+        """Whether every host acts by it."""
+        return self.count == self.of and not self.stragglers
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Host:
+    """A host as the control group knows it.
+
+    Attributes:
+      host: its name.
+      data_centre: where it stands.
+      revision: the revision it acts by.
+      lease: whether it holds a lease.
+      leaving: whether it gets no new work.
+      serves: the services it announced.
+    """
+
+    host: ids.HostId
+    data_centre: ids.DataCentre
+    revision: ids.Revision
+    lease: bool
+    leaving: bool
+    serves: list[str]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Status:
+    """The state of the control group and of every host.
+
+    Attributes:
+      leader: the control host that leads.
+      term: its term.
+      commit: newest committed entry of the log.
+      revision: newest accepted revision.
+      hosts: every known host.
+      in_force: how far the newest revision has come.
+    """
+
+    leader: ids.HostId
+    term: ids.Term
+    commit: ids.LogIndex
+    revision: ids.Revision
+    hosts: list[Host]
+    in_force: InForce
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Change:
+    """An accepted sheet in the history.
+
+    Attributes:
+      revision: the revision that it made.
+      version: the version its operator gave it.
+      operator: who sent it.
+      accepted_ms: Unix time at the leader, milliseconds.
+      changed_rows: rows that were new or differed.
+      removed_rows: rows that went.
+    """
+
+    revision: ids.Revision
+    version: ids.SheetVersion
+    operator: str
+    accepted_ms: int
+    changed_rows: int
+    removed_rows: int
+
+
+def record(cls: type[Record], data: dict, **parts) -> Record:
+    """Returns a record out of a JSON object; unknown members are ignored.
+
+    Args:
+      cls: the record's class.
+      data: the JSON object.
+      **parts: members that are records themselves.
+
+    Raises:
+      errors.OperatorProtocolError: a member is missing.
+    """
+    names = [field.name for field in dataclasses.fields(cls)]
+    try:
+        return cls(
+            **{
+                name: parts[name] if name in parts else data[name]
+                for name in names
+            }
+        )
+    except KeyError as error:
+        raise errors.OperatorProtocolError(
+            f"the control host's answer has no {error.args[0]}"
+        ) from None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Request:
+    """A request that any control host may be asked.
+
+    Attributes:
+      method: the HTTP method.
+      path: the path.
+      query: the query parameters.
+      body: the body.
+      wait: seconds the control host may hold the answer back.
+    """
+
+    method: str
+    path: str
+    query: dict[str, str]
+    body: bytes
+    wait: float
+
+
+class NoAnswerError(Exception):
+    """A control host gave no answer; another one must be asked."""
+
+
+class OperatorClient:
+    """Asks the control hosts, one after the other until one answers.
+
+    Every request may be sent again after a lost answer: the control group
+    answers a sheet with the same version and content as it did before.
+
+    Attributes:
+      addresses: operator addresses of the control hosts.
+      patience: seconds until a request is given up.
+      leader: address that answered last; asked first.
+    """
+
+    def __init__(
+        self, addresses: tuple[options.Address, ...], patience: float = 10.0
+    ):
+        self.addresses = addresses
+        self.patience = patience
+        self.leader = addresses[0]
+        self.session: aiohttp.ClientSession | None = None
+
+    async def __aenter__(self) -> "OperatorClient":
+        """Opens the session."""
+        self.session = aiohttp.ClientSession(trust_env=False)
+        return self
+
+    async def __aexit__(self, *unused) -> None:
+        """Closes the session."""
+        await self.session.close()
+
+    async def apply(
+        self, data: bytes, version: ids.SheetVersion, operator: str
+    ) -> Accepted:
+        """Sends a sheet; returns once it is committed.
+
+        Raises:
+          errors.ConflictError: the version is taken by another content.
+          errors.SheetError: with every finding.
+          errors.ControlUnreachableError: no control host could answer.
+        """
+        query = {"version": version, "operator": operator}
+        answer = await self.ask("POST", "/v1/sheets", query, data)
+        return record(Accepted, answer)
+
+    async def status(self) -> Status:
+        """Returns the state of the control group and of every host."""
+        answer = await self.ask("GET", "/v1/status")
+        return record(
+            Status,
+            answer,
+            hosts=hosts_of(answer),
+            in_force=record(InForce, answer.get("in_force", {})),
+        )
+
+    async def history(self) -> list[Change]:
+        """Returns the accepted sheets, oldest first."""
+        answer = await self.ask("GET", "/v1/history")
+        return [record(Change, item) for item in answer.get("items", [])]
+
+    async def hosts(self) -> list[Host]:
+        """Returns every known host."""
+        return hosts_of(await self.ask("GET", "/v1/hosts"))
+
+    async def drain(self, host: ids.HostId) -> None:
+        """Asks a host to leave.
+
+        Raises:
+          errors.OperatorRefusedError: no such host.
+        """
+        await self.ask("POST", f"/v1/hosts/{host}/drain")
+
+    async def in_force(self, revision: ids.Revision, wait: float) -> InForce:
+        """Returns how far a revision has come, after at most `wait` seconds."""
+        path = f"/v1/revisions/{revision}/in-force"
+        answer = await self.ask("GET", path, {"wait": f"{wait:g}"}, wait=wait)
+        return record(InForce, answer)
+
+    async def ask(
+        self,
+        method: str,
+        path: str,
+        query: dict[str, str] | None = None,
+        body: bytes = b"",
+        wait: float = 0,
+    ) -> dict:
+        """Returns the JSON answer of the first control host that has one.
+
+        Raises:
+          errors.MangobayError: what the answer says, or that none came.
+        """
+        loop = asyncio.get_running_loop()
+        give_up = loop.time() + self.patience + wait
+        request = Request(method, path, query or {}, body, wait)
+        while True:
+            trouble: dict[options.Address, str] = {}
+            for address in self.in_order():
+                try:
+                    return await self.ask_one(address, request)
+                except NoAnswerError as error:
+                    trouble[address] = str(error)
+            if loop.time() >= give_up:
+                raise errors.ControlUnreachableError(trouble)
+            await asyncio.sleep(ROUND_PAUSE)
+
+    async def ask_one(self, address: options.Address, request: Request) -> dict:
+        """Returns the JSON answer of one control host.
+
+        Raises:
+          NoAnswerError: another one must be asked.
+          errors.MangobayError: what the answer says.
+        """
+        try:
+            async with self.session.request(
+                request.method,
+                f"http://{address}{request.path}",
+                params=request.query,
+                data=request.body,
+                timeout=aiohttp.ClientTimeout(ATTEMPT_TIMEOUT + request.wait),
+            ) as response:
+                if response.status == 503:
+                    raise NoAnswerError("does not lead")
+                self.leader = address
+                return await outcome_of(response, request.query)
+        except TimeoutError:
+            raise NoAnswerError("did not answer in time") from None
+        except aiohttp.ClientError as error:
+            raise NoAnswerError(str(error)) from None
+
+    def in_order(self) -> list[options.Address]:
+        """Returns the addresses, the one that answered last first."""
+        return sorted(self.addresses, key=lambda item: item != self.leader)
+
+
+def hosts_of(answer: dict) -> list[Host]:
+    """Returns the hosts in an answer."""
+    return [record(Host, item) for item in answer.get("hosts", [])]
+
+
+async def outcome_of(
+    response: aiohttp.ClientResponse, query: dict[str, str]
+) -> dict:
+    """Returns the JSON object of an answer.
+
+    Raises:
+      errors.MangobayError: the typed error that the answer stands for.
+    """
+    try:
+        answer = await response.json(content_type=None)
+    except ValueError:
+        answer = None
+    if not isinstance(answer, dict):
+        raise errors.OperatorProtocolError(
+            f"the control host's answer {response.status} is no JSON object"
+        )
+    match response.status:
+        case 200 | 202:
+            return answer
+        case 409 if "winner" in answer:
+            raise errors.ConflictError(
+                query.get("version", ""), answer["winner"]
+            )
+        case 422 if "findings" in answer:
+            raise errors.SheetError(
+                [record(findings.Finding, item) for item in answer["findings"]]
+            )
+    detail = answer.get("detail") or answer.get("title") or "no reason given"
+    raise errors.OperatorRefusedError(response.status, detail)
--- /dev/null
+++ b/tests/test_operatorclient.py
@@ -0,0 +1,158 @@
+"""The operators' client and command line against fake control hosts."""
+
+import asyncio
+import contextlib
+import json
+
+import pytest
+from aiohttp import test_utils, web
+
+from mangobay import cmdline, commands, errors, operatorclient, options
+
+SHEET = (
+    "service,operation,method,path,importance,idempotent,deadline_ms,tries\n"
+    "quotes,issue,POST,/quotes,critical,no,2000,2\n"
+)
+ACCEPTED = {"revision": 7, "changed": 1, "removed": 0, "repeated": False}
+REVISION_PATH = "/v1/revisions/7/in-force"
+
+
+class FakeControl:
+    """Answers from a list, one item a request; None breaks the connection."""
+
+    def __init__(self, *answers):
+        self.answers = list(answers)
+        self.requests = []
+
+    async def handle(self, request):
+        self.requests.append((request.path_qs, await request.read()))
+        answer = self.answers.pop(0)
+        if answer is None:
+            request.transport.abort()
+            return web.Response()
+        status, body = answer
+        return web.Response(status=status, text=json.dumps(body))
+
+
+@contextlib.asynccontextmanager
+async def serving(*controls):
+    """Gives the addresses of the fakes while they serve."""
+    async with contextlib.AsyncExitStack() as stack:
+        found = []
+        for control in controls:
+            server = test_utils.RawTestServer(control.handle)
+            await stack.enter_async_context(server)
+            found.append(options.Address("127.0.0.1", server.port))
+        yield tuple(found)
+
+
+class TestApply:
+    """Sending a sheet."""
+
+    async def test_lost_answer_is_asked_for_again(self):
+        """The operator sees one revision.
+
+        The leader commits the sheet and its connection breaks before the
+        answer is read.  The same content under the same version goes to the
+        next host, so the control group gives the first answer again.
+        """
+        first = FakeControl(None)
+        second = FakeControl((503, {"leader": "c1"}))
+        third = FakeControl((200, {**ACCEPTED, "repeated": True}))
+        async with (
+            serving(first, second, third) as addresses,
+            operatorclient.OperatorClient(addresses) as client,
+        ):
+            accepted = await client.apply(SHEET.encode(), "1", "ana")
+            assert client.leader == addresses[2]
+        assert accepted.repeated
+        assert first.requests == second.requests == third.requests
+        assert first.requests == [
+            ("/v1/sheets?version=1&operator=ana", SHEET.encode())
+        ]
+
+    async def test_refusals_are_typed(self):
+        finding = {"place": "s:row 2", "message": "no"}
+        control = FakeControl(
+            (409, {"winner": 5}),
+            (422, {"findings": [finding]}),
+            (404, {"title": "no such host"}),
+            (200, {}),
+        )
+        async with (
+            serving(control) as addresses,
+            operatorclient.OperatorClient(addresses) as client,
+        ):
+            with pytest.raises(errors.ConflictError) as conflict:
+                await client.apply(b"", "1", "ana")
+            with pytest.raises(errors.SheetError, match="s:row 2: no"):
+                await client.apply(b"", "1", "ana")
+            with pytest.raises(errors.OperatorRefusedError, match="such host"):
+                await client.drain("n1")
+            with pytest.raises(errors.OperatorProtocolError, match="no "):
+                await client.status()
+        assert conflict.value.winner == 5
+
+    async def test_nobody_leads(self):
+        control = FakeControl(*[(503, {"leader": ""})] * 3)
+        async with (
+            serving(control) as addresses,
+            operatorclient.OperatorClient(addresses, patience=0) as client,
+        ):
+            with pytest.raises(errors.ControlUnreachableError, match="lead"):
+                await client.hosts()
+
+
+class TestCommandLine:
+    """Exit codes and what is printed."""
+
+    async def run(self, control, *words):
+        async with serving(control) as addresses:
+            named = ",".join(map(str, addresses))
+            argv = ["--control", named, *map(str, words)]
+            return await asyncio.to_thread(cmdline.main, argv)
+
+    @pytest.mark.parametrize(
+        ("lag", "code"),
+        [([], commands.Exit.OK), (["n2"], commands.Exit.NOT_IN_FORCE)],
+    )
+    async def test_apply_waits(self, tmp_path, capsys, lag, code):
+        path = tmp_path / "s.csv"
+        path.write_text(SHEET)
+        state = {"count": 2 - len(lag), "of": 2, "stragglers": lag}
+        control = FakeControl((200, ACCEPTED), (200, state))
+        words = ("apply", path, "--version", "1", "--wait", "2")
+        assert await self.run(control, *words) == code
+        assert control.requests[1][0] == f"{REVISION_PATH}?wait=2"
+        assert (
+            f"in force on {2 - len(lag)} of 2 hosts" in capsys.readouterr().out
+        )
+
+    async def test_bad_sheet_is_not_sent(self, tmp_path, capsys):
+        path = tmp_path / "s.csv"
+        path.write_text(SHEET.replace("critical", "crtical"))
+        control = FakeControl()
+        words = ("apply", path, "--version", "1")
+        assert await self.run(control, *words) == commands.Exit.BAD_INPUT
+        assert "row 2, column importance" in capsys.readouterr().err
+        assert control.requests == []
+
+    async def test_conflict_names_the_winner(self, tmp_path, capsys):
+        path = tmp_path / "s.csv"
+        path.write_text(SHEET)
+        control = FakeControl((409, {"winner": 5}))
+        words = ("apply", path, "--version", "1")
+        assert await self.run(control, *words) == commands.Exit.CONFLICT
+        assert "revision 5" in capsys.readouterr().err
+
+    async def test_status_as_json(self, capsys):
+        host = {"host": "n1", "data_centre": "lima", "revision": 7}
+        host |= {"lease": True, "leaving": False, "serves": ["quotes"]}
+        status = {"leader": "c1", "term": 2, "commit": 9, "revision": 7}
+        status |= {"hosts": [host]}
+        status |= {"in_force": {"count": 1, "of": 1, "stragglers": []}}
+        control = FakeControl((200, status), (200, status))
+        assert await self.run(control, "--json", "status") == commands.Exit.OK
+        assert json.loads(capsys.readouterr().out) == status
+        assert await self.run(control, "status") == commands.Exit.OK
+        assert "n1    lima         7" in capsys.readouterr().out
