--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Load, fake backend servers and measurements; no part of the product."""
