--- a/bench/forwarder.py
+++ b/bench/forwarder.py
@@ -87,7 +87,7 @@
         backends.setdefault(service, []).append(address)
     forwarder = Forwarder(backends, arguments.tries, arguments.seed)
     async with serving.listening(
-        forwarder.handle, arguments.listen
+        forwarder.handle, *arguments.listen
     ) as stopping:
         await stopping.wait()
     await forwarder.session.close()
@@ -96,7 +96,13 @@
 def make_parser() -> argparse.ArgumentParser:
     """Returns the parser of the command line."""
     parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--listen", type=options.parse_address, required=True)
+    parser.add_argument(
+        "--listen",
+        type=options.parse_address,
+        required=True,
+        action="append",
+        help="may be given several times",
+    )
     parser.add_argument("--tries", type=int, default=0)
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("backend", nargs="+", type=backend_of)
--- a/bench/load.py
+++ b/bench/load.py
@@ -122,9 +122,15 @@
         task.add_done_callback(self.tasks.discard)
 
     async def finish(self) -> None:
-        """Waits for every call and closes the connections."""
+        """Waits for every call."""
         while self.tasks:
             await asyncio.wait(set(self.tasks))
+
+    async def close(self) -> None:
+        """Ends what is in flight and closes the connections."""
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
         await self.session.close()
 
     async def call(self, work: deployment.Work, due: float) -> Call:
--- a/bench/serving.py
+++ b/bench/serving.py
@@ -12,7 +12,7 @@
 
 @contextlib.asynccontextmanager
 async def listening(
-    handler: collections.abc.Callable, address: options.Address
+    handler: collections.abc.Callable, *addresses: options.Address
 ):
     """Serves a handler; gives an event that SIGTERM sets."""
     stopping = asyncio.Event()
@@ -21,7 +21,8 @@
     server = web.Server(handler, handler_cancellation=True)
     runner = web.ServerRunner(server)
     await runner.setup()
-    await web.TCPSite(runner, address.ip, address.port).start()
+    for address in addresses:
+        await web.TCPSite(runner, address.ip, address.port).start()
     try:
         yield stopping
     finally:
