--- /dev/null
+++ b/mangobay/controlclient.py
@@ -0,0 +1,352 @@
+"""The node's side of the control group: lease, table and views."""
+
+import asyncio
+import collections
+import dataclasses
+import random
+import typing
+
+from reactivex import subject
+
+from mangobay import (
+    errors,
+    ids,
+    invariants,
+    lease,
+    logs,
+    options,
+    table,
+)
+from mangobay.generated import messages, settings
+
+MOST_UNKNOWN = 1024
+"""Services remembered as unknown to control; names come from outsiders."""
+
+FIRST_BACKOFF = 0.02
+"""Seconds; upper bound of the first pause after a failure."""
+
+SHORTEST_ROUND = 0.02
+"""Seconds between two renewals, whatever the leader answers."""
+
+ANSWERS_AWAITED = 4
+"""A new interest waits for this many times `patience`."""
+
+
+class Transport(typing.Protocol):
+    """What the client needs of `peers.Transport`."""
+
+    async def ask(
+        self,
+        address: options.Address,
+        body: messages.EnvelopeBody,
+        timeout: float,
+    ) -> messages.EnvelopeBody:
+        """Returns the answer; see `peers`."""
+        ...
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class NodeIdentity:
+    """Who renews: one run of the process on one host."""
+
+    host: ids.HostId
+    incarnation: ids.Incarnation
+    data_centre: ids.DataCentre
+    peer_address: options.Address
+
+
+class ControlClient:
+    """Keeps one renewal outstanding at the control group's leader.
+
+    The leader answers at once when something changed for this node, and else
+    after the renewal interval, so a change needs no other way to the nodes.
+    Without a lease the last table and views stay.
+
+    Attributes:
+      lease: whether this node may act for its keys.
+      tables: the newest `table.Table`.
+      views: the newest `ServiceView` of each service, by name.
+      draining: whether an operator asked this host to leave.
+      interests: services whose rows and view this node follows.
+    """
+
+    def __init__(
+        self,
+        config: settings.NodeControl,
+        identity: NodeIdentity,
+        transport: Transport,
+        randomness: random.Random,
+    ):
+        self.config = config
+        self.identity = identity
+        self.transport = transport
+        self.randomness = randomness
+        self.lease = lease.Lease()
+        self.tables = subject.BehaviorSubject(table.Table())
+        self.views = subject.BehaviorSubject({})
+        self.draining = subject.BehaviorSubject(False)
+        self.interests: set[ids.ServiceName] = set()
+        self.known: set[ids.ServiceName] = set()
+        self.unknown: collections.OrderedDict[ids.ServiceName, float] = (
+            collections.OrderedDict()
+        )
+        self.address = randomness.choice(config.hosts)
+        self.failures = 0
+        self.changed = asyncio.Event()
+        self.answered = asyncio.Event()
+        self.served: list[messages.ServedService] = []
+        self.is_leaving = False
+
+    @property
+    def serves(self) -> list[messages.ServedService]:
+        """What the backend server on this host announced."""
+        return self.served
+
+    @serves.setter
+    def serves(self, served: list[messages.ServedService]) -> None:
+        if served == self.served:
+            return
+        self.served = list(served)
+        self.interests.update(item.name for item in served)
+        self.changed.set()
+
+    @property
+    def leaving(self) -> bool:
+        """Whether this host takes no new work any more."""
+        return self.is_leaving
+
+    @leaving.setter
+    def leaving(self, leaving: bool) -> None:
+        if leaving == self.is_leaving:
+            return
+        self.is_leaving = leaving
+        self.changed.set()
+
+    async def interest(self, service: ids.ServiceName) -> None:
+        """Returns once table and views hold what control knows of a service.
+
+        Raises:
+          errors.ControlUnavailableError: no control host answered in time, so
+            nothing may be said of the service.
+        """
+        if service in self.known or self.is_unknown(service):
+            return
+        if service not in self.interests:
+            self.interests.add(service)
+            self.changed.set()
+        patience = self.config.patience * ANSWERS_AWAITED
+        try:
+            async with asyncio.timeout(patience):
+                while service in self.interests - self.known:
+                    await self.answered.wait()
+        except TimeoutError:
+            raise errors.ControlUnavailableError(
+                f"no control host told of service {service} in {patience:g} s"
+            ) from None
+
+    def is_unknown(self, service: ids.ServiceName) -> bool:
+        """Returns whether control lately knew nothing of the service."""
+        until = self.unknown.get(service)
+        if until is None:
+            return False
+        if until > asyncio.get_running_loop().time():
+            return True
+        del self.unknown[service]
+        return False
+
+    async def run(self) -> None:
+        """Renews the lease until cancelled."""
+        loop = asyncio.get_running_loop()
+        while True:
+            asked_at = loop.time()
+            if await self.renew_once():
+                self.failures = 0
+                await asyncio.sleep(asked_at + SHORTEST_ROUND - loop.time())
+            else:
+                self.failures += 1
+                await asyncio.sleep(self.backoff())
+
+    def backoff(self) -> float:
+        """Returns the seconds to pause, with full jitter.
+
+        A control host that comes back would otherwise meet all nodes at once.
+        """
+        longest = FIRST_BACKOFF * 2 ** min(self.failures, 16)
+        longest = min(longest, self.config.renew_interval)
+        return self.randomness.uniform(0, longest)
+
+    async def renew_once(self) -> bool:
+        """Asks one control host once.
+
+        Returns:
+          whether the next renewal may follow without a pause.
+        """
+        loop = asyncio.get_running_loop()
+        self.changed.clear()
+        renewal = self.renewal()
+        asked_at = loop.time()
+        timeout = renewal.hold_ms / 1000 + self.config.patience
+        asking = asyncio.create_task(
+            self.transport.ask(self.address, renewal, timeout)
+        )
+        changing = asyncio.create_task(self.changed.wait())
+        try:
+            await asyncio.wait(
+                {asking, changing}, return_when=asyncio.FIRST_COMPLETED
+            )
+            if not asking.done():
+                # What the node reports has changed: ask again at once.
+                return True
+            return self.take(renewal, asked_at, asking.result())
+        except (errors.PeerError, TimeoutError):
+            self.try_next()
+            return False
+        finally:
+            changing.cancel()
+            asking.cancel()
+
+    def renewal(self) -> messages.LeaseRenew:
+        """Returns what this node reports and asks."""
+        hold = self.config.renew_interval if self.lease.holds() else 0
+        return messages.LeaseRenew(
+            host=self.identity.host,
+            incarnation=self.identity.incarnation,
+            data_centre=self.identity.data_centre,
+            peer_address=str(self.identity.peer_address),
+            serves=self.served,
+            leaving=self.is_leaving,
+            revision=self.tables.value.revision,
+            interests=sorted(self.interests),
+            new_interests=sorted(self.interests - self.known),
+            hold_ms=int(hold * 1000),
+            views=[self.ack(view) for view in self.views.value.values()],
+        )
+
+    def ack(self, view: messages.ServiceView) -> messages.ViewAck:
+        """Returns what this node says of a view that it acts by."""
+        me = self.identity
+        member = any(
+            item.host == me.host and item.incarnation == me.incarnation
+            for item in view.members
+        )
+        return messages.ViewAck(
+            service=view.service,
+            version=view.version,
+            active=view.active,
+            member=member,
+        )
+
+    def take(
+        self,
+        renewal: messages.LeaseRenew,
+        asked_at: float,
+        answer: messages.EnvelopeBody,
+    ) -> bool:
+        """Takes in an answer; returns whether it granted a lease."""
+        match answer:
+            case messages.LeaseGrant(granted=True) as grant:
+                pass
+            case messages.LeaseGrant() as refusal:
+                self.follow_leader(refusal)
+                return False
+            case _:
+                raise errors.PeerProtocolError("no grant answers the renewal")
+        # A control host that lags knows of a revision that this node has
+        # left behind. Its grant cannot have been confirmed by a quorum.
+        if grant.table.revision < renewal.revision:
+            logs.say(
+                logs.Part.LEASE,
+                "control host lags, its grant is not taken",
+                leader=grant.leader,
+                revision=grant.table.revision,
+            )
+            self.try_next()
+            return False
+        self.take_table(grant.table)
+        self.take_views(grant.views)
+        self.take_interests(renewal, grant)
+        self.lease.extend(asked_at, grant.ttl_ms / 1000)
+        if grant.drain != self.draining.value:
+            self.draining.on_next(grant.drain)
+        return True
+
+    def take_table(self, update: messages.TableUpdate) -> None:
+        """Swaps the table for one of a newer revision."""
+        old = self.tables.value
+        revision = old.revision
+        if update.revision == old.revision:
+            if not update.changed:
+                return
+            # A new interest brings rows of the revision that is in force
+            # already, which `updated` would take for nothing new.
+            update = dataclasses.replace(
+                update, base=0, changed=[*old.rows(), *update.changed]
+            )
+            old = table.Table()
+        new = old.updated(update)
+        invariants.check(
+            invariants.Promise.REVISION_NEVER_DOWN,
+            new.revision >= revision,
+            f"table {revision} would be replaced by {new.revision}",
+        )
+        self.tables.on_next(new)
+
+    def take_views(self, views: list[messages.ServiceView]) -> None:
+        """Swaps the views for newer ones; none goes back to an older."""
+        merged = dict(self.views.value)
+        for view in views:
+            old = merged.get(view.service)
+            # A new leader does not know yet what is active; this node does.
+            if old is None or is_newer(view, old):
+                merged[view.service] = view
+        if merged != self.views.value:
+            self.views.on_next(merged)
+
+    def take_interests(
+        self, renewal: messages.LeaseRenew, grant: messages.LeaseGrant
+    ) -> None:
+        """Notes which services control told of, and which it has none of.
+
+        Outsiders can ask for any name, so one that control does not know is
+        dropped and remembered only for a while.
+        """
+        told = {row.service for row in grant.table.changed}
+        told.update(view.service for view in grant.views)
+        told.update(item.name for item in renewal.serves)
+        until = asyncio.get_running_loop().time() + self.config.renew_interval
+        for name in renewal.new_interests:
+            service = ids.ServiceName(name)
+            if service in told:
+                self.known.add(service)
+                continue
+            self.interests.discard(service)
+            self.unknown[service] = until
+            if len(self.unknown) > MOST_UNKNOWN:
+                self.unknown.popitem(last=False)
+        self.answered.set()
+        self.answered.clear()
+
+    def follow_leader(self, refusal: messages.LeaseGrant) -> None:
+        """Asks the leader next that a control host named, or another host."""
+        try:
+            leader = options.parse_address(refusal.leader_address)
+        except ValueError:
+            self.try_next()
+            return
+        if leader == self.address:
+            self.try_next()
+            return
+        self.address = leader
+
+    def try_next(self) -> None:
+        """Asks the next control host of the settings next."""
+        hosts = self.config.hosts
+        position = hosts.index(self.address) if self.address in hosts else -1
+        self.address = hosts[(position + 1) % len(hosts)]
+
+
+def is_newer(view: messages.ServiceView, old: messages.ServiceView) -> bool:
+    """Returns whether the view tells more than the old one."""
+    if view.version == old.version:
+        return view.active and not old.active
+    return view.version > old.version
--- a/mangobay/errors.py
+++ b/mangobay/errors.py
@@ -84,6 +84,10 @@
         self.leader = leader
 
 
+class ControlUnavailableError(MangobayError):
+    """No control host answered in time: what it knows is not known here."""
+
+
 class ConflictError(MangobayError):
     """Another sheet was committed under the same version.
 
--- /dev/null
+++ b/mangobay/lease.py
@@ -0,0 +1,32 @@
+"""The lease of a node, on the node's own clock."""
+
+import asyncio
+import math
+
+
+class Lease:
+    """Says whether this node may still act by its last grant.
+
+    Attributes:
+      until: loop time at which the lease ends.
+    """
+
+    def __init__(self):
+        self.until = -math.inf
+
+    def extend(self, asked_at: float, ttl: float) -> None:
+        """Takes in a grant.
+
+        Counted from when the node asked, not from when the answer came: the
+        control group counts from later, so that a slow answer can only make
+        the node stop too early, never act beside its successor.
+
+        Args:
+          asked_at: loop time just before the renewal was sent.
+          ttl: seconds.
+        """
+        self.until = max(self.until, asked_at + ttl)
+
+    def holds(self) -> bool:
+        """Returns whether the lease has not ended."""
+        return asyncio.get_running_loop().time() < self.until
--- /dev/null
+++ b/mangobay/leases.py
@@ -0,0 +1,392 @@
+"""The leader's side of leases: grants, what is new, and who is gone."""
+
+import asyncio
+import collections
+import dataclasses
+import time
+import typing
+
+from mangobay import activity, errors, ids, logs, machine, news, silence
+from mangobay.generated import messages
+
+HOLD_SHARE = 4
+"""An answer is kept back for at most this part of ttl: the node counts ttl
+from when it asked, and most of it must be left when the answer arrives."""
+
+TICKS_A_MARGIN = 4
+LONGEST_TICK = 0.25
+"""Seconds between two looks for hosts that are gone."""
+
+MOST_REPLACED = 4096
+"""Replaced processes that are remembered."""
+
+IN_FORCE_POLL = 0.05
+"""Seconds between two looks whether a revision is in force everywhere."""
+
+
+class Group(typing.Protocol):
+    """What leases need of `consensus.Group`.
+
+    Attributes:
+      leads: this host leads as far as it knows.
+      term: the newest term this host knows.
+      leader: the leader of the term, empty when unknown.
+      leader_address: its peer address, empty when unknown.
+    """
+
+    leads: bool
+    term: ids.Term
+    leader: ids.HostId
+    leader_address: str
+
+    async def propose(self, body: messages.LogEntryBody) -> messages.LogEntry:
+        """Returns the entry once it is committed and applied."""
+        ...
+
+    async def confirm(self) -> None:
+        """Returns once a quorum confirmed that this host leads."""
+        ...
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class InForce:
+    """Where a revision is in force.
+
+    Attributes:
+      revision: the revision asked about.
+      hosts: number of hosts that are not gone.
+      stragglers: those of them that have not reported it.
+    """
+
+    revision: ids.Revision
+    hosts: int
+    stragglers: list[ids.HostId]
+
+
+class LeaseTable:
+    """Grants leases while this host leads; all of it is kept in memory.
+
+    Attributes:
+      machine: the replicated state.
+      group: agrees on changes of it.
+      ttl: seconds a lease lasts from when the node asked.
+      term: the term that what is kept here belongs to.
+      silence: when each process was last granted a lease.
+      activity: which views are active.
+      revisions: the revision each host reported in this term.
+      replaced: processes whose host has started another one since.
+    """
+
+    def __init__(
+        self,
+        config: machine.ConfigMachine,
+        group: Group,
+        ttl: float,
+        margin: float,
+    ):
+        self.machine = config
+        self.group = group
+        self.ttl = ttl
+        self.tick = min(margin / TICKS_A_MARGIN, LONGEST_TICK)
+        self.margin = margin
+        self.term: ids.Term | None = None
+        self.silence = silence.Silence(ttl + margin)
+        self.activity = activity.ViewActivity()
+        self.revisions: dict[ids.HostId, ids.Revision] = {}
+        self.replaced: collections.OrderedDict[activity.Owner, None] = (
+            collections.OrderedDict()
+        )
+        self.news = news.News()
+        config.watchers.append(self.follow)
+
+    async def renew(self, renewal: messages.LeaseRenew) -> messages.LeaseGrant:
+        """Answers a renewal, when there is something new or its time is up."""
+        if not self.take_office():
+            return self.refusal()
+        if activity.owner_of(renewal) in self.replaced:
+            return self.refusal()
+        term = self.term
+        try:
+            await self.admit(renewal)
+            await self.hold(renewal)
+            # A leader behind a silent cut still believes that it leads. Its
+            # grants would let a node act beside the owner that the other
+            # side appoints; a quorum that answers after the renewal arrived
+            # rules that other side out.
+            await self.group.confirm()
+        except errors.NotLeaderError:
+            return self.refusal()
+        record = self.machine.members.get(renewal.host)
+        if (
+            self.group.term != term
+            or record is None
+            or not machine.same_process(record, renewal)
+        ):
+            return self.refusal()
+        self.silence.note(activity.owner_of(renewal), now())
+        return self.grant(renewal)
+
+    def take_office(self) -> bool:
+        """Starts over in a new term; returns whether this host leads."""
+        if not self.group.leads:
+            self.term = None
+            return False
+        if self.term != self.group.term:
+            self.term = self.group.term
+            self.start_over()
+        return True
+
+    def start_over(self) -> None:
+        """Forgets what was seen of the nodes.
+
+        The former leader may have granted leases until this term began, so
+        nobody is gone before ttl and margin have passed from now.
+        """
+        views = self.machine.views.values()
+        owners = {activity.UNSEEN}
+        for record in self.machine.members.values():
+            owners.add(activity.owner_of(record.member))
+        for view in views:
+            owners.update(activity.owner_of(m) for m in view.former_members)
+        self.silence.restart(sorted(owners), now())
+        self.revisions.clear()
+        self.activity = activity.ViewActivity()
+        for view in views:
+            self.follow_view(view)
+
+    def follow_view(self, view: messages.ServiceView) -> None:
+        """Takes a view into the activity of this term."""
+        if view.service not in self.activity.versions and view.former_version:
+            # The first view of a service in this term may follow on others
+            # that never became active, of which the snapshot tells nothing.
+            self.activity.wait_for(view.service, activity.UNSEEN, view.version)
+        self.activity.follow(view, self.silence)
+
+    def follow(self, changed: machine.Changed) -> None:
+        """Watches the machine: wakes those whom a change concerns."""
+        if self.term is None:
+            return
+        if changed.everything:
+            self.start_over()
+        for service in changed.services:
+            if service in self.machine.views:
+                self.follow_view(self.machine.views[service])
+        self.news.publish(changed)
+
+    def publish_active(self, services: set[ids.ServiceName]) -> None:
+        """Wakes those who wait for a view to become active."""
+        self.news.publish(machine.Changed(services=frozenset(services)))
+
+    async def admit(self, renewal: messages.LeaseRenew) -> None:
+        """Notes what the node reports; agrees on it where it is new.
+
+        Raises:
+          errors.NotLeaderError: this host does not lead any more.
+        """
+        owner = activity.owner_of(renewal)
+        self.revisions[renewal.host] = renewal.revision
+        active = {
+            ack.service
+            for ack in renewal.views
+            if self.activity.acknowledge(owner, ack)
+        }
+        self.publish_active(active)
+        change = messages.MemberChange(
+            member=member_of(renewal),
+            serves=sorted(renewal.serves, key=lambda item: item.name),
+            accepted_ms=unix_ms(),
+        )
+        record = self.machine.members.get(renewal.host)
+        if record is not None and machine.matches(record, change):
+            return
+        # A process that announces itself and then dies before its first
+        # grant would stay a member for ever if its silence were not counted.
+        self.silence.note(owner, now())
+        if record is not None and not machine.same_process(record, renewal):
+            self.replace(activity.owner_of(record.member))
+        await self.group.propose(change)
+
+    def replace(self, owner: activity.Owner) -> None:
+        """Refuses a process from here on: its host has started another.
+
+        Two processes under one host name, or a renewal of the dead one that
+        arrives late, would otherwise take the place of each other for ever,
+        each time with new views and a log entry.
+        """
+        logs.say(logs.Part.CONTROL, "host has restarted", host=owner.host)
+        self.replaced[owner] = None
+        if len(self.replaced) > MOST_REPLACED:
+            self.replaced.popitem(last=False)
+
+    async def hold(self, renewal: messages.LeaseRenew) -> None:
+        """Waits until there is something new for the node or time is up."""
+        seconds = min(renewal.hold_ms / 1000, self.ttl / HOLD_SHARE)
+        if seconds <= 0 or renewal.revision < self.machine.revision:
+            return
+        services = services_of(renewal)
+        until = now() + seconds
+        with self.news.subscription(renewal.host, services) as event:
+            while not self.has_news(renewal) and now() < until:
+                event.clear()
+                try:
+                    async with asyncio.timeout_at(until):
+                        await event.wait()
+                except TimeoutError:
+                    return
+
+    def has_news(self, renewal: messages.LeaseRenew) -> bool:
+        """Returns whether an answer would tell the node anything."""
+        if renewal.new_interests:
+            return True
+        if renewal.host in self.machine.draining and not renewal.leaving:
+            return True
+        if self.new_views(renewal):
+            return True
+        update = self.table_update(renewal)
+        return bool(update.changed or update.removed)
+
+    def grant(self, renewal: messages.LeaseRenew) -> messages.LeaseGrant:
+        """Returns a lease with what the node lacks."""
+        return messages.LeaseGrant(
+            granted=True,
+            ttl_ms=int(self.ttl * 1000),
+            leader=self.group.leader,
+            leader_address=self.group.leader_address,
+            table=self.table_update(renewal),
+            views=self.new_views(renewal),
+            drain=renewal.host in self.machine.draining,
+        )
+
+    def refusal(self) -> messages.LeaseGrant:
+        """Returns no lease, and whom to ask instead."""
+        return messages.LeaseGrant(
+            leader=self.group.leader, leader_address=self.group.leader_address
+        )
+
+    def table_update(
+        self, renewal: messages.LeaseRenew
+    ) -> messages.TableUpdate:
+        """Returns the rows that the node lacks."""
+        return self.machine.update_since(
+            renewal.revision, renewal.interests, renewal.new_interests
+        )
+
+    def new_views(
+        self, renewal: messages.LeaseRenew
+    ) -> list[messages.ServiceView]:
+        """Returns the views that differ from what the node acts by."""
+        acks = {ack.service: ack for ack in renewal.views}
+        views = []
+        for service in sorted(services_of(renewal)):
+            view = self.machine.views.get(service)
+            if view is None:
+                continue
+            active = service in self.activity.active
+            ack = acks.get(service)
+            if (
+                ack is None
+                or ack.version < view.version
+                or (active and not ack.active)
+            ):
+                views.append(dataclasses.replace(view, active=active))
+        return views
+
+    async def run(self) -> None:
+        """Looks for hosts that are gone until cancelled."""
+        seen = now()
+        while True:
+            await asyncio.sleep(self.tick)
+            if self.take_office():
+                # This process itself stood still: renewals may lie unread in
+                # its sockets, and every host would look gone at once.
+                if now() - seen > self.margin:
+                    self.start_over()
+                seen = now()
+                await self.end_silent()
+            else:
+                seen = now()
+
+    async def end_silent(self) -> None:
+        """Declares those gone whose lease has ended."""
+        ended = self.silence.ended(now())
+        changes = []
+        for owner in ended:
+            self.publish_active(self.activity.end(owner))
+            record = self.machine.members.get(owner.host)
+            if record and record.member.incarnation == owner.incarnation:
+                changes.append(
+                    messages.MemberChange(
+                        member=record.member, gone=True, accepted_ms=unix_ms()
+                    )
+                )
+        results = await asyncio.gather(
+            *(self.group.propose(change) for change in changes),
+            return_exceptions=True,
+        )
+        for change, result in zip(changes, results, strict=True):
+            if not isinstance(result, BaseException):
+                self.revisions.pop(change.member.host, None)
+                logs.say(
+                    logs.Part.CONTROL, "host is gone", host=change.member.host
+                )
+                continue
+            # Not agreed on: tried again after another ttl and margin.
+            owner = activity.owner_of(change.member)
+            if owner not in self.silence:
+                self.silence.note(owner, now())
+            logs.say(
+                logs.Part.CONTROL,
+                "could not agree that a host is gone",
+                host=change.member.host,
+                error=str(result),
+            )
+
+    def in_force(self, revision: ids.Revision) -> InForce:
+        """Returns where the revision is in force by what hosts reported."""
+        hosts = self.machine.members
+        stragglers = [
+            host
+            for host in sorted(hosts)
+            if self.revisions.get(host, machine.NO_REVISION) < revision
+        ]
+        return InForce(revision, len(hosts), stragglers)
+
+    async def wait_in_force(
+        self, revision: ids.Revision, seconds: float
+    ) -> InForce:
+        """Returns once the revision is in force everywhere or time is up."""
+        until = now() + seconds
+        while True:
+            result = self.in_force(revision)
+            if not result.stragglers or now() >= until:
+                return result
+            await asyncio.sleep(IN_FORCE_POLL)
+
+
+def now() -> float:
+    """Returns the loop's time in seconds."""
+    return asyncio.get_running_loop().time()
+
+
+def unix_ms() -> int:
+    """Returns the wall clock in milliseconds, for the history only."""
+    return int(time.time() * 1000)
+
+
+def member_of(renewal: messages.LeaseRenew) -> messages.Member:
+    """Returns what a renewal says of its host."""
+    return messages.Member(
+        host=renewal.host,
+        incarnation=renewal.incarnation,
+        data_centre=renewal.data_centre,
+        peer_address=renewal.peer_address,
+        leaving=renewal.leaving,
+    )
+
+
+def services_of(renewal: messages.LeaseRenew) -> set[ids.ServiceName]:
+    """Returns the services whose views concern the node."""
+    services = {ids.ServiceName(name) for name in renewal.interests}
+    services.update(served.name for served in renewal.serves)
+    services.update(ack.service for ack in renewal.views)
+    return services
--- /dev/null
+++ b/mangobay/machine.py
@@ -0,0 +1,308 @@
+"""The replicated state of the control group: configuration and members.
+
+Every control host applies the same entries in the same order, so `apply`
+reads no clock, no settings and nothing else that differs between hosts.
+"""
+
+import collections.abc
+import dataclasses
+import typing
+
+from mangobay import ids
+from mangobay.generated import messages
+
+NO_REVISION = ids.Revision(0)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Changed:
+    """What an entry changed, for those who wait for news.
+
+    Attributes:
+      services: whose rows or view changed.
+      hosts: whose record or drain request changed.
+      everything: the whole state was replaced by a snapshot.
+    """
+
+    services: frozenset[ids.ServiceName] = frozenset()
+    hosts: frozenset[ids.HostId] = frozenset()
+    everything: bool = False
+
+
+Watcher = collections.abc.Callable[[Changed], None]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Row:
+    """One operation and the revision that last changed it."""
+
+    operation: messages.Operation
+    revision: ids.Revision
+
+
+class ConfigMachine:
+    """Applies committed entries; implements `consensus.Machine`.
+
+    Messages that it holds are replaced, never changed in place, so that
+    snapshots and grants can share them.
+
+    Attributes:
+      revision: of the table; the log index of the last accepted sheet.
+      rows: the table, by service and operation.
+      removed: the revision that removed an operation, by service.
+      floor: differences can be given from this revision on.
+      history: every accepted sheet, oldest first.
+      versions: the accepted sheet of each version.
+      members: every host that is not gone.
+      views: the newest view of each service that ever had a member.
+      draining: hosts that an operator asked to leave.
+      watchers: called after each change.
+    """
+
+    def __init__(self):
+        self.revision = NO_REVISION
+        self.rows: dict[ids.ServiceName, dict[ids.OperationName, Row]] = {}
+        self.removed: dict[
+            ids.ServiceName, dict[ids.OperationName, ids.Revision]
+        ] = {}
+        self.floor = NO_REVISION
+        self.history: list[messages.HistoryItem] = []
+        self.versions: dict[ids.SheetVersion, messages.HistoryItem] = {}
+        self.members: dict[ids.HostId, messages.MemberRecord] = {}
+        self.views: dict[ids.ServiceName, messages.ServiceView] = {}
+        self.draining: set[ids.HostId] = set()
+        self.watchers: list[Watcher] = []
+
+    def apply(self, entry: messages.LogEntry) -> None:
+        """Applies one committed entry; entries of the group change nothing."""
+        match entry.body:
+            case messages.SheetChange() as change:
+                changed = self.apply_sheet(entry.index, change)
+            case messages.MemberChange() as change:
+                changed = self.apply_member(entry.index, change)
+            case messages.DrainChange() as change:
+                changed = self.apply_drain(change)
+            case _:
+                return
+        self.tell(changed)
+
+    def tell(self, changed: Changed) -> None:
+        """Calls the watchers unless nothing changed."""
+        if changed == Changed():
+            return
+        for watcher in self.watchers:
+            watcher(changed)
+
+    def apply_sheet(
+        self, index: ids.LogIndex, change: messages.SheetChange
+    ) -> Changed:
+        """Accepts the sheet, or nothing of it.
+
+        The proposer reads the result from `versions`: its own revision, that
+        of an equal sheet, that of another content, or none.
+        """
+        # Two operators may race under one version on two connections: both
+        # entries are committed, and the first in the log wins on every host.
+        if change.version in self.versions:
+            return Changed()
+        # Rows compared with an older table would bring its other rows back
+        # in part: the proposer compares again.
+        if change.base != self.revision:
+            return Changed()
+        self.revision = ids.Revision(index)
+        for operation in change.changed:
+            self.put_row(operation)
+        for reference in change.removed:
+            self.remove_row(reference)
+        self.record(change)
+        touched = {row.service for row in change.changed}
+        touched |= {row.service for row in change.removed}
+        return Changed(services=frozenset(touched))
+
+    def put_row(self, operation: messages.Operation) -> None:
+        """Adds or replaces an operation at the current revision."""
+        rows = self.rows.setdefault(operation.service, {})
+        rows[operation.name] = Row(operation, self.revision)
+        self.removed.get(operation.service, {}).pop(operation.name, None)
+
+    def remove_row(self, reference: messages.OperationRef) -> None:
+        """Removes an operation at the current revision."""
+        rows = self.rows.get(reference.service, {})
+        rows.pop(reference.name, None)
+        if not rows:
+            self.rows.pop(reference.service, None)
+        removed = self.removed.setdefault(reference.service, {})
+        removed[reference.name] = self.revision
+
+    def record(self, change: messages.SheetChange) -> None:
+        """Adds the sheet to the history, which also decides later races."""
+        item = messages.HistoryItem(
+            revision=self.revision,
+            version=change.version,
+            digest=change.digest,
+            operator=change.operator,
+            accepted_ms=change.accepted_ms,
+            changed_rows=len(change.changed),
+            removed_rows=len(change.removed),
+        )
+        self.history.append(item)
+        self.versions[change.version] = item
+
+    def apply_member(
+        self, index: ids.LogIndex, change: messages.MemberChange
+    ) -> Changed:
+        """Makes the new views of every service that the change touches."""
+        host = change.member.host
+        former = self.members.get(host)
+        if change.gone:
+            # A host that came back meanwhile is another incarnation: the end
+            # of the old one must not take the new one out.
+            if former is None or not same_process(former, change.member):
+                return Changed()
+            del self.members[host]
+            self.draining.discard(host)
+            serves: list[messages.ServedService] = []
+        else:
+            if former is not None and matches(former, change):
+                return Changed()
+            # A drain asks one run of the process to leave; its next run
+            # would otherwise leave again as soon as it came up.
+            if former is not None and not same_process(former, change.member):
+                self.draining.discard(host)
+            serves = change.serves
+            self.members[host] = messages.MemberRecord(
+                member=change.member, serves=serves, since_index=index
+            )
+        slots = {served.name: served.slots for served in serves}
+        touched = set(slots)
+        if former is not None:
+            touched |= {served.name for served in former.serves}
+        changed = {
+            service
+            for service in touched
+            if self.change_view(
+                index, service, change.member, slots.get(service)
+            )
+        }
+        return Changed(services=frozenset(changed), hosts=frozenset({host}))
+
+    def change_view(
+        self,
+        index: ids.LogIndex,
+        service: ids.ServiceName,
+        member: messages.Member,
+        slots: int | None,
+    ) -> bool:
+        """Puts the member into the service's view, or out when slots is None.
+
+        Returns:
+          whether that makes a new view.
+        """
+        old = self.views.get(service, messages.ServiceView(service=service))
+        members = [item for item in old.members if item.host != member.host]
+        if slots is not None:
+            members.append(dataclasses.replace(member, slots=slots))
+        members.sort(key=lambda item: item.host)
+        if members == old.members:
+            return False
+        # When every member of a service died, the next ones still have to
+        # know that keys may have run before them: without a former view they
+        # would run a repeated booking again.
+        keep = not old.members
+        self.views[service] = messages.ServiceView(
+            service=service,
+            version=ids.ViewVersion(index),
+            members=members,
+            former_version=old.former_version if keep else old.version,
+            former_members=old.former_members if keep else old.members,
+        )
+        return True
+
+    def apply_drain(self, change: messages.DrainChange) -> Changed:
+        """Notes that an operator asked a host to leave."""
+        if change.host not in self.members or change.host in self.draining:
+            return Changed()
+        self.draining.add(change.host)
+        return Changed(hosts=frozenset({change.host}))
+
+    def snapshot(self) -> messages.Snapshot:
+        """Returns the whole state; the group adds index, term and voters."""
+        return messages.Snapshot(
+            operations=list(self.operations()),
+            history=list(self.history),
+            members=[self.members[host] for host in sorted(self.members)],
+            views=[self.views[service] for service in sorted(self.views)],
+            draining=sorted(self.draining),
+        )
+
+    def restore(self, snapshot: messages.Snapshot) -> None:
+        """Replaces the whole state."""
+        self.history = list(snapshot.history)
+        self.versions = {item.version: item for item in self.history}
+        self.revision = (
+            self.history[-1].revision if self.history else NO_REVISION
+        )
+        # A snapshot does not say which revision changed a row, so a node
+        # behind it gets its rows whole.
+        self.floor = self.revision
+        self.rows = {}
+        self.removed = {}
+        for operation in snapshot.operations:
+            self.put_row(operation)
+        self.members = {item.member.host: item for item in snapshot.members}
+        self.views = {view.service: view for view in snapshot.views}
+        self.draining = {ids.HostId(host) for host in snapshot.draining}
+        self.tell(Changed(everything=True))
+
+    def operations(self) -> typing.Iterator[messages.Operation]:
+        """Yields the table ordered by service and name."""
+        for service in sorted(self.rows):
+            for name in sorted(self.rows[service]):
+                yield self.rows[service][name].operation
+
+    def update_since(
+        self,
+        base: ids.Revision,
+        services: collections.abc.Collection[ids.ServiceName],
+        fresh: collections.abc.Collection[ids.ServiceName],
+    ) -> messages.TableUpdate:
+        """Returns what a node at `base` lacks of the services.
+
+        Args:
+          base: the node's revision; 0 or one before `floor` gives all rows.
+          services: what the node holds rows of.
+          fresh: those of them whose rows it does not hold yet.
+        """
+        whole = base == NO_REVISION or base < self.floor
+        update = messages.TableUpdate(
+            revision=self.revision, base=NO_REVISION if whole else base
+        )
+        for service in services:
+            oldest = NO_REVISION if whole or service in fresh else base
+            update.changed += [
+                row.operation
+                for row in self.rows.get(service, {}).values()
+                if row.revision > oldest
+            ]
+            if whole:
+                continue
+            update.removed += [
+                messages.OperationRef(service=service, name=name)
+                for name, revision in self.removed.get(service, {}).items()
+                if revision > base
+            ]
+        return update
+
+
+def same_process(
+    record: messages.MemberRecord, member: messages.Member
+) -> bool:
+    """Returns whether both are the same run of the same host."""
+    return record.member.incarnation == member.incarnation
+
+
+def matches(
+    record: messages.MemberRecord, change: messages.MemberChange
+) -> bool:
+    """Returns whether the change says nothing new."""
+    return record.member == change.member and record.serves == change.serves
--- a/schema/messages.capnp
+++ b/schema/messages.capnp
@@ -203,6 +203,10 @@
 struct ViewAck {
   service @0 :Text $id("ServiceName");
   version @1 :UInt64 $id("ViewVersion");
+  active @2 :Bool;
+  # A leader told the node that this version is active.
+  member @3 :Bool;
+  # The node is a member of this version, so that it may own slots by it.
 }
 
 struct LeaseRenew {
@@ -217,6 +221,10 @@
   interests @7 :List(Text);
   views @8 :List(ViewAck);
   # Views the node acts by.
+  newInterests @9 :List(Text);
+  # Those of `interests` whose rows the node does not hold yet.
+  holdMs @10 :UInt32;
+  # A leader with nothing new may keep its answer back this long.
 }
 
 struct LeaseGrant {
@@ -274,6 +282,8 @@
   # Unix time at the leader, milliseconds; for the history only.
   changed @4 :List(Operation);
   removed @5 :List(OperationRef);
+  base @6 :UInt64 $id("Revision");
+  # The rows were compared with this revision; on any other they are refused.
 }
 
 struct MemberChange {
--- /dev/null
+++ b/tests/controlfakes.py
@@ -0,0 +1,172 @@
+"""Fakes at the interfaces of the control group's parts."""
+
+import asyncio
+import contextlib
+import importlib.util
+import sys
+import types
+
+from mangobay import errors, ids
+from mangobay.generated import messages
+
+
+class FakeTable:
+    """Stands for `table.Table` where that module is not there yet."""
+
+    def __init__(self, revision=0, operations=None):
+        self.revision = revision
+        self.operations = operations or {}
+
+    def rows(self):
+        return list(self.operations.values())
+
+    def updated(self, update):
+        if update.revision == self.revision:
+            return self
+        assert update.base in (0, self.revision)
+        operations = dict(self.operations) if update.base else {}
+        for row in update.removed:
+            operations.pop((row.service, row.name), None)
+        for row in update.changed:
+            operations[row.service, row.name] = row
+        return FakeTable(update.revision, operations)
+
+
+if importlib.util.find_spec("mangobay.table") is None:
+    sys.modules["mangobay.table"] = types.ModuleType("mangobay.table")
+    sys.modules["mangobay.table"].Table = FakeTable
+
+
+@contextlib.asynccontextmanager
+async def running(part):
+    """Runs a part of the program in a task of its own.
+
+    A fixture can't do this: its loop does not have the test's virtual time.
+    """
+    task = asyncio.create_task(part.run())
+    try:
+        yield part
+        assert not task.done()
+    finally:
+        task.cancel()
+
+
+class FakeGroup:
+    """A group of one member: what is proposed is applied at once."""
+
+    def __init__(self, machine, host="c1", address="127.0.0.1:1"):
+        self.machine = machine
+        self.leads = True
+        self.term = ids.Term(1)
+        self.leader = ids.HostId(host)
+        self.leader_address = address
+        self.index = 0
+        self.entries = []
+        self.whole = asyncio.Event()
+        self.whole.set()
+
+    async def propose(self, body):
+        await self.confirm()
+        return self.append(body)
+
+    def append(self, body):
+        self.index += 1
+        entry = messages.LogEntry(index=self.index, term=self.term, body=body)
+        self.entries.append(entry)
+        self.machine.apply(entry)
+        return entry
+
+    async def confirm(self):
+        await self.whole.wait()
+        await asyncio.sleep(0.003)
+        if not self.leads:
+            raise errors.NotLeaderError(self.leader)
+
+    def cut(self):
+        """No quorum answers any more, and nobody tells this host."""
+        self.whole.clear()
+
+
+class FakeTransport:
+    """Carries renewals to lease tables by address."""
+
+    def __init__(self, tables):
+        self.tables = tables
+        self.asked = []
+        self.lost = False
+
+    async def ask(self, address, body, timeout):
+        self.asked.append((asyncio.get_running_loop().time(), address, body))
+        if address not in self.tables:
+            raise errors.PeerUnreachableError(f"{address} is not there")
+        async with asyncio.timeout(timeout):
+            await asyncio.sleep(0.001)
+            answer = await self.tables[address].renew(body)
+            if self.lost:
+                await asyncio.Event().wait()
+            return answer
+
+
+def operation(name, service="quotes", **fields):
+    """Returns a row of a sheet."""
+    fields.setdefault("path", f"/{name}")
+    return messages.Operation(service=service, name=name, **fields)
+
+
+def sheet(version, *changed, base=0, removed=(), digest=None):
+    """Returns the entry of an accepted sheet."""
+    return messages.SheetChange(
+        version=version,
+        digest=digest or version.encode(),
+        operator="ana",
+        base=base,
+        changed=list(changed),
+        removed=[messages.OperationRef(service=s, name=n) for s, n in removed],
+    )
+
+
+def joins(host, *services, run="1", slots=70, leaving=False):
+    """Returns the entry of a host that joins or changes."""
+    return messages.MemberChange(
+        member=messages.Member(
+            host=host,
+            incarnation=run,
+            data_centre="lima",
+            peer_address="127.0.0.1:7",
+            leaving=leaving,
+        ),
+        serves=[
+            messages.ServedService(name=name, slots=slots) for name in services
+        ],
+    )
+
+
+def goes(host, run="1"):
+    """Returns the entry of a host that is gone."""
+    return messages.MemberChange(
+        member=messages.Member(host=host, incarnation=run), gone=True
+    )
+
+
+def renewal(host, *services, run="1", acks=(), **fields):
+    """Returns a renewal; acks are (service, version[, active])."""
+    fields.setdefault("interests", sorted(services))
+    return messages.LeaseRenew(
+        host=host,
+        incarnation=run,
+        data_centre="lima",
+        peer_address="127.0.0.1:7",
+        serves=[
+            messages.ServedService(name=name, slots=70) for name in services
+        ],
+        views=[
+            messages.ViewAck(
+                service=service,
+                version=version,
+                member=True,
+                active=bool(active),
+            )
+            for service, version, *active in acks
+        ],
+        **fields,
+    )
--- /dev/null
+++ b/tests/test_controlclient.py
@@ -0,0 +1,197 @@
+"""The node's side of the control group."""
+
+import asyncio
+import random
+
+import controlfakes
+import pytest
+
+from mangobay import controlclient, errors, ids, leases, machine, options
+from mangobay.generated import messages, settings
+
+pytestmark = pytest.mark.looptime
+
+FIRST = options.Address("127.0.0.1", 1)
+SECOND = options.Address("127.0.0.1", 2)
+CONFIG = settings.NodeControl(
+    hosts=(FIRST, SECOND), renew_interval=1.0, patience=0.5
+)
+
+
+def make_client(transport, config=CONFIG):
+    return controlclient.ControlClient(
+        config,
+        controlclient.NodeIdentity(
+            host=ids.HostId("a"),
+            incarnation=ids.Incarnation("1"),
+            data_centre=ids.DataCentre("lima"),
+            peer_address=options.Address("127.0.0.1", 7),
+        ),
+        transport,
+        random.Random(5),
+    )
+
+
+@pytest.fixture
+def group():
+    return controlfakes.FakeGroup(machine.ConfigMachine())
+
+
+@pytest.fixture
+def transport(group):
+    table = leases.LeaseTable(group.machine, group, 4.0, 1.0)
+    return controlfakes.FakeTransport({FIRST: table})
+
+
+@pytest.fixture
+def client(transport):
+    return make_client(transport)
+
+
+class TestRenewal:
+    """How the lease, the table and the views are kept."""
+
+    async def test_a_change_is_in_force_well_before_the_next_renewal(
+        self, client, group
+    ):
+        async with controlfakes.running(client):
+            client.serves = [messages.ServedService(name="quotes", slots=70)]
+            await asyncio.sleep(1.5)
+            assert client.lease.holds()
+            entry = group.append(
+                controlfakes.sheet("1", controlfakes.operation("sign"))
+            )
+            await asyncio.sleep(0.1)
+            assert client.tables.value.revision == entry.index
+            assert client.views.value["quotes"].active
+
+    async def test_an_idle_node_renews_at_its_interval(self, client, transport):
+        async with controlfakes.running(client):
+            client.serves = [messages.ServedService(name="quotes", slots=70)]
+            await asyncio.sleep(20)
+            assert 18 <= len(transport.asked) <= 30
+
+    async def test_without_control_the_last_table_stays(
+        self, client, group, transport
+    ):
+        """Every control host becomes unreachable.
+
+        The lease ends ttl after the last renewal was sent; the table and
+        the views stay, so that idempotent calls still find their way.
+        """
+        async with controlfakes.running(client):
+            client.serves = [messages.ServedService(name="quotes", slots=70)]
+            entry = group.append(
+                controlfakes.sheet("1", controlfakes.operation("sign"))
+            )
+            await asyncio.sleep(1)
+            tables = dict(transport.tables)
+            transport.tables.clear()
+            await asyncio.sleep(10)
+            assert not client.lease.holds()
+            assert client.tables.value.revision == entry.index
+            assert "quotes" in client.views.value
+            transport.tables.update(tables)
+            await asyncio.sleep(3)
+            assert client.lease.holds()
+
+    async def test_a_lost_answer_is_asked_for_again(
+        self, client, group, transport
+    ):
+        """Answers get lost on the way back to the node.
+
+        The node gives up after its patience and asks again with the revision
+        it has, so the rows come again; it counts no lease for lost answers.
+        """
+        async with controlfakes.running(client):
+            transport.lost = True
+            client.serves = [messages.ServedService(name="quotes", slots=70)]
+            entry = group.append(
+                controlfakes.sheet("1", controlfakes.operation("sign"))
+            )
+            await asyncio.sleep(2)
+            assert not client.lease.holds()
+            transport.lost = False
+            await asyncio.sleep(2)
+            assert client.tables.value.revision == entry.index
+
+    async def test_a_follower_names_the_leader(self, group, transport):
+        follower = controlfakes.FakeGroup(machine.ConfigMachine())
+        follower.leads = False
+        follower.leader_address = str(FIRST)
+        transport.tables[SECOND] = leases.LeaseTable(
+            follower.machine, follower, 4.0, 1.0
+        )
+        client = make_client(transport)
+        client.address = SECOND
+        assert not await client.renew_once()
+        assert client.address == FIRST
+        assert await client.renew_once()
+
+    async def test_a_grant_of_a_host_that_lags_reverts_nothing(
+        self, client, group, transport
+    ):
+        """A control host that missed a change grants with its old state.
+
+        The node has revision 1 in force and is told revision 0. It takes
+        neither table nor lease from that host and asks another.
+        """
+        async with controlfakes.running(client):
+            client.serves = [messages.ServedService(name="quotes", slots=70)]
+            entry = group.append(
+                controlfakes.sheet("1", controlfakes.operation("sign"))
+            )
+            await asyncio.sleep(1)
+            lagging = controlfakes.FakeGroup(machine.ConfigMachine())
+            lagging.index = 50
+            transport.tables = {
+                SECOND: leases.LeaseTable(lagging.machine, lagging, 4.0, 1.0)
+            }
+            await asyncio.sleep(10)
+            assert not client.lease.holds()
+            assert client.tables.value.revision == entry.index
+            assert client.views.value["quotes"].version < 50
+
+
+class TestInterest:
+    """Services that a node asks about when a call needs them."""
+
+    async def test_a_service_is_known_once_control_told_of_it(
+        self, client, group
+    ):
+        async with controlfakes.running(client):
+            group.append(
+                controlfakes.sheet(
+                    "1",
+                    controlfakes.operation("sign"),
+                    controlfakes.operation("rank", service="prices"),
+                )
+            )
+            await client.interest("quotes")
+            await client.interest("prices")
+            names = [row.name for row in client.tables.value.rows()]
+            assert sorted(names) == ["rank", "sign"]
+            assert client.tables.value.revision == 1
+
+    async def test_unknown_names_are_dropped(self, client, transport):
+        """An outsider asks for a thousand services that do not exist.
+
+        Kept as interests, they would fill every renewal and the leader's
+        memory. Each is asked for once, then dropped and remembered briefly.
+        """
+        async with controlfakes.running(client):
+            for number in range(1100):
+                await client.interest(f"none-{number}")
+            assert not client.interests
+            assert len(client.unknown) <= controlclient.MOST_UNKNOWN
+            asked = len(transport.asked)
+            await client.interest("none-1099")
+            assert len(transport.asked) == asked
+
+    async def test_without_control_nothing_is_said_of_a_service(
+        self, client, transport
+    ):
+        async with controlfakes.running(client):
+            transport.tables.clear()
+            with pytest.raises(errors.ControlUnavailableError):
+                await client.interest("quotes")
--- /dev/null
+++ b/tests/test_leases.py
@@ -0,0 +1,291 @@
+"""The leader's side of leases."""
+
+import asyncio
+
+import controlfakes
+import pytest
+
+from mangobay import ids, leases, machine
+from mangobay.generated import messages
+
+TTL = 4.0
+MARGIN = 1.0
+
+pytestmark = pytest.mark.looptime
+
+
+@pytest.fixture
+def state():
+    return machine.ConfigMachine()
+
+
+@pytest.fixture
+def group(state):
+    return controlfakes.FakeGroup(state)
+
+
+@pytest.fixture
+def table(state, group):
+    return leases.LeaseTable(state, group, TTL, MARGIN)
+
+
+async def keep(table, until, *renewals):
+    """Renews for the hosts once a second until the loop time."""
+    while leases.now() < until:
+        for renewal in renewals:
+            await table.renew(renewal)
+        await asyncio.sleep(1)
+
+
+class TestGrants:
+    """When a lease is granted, and with what."""
+
+    async def test_a_new_host_joins_and_gets_what_it_lacks(self, table, group):
+        group.append(
+            controlfakes.sheet(
+                "1",
+                controlfakes.operation("sign"),
+                controlfakes.operation("rank", service="prices"),
+            )
+        )
+        grant = await table.renew(controlfakes.renewal("a", "quotes"))
+        assert grant.granted
+        assert [row.name for row in grant.table.changed] == ["sign"]
+        assert [view.service for view in grant.views] == ["quotes"]
+        assert grant.views[0].active
+
+    async def test_a_leader_that_is_cut_off_grants_nothing(self, table, group):
+        """The leader is cut off silently and still believes that it leads.
+
+        A node beside it renews. No quorum confirms, so the renewal stays
+        unanswered and the node's lease runs out, before the other side
+        gives its slots to another. When the cut ends, the answer is a
+        refusal that names the new leader.
+        """
+        await table.renew(controlfakes.renewal("a", "quotes"))
+        group.cut()
+        asking = asyncio.create_task(
+            table.renew(controlfakes.renewal("a", "quotes"))
+        )
+        await asyncio.sleep(60)
+        assert not asking.done()
+        group.leads, group.term = False, ids.Term(2)
+        group.leader = ids.HostId("c2")
+        group.whole.set()
+        grant = await asking
+        assert not grant.granted
+        assert grant.leader == "c2"
+
+    async def test_a_leader_of_another_term_drops_a_held_renewal(
+        self, table, group
+    ):
+        """Leadership is lost and won again while a renewal is held.
+
+        What was noted for the renewal belongs to the former term; a grant
+        that the new term knows nothing of would not delay the node's end.
+        """
+        await table.renew(controlfakes.renewal("a", "quotes"))
+        held = asyncio.create_task(
+            table.renew(
+                controlfakes.renewal(
+                    "a", "quotes", hold_ms=900, acks=[("quotes", 1, True)]
+                )
+            )
+        )
+        await asyncio.sleep(0.1)
+        group.term = ids.Term(3)
+        assert not (await held).granted
+
+    async def test_a_change_answers_a_held_renewal_at_once(self, table, group):
+        await table.renew(controlfakes.renewal("a", "quotes"))
+        ask = controlfakes.renewal("a", "quotes", hold_ms=900)
+        ask.views = [messages.ViewAck(service="quotes", version=1, active=True)]
+        held = asyncio.create_task(table.renew(ask))
+        await asyncio.sleep(0.2)
+        group.append(
+            controlfakes.sheet(
+                "1", controlfakes.operation("rank", service="prices")
+            )
+        )
+        await asyncio.sleep(0.1)
+        assert not held.done()
+        group.append(
+            controlfakes.sheet("2", controlfakes.operation("sign"), base=2)
+        )
+        grant = await held
+        assert leases.now() < 0.4
+        assert [row.name for row in grant.table.changed] == ["sign"]
+        assert not table.news.services and not table.news.hosts
+
+    async def test_a_replaced_run_of_a_host_gets_nothing(self, table, state):
+        """A host restarts; a renewal of its dead run arrives late.
+
+        Taken in, it would put the dead run into the view again, and the
+        living one would put it out: a new view with every renewal.
+        """
+        await table.renew(controlfakes.renewal("a", "quotes"))
+        await table.renew(controlfakes.renewal("a", "quotes", run="2"))
+        late = await table.renew(controlfakes.renewal("a", "quotes"))
+        assert not late.granted
+        assert state.members["a"].member.incarnation == "2"
+
+    async def test_a_drained_host_is_told_until_it_leaves(self, table, group):
+        await table.renew(controlfakes.renewal("a", "quotes"))
+        group.append(messages.DrainChange(host="a"))
+        ask = controlfakes.renewal(
+            "a", "quotes", hold_ms=900, acks=[("quotes", 1, True)]
+        )
+        assert (await table.renew(ask)).drain
+
+
+class TestGone:
+    """When a silent host is declared gone."""
+
+    async def test_a_silent_host_is_gone_after_ttl_and_margin(
+        self, table, state
+    ):
+        async with controlfakes.running(table):
+            await table.renew(controlfakes.renewal("a", "quotes"))
+            await asyncio.sleep(TTL + MARGIN - 0.1)
+            assert "a" in state.members
+            await asyncio.sleep(0.6)
+            assert "a" not in state.members
+            assert state.views["quotes"].members == []
+
+    async def test_a_new_leader_waits_before_it_declares_anybody_gone(
+        self, table, state, group
+    ):
+        """The leader changes 4.5 s after a host's last grant here.
+
+        The host may have renewed at the former leader just before the new
+        term began. Its lease is then still good, so the new leader waits
+        the whole ttl and margin from the start of its own term.
+        """
+        async with controlfakes.running(table):
+            await table.renew(controlfakes.renewal("a", "quotes"))
+            await asyncio.sleep(4.5)
+            group.term = ids.Term(2)
+            await asyncio.sleep(TTL + MARGIN - 0.1)
+            assert "a" in state.members
+            await asyncio.sleep(1)
+            assert "a" not in state.members
+
+    async def test_a_flapping_host_gives_views_that_only_go_forward(
+        self, table, state
+    ):
+        """A host restarts every half second, each time as a new run.
+
+        Each run makes one newer view that follows on the one before. A run
+        that was replaced never comes back, and once the host stays up the
+        view becomes active.
+        """
+        async with controlfakes.running(table):
+            versions = []
+            for run in range(1, 9):
+                await table.renew(
+                    controlfakes.renewal("a", "quotes", run=f"{run}")
+                )
+                versions.append(state.views["quotes"].version)
+                await asyncio.sleep(0.5)
+            assert versions == sorted(set(versions))
+            view = state.views["quotes"]
+            assert view.former_members[0].incarnation == "7"
+            assert "quotes" not in table.activity.active
+            await keep(
+                table,
+                leases.now() + TTL + MARGIN + 1,
+                controlfakes.renewal(
+                    "a", "quotes", run="8", acks=[("quotes", view.version)]
+                ),
+            )
+            assert "quotes" in table.activity.active
+            assert "a" in state.members
+
+
+class TestActivity:
+    """When nobody can act by an older view any more."""
+
+    async def test_a_view_is_active_once_each_former_member_knows_it(
+        self, table, state
+    ):
+        await table.renew(controlfakes.renewal("a", "quotes"))
+        await table.renew(controlfakes.renewal("b", "quotes"))
+        version = state.views["quotes"].version
+        assert "quotes" not in table.activity.active
+        await table.renew(
+            controlfakes.renewal("a", "quotes", acks=[("quotes", version - 1)])
+        )
+        assert "quotes" not in table.activity.active
+        grant = await table.renew(
+            controlfakes.renewal("a", "quotes", acks=[("quotes", version)])
+        )
+        assert grant.views[0].active
+
+    async def test_one_dropped_two_views_ago_is_still_waited_for(
+        self, table, state
+    ):
+        """Host a stops serving and is not heard of; then b and c change.
+
+        The newest view follows on one of which a was no member, yet a may
+        act by the first until it acknowledges a later view or its lease
+        ends. Until then the newest view must not be called active.
+        """
+        await table.renew(controlfakes.renewal("a", "quotes"))
+        await table.renew(controlfakes.renewal("b", "quotes"))
+        await table.renew(controlfakes.renewal("a", interests=["quotes"]))
+        await table.renew(controlfakes.renewal("c", "quotes"))
+        version = state.views["quotes"].version
+        for host in ("b", "c"):
+            await table.renew(
+                controlfakes.renewal(host, "quotes", acks=[("quotes", version)])
+            )
+        assert "quotes" not in table.activity.active
+        await table.renew(
+            controlfakes.renewal(
+                "a", interests=["quotes"], acks=[("quotes", version)]
+            )
+        )
+        assert "quotes" in table.activity.active
+
+    async def test_a_new_leader_calls_no_view_active_from_memory(
+        self, table, state, group
+    ):
+        """The leader changes while a view waits for its former members.
+
+        The new leader does not know who was waited for. It waits ttl and
+        margin: whoever still has a lease has by then renewed with it.
+        """
+        async with controlfakes.running(table):
+            await table.renew(controlfakes.renewal("a", "quotes"))
+            await table.renew(controlfakes.renewal("b", "quotes"))
+            version = state.views["quotes"].version
+            group.term = ids.Term(2)
+            renewals = [
+                controlfakes.renewal(host, "quotes", acks=[("quotes", version)])
+                for host in ("a", "b")
+            ]
+            start = leases.now()
+            await keep(table, start + TTL + MARGIN - 1, *renewals)
+            assert "quotes" not in table.activity.active
+            await keep(table, start + TTL + MARGIN + 1, *renewals)
+            assert "quotes" in table.activity.active
+
+
+class TestInForce:
+    """Where a revision is in force."""
+
+    async def test_stragglers_are_named(self, table, group):
+        await table.renew(controlfakes.renewal("a", "quotes"))
+        await table.renew(controlfakes.renewal("b", "quotes"))
+        entry = group.append(
+            controlfakes.sheet("1", controlfakes.operation("sign"))
+        )
+        await table.renew(
+            controlfakes.renewal("a", "quotes", revision=entry.index)
+        )
+        result = await table.wait_in_force(entry.index, 0.5)
+        assert (result.hosts, result.stragglers) == (2, ["b"])
+        await table.renew(
+            controlfakes.renewal("b", "quotes", revision=entry.index)
+        )
+        assert not table.in_force(entry.index).stragglers
--- /dev/null
+++ b/tests/test_machine.py
@@ -0,0 +1,233 @@
+"""The replicated state of the control group."""
+
+import controlfakes
+
+from mangobay import machine
+from mangobay.generated import messages
+
+
+def apply(state, *bodies):
+    """Applies bodies as the next entries; returns their indices."""
+    start = getattr(apply, "index", 0) if state.history else 0
+    start = max([start, *(v.version for v in state.views.values())])
+    indices = []
+    for offset, body in enumerate(bodies, start + 1):
+        state.apply(messages.LogEntry(index=offset, term=1, body=body))
+        indices.append(offset)
+    apply.index = start + len(bodies)
+    return indices
+
+
+def named(members):
+    return [(member.host, member.incarnation) for member in members]
+
+
+class TestSheets:
+    """Which sheets are accepted."""
+
+    def test_equal_versions_race_and_the_first_in_the_log_wins(self):
+        """Two operators send different sheets under version 7 at once.
+
+        Both are compared with revision 0 and both entries are committed. The
+        first is in force; the second changes nothing on any host, and its
+        operator is told revision 1, since `versions` names the winner.
+        """
+        state = machine.ConfigMachine()
+        first = controlfakes.sheet("7", controlfakes.operation("sign"))
+        second = controlfakes.sheet(
+            "7", controlfakes.operation("price"), digest=b"other"
+        )
+        apply(state, first, second)
+        assert [row.name for row in state.operations()] == ["sign"]
+        assert state.versions["7"].revision == 1
+        assert state.versions["7"].digest == first.digest
+        assert len(state.history) == 1
+
+    def test_a_sheet_resent_after_later_ones_never_reverts_them(self):
+        """The answer to version 1 is lost; version 2 is accepted meanwhile.
+
+        The operator sends version 1 again. It keeps its first revision, and
+        version 2 stays in force.
+        """
+        state = machine.ConfigMachine()
+        old = controlfakes.sheet("1", controlfakes.operation("sign", tries=1))
+        new = controlfakes.sheet(
+            "2", controlfakes.operation("sign", tries=2), base=1
+        )
+        apply(state, old, new, old)
+        assert state.revision == 2
+        assert next(state.operations()).tries == 2
+        assert state.versions["1"].revision == 1
+
+    def test_rows_compared_with_an_older_table_are_refused(self):
+        """Two sheets of different versions are compared with one table.
+
+        The second entry holds only what differs from a table that is no
+        longer in force: applied, it would mix both sheets. Nothing of it is.
+        """
+        state = machine.ConfigMachine()
+        apply(
+            state,
+            controlfakes.sheet("1", controlfakes.operation("sign")),
+            controlfakes.sheet("2", controlfakes.operation("price")),
+        )
+        assert state.revision == 1
+        assert "2" not in state.versions
+
+    def test_a_node_gets_only_what_it_lacks_of_its_services(self):
+        state = machine.ConfigMachine()
+        apply(
+            state,
+            controlfakes.sheet(
+                "1",
+                controlfakes.operation("sign"),
+                controlfakes.operation("old"),
+                controlfakes.operation("rank", service="prices"),
+            ),
+            controlfakes.sheet(
+                "2",
+                controlfakes.operation("seal"),
+                base=1,
+                removed=[("quotes", "old")],
+            ),
+        )
+        update = state.update_since(1, ["quotes"], [])
+        assert (update.base, update.revision) == (1, 2)
+        assert [row.name for row in update.changed] == ["seal"]
+        assert [row.name for row in update.removed] == ["old"]
+        update = state.update_since(2, ["quotes", "prices"], ["prices"])
+        assert [row.name for row in update.changed] == ["rank"]
+        assert state.update_since(0, ["quotes"], []).base == 0
+
+
+class TestMembers:
+    """The views that membership makes."""
+
+    def test_each_change_makes_a_view_that_follows_on_the_former(self):
+        state = machine.ConfigMachine()
+        first, second, _ = apply(
+            state,
+            controlfakes.joins("a", "quotes"),
+            controlfakes.joins("b", "quotes"),
+            controlfakes.joins("b", "quotes"),
+        )
+        view = state.views["quotes"]
+        assert (view.version, view.former_version) == (second, first)
+        assert named(view.members) == [("a", "1"), ("b", "1")]
+        assert named(view.former_members) == [("a", "1")]
+
+    def test_a_service_whose_members_all_died_still_has_a_former_view(self):
+        """Both nodes of a service die; later they come back.
+
+        Between, the service has no members. The new owners must know that
+        keys may have run under the last living view, or a repeated booking
+        would run again; so that view stays the former one.
+        """
+        state = machine.ConfigMachine()
+        indices = apply(
+            state,
+            controlfakes.joins("a", "quotes"),
+            controlfakes.joins("b", "quotes"),
+            controlfakes.goes("a"),
+            controlfakes.goes("b"),
+            controlfakes.joins("a", "quotes", run="2"),
+        )
+        view = state.views["quotes"]
+        assert named(view.members) == [("a", "2")]
+        assert view.former_version == indices[2]
+        assert named(view.former_members) == [("b", "1")]
+
+    def test_the_end_of_an_old_run_leaves_the_new_one_in(self):
+        """A host restarts just before the leader declares its old run gone.
+
+        The new run is committed first. The late entry names the old
+        incarnation and must not take the new one out of the view.
+        """
+        state = machine.ConfigMachine()
+        apply(
+            state,
+            controlfakes.joins("a", "quotes"),
+            controlfakes.joins("a", "quotes", run="2"),
+            controlfakes.goes("a", run="1"),
+        )
+        view = state.views["quotes"]
+        assert named(view.members) == [("a", "2")]
+        assert named(view.former_members) == [("a", "1")]
+
+    def test_a_host_returns_under_its_address_with_another_service(self):
+        """A host is given another backend server and comes back.
+
+        Callers of its former service must not reach it under the old
+        address: it leaves that view and joins the other in one entry.
+        """
+        state = machine.ConfigMachine()
+        _, index = apply(
+            state,
+            controlfakes.joins("a", "quotes"),
+            controlfakes.joins("a", "prices", run="2"),
+        )
+        assert state.views["quotes"].members == []
+        assert state.views["quotes"].version == index
+        assert named(state.views["prices"].members) == [("a", "2")]
+
+    def test_a_leaving_host_stays_a_member_until_it_is_gone(self):
+        state = machine.ConfigMachine()
+        apply(
+            state,
+            controlfakes.joins("a", "quotes"),
+            controlfakes.joins("a", "quotes", leaving=True),
+        )
+        assert state.views["quotes"].members[0].leaving
+        assert not state.views["quotes"].former_members[0].leaving
+
+    def test_a_drain_ends_with_the_run_that_it_asked_to_leave(self):
+        state = machine.ConfigMachine()
+        apply(state, controlfakes.joins("a", "quotes"))
+        apply(state, messages.DrainChange(host="a"))
+        assert state.draining == {"a"}
+        apply(state, controlfakes.joins("a", "quotes", run="2"))
+        assert state.draining == set()
+
+
+class TestSnapshots:
+    """The whole state in one message."""
+
+    def test_everything_comes_back(self):
+        state = machine.ConfigMachine()
+        apply(
+            state,
+            controlfakes.joins("a", "quotes"),
+            controlfakes.joins("b", "quotes"),
+            messages.DrainChange(host="b"),
+            controlfakes.sheet("1", controlfakes.operation("sign")),
+        )
+        data = messages.encode_snapshot(state.snapshot())
+        other = machine.ConfigMachine()
+        other.restore(messages.decode_snapshot(data))
+        assert other.snapshot() == state.snapshot()
+        assert other.versions == state.versions
+        assert other.revision == state.revision
+
+    def test_a_node_behind_the_snapshot_gets_its_rows_whole(self):
+        """A control host restarts from a snapshot made at revision 2.
+
+        A node that still is at revision 1 renews there. Which rows changed
+        since is no longer known, so it gets all of them, removed ones left
+        out.
+        """
+        state = machine.ConfigMachine()
+        apply(
+            state,
+            controlfakes.sheet("1", controlfakes.operation("old")),
+            controlfakes.sheet(
+                "2",
+                controlfakes.operation("new"),
+                base=1,
+                removed=[("quotes", "old")],
+            ),
+        )
+        other = machine.ConfigMachine()
+        other.restore(state.snapshot())
+        update = other.update_since(1, ["quotes"], [])
+        assert update.base == 0
+        assert [row.name for row in update.changed] == ["new"]
