--- /dev/null
+++ b/mangobay/acceptance.py
@@ -0,0 +1,109 @@
+"""How a sheet becomes a revision: compared, agreed on, answered once."""
+
+import asyncio
+import dataclasses
+import time
+
+from mangobay import errors, ids, leases, machine, sheet, table
+from mangobay.generated import messages
+
+MOST_COMPARISONS = 3
+"""Under one leader the table moves only here, under the lock; entries of a
+former leader can move it a few times at most."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Accepted:
+    """The answer to a sheet.
+
+    Attributes:
+      revision: the revision that holds it.
+      changed: rows that were new or differed.
+      removed: rows that went.
+      repeated: the same sheet had been accepted before.
+    """
+
+    revision: ids.Revision
+    changed: int
+    removed: int
+    repeated: bool
+
+
+class Acceptance:
+    """Takes sheets in at the leader, one after the other."""
+
+    def __init__(self, config: machine.ConfigMachine, group: leases.Group):
+        self.machine = config
+        self.group = group
+        self.lock = asyncio.Lock()
+
+    async def accept(
+        self,
+        checked: sheet.Sheet,
+        version: ids.SheetVersion,
+        operator: str,
+    ) -> Accepted:
+        """Returns once the sheet is committed.
+
+        Raises:
+          errors.ConflictError: the version is taken by another content.
+          errors.NotLeaderError: nothing was changed.
+          errors.UncertainError: the sheet may yet take effect; sent again, it
+            gets its true answer.
+        """
+        async with self.lock:
+            for _ in range(MOST_COMPARISONS):
+                # Compared with a table that a newer leader has changed, the
+                # entry would only be refused when it is applied.
+                await self.group.confirm()
+                if version in self.machine.versions:
+                    return self.answer(checked, version)
+                change = await self.compare(checked, version, operator)
+                entry = await self.group.propose(change)
+                if version in self.machine.versions:
+                    return self.answer(checked, version, entry.index)
+        raise errors.NotLeaderError(self.group.leader)
+
+    async def compare(
+        self,
+        checked: sheet.Sheet,
+        version: ids.SheetVersion,
+        operator: str,
+    ) -> messages.SheetChange:
+        """Returns the entry that makes the sheet out of the table."""
+        base = self.machine.revision
+        rows = list(self.machine.operations())
+        # A large sheet takes longer than a heartbeat may be late.
+        difference = await asyncio.to_thread(
+            table.difference, rows, checked.operations
+        )
+        return messages.SheetChange(
+            version=version,
+            digest=checked.digest,
+            operator=operator,
+            accepted_ms=int(time.time() * 1000),
+            base=base,
+            changed=difference.changed,
+            removed=difference.removed,
+        )
+
+    def answer(
+        self,
+        checked: sheet.Sheet,
+        version: ids.SheetVersion,
+        index: ids.LogIndex | None = None,
+    ) -> Accepted:
+        """Returns what became of the sheet; `index` is of the own entry.
+
+        Raises:
+          errors.ConflictError: the version is taken by another content.
+        """
+        item = self.machine.versions[version]
+        if item.digest != checked.digest:
+            raise errors.ConflictError(version, item.revision)
+        return Accepted(
+            revision=item.revision,
+            changed=item.changed_rows,
+            removed=item.removed_rows,
+            repeated=item.revision != index,
+        )
--- /dev/null
+++ b/mangobay/control.py
@@ -0,0 +1,147 @@
+"""A control host: the parts of `mangobay-control` put together."""
+
+import asyncio
+import random
+import uuid
+
+from mangobay import (
+    connections,
+    consensus,
+    disk,
+    errors,
+    ids,
+    leases,
+    logs,
+    machine,
+    operatorapi,
+    peers,
+    storage,
+    tls,
+)
+from mangobay.generated import messages, settings
+
+ROLE = "control"
+
+
+class Control:
+    """One control host, from its settings.
+
+    Attributes:
+      machine: the replicated state.
+      group: agrees on changes of it.
+      leases: the grants while this host leads.
+      listener: answers nodes and control hosts.
+      operators: answers operators.
+    """
+
+    def __init__(self, config: settings.Control):
+        self.config = config
+        self.disk = disk.Disk(config.group.data)
+        self.machine = machine.ConfigMachine()
+        self.log = storage.Storage(self.disk)
+        self.hello = messages.Hello(
+            host=ids.HostId(config.host.name),
+            data_centre=ids.DataCentre(config.host.data_centre),
+            incarnation=ids.Incarnation(str(uuid.uuid4())),
+            role=ROLE,
+        )
+
+    async def start(self) -> None:
+        """Reads the data folder and opens the sockets.
+
+        Raises:
+          errors.StartError: a port is in use, or a file cannot be used.
+          errors.StorageError: the data folder cannot be read or written.
+        """
+        config = self.config
+        self.log.open()
+        identity = tls.identity(config.tls)
+        limits = connections.Limits(
+            frame_bytes=config.limits.frame_bytes,
+            connections=config.limits.connections,
+        )
+        self.peers = peers.Peers(self.hello, identity=identity, limits=limits)
+        self.group = consensus.Group(
+            config.group,
+            self.log,
+            self.machine,
+            self.peers,
+            host=self.hello.host,
+            address=config.listen.peer,
+            rng=random.Random(),
+        )
+        self.leases = leases.LeaseTable(
+            self.machine, self.group, config.lease.ttl, config.lease.margin
+        )
+        self.operators = operatorapi.OperatorApi(
+            config.listen.operator,
+            self.group,
+            self.machine,
+            self.leases,
+            config.limits.sheet_bytes,
+        )
+        self.listener = peers.Listener(
+            config.listen.peer,
+            self.hello,
+            self.answer,
+            identity=identity,
+            limits=limits,
+        )
+        await self.listener.start()
+        await self.operators.start()
+
+    async def answer(
+        self, hello: messages.Hello, body: messages.EnvelopeBody
+    ) -> messages.EnvelopeBody:
+        """Answers a node or a control host.
+
+        Raises:
+          errors.PeerProtocolError: the peer may not ask this.
+        """
+        match body:
+            case messages.LeaseRenew() if (
+                body.host == hello.host
+                and body.incarnation == hello.incarnation
+            ):
+                return await self.leases.renew(body)
+            case (
+                messages.VoteRequest()
+                | messages.AppendRequest()
+                | messages.SnapshotPut()
+            ) if hello.role == ROLE:
+                return await self.group.handle(body)
+        raise errors.PeerProtocolError(
+            f"{hello.role} {hello.host} may not send {type(body).__name__}"
+        )
+
+    async def run(self, stop: asyncio.Event) -> None:
+        """Takes part in the group until `stop` is set; `start` came before.
+
+        Raises:
+          errors.StorageError: the disk failed; this host claims nothing more.
+        """
+        logs.say(logs.Part.CONTROL, "started", host=self.hello.host)
+        working = [
+            asyncio.create_task(self.group.run()),
+            asyncio.create_task(self.leases.run()),
+        ]
+        stopping = asyncio.create_task(stop.wait())
+        try:
+            done, _ = await asyncio.wait(
+                {*working, stopping}, return_when=asyncio.FIRST_COMPLETED
+            )
+            for task in done:
+                task.result()
+        finally:
+            for task in (*working, stopping):
+                task.cancel()
+            await asyncio.gather(*working, return_exceptions=True)
+            await self.close()
+            logs.say(logs.Part.CONTROL, "stopped", host=self.hello.host)
+
+    async def close(self) -> None:
+        """Closes the sockets and lets go of the data folder."""
+        await self.operators.close()
+        await self.listener.close()
+        await self.peers.close()
+        self.disk.close()
--- a/mangobay/controlclient.py
+++ b/mangobay/controlclient.py
@@ -201,6 +201,10 @@
         except (errors.PeerError, TimeoutError):
             self.try_next()
             return False
+        except errors.MangobayError as error:
+            logs.say(logs.Part.LEASE, "grant not taken", why=str(error))
+            self.try_next()
+            return False
         finally:
             changing.cancel()
             asking.cancel()
--- /dev/null
+++ b/mangobay/controlmetrics.py
@@ -0,0 +1,82 @@
+"""Metrics of a control host, read when they are asked for."""
+
+import typing
+
+from prometheus_client import metrics_core, registry
+
+from mangobay import invariants, leases, machine
+
+if typing.TYPE_CHECKING:
+    from mangobay import operatorapi
+
+PREFIX = "mangobay_control_"
+
+
+class Collector(registry.Collector):
+    """Reads the state of the group, the machine and the leases."""
+
+    gauges = (
+        ("leads", "1 while this host leads."),
+        ("term", "Newest term this host has heard of."),
+        ("commit_index", "Newest committed entry."),
+        ("revision", "Newest accepted revision."),
+        ("history_items", "Accepted sheets in the history."),
+        ("services", "Services that have or had members."),
+        ("hosts", "Hosts that are not gone."),
+        ("stragglers", "Hosts that act by an older revision; leader only."),
+        ("inactive_views", "Views not yet active; leader only."),
+        ("held_renewals", "Renewals that wait for news; leader only."),
+    )
+
+    def __init__(
+        self,
+        group: "operatorapi.Group",
+        config: machine.ConfigMachine,
+        lease_table: leases.LeaseTable,
+    ):
+        self.group = group
+        self.machine = config
+        self.leases = lease_table
+
+    def collect(self) -> typing.Iterator[metrics_core.Metric]:
+        """Yields every metric."""
+        values = self.values()
+        for name, text in self.gauges:
+            yield metrics_core.GaugeMetricFamily(
+                PREFIX + name, text, value=values[name]
+            )
+        yield self.invariant_counter(
+            "invariant_checks", "Promises checked.", invariants.checks
+        )
+        yield self.invariant_counter(
+            "invariant_failures", "Promises that failed.", invariants.broken
+        )
+
+    def values(self) -> dict[str, float]:
+        """Returns the value of each gauge by name."""
+        revision = self.machine.revision
+        held = self.leases.news.hosts.values()
+        known = self.leases.activity
+        return {
+            "leads": int(self.group.leading.is_set()),
+            "term": self.group.term,
+            "commit_index": self.group.commit,
+            "revision": revision,
+            "history_items": len(self.machine.history),
+            "services": len(self.machine.views),
+            "hosts": len(self.machine.members),
+            "stragglers": len(self.leases.in_force(revision).stragglers),
+            "inactive_views": len(known.versions) - len(known.active),
+            "held_renewals": sum(map(len, held)),
+        }
+
+    def invariant_counter(
+        self, name: str, text: str, counts: typing.Mapping
+    ) -> metrics_core.Metric:
+        """Returns a counter with one sample for each promise."""
+        metric = metrics_core.CounterMetricFamily(
+            PREFIX + name, text, labels=["promise"]
+        )
+        for promise in invariants.Promise:
+            metric.add_metric([promise.value], counts[promise])
+        return metric
--- a/mangobay/errors.py
+++ b/mangobay/errors.py
@@ -34,6 +34,18 @@
     """A process cannot start: a port in use, an unwritable folder."""
 
 
+class ControlUnavailableError(MangobayError):
+    """No control host answered in time: what it knows is not known here."""
+
+
+class BadRequestError(MangobayError):
+    """A parameter of an operator's request cannot be used."""
+
+
+class NoSuchError(MangobayError):
+    """An operator's request names a host or revision that does not exist."""
+
+
 class PeerError(MangobayError):
     """Base of errors on a connection to another process of the system."""
 
@@ -75,17 +87,29 @@
 
     Attributes:
       leader: the host to ask instead, empty when unknown.
+      address: its peer address, empty when unknown.
     """
 
-    def __init__(self, leader: str = ""):
+    def __init__(self, leader: str = "", address: str = ""):
         super().__init__(
             f"not the leader; ask {leader or 'another control host'}"
         )
         self.leader = leader
+        self.address = address
 
 
-class ControlUnavailableError(MangobayError):
-    """No control host answered in time: what it knows is not known here."""
+class UncertainError(MangobayError):
+    """Leadership was lost over a proposal: it may yet take effect or not.
+
+    Attributes:
+      index: where it stands in the log of the former leader.
+    """
+
+    def __init__(self, index: int):
+        super().__init__(
+            f"lost the lead before entry {index} was committed; send it again"
+        )
+        self.index = index
 
 
 class ConflictError(MangobayError):
--- a/mangobay/leases.py
+++ b/mangobay/leases.py
@@ -28,13 +28,13 @@
     """What leases need of `consensus.Group`.
 
     Attributes:
-      leads: this host leads as far as it knows.
+      leading: set while this host leads as far as it knows.
       term: the newest term this host knows.
       leader: the leader of the term, empty when unknown.
       leader_address: its peer address, empty when unknown.
     """
 
-    leads: bool
+    leading: asyncio.Event
     term: ids.Term
     leader: ids.HostId
     leader_address: str
@@ -114,7 +114,7 @@
             # side appoints; a quorum that answers after the renewal arrived
             # rules that other side out.
             await self.group.confirm()
-        except errors.NotLeaderError:
+        except (errors.NotLeaderError, errors.UncertainError):
             return self.refusal()
         record = self.machine.members.get(renewal.host)
         if (
@@ -128,7 +128,7 @@
 
     def take_office(self) -> bool:
         """Starts over in a new term; returns whether this host leads."""
-        if not self.group.leads:
+        if not self.group.leading.is_set():
             self.term = None
             return False
         if self.term != self.group.term:
@@ -182,6 +182,7 @@
 
         Raises:
           errors.NotLeaderError: this host does not lead any more.
+          errors.UncertainError: it lost the lead over the agreement.
         """
         owner = activity.owner_of(renewal)
         self.revisions[renewal.host] = renewal.revision
@@ -341,6 +342,11 @@
                 error=str(result),
             )
 
+    def holds(self, owner: activity.Owner) -> bool:
+        """Returns whether the process may still act by a grant."""
+        granted = self.silence.granted.get(owner)
+        return granted is not None and now() < granted + self.ttl
+
     def in_force(self, revision: ids.Revision) -> InForce:
         """Returns where the revision is in force by what hosts reported."""
         hosts = self.machine.members
--- /dev/null
+++ b/mangobay/operatorapi.py
@@ -0,0 +1,354 @@
+"""The operator API of a control host: JSON over HTTP."""
+
+import asyncio
+import dataclasses
+import typing
+
+import prometheus_client
+from aiohttp import web
+
+from mangobay import (
+    acceptance,
+    activity,
+    controlmetrics,
+    errors,
+    findings,
+    ids,
+    leases,
+    logs,
+    machine,
+    options,
+    sheet,
+)
+from mangobay.generated import messages
+
+LONGEST_WAIT = 60.0
+"""Seconds that an answer about a revision is kept back at most."""
+
+BODY_TIMEOUT = 10.0
+"""Seconds an operator has to send a sheet."""
+
+LONGEST_NAME = 200
+"""Characters of a version or an operator's name."""
+
+SHUTDOWN_TIMEOUT = 2.0
+"""Seconds that answers under way have when this host stops."""
+
+PROBLEM_TYPE = "application/problem+json"
+
+
+class Group(leases.Group, typing.Protocol):
+    """What the operator API needs of `consensus.Group`.
+
+    Attributes:
+      host: the name of this control host.
+      commit: newest index known to be committed.
+    """
+
+    host: ids.HostId
+    commit: ids.LogIndex
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Problem:
+    """How an error is told to an operator.
+
+    Attributes:
+      status: the HTTP status.
+      title: what went wrong, the same for every error of the kind.
+    """
+
+    status: int
+    title: str
+
+
+PROBLEMS: dict[type[Exception], Problem] = {
+    errors.BadRequestError: Problem(400, "bad request"),
+    errors.NoSuchError: Problem(404, "not found"),
+    errors.ConflictError: Problem(409, "version taken by another sheet"),
+    errors.SheetError: Problem(422, "sheet refused"),
+    errors.NotLeaderError: Problem(503, "not the leader"),
+    errors.UncertainError: Problem(503, "leadership lost, send it again"),
+    errors.StorageError: Problem(503, "the data folder failed"),
+    TimeoutError: Problem(408, "the body came too slowly"),
+}
+
+
+class OperatorApi:
+    """Answers operators; only the leader, confirmed, tells state.
+
+    Attributes:
+      address: where it listens; with port 0, the port taken once started.
+    """
+
+    routes = (
+        ("POST", "/v1/sheets", "post_sheet"),
+        ("GET", "/v1/status", "get_status"),
+        ("GET", "/v1/history", "get_history"),
+        ("GET", "/v1/hosts", "get_hosts"),
+        ("POST", "/v1/hosts/{host}/drain", "post_drain"),
+        ("GET", "/v1/revisions/{revision}/in-force", "get_in_force"),
+        ("GET", "/health", "get_health"),
+        ("GET", "/metrics", "get_metrics"),
+    )
+
+    def __init__(
+        self,
+        address: options.Address,
+        group: Group,
+        config: machine.ConfigMachine,
+        lease_table: leases.LeaseTable,
+        sheet_bytes: int,
+    ):
+        self.address = address
+        self.group = group
+        self.machine = config
+        self.leases = lease_table
+        self.acceptance = acceptance.Acceptance(config, group)
+        self.registry = prometheus_client.CollectorRegistry()
+        self.registry.register(
+            controlmetrics.Collector(group, config, lease_table)
+        )
+        app = web.Application(
+            client_max_size=sheet_bytes, middlewares=[tell_problems]
+        )
+        for method, path, name in self.routes:
+            app.router.add_route(method, path, getattr(self, name))
+        self.runner = web.AppRunner(
+            app, access_log=None, shutdown_timeout=SHUTDOWN_TIMEOUT
+        )
+
+    async def start(self) -> None:
+        """Opens the socket.
+
+        Raises:
+          errors.StartError: the address is in use or not of this host.
+        """
+        await self.runner.setup()
+        site = web.TCPSite(self.runner, self.address.ip, self.address.port)
+        try:
+            await site.start()
+        except OSError as error:
+            await self.runner.cleanup()
+            raise errors.StartError(
+                f"cannot listen on {self.address}: {error.strerror or error}"
+            ) from None
+        port = self.runner.addresses[0][1]
+        self.address = options.Address(self.address.ip, port)
+
+    async def close(self) -> None:
+        """Ends the answers under way and closes the socket."""
+        await self.runner.cleanup()
+
+    async def post_sheet(self, request: web.Request) -> web.Response:
+        """Takes in a sheet, whole or not at all."""
+        version = ids.SheetVersion(parameter(request, "version"))
+        operator = parameter(request, "operator")
+        async with asyncio.timeout(BODY_TIMEOUT):
+            data = await request.read()
+        checked = await asyncio.to_thread(sheet.parse, data, "sheet")
+        accepted = await self.acceptance.accept(checked, version, operator)
+        logs.say(
+            logs.Part.CONTROL,
+            "sheet accepted",
+            version=version,
+            operator=operator,
+            revision=accepted.revision,
+            repeated=accepted.repeated,
+        )
+        return web.json_response(dataclasses.asdict(accepted))
+
+    async def get_status(self, request: web.Request) -> web.Response:
+        """Tells of the control group and of every host."""
+        await self.confirm()
+        revision = self.machine.revision
+        return web.json_response(
+            {
+                "leader": self.group.leader,
+                "term": self.group.term,
+                "commit": self.group.commit,
+                "revision": revision,
+                "hosts": self.hosts(),
+                "in_force": in_force(self.leases.in_force(revision)),
+            }
+        )
+
+    async def get_history(self, request: web.Request) -> web.Response:
+        """Tells every accepted sheet, oldest first."""
+        await self.confirm()
+        items = [
+            {
+                "revision": item.revision,
+                "version": item.version,
+                "digest": item.digest.hex(),
+                "operator": item.operator,
+                "accepted_ms": item.accepted_ms,
+                "changed_rows": item.changed_rows,
+                "removed_rows": item.removed_rows,
+            }
+            for item in self.machine.history
+        ]
+        return web.json_response({"items": items})
+
+    async def get_hosts(self, request: web.Request) -> web.Response:
+        """Tells every host that is not gone."""
+        await self.confirm()
+        return web.json_response({"hosts": self.hosts()})
+
+    async def post_drain(self, request: web.Request) -> web.Response:
+        """Asks a host to leave; asked again, it answers the same."""
+        host = ids.HostId(request.match_info["host"])
+        await self.confirm()
+        if host not in self.machine.members:
+            raise errors.NoSuchError(f"no host {host} is known")
+        change = messages.DrainChange(
+            host=host,
+            operator=request.query.get("operator", "")[:LONGEST_NAME],
+            accepted_ms=leases.unix_ms(),
+        )
+        await self.group.propose(change)
+        return web.json_response({"host": host, "draining": True}, status=202)
+
+    async def get_in_force(self, request: web.Request) -> web.Response:
+        """Tells how far a revision has come, after a wait."""
+        revision = number(request.match_info["revision"], int, "revision")
+        wait = number(request.query.get("wait", "0"), float, "wait")
+        await self.confirm()
+        if revision > self.machine.revision:
+            raise errors.NoSuchError(f"no revision {revision} was accepted")
+        reached = await self.leases.wait_in_force(
+            ids.Revision(revision), min(max(wait, 0), LONGEST_WAIT)
+        )
+        # What hosts reported to a leader deposed meanwhile may be old.
+        await self.confirm()
+        return web.json_response(in_force(reached))
+
+    async def get_health(self, request: web.Request) -> web.Response:
+        """Tells that this process answers, and what it takes itself for."""
+        return web.json_response(
+            {
+                "host": self.group.host,
+                "leads": self.group.leading.is_set(),
+                "leader": self.group.leader,
+                "term": self.group.term,
+            }
+        )
+
+    async def get_metrics(self, request: web.Request) -> web.Response:
+        """Tells the metrics in the Prometheus text format."""
+        text = prometheus_client.generate_latest(self.registry)
+        kind = prometheus_client.CONTENT_TYPE_LATEST
+        return web.Response(body=text, headers={"Content-Type": kind})
+
+    async def confirm(self) -> None:
+        """Makes sure that this host leads and holds everything committed.
+
+        Raises:
+          errors.NotLeaderError: another host must be asked.
+        """
+        await self.group.confirm()
+        self.leases.take_office()
+
+    def hosts(self) -> list[dict]:
+        """Returns every host as the API tells it."""
+        return [
+            self.host_item(self.machine.members[host])
+            for host in sorted(self.machine.members)
+        ]
+
+    def host_item(self, record: messages.MemberRecord) -> dict:
+        """Returns a host as the API tells it."""
+        member = record.member
+        return {
+            "host": member.host,
+            "incarnation": member.incarnation,
+            "data_centre": member.data_centre,
+            "peer_address": member.peer_address,
+            "revision": self.leases.revisions.get(member.host, 0),
+            "lease": self.leases.holds(activity.owner_of(member)),
+            "leaving": member.leaving,
+            "draining": member.host in self.machine.draining,
+            "serves": [served.name for served in record.serves],
+        }
+
+
+def in_force(reached: leases.InForce) -> dict:
+    """Returns how far a revision has come as the API tells it."""
+    return {
+        "count": reached.hosts - len(reached.stragglers),
+        "of": reached.hosts,
+        "stragglers": reached.stragglers,
+    }
+
+
+def parameter(request: web.Request, name: str) -> str:
+    """Returns a query parameter that must be there.
+
+    Raises:
+      errors.BadRequestError: it is missing or too long.
+    """
+    value = request.query.get(name, "").strip()
+    if not value or len(value) > LONGEST_NAME:
+        raise errors.BadRequestError(
+            f"give {name}, 1 to {LONGEST_NAME} characters, in the query"
+        )
+    return value
+
+
+def number(text: str, make: type, name: str) -> typing.Any:
+    """Returns the number that a parameter holds.
+
+    Raises:
+      errors.BadRequestError: it is none.
+    """
+    try:
+        return make(text)
+    except ValueError:
+        raise errors.BadRequestError(
+            f"{name} {text!r} is not a number"
+        ) from None
+
+
+@web.middleware
+async def tell_problems(request: web.Request, handler) -> web.StreamResponse:
+    """Answers errors as problem details, never with a stack trace."""
+    try:
+        return await handler(request)
+    except web.HTTPException as error:
+        return problem(Problem(error.status, error.reason), "")
+    except (errors.MangobayError, TimeoutError) as error:
+        known = next(
+            (PROBLEMS[cls] for cls in PROBLEMS if isinstance(error, cls)),
+            Problem(500, "internal error"),
+        )
+        return problem(known, str(error), **members_of(error))
+    except Exception as error:  # noqa: BLE001
+        logs.say(logs.Part.OPERATOR, "request failed", error=repr(error))
+        return problem(Problem(500, "internal error"), "")
+
+
+def members_of(error: Exception) -> dict:
+    """Returns what a problem tells besides its text."""
+    match error:
+        case errors.ConflictError(winner=winner):
+            return {"winner": winner}
+        case errors.SheetError(findings=found):
+            return {"findings": [finding(item) for item in found]}
+        case errors.NotLeaderError(leader=leader, address=address):
+            return {"leader": leader, "leader_peer_address": address}
+    return {}
+
+
+def finding(item: findings.Finding) -> dict:
+    """Returns a finding as the API tells it."""
+    return {"place": item.place, "message": item.message}
+
+
+def problem(kind: Problem, detail: str, **members) -> web.Response:
+    """Returns an answer in the form of RFC 9457."""
+    body = {"status": kind.status, "title": kind.title}
+    if detail:
+        body["detail"] = detail
+    return web.json_response(
+        body | members, status=kind.status, content_type=PROBLEM_TYPE
+    )
--- a/tests/controlfakes.py
+++ b/tests/controlfakes.py
@@ -32,9 +32,28 @@
         return FakeTable(update.revision, operations)
 
 
-if importlib.util.find_spec("mangobay.table") is None:
-    sys.modules["mangobay.table"] = types.ModuleType("mangobay.table")
-    sys.modules["mangobay.table"].Table = FakeTable
+def fake_difference(old, new):
+    """Stands for `table.difference`."""
+    before = {(row.service, row.name): row for row in old}
+    after = {(row.service, row.name): row for row in new}
+    return types.SimpleNamespace(
+        changed=[row for key, row in after.items() if row != before.get(key)],
+        removed=[
+            messages.OperationRef(service=service, name=name)
+            for service, name in before.keys() - after
+        ],
+    )
+
+
+def stand_in(name, **members):
+    """Puts a module of the project in its place while it is not there."""
+    if importlib.util.find_spec(name) is None:
+        module = sys.modules[name] = types.ModuleType(name)
+        vars(module).update(members)
+
+
+stand_in("mangobay.table", Table=FakeTable, difference=fake_difference)
+stand_in("mangobay.sheet", Sheet=object, parse=None)
 
 
 @contextlib.asynccontextmanager
@@ -56,12 +75,13 @@
 
     def __init__(self, machine, host="c1", address="127.0.0.1:1"):
         self.machine = machine
-        self.leads = True
+        self.leading = asyncio.Event()
+        self.leading.set()
+        self.host = ids.HostId(host)
         self.term = ids.Term(1)
         self.leader = ids.HostId(host)
         self.leader_address = address
         self.index = 0
-        self.entries = []
         self.whole = asyncio.Event()
         self.whole.set()
 
@@ -72,15 +92,18 @@
     def append(self, body):
         self.index += 1
         entry = messages.LogEntry(index=self.index, term=self.term, body=body)
-        self.entries.append(entry)
         self.machine.apply(entry)
         return entry
 
+    @property
+    def commit(self):
+        return self.index
+
     async def confirm(self):
         await self.whole.wait()
         await asyncio.sleep(0.003)
-        if not self.leads:
-            raise errors.NotLeaderError(self.leader)
+        if not self.leading.is_set():
+            raise errors.NotLeaderError(self.leader, self.leader_address)
 
     def cut(self):
         """No quorum answers any more, and nobody tells this host."""
--- a/tests/test_controlclient.py
+++ b/tests/test_controlclient.py
@@ -117,7 +117,7 @@
 
     async def test_a_follower_names_the_leader(self, group, transport):
         follower = controlfakes.FakeGroup(machine.ConfigMachine())
-        follower.leads = False
+        follower.leading.clear()
         follower.leader_address = str(FIRST)
         transport.tables[SECOND] = leases.LeaseTable(
             follower.machine, follower, 4.0, 1.0
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -69,7 +69,8 @@
         )
         await asyncio.sleep(60)
         assert not asking.done()
-        group.leads, group.term = False, ids.Term(2)
+        group.leading.clear()
+        group.term = ids.Term(2)
         group.leader = ids.HostId("c2")
         group.whole.set()
         grant = await asking
--- /dev/null
+++ b/tests/test_operatorapi.py
@@ -0,0 +1,189 @@
+"""The operator API of a control host, over real HTTP on loopback."""
+
+import asyncio
+import contextlib
+import types
+
+import aiohttp
+import controlfakes
+import pytest
+
+from mangobay import errors, findings, leases, machine, operatorapi, options
+
+LOOPBACK = options.Address("127.0.0.1", 0)
+
+
+class Operator:
+    """Sends requests to one control host; sheets are names of operations."""
+
+    def __init__(self, session, address):
+        self.session = session
+        self.base = f"http://{address}"
+
+    async def ask(self, method, path, **options):
+        url = self.base + path
+        async with self.session.request(method, url, **options) as answer:
+            return answer.status, await answer.json(content_type=None)
+
+    async def apply(self, version, *names):
+        return await self.ask(
+            "POST",
+            "/v1/sheets",
+            params={"version": version, "operator": "ana"},
+            data=" ".join(names),
+        )
+
+
+def parse(data, name):
+    """Stands for `sheet.parse`: a row for each word."""
+    words = data.decode().split()
+    if "fault" in words:
+        raise errors.SheetError([findings.Finding(f"{name}:row 2", "fault")])
+    rows = [controlfakes.operation(word) for word in words]
+    return types.SimpleNamespace(operations=rows, digest=data)
+
+
+@pytest.fixture
+def group():
+    return controlfakes.FakeGroup(machine.ConfigMachine())
+
+
+@contextlib.asynccontextmanager
+async def serving(group):
+    """Serves the API; gives an operator."""
+    table = leases.LeaseTable(group.machine, group, 4.0, 1.0)
+    api = operatorapi.OperatorApi(LOOPBACK, group, group.machine, table, 2000)
+    await api.start()
+    try:
+        async with aiohttp.ClientSession() as session:
+            yield Operator(session, api.address)
+    finally:
+        await api.close()
+
+
+@pytest.fixture(autouse=True)
+def sheets(monkeypatch):
+    monkeypatch.setattr(operatorapi.sheet, "parse", parse)
+
+
+class TestSheets:
+    """POST /v1/sheets."""
+
+    async def test_operators_race_under_one_version(self, group):
+        """Two operators send different sheets as version 7 at once.
+
+        Exactly one is accepted. The other gets 409 and the revision of the
+        winner, and nothing of its sheet is in force.
+        """
+        async with serving(group) as operator:
+            answers = await asyncio.gather(
+                operator.apply("7", "sign"), operator.apply("7", "price")
+            )
+            (_, won), (_, lost) = sorted(answers, key=lambda item: item[0])
+            assert sorted(status for status, _ in answers) == [200, 409]
+            assert lost["winner"] == won["revision"]
+            assert len(group.machine.history) == 1
+
+    async def test_a_sheet_resent_gets_the_same_answer(self, group):
+        """The answer is lost, and another version is accepted meanwhile.
+
+        The operator sends the same sheet again and is told the revision that
+        it got, not a new one; the later version stays in force.
+        """
+        async with serving(group) as operator:
+            _, first = await operator.apply("1", "sign", "price")
+            await operator.apply("2", "sign")
+            status, again = await operator.apply("1", "sign", "price")
+            assert status == 200
+            assert again == first | {"repeated": True}
+            assert group.machine.revision == 2
+
+    async def test_the_table_moves_while_a_sheet_is_agreed_on(self, group):
+        """An entry of a former leader is committed just before a sheet's.
+
+        The sheet's rows were compared with the table before it. The entry
+        is refused when applied, compared again, and its operator sees only
+        that the sheet is in force, whole.
+        """
+        late = controlfakes.sheet("1", controlfakes.operation("late"))
+        confirm = group.confirm
+
+        async def confirm_with_late_entry():
+            await confirm()
+            confirms.append(1)
+            if len(confirms) == 2:
+                group.append(late)
+
+        confirms = []
+        group.confirm = confirm_with_late_entry
+        async with serving(group) as operator:
+            status, answer = await operator.apply("2", "sign")
+            assert (status, answer["removed"]) == (200, 1)
+            names = [row.name for row in group.machine.operations()]
+            assert names == ["sign"]
+
+    async def test_findings_are_told_and_nothing_changes(self, group):
+        async with serving(group) as operator:
+            status, answer = await operator.apply("1", "sign", "fault")
+            assert status == 422
+            assert answer["findings"][0]["place"] == "sheet:row 2"
+            status, _ = await operator.apply("", "sign")
+            assert status == 400
+            status, _ = await operator.apply("1", "x" * 3000)
+            assert status == 413
+            assert not group.machine.history
+
+    async def test_a_host_that_does_not_lead_names_the_leader(self, group):
+        group.leading.clear()
+        async with serving(group) as operator:
+            status, answer = await operator.apply("1", "sign")
+            assert (status, answer["leader"]) == (503, "c1")
+            assert answer["leader_peer_address"] == group.leader_address
+
+
+class TestReading:
+    """What operators are told."""
+
+    async def test_status_names_hosts_and_stragglers(self, group):
+        async with serving(group) as operator:
+            group.append(controlfakes.joins("a", "quotes"))
+            await operator.apply("1", "sign")
+            _, status = await operator.ask("GET", "/v1/status")
+            assert status["leader"] == "c1"
+            assert status["hosts"][0]["serves"] == ["quotes"]
+            assert status["in_force"] == {
+                "count": 0,
+                "of": 1,
+                "stragglers": ["a"],
+            }
+            _, history = await operator.ask("GET", "/v1/history")
+            assert history["items"][0]["operator"] == "ana"
+
+    async def test_drain_of_a_host(self, group):
+        async with serving(group) as operator:
+            status, _ = await operator.ask("POST", "/v1/hosts/a/drain")
+            assert status == 404
+            group.append(controlfakes.joins("a", "quotes"))
+            status, _ = await operator.ask("POST", "/v1/hosts/a/drain")
+            assert status == 202
+            assert group.machine.draining == {"a"}
+
+    async def test_bad_requests_get_one_clear_problem(self, group):
+        async with serving(group) as operator:
+            for method, path, expected in (
+                ("GET", "/v1/revisions/x/in-force", 400),
+                ("GET", "/v1/revisions/9/in-force", 404),
+                ("DELETE", "/v1/sheets", 405),
+                ("GET", "/v2", 404),
+            ):
+                status, answer = await operator.ask(method, path)
+                assert (status, answer["status"]) == (expected, expected)
+
+    async def test_health_and_metrics_need_no_quorum(self, group):
+        group.cut()
+        async with serving(group) as operator:
+            status, health = await operator.ask("GET", "/health")
+            assert (status, health["leads"]) == (200, True)
+            url = operator.base + "/metrics"
+            async with operator.session.get(url) as answer:
+                assert "mangobay_control_leads 1.0" in await answer.text()
