--- a/schema/messages.capnp
+++ b/schema/messages.capnp
@@ -232,6 +232,10 @@
 struct ViewAck {
   service @0 :Text $id("ServiceName");
   version @1 :UInt64 $id("ViewVersion");
+  active @2 :Bool;
+  # A leader told the node that this version is active.
+  member @3 :Bool;
+  # The node is a member of this version, so that it may own slots by it.
 }
 
 struct LeaseRenew {
@@ -246,6 +250,10 @@
   interests @7 :List(Text);
   views @8 :List(ViewAck);
   # Views the node acts by.
+  newInterests @9 :List(Text);
+  # Those of `interests` whose rows the node does not hold yet.
+  holdMs @10 :UInt32;
+  # A leader with nothing new may keep its answer back this long.
 }
 
 struct LeaseGrant {
@@ -303,6 +311,8 @@
   # Unix time at the leader, milliseconds; for the history only.
   changed @4 :List(Operation);
   removed @5 :List(OperationRef);
+  base @6 :UInt64 $id("Revision");
+  # The rows were compared with this revision; on any other they are refused.
 }
 
 struct MemberChange {
