The control group: log, elections, replication and membership of its own

Cause: the configuration has to be accepted by a majority of the control hosts' disks, and the hosts forbid an outside store or a ready consensus.

Ruled out: one frame a log entry (a torn write of several looks like a damaged middle, so one sync is one frame); founding a group by a majority (two emptied disks out of three would found another one, so every host of the settings has to vote); a replaced disk taking over its former vote (a majority of the former and of the new voters is asked for until the change is committed).

--- /dev/null
+++ b/mangobay/consensus.py
@@ -0,0 +1,405 @@
+"""The control group's agreement on one log, in the Raft family."""
+
+import asyncio
+import random
+import typing
+
+from mangobay import (
+    election,
+    errors,
+    ids,
+    invariants,
+    logs,
+    options,
+    progress,
+    rejoin,
+    replication,
+    storage,
+    voters,
+    waiters,
+)
+from mangobay.generated import messages, settings
+
+if typing.TYPE_CHECKING:
+    from mangobay import peers
+
+TRAILING_SHARE = 10
+"""One in so many entries of a snapshot's span is kept in the log behind it."""
+
+
+class Machine(typing.Protocol):
+    """The state that the log builds."""
+
+    def apply(self, entry: messages.LogEntry) -> None:
+        """Takes in one entry; called for every entry, in order, once a run."""
+
+    def snapshot(self) -> messages.Snapshot:
+        """Returns the whole state; the group fills index, term and voters."""
+
+    def restore(self, snapshot: messages.Snapshot) -> None:
+        """Replaces the whole state."""
+
+
+class Group:
+    """One control host's part in the group.
+
+    Whatever changes the log or the hard state holds `lock` over its sync, so
+    that each sees the other's result whole; only the leader appends without
+    it, in memory, and never after it has stopped to lead.
+
+    Attributes:
+      role: what this host is in `term`.
+      commit: newest index known to be committed.
+      applied: newest index the machine has taken in.
+      leader: name of the current leader, empty when unknown.
+      leader_address: its peer address, empty when unknown.
+      followers: the other control hosts.
+      waiters: the callers that wait on this host's lead.
+      term_start: index of the first entry of the term that this host leads.
+    """
+
+    def __init__(
+        self,
+        group_settings: settings.ControlGroup,
+        log: storage.Storage,
+        machine: Machine,
+        transport: "peers.Transport",
+        *,
+        host: ids.HostId,
+        address: options.Address,
+        rng: random.Random,
+    ):
+        self.settings = group_settings
+        self.log = log
+        self.machine = machine
+        self.transport = transport
+        self.host = host
+        self.address = address
+        self.rng = rng
+        self.lock = asyncio.Lock()
+        self.role = election.Role.FOLLOWER
+        self.commit = 0
+        self.applied = 0
+        self.leader = ids.HostId("")
+        self.leader_address = ""
+        self.leader_heard = float("-inf")
+        self.campaign_at = 0.0
+        self.term_start = 0
+        self.led_since = 0.0
+        self.leader_of_term = (0, ids.DiskId(""))
+        self.voters = voters.Voters()
+        self.waiters = waiters.Waiters()
+        self.unsynced = asyncio.Event()
+        self.leading = asyncio.Event()
+        self.snapshot_due = asyncio.Event()
+        self.followers = progress.Followers(
+            [other for other in group_settings.hosts if other != address]
+        )
+        self.answering: set[asyncio.Task] = set()
+        self.restore()
+
+    @property
+    def term(self) -> int:
+        """The newest term that this host has heard of."""
+        return self.log.state.term
+
+    @property
+    def identity(self) -> ids.DiskId:
+        """The disk that votes for this host."""
+        return self.log.state.identity
+
+    def now(self) -> float:
+        """Returns the monotonic time, in seconds."""
+        return asyncio.get_running_loop().time()
+
+    def restore(self) -> None:
+        """Builds the machine and the voters from what the disk holds."""
+        snapshot = self.log.snapshot
+        self.voters.learn_snapshot(snapshot)
+        entries = [record.entry for record in self.log.records]
+        self.voters.learn([e for e in entries if e.index > snapshot.last_index])
+        if snapshot.last_index:
+            self.machine.restore(snapshot)
+        self.commit = self.applied = snapshot.last_index
+        self.commit_to(self.log.state.commit)
+
+    async def run(self) -> None:
+        """Takes part in the group until cancelled.
+
+        Raises:
+          errors.StorageError: the disk failed; this host has stopped to lead
+            and claims nothing more.
+        """
+        self.put_off_campaign()
+        try:
+            async with asyncio.TaskGroup() as tasks:
+                tasks.create_task(self.watch())
+                tasks.create_task(self.flush_log())
+                tasks.create_task(self.take_snapshots())
+                for follower in self.followers.all:
+                    tasks.create_task(replication.replicate(self, follower))
+        except BaseExceptionGroup as failed:
+            raise failed.exceptions[0] from None
+        finally:
+            self.stop()
+
+    def stop(self) -> None:
+        """Lets nothing more be written or answered."""
+        self.stop_leading()
+        self.log.failure = self.log.failure or "the group has stopped"
+        for task in self.answering:
+            task.cancel()
+
+    async def handle(self, body: messages.EnvelopeBody) -> typing.Any:
+        """Answers another control host.
+
+        Raises:
+          errors.StorageError: the disk failed: nothing was acknowledged.
+          errors.PeerProtocolError: the message is not for the group.
+        """
+        # A sender that hangs up cancels the caller of this.  Cancelled over a
+        # sync, the log in memory would not know what the disk holds, and the
+        # next write would repeat it.
+        task = asyncio.create_task(self.answer(body))
+        self.answering.add(task)
+        task.add_done_callback(self.answering.discard)
+        return await asyncio.shield(task)
+
+    async def answer(self, body: messages.EnvelopeBody) -> typing.Any:
+        """Answers another control host, to the end."""
+        async with self.lock:
+            try:
+                self.log.check()
+                return await self.dispatch(body)
+            except errors.StorageError:
+                self.stop_leading()
+                self.unsynced.set()  # Ends run() with this error.
+                raise
+
+    async def dispatch(self, body: messages.EnvelopeBody) -> typing.Any:
+        """Answers by the kind of message; `lock` is held."""
+        match body:
+            case messages.VoteRequest():
+                return await election.answer(self, body)
+            case messages.AppendRequest():
+                return await replication.take_entries(self, body)
+            case messages.SnapshotPut():
+                return await replication.take_snapshot(self, body)
+        raise errors.PeerProtocolError(
+            f"{type(body).__name__} is no message for the group"
+        )
+
+    async def propose(self, body: messages.LogEntryBody) -> messages.LogEntry:
+        """Adds an entry to the log; returns once it is applied here.
+
+        Raises:
+          errors.NotLeaderError: nothing was added.
+          errors.UncertainError: added, but leadership was lost before it was
+            committed; it may take effect under a later leader.
+        """
+        if self.role is not election.Role.LEADER:
+            raise self.not_leader()
+        entry = self.append(body)
+        return await self.waiters.applied(entry.index)
+
+    async def confirm(self) -> None:
+        """Returns once a quorum said, after this call, that this host leads.
+
+        The machine then holds everything that was committed anywhere before
+        the call.  Callers that come together share one round.
+
+        Raises:
+          errors.NotLeaderError: it does not lead, or lost the lead meanwhile.
+        """
+        if self.role is not election.Role.LEADER:
+            raise self.not_leader()
+        confirmed = self.waiters.confirmed()
+        self.settle_readers()
+        self.followers.nudge()
+        await confirmed
+
+    def not_leader(self) -> errors.NotLeaderError:
+        """Returns the error that names the leader, when it is known."""
+        return errors.NotLeaderError(self.leader, self.leader_address)
+
+    def append(self, body: messages.LogEntryBody) -> messages.LogEntry:
+        """Adds an entry of the own term to the log, in memory."""
+        entry = messages.LogEntry(
+            index=ids.LogIndex(self.log.last_index + 1),
+            term=ids.Term(self.term),
+            body=body,
+        )
+        self.log.append([entry])
+        self.voters.learn([entry])
+        self.unsynced.set()
+        self.followers.nudge()
+        return entry
+
+    def put_off_campaign(self) -> None:
+        """Waits a new random election timeout before the next campaign."""
+        wait = self.settings.election_timeout * (1 + self.rng.random())
+        self.campaign_at = self.now() + wait
+
+    async def watch(self) -> None:
+        """Campaigns when no leader is heard; checks the quorum while leading."""
+        while True:
+            if self.role is election.Role.LEADER:
+                await asyncio.sleep(self.settings.heartbeat_interval)
+                self.check_quorum()
+                rejoin.settle_voters(self)
+                async with self.lock:
+                    await rejoin.remember_voters(self)
+            elif self.now() < self.campaign_at:
+                await asyncio.sleep(self.campaign_at - self.now())
+            else:
+                self.put_off_campaign()
+                await election.campaign(self)
+
+    def check_quorum(self) -> None:
+        """Stops to lead when no quorum answered for an election timeout."""
+        # Behind a silent cut nothing tells the leader that another was
+        # elected: its callers would wait for ever.  Confirmations need a
+        # round of their own, so a late check costs time, never truth.
+        heard = self.quorum(progress.Measure.HEARD, of_this_host=self.now())
+        since = max(heard, self.led_since)
+        if (
+            self.role is election.Role.LEADER
+            and self.now() - since > self.settings.election_timeout
+        ):
+            logs.say(logs.Part.GROUP, "lost its quorum", term=self.term)
+            self.stop_leading()
+
+    async def flush_log(self) -> None:
+        """Syncs what the leader appended; what comes meanwhile shares a sync."""
+        while True:
+            await self.unsynced.wait()
+            self.unsynced.clear()
+            async with self.lock:
+                await self.log.flush()
+            self.advance()
+
+    async def take_snapshots(self) -> None:
+        """Cuts the log when it has grown by the span of a snapshot."""
+        trailing = self.settings.snapshot_entries // TRAILING_SHARE
+        while True:
+            await self.snapshot_due.wait()
+            async with self.lock:
+                self.snapshot_due.clear()
+                if self.applied <= self.log.snapshot.last_index:
+                    continue
+                snapshot = self.machine.snapshot()
+                snapshot.last_index = ids.LogIndex(self.applied)
+                snapshot.last_term = ids.Term(
+                    self.log.term_at(self.applied) or 0
+                )
+                snapshot.voters = self.voters.at(self.applied)
+                await self.log.save_snapshot(snapshot, trailing)
+                self.voters.learn_snapshot(snapshot)
+
+    async def enter_term(self, term: int, voted_for: str = "") -> None:
+        """Follows in a newer term, or votes in the own; synced on return.
+
+        The caller holds `lock`.
+
+        Raises:
+          errors.StorageError: the disk failed; nothing may be told.
+        """
+        self.stop_leading()
+        if term > self.term:
+            self.leader = ids.HostId("")
+            self.leader_address = ""
+        if (term, voted_for) != (self.term, self.log.state.voted_for):
+            await self.save_state(term, voted_for)
+
+    async def save_state(self, term: int, voted_for: str) -> None:
+        """Makes term, vote and what is known to be committed durable."""
+        # A leader's commit can be ahead of its own disk; a log that ends
+        # before the saved commit would be refused as damaged.
+        known = min(self.commit, self.log.synced)
+        await self.log.save_state(term, ids.DiskId(voted_for), known)
+
+    def stop_leading(self) -> None:
+        """Becomes a follower; tells everyone who waits on this leader."""
+        if self.role is election.Role.LEADER:
+            logs.say(logs.Part.GROUP, "stops to lead", term=self.term)
+            self.leader = ids.HostId("")
+            self.leader_address = ""
+            self.put_off_campaign()
+        self.role = election.Role.FOLLOWER
+        self.leading.clear()
+        self.waiters.fail(self.not_leader())
+
+    def start_leading(self) -> None:
+        """Leads in the current term; the caller holds `lock`."""
+        logs.say(logs.Part.GROUP, "leads", term=self.term)
+        self.saw_leader(self.term, self.identity)
+        self.role = election.Role.LEADER
+        self.leader = self.host
+        self.leader_address = str(self.address)
+        self.led_since = self.now()
+        self.term_start = self.log.last_index + 1
+        self.followers.reset(self.log.last_index + 1)
+        self.leading.set()
+
+    def saw_leader(self, term: int, identity: ids.DiskId) -> None:
+        """Asserts that a term has one leader, as far as this host sees."""
+        seen_term, seen = self.leader_of_term
+        invariants.check(
+            invariants.Promise.ONE_LEADER_A_TERM,
+            term != seen_term or identity == seen,
+            f"term {term} is led by {seen} and by {identity}",
+        )
+        if term > seen_term:
+            self.leader_of_term = (term, identity)
+
+    def advance(self) -> None:
+        """Commits what a quorum holds durably; only the leader counts."""
+        while self.role is election.Role.LEADER:
+            index = self.quorum(
+                progress.Measure.MATCH, of_this_host=self.log.synced
+            )
+            # An entry of an earlier term that a majority holds can still be
+            # overwritten by a host with a later term; one of the own term
+            # cannot, and takes all before it along.
+            if index < self.term_start or index <= self.commit:
+                break
+            self.commit_to(int(index))
+        self.settle_readers()
+
+    def settle_readers(self) -> None:
+        """Answers the callers whose round a quorum has confirmed."""
+        # Before an entry of its own term is committed, a new leader does not
+        # know everything that the former one had committed.
+        if (
+            self.role is not election.Role.LEADER
+            or self.commit < self.term_start
+        ):
+            return
+        reached = self.quorum(
+            progress.Measure.ROUND, of_this_host=self.waiters.round
+        )
+        self.waiters.confirm(reached)
+
+    def quorum(self, measure: progress.Measure, of_this_host: float) -> float:
+        """Returns what a quorum of the voters has reached."""
+
+        def value(identity: ids.DiskId) -> float:
+            if identity == self.identity:
+                return of_this_host
+            return self.followers.reached(identity, measure)
+
+        return self.voters.quorum(self.commit, value)
+
+    def commit_to(self, index: int) -> None:
+        """Takes in that everything up to an index is committed; applies it."""
+        if index <= self.commit:
+            return
+        self.commit = index
+        while self.applied < self.commit:
+            entry = self.log.entry(self.applied + 1)
+            self.machine.apply(entry)
+            self.applied = entry.index
+            self.waiters.apply(entry)
+        span = self.applied - self.log.snapshot.last_index
+        if span >= self.settings.snapshot_entries:
+            self.snapshot_due.set()
--- a/mangobay/errors.py
+++ b/mangobay/errors.py
@@ -75,13 +75,29 @@
 
     Attributes:
       leader: the host to ask instead, empty when unknown.
+      address: its peer address, empty when unknown.
     """
 
-    def __init__(self, leader: str = ""):
+    def __init__(self, leader: str = "", address: str = ""):
         super().__init__(
             f"not the leader; ask {leader or 'another control host'}"
         )
         self.leader = leader
+        self.address = address
+
+
+class UncertainError(MangobayError):
+    """Leadership was lost over a proposal: it may yet take effect or not.
+
+    Attributes:
+      index: where it stands in the log of the former leader.
+    """
+
+    def __init__(self, index: int):
+        super().__init__(
+            f"lost the lead before entry {index} was committed; send it again"
+        )
+        self.index = index
 
 
 class ConflictError(MangobayError):
--- /dev/null
+++ b/mangobay/progress.py
@@ -0,0 +1,85 @@
+"""How far the other control hosts have come, as the leader knows it."""
+
+import asyncio
+import dataclasses
+import enum
+
+from mangobay import ids, options
+from mangobay.generated import messages
+
+NEVER = float("-inf")
+
+
+class Measure(enum.Enum):
+    """What of a follower is compared with a quorum; names an attribute."""
+
+    MATCH = "match"
+    HEARD = "heard"
+    ROUND = "round"
+
+
+@dataclasses.dataclass(slots=True)
+class Follower:
+    """What the leader knows of another control host.
+
+    Attributes:
+      address: where it listens.
+      host: its name, empty until it answered.
+      identity: its disk, empty until it answered.
+      next: index of the entry to send next.
+      match: newest index that its disk is known to hold.
+      heard: when the last request was sent that it answered, seconds.
+      round: newest round of confirmation that it answered.
+      wake: set when there is something to send.
+    """
+
+    address: options.Address
+    host: ids.HostId = ids.HostId("")
+    identity: ids.DiskId = ids.DiskId("")
+    next: int = 1
+    match: int = 0
+    heard: float = NEVER
+    round: int = 0
+    wake: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
+
+    def reset(self, next_index: int) -> None:
+        """Forgets what an earlier term or another disk had confirmed."""
+        self.next = next_index
+        self.match = 0
+        self.heard = NEVER
+        self.round = 0
+        self.wake.set()
+
+    def peer(self) -> messages.Peer:
+        """Returns the host as a voter."""
+        return messages.Peer(
+            host=self.host, identity=self.identity, address=str(self.address)
+        )
+
+
+class Followers:
+    """The other control hosts.
+
+    Attributes:
+      all: one for each address of the settings but the own.
+    """
+
+    def __init__(self, addresses: list[options.Address]):
+        self.all = [Follower(address) for address in addresses]
+
+    def reset(self, next_index: int) -> None:
+        """Starts anew with a term that this host leads."""
+        for follower in self.all:
+            follower.reset(next_index)
+
+    def nudge(self) -> None:
+        """Wakes the tasks that replicate."""
+        for follower in self.all:
+            follower.wake.set()
+
+    def reached(self, identity: ids.DiskId, measure: Measure) -> float:
+        """Returns how far a disk has come; not at all when none has it."""
+        for follower in self.all:
+            if follower.identity == identity:
+                return getattr(follower, measure.value)
+        return NEVER
--- /dev/null
+++ b/mangobay/recordlog.py
@@ -0,0 +1,129 @@
+"""Frames of the log file: checksummed, one for each sync.
+
+All entries that one sync makes durable share one frame.  A loss of power can
+leave any part of an unsynced write, so only the last frame can be torn; with
+a frame for each entry, a torn write of several could look like a damaged
+middle.
+"""
+
+import dataclasses
+import struct
+
+import xxhash
+
+from mangobay import errors
+
+MAGIC = b"mgbL"
+HEADER = struct.Struct("<4sIQQ")
+"""Magic, payload length in bytes, checksum, index of the first entry."""
+LENGTH = struct.Struct("<I")
+SEED = struct.Struct("<IQ")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Frame:
+    """What one sync made durable.
+
+    Attributes:
+      first: index of the first record.
+      records: the entries, encoded.
+      size: bytes of the frame in the file.
+    """
+
+    first: int
+    records: tuple[bytes, ...]
+    size: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Scan:
+    """What a log file holds.
+
+    Attributes:
+      frames: the whole frames, in order.
+      size: bytes up to the end of the last whole frame.
+      torn: bytes after it.
+    """
+
+    frames: list[Frame]
+    size: int
+    torn: int
+
+
+def checksum(length: int, first: int, payload: bytes) -> int:
+    """Returns the checksum over a frame's payload and its other fields."""
+    return xxhash.xxh3_64_intdigest(SEED.pack(length, first) + payload)
+
+
+def encode(first: int, records: list[bytes]) -> bytes:
+    """Returns the frame of some records, `first` the index of the first."""
+    payload = b"".join(LENGTH.pack(len(record)) + record for record in records)
+    digest = checksum(len(payload), first, payload)
+    return HEADER.pack(MAGIC, len(payload), digest, first) + payload
+
+
+def frame_at(data: bytes, offset: int) -> Frame | None:
+    """Returns the frame that starts there, None when none whole does."""
+    end = offset + HEADER.size
+    if end > len(data):
+        return None
+    magic, length, digest, first = HEADER.unpack_from(data, offset)
+    if magic != MAGIC or end + length > len(data):
+        return None
+    payload = data[end : end + length]
+    if checksum(length, first, payload) != digest:
+        return None
+    return Frame(first, records_of(payload), HEADER.size + length)
+
+
+def records_of(payload: bytes) -> tuple[bytes, ...]:
+    """Returns the records in a frame's payload."""
+    records = []
+    offset = 0
+    while offset < len(payload):
+        (length,) = LENGTH.unpack_from(payload, offset)
+        offset += LENGTH.size
+        records.append(payload[offset : offset + length])
+        offset += length
+    return tuple(records)
+
+
+def scan(data: bytes, name: str) -> Scan:
+    """Returns the frames of a log file and how much of its tail is torn.
+
+    Raises:
+      errors.DamagedLogError: a whole frame follows one that is not whole, or
+        the indexes have a gap.
+    """
+    frames: list[Frame] = []
+    offset = 0
+    while offset < len(data):
+        frame = frame_at(data, offset)
+        if frame is None:
+            refuse_damage(data, offset, name)
+            break
+        if frames and frame.first != frames[-1].first + len(frames[-1].records):
+            raise errors.DamagedLogError(
+                f"{name}: gap before the entry {frame.first} at byte {offset}"
+            )
+        frames.append(frame)
+        offset += frame.size
+    return Scan(frames, offset, len(data) - offset)
+
+
+def refuse_damage(data: bytes, offset: int, name: str) -> None:
+    """Refuses a bad frame that is not the last one.
+
+    Raises:
+      errors.DamagedLogError: a whole frame follows.
+    """
+    # What follows a damaged frame was synced and perhaps acknowledged: to cut
+    # there would lose committed entries.  A torn write has nothing after it.
+    after = data.find(MAGIC, offset + 1)
+    while after >= 0:
+        if frame_at(data, after) is not None:
+            raise errors.DamagedLogError(
+                f"{name}: damaged at byte {offset}, a whole record follows at"
+                f" byte {after}; nothing was cut"
+            )
+        after = data.find(MAGIC, after + 1)
--- /dev/null
+++ b/mangobay/replication.py
@@ -0,0 +1,245 @@
+"""How the log of the control group's leader gets to the other hosts."""
+
+import asyncio
+import typing
+
+from mangobay import errors, ids, invariants, progress, rejoin
+from mangobay.generated import messages
+
+if typing.TYPE_CHECKING:
+    from mangobay import consensus
+
+BATCH_BYTES = 1 << 20
+"""Entries in one request, but at least one."""
+SNAPSHOT_PATIENCE = 10
+"""Election timeouts that a snapshot may take."""
+
+
+async def replicate(
+    group: "consensus.Group", follower: progress.Follower
+) -> None:
+    """Keeps one follower up to date for as long as this host leads."""
+    while True:
+        await group.leading.wait()
+        follower.wake.clear()
+        answered = await exchange(group, follower)
+        if answered and follower.next <= group.log.last_index:
+            continue
+        await pause(group, follower, answered)
+
+
+async def pause(
+    group: "consensus.Group", follower: progress.Follower, answered: bool
+) -> None:
+    """Waits until there is something to send, or for the next heartbeat."""
+    interval = group.settings.heartbeat_interval
+    if not answered:
+        # A host that refuses connections would otherwise be asked in a loop.
+        await asyncio.sleep(interval)
+        return
+    try:
+        async with asyncio.timeout(interval):
+            await follower.wake.wait()
+    except TimeoutError:
+        return
+
+
+async def exchange(
+    group: "consensus.Group", follower: progress.Follower
+) -> bool:
+    """Sends what comes next; returns whether the follower answered."""
+    term = group.term
+    sent_round = group.waiters.round
+    sent_at = group.now()
+    patience = group.settings.election_timeout / 2
+    if group.log.term_at(follower.next - 1) is None:
+        body: messages.EnvelopeBody = snapshot_put(group)
+        patience *= 2 * SNAPSHOT_PATIENCE
+    else:
+        body = append_request(group, follower)
+    try:
+        reply = await group.transport.ask(follower.address, body, patience)
+    except (errors.PeerError, TimeoutError):
+        return False
+    if reply.term > group.term:
+        async with group.lock:
+            if reply.term > group.term:
+                await group.enter_term(reply.term)
+        return True
+    if not group.leading.is_set() or group.term != term:
+        return True
+    if reply.term < term:
+        return False
+    take_reply(group, follower, body, reply)
+    follower.heard = sent_at
+    follower.round = sent_round
+    group.advance()
+    return True
+
+
+def take_reply(
+    group: "consensus.Group",
+    follower: progress.Follower,
+    sent: typing.Any,
+    reply: typing.Any,
+) -> None:
+    """Takes in what a follower of the same term said it holds."""
+    if follower.identity != reply.identity:
+        # Its disk was replaced: what the former one acknowledged is gone.
+        follower.identity = reply.identity
+        follower.reset(group.log.last_index + 1)
+    follower.host = reply.host
+    match reply:
+        case messages.AppendReply(matched=False):
+            hint = min(reply.last_index + 1, sent.prev_index)
+            follower.next = max(1, hint)
+        case messages.AppendReply() | messages.SnapshotReply():
+            follower.match = max(follower.match, reply.last_index)
+            follower.next = follower.match + 1
+
+
+def snapshot_put(group: "consensus.Group") -> messages.SnapshotPut:
+    """Returns the newest snapshot, for a host behind the log's start."""
+    return messages.SnapshotPut(
+        term=ids.Term(group.term),
+        leader=group.host,
+        snapshot=group.log.snapshot,
+        identity=group.identity,
+        address=str(group.address),
+    )
+
+
+def append_request(
+    group: "consensus.Group", follower: progress.Follower
+) -> messages.AppendRequest:
+    """Returns the next entries; none makes it a heartbeat."""
+    previous = follower.next - 1
+    return messages.AppendRequest(
+        term=ids.Term(group.term),
+        leader=group.host,
+        prev_index=ids.LogIndex(previous),
+        prev_term=ids.Term(group.log.term_at(previous) or 0),
+        entries=group.log.batch(follower.next, BATCH_BYTES),
+        commit=ids.LogIndex(group.commit),
+        identity=group.identity,
+        address=str(group.address),
+    )
+
+
+async def follow(
+    group: "consensus.Group",
+    body: messages.AppendRequest | messages.SnapshotPut,
+) -> bool:
+    """Follows the sender; returns False when its term is over."""
+    if body.term < group.term:
+        return False
+    group.saw_leader(body.term, body.identity)
+    if body.term > group.term:
+        await group.enter_term(body.term)
+    else:
+        group.stop_leading()
+    group.leader = body.leader
+    group.leader_address = body.address
+    group.leader_heard = group.now()
+    group.put_off_campaign()
+    return True
+
+
+async def take_entries(
+    group: "consensus.Group", body: messages.AppendRequest
+) -> messages.AppendReply:
+    """Adds a leader's entries, durably; the group's lock is held.
+
+    Raises:
+      errors.StorageError: the disk failed: nothing is acknowledged.
+    """
+    if not await follow(group, body):
+        return append_reply(group, False, group.log.last_index)
+    if not continues(group, body):
+        return append_reply(group, False, look_back(group, body.prev_index))
+    last = body.prev_index + len(body.entries)
+    await add(group, body.entries)
+    group.commit_to(min(body.commit, last))
+    await rejoin.remember_voters(group)
+    return append_reply(group, True, last)
+
+
+def append_reply(
+    group: "consensus.Group", matched: bool, last: int
+) -> messages.AppendReply:
+    """Returns this host's answer to a leader."""
+    return messages.AppendReply(
+        term=ids.Term(group.term),
+        matched=matched,
+        last_index=ids.LogIndex(last),
+        identity=group.identity,
+        host=group.host,
+    )
+
+
+def continues(group: "consensus.Group", body: messages.AppendRequest) -> bool:
+    """Whether the log holds the entry right before a leader's entries."""
+    if body.prev_index <= group.commit:
+        return True
+    return group.log.term_at(body.prev_index) == body.prev_term
+
+
+def look_back(group: "consensus.Group", index: int) -> int:
+    """Returns the newest index that may agree: before the term that differs."""
+    if index > group.log.last_index:
+        return group.log.last_index
+    term = group.log.term_at(index)
+    while index > group.commit and group.log.term_at(index) == term:
+        index -= 1
+    return index
+
+
+async def add(
+    group: "consensus.Group", entries: list[messages.LogEntry]
+) -> None:
+    """Adds the entries that the log does not hold yet; cuts what differs."""
+    log = group.log
+    new = [e for e in entries if e.index > group.log.snapshot.last_index]
+    while new and log.term_at(new[0].index) == new[0].term:
+        new.pop(0)
+    if new and new[0].index <= log.last_index:
+        await cut(group, new[0].index)
+    if new:
+        log.append(new)
+        group.voters.learn(new)
+    await log.flush()
+
+
+async def cut(group: "consensus.Group", index: int) -> None:
+    """Forgets entries that another leader's replace."""
+    invariants.check(
+        invariants.Promise.COMMITTED_NEVER_LOST,
+        index > group.commit,
+        f"entry {index} would be cut, {group.commit} is committed",
+    )
+    group.voters.forget_from(index)
+    await group.log.truncate(index)
+
+
+async def take_snapshot(
+    group: "consensus.Group", body: messages.SnapshotPut
+) -> messages.SnapshotReply:
+    """Replaces log and machine by a leader's snapshot; the lock is held.
+
+    Raises:
+      errors.StorageError: the disk failed: nothing is acknowledged.
+    """
+    followed = await follow(group, body)
+    snapshot = body.snapshot
+    if followed and snapshot.last_index > group.commit:
+        await group.log.save_snapshot(snapshot, 0)
+        group.voters.forget_from(group.log.last_index + 1)
+        group.voters.learn_snapshot(snapshot)
+        group.machine.restore(snapshot)
+        group.commit = group.applied = snapshot.last_index
+    return messages.SnapshotReply(
+        term=ids.Term(group.term),
+        last_index=ids.LogIndex(snapshot.last_index if followed else 0),
+        identity=group.identity,
+        host=group.host,
+    )
--- /dev/null
+++ b/mangobay/storage.py
@@ -0,0 +1,294 @@
+"""What a control host keeps on its disk: hard state, snapshot and log."""
+
+import dataclasses
+import struct
+import typing
+import uuid
+
+import capnp
+import xxhash
+
+from mangobay import disk as disk_module
+from mangobay import errors, ids, logs, recordlog
+from mangobay.generated import messages
+
+STATE = "state"
+SNAPSHOT = "snapshot"
+LOG = "log"
+NEW = ".new"
+SUM = struct.Struct("<Q")
+
+
+@dataclasses.dataclass(slots=True)
+class Record:
+    """One entry of the log, decoded and as it is on the disk."""
+
+    entry: messages.LogEntry
+    data: bytes
+
+
+class Storage:
+    """The log of one control host, in memory and on its disk.
+
+    One task at a time may await its coroutines; `append` may be called at any
+    time.  After a failed write or sync nothing is known about the disk, so
+    every later write is refused until the process starts again.
+
+    Attributes:
+      state: term, vote and identity as they were last synced.
+      snapshot: the newest one.
+      records: the entries at hand, without a gap, from `first` on.
+      first: index of the first of them.
+      synced: newest index that is durable.
+      failure: why the storage refuses to write, empty while it works.
+    """
+
+    def __init__(self, disk: disk_module.Disk):
+        self.disk = disk
+        self.state = messages.HardState()
+        self.snapshot = messages.Snapshot()
+        self.records: list[Record] = []
+        self.first = 1
+        self.synced = 0
+        self.failure = ""
+
+    def open(self) -> None:
+        """Reads the folder, or makes a new identity in an empty one.
+
+        Raises:
+          errors.DamagedLogError: a file fails its checksum.
+          errors.StorageError: the folder cannot be read or written.
+        """
+        try:
+            self.disk.open()
+            self.load()
+        except OSError as error:
+            raise errors.StorageError(f"{self.disk}: {error}") from error
+
+    def load(self) -> None:
+        """Takes in what the folder holds."""
+        state = self.checked(STATE, messages.decode_hard_state)
+        log = self.disk.read(LOG)
+        if state is None and (log or self.disk.read(SNAPSHOT)):
+            raise errors.DamagedLogError(f"{self.disk}/{STATE}: missing")
+        if state is None:
+            # An empty disk is another voter: as its old self it could vote
+            # again in a term, or deny an entry that it had acknowledged.
+            identity = ids.DiskId(str(uuid.uuid4()))
+            state = messages.HardState(identity=identity)
+            self.put(STATE, messages.encode_hard_state(state))
+        self.state = state
+        snapshot = self.checked(SNAPSHOT, messages.decode_snapshot)
+        self.snapshot = snapshot or messages.Snapshot()
+        self.load_log(log or b"")
+
+    def load_log(self, data: bytes) -> None:
+        """Takes in the log file; cuts a torn tail."""
+        name = f"{self.disk}/{LOG}"
+        scan = recordlog.scan(data, name)
+        if scan.torn:
+            logs.say(logs.Part.STORAGE, "cut a torn tail", bytes=scan.torn)
+            self.disk.cut(LOG, scan.size)
+            self.disk.sync(LOG)
+        self.first = scan.frames[0].first if scan.frames else 1
+        self.records = [
+            Record(messages.decode_log_entry(data), data)
+            for frame in scan.frames
+            for data in frame.records
+        ]
+        self.drop_what_the_snapshot_replaced()
+        if self.first > self.snapshot.last_index + 1:
+            raise errors.DamagedLogError(
+                f"{name}: starts at {self.first}, the snapshot ends at"
+                f" {self.snapshot.last_index}"
+            )
+        # Damage in the very last frame looks like a torn write.  What was
+        # known to be committed tells them apart.
+        if self.last_index < self.state.commit:
+            raise errors.DamagedLogError(
+                f"{name}: ends at {self.last_index}, but {self.state.commit}"
+                " was committed"
+            )
+        self.synced = self.last_index
+
+    def drop_what_the_snapshot_replaced(self) -> None:
+        """Forgets the log when the snapshot does not continue it."""
+        last = self.snapshot.last_index
+        if not last:
+            return
+        if self.term_at(last, log_only=True) == self.snapshot.last_term:
+            return
+        if self.records and self.first <= last + 1:
+            self.records = []
+        if not self.records:
+            self.first = last + 1
+
+    def checked(self, name: str, decode: typing.Callable) -> typing.Any:
+        """Returns the message in a file, None when there is no such file."""
+        data = self.disk.read(name)
+        if data is None:
+            return None
+        body = data[SUM.size :]
+        digest = SUM.pack(xxhash.xxh3_64_intdigest(body))
+        if digest != data[: SUM.size]:
+            raise errors.DamagedLogError(f"{self.disk}/{name}: bad checksum")
+        try:
+            return decode(body)
+        except capnp.KjException as error:
+            raise errors.DamagedLogError(
+                f"{self.disk}/{name}: {error}"
+            ) from error
+
+    def put(self, name: str, body: bytes, with_sum: bool = True) -> None:
+        """Replaces a file so that a crash leaves the old one or the new."""
+        prefix = SUM.pack(xxhash.xxh3_64_intdigest(body)) if with_sum else b""
+        self.disk.write(name + NEW, prefix + body)
+        # Unsynced bytes under the final name could be found empty later.
+        self.disk.sync(name + NEW)
+        self.disk.rename(name + NEW, name)
+        self.disk.sync_folder()
+
+    @property
+    def last_index(self) -> int:
+        """Newest index, 0 when there is none."""
+        return max(self.first + len(self.records) - 1, self.snapshot.last_index)
+
+    @property
+    def last_term(self) -> int:
+        """Term of the newest entry."""
+        return self.term_at(self.last_index) or 0
+
+    def term_at(self, index: int, log_only: bool = False) -> int | None:
+        """Returns the term of an entry, None when it is not at hand."""
+        if self.first <= index < self.first + len(self.records):
+            return self.records[index - self.first].entry.term
+        if index == 0:
+            return 0
+        if index == self.snapshot.last_index and not log_only:
+            return self.snapshot.last_term
+        return None
+
+    def entry(self, index: int) -> messages.LogEntry:
+        """Returns an entry that is at hand."""
+        return self.records[index - self.first].entry
+
+    def batch(self, start: int, most: int) -> list[messages.LogEntry]:
+        """Returns the entries from `start` on, in `most` bytes; one at least."""
+        entries: list[messages.LogEntry] = []
+        size = 0
+        for record in self.records[start - self.first :]:
+            size += len(record.data)
+            if entries and size > most:
+                break
+            entries.append(record.entry)
+        return entries
+
+    def append(self, entries: list[messages.LogEntry]) -> None:
+        """Adds entries in memory; they last after the next `flush`."""
+        for entry in entries:
+            data = messages.encode_log_entry(entry)
+            self.records.append(Record(entry, data))
+
+    async def flush(self) -> None:
+        """Makes every entry durable that was appended before the call.
+
+        Raises:
+          errors.StorageError: the disk is full or failed.
+        """
+        self.check()
+        start = self.synced + 1
+        last = self.last_index
+        if start > last:
+            return
+        records = [r.data for r in self.records[start - self.first :]]
+        created = start == self.first
+        await self.run(lambda: self.write_frame(start, records, created))
+        self.synced = last
+
+    def write_frame(
+        self, start: int, records: list[bytes], created: bool
+    ) -> None:
+        """Appends one frame and syncs it."""
+        self.disk.append(LOG, recordlog.encode(start, records))
+        self.disk.sync(LOG)
+        if created:
+            self.disk.sync_folder()
+
+    async def save_state(
+        self, term: int, voted_for: ids.DiskId, commit: int
+    ) -> None:
+        """Makes term and vote durable, before anyone is told of them.
+
+        Raises:
+          errors.StorageError: the disk is full or failed.
+        """
+        state = messages.HardState(
+            term=ids.Term(term),
+            voted_for=voted_for,
+            identity=self.state.identity,
+            commit=ids.LogIndex(commit),
+        )
+        data = messages.encode_hard_state(state)
+        await self.run(lambda: self.put(STATE, data))
+        self.state = state
+
+    async def truncate(self, start: int) -> None:
+        """Forgets the entries from `start` on.
+
+        Raises:
+          errors.StorageError: the disk is full or failed.
+        """
+        del self.records[start - self.first :]
+        await self.rewrite(min(self.synced, start - 1))
+
+    async def rewrite(self, last: int) -> None:
+        """Writes the log file anew, with the entries up to `last`."""
+        # Cutting the file in place and adding the kept part of a frame again
+        # would, in a crash between the two, lose acknowledged entries.
+        kept = [r.data for r in self.records[: max(0, last - self.first + 1)]]
+        data = recordlog.encode(self.first, kept) if kept else b""
+        await self.run(lambda: self.put(LOG, data, with_sum=False))
+        self.synced = max(last, self.snapshot.last_index)
+
+    async def save_snapshot(
+        self, snapshot: messages.Snapshot, trailing: int
+    ) -> None:
+        """Makes a snapshot durable and cuts the log behind it.
+
+        Args:
+          snapshot: the state at its `last_index`.
+          trailing: entries before it to keep, for hosts a little behind.
+
+        Raises:
+          errors.StorageError: the disk is full or failed.
+        """
+        await self.run(
+            lambda: self.put(SNAPSHOT, messages.encode_snapshot(snapshot))
+        )
+        self.snapshot = snapshot
+        self.drop_what_the_snapshot_replaced()
+        cut = max(self.first, snapshot.last_index + 1 - trailing)
+        del self.records[: cut - self.first]
+        self.first = cut
+        await self.rewrite(max(self.synced, snapshot.last_index))
+
+    def check(self) -> None:
+        """Refuses to go on after a failure.
+
+        Raises:
+          errors.StorageError: with the first failure.
+        """
+        if self.failure:
+            raise errors.StorageError(self.failure)
+
+    async def run(self, work: typing.Callable[[], None]) -> None:
+        """Runs disk work off the loop; after a failure nothing more is run."""
+        self.check()
+        try:
+            await self.disk.offload(work)
+        except OSError as error:
+            # A sync that failed may have dropped the pages it could not
+            # write; a later one would report success without them.
+            self.failure = f"{self.disk}: {error}"
+            logs.say(logs.Part.STORAGE, "disk failed", why=str(error))
+            raise errors.StorageError(self.failure) from error
--- /dev/null
+++ b/mangobay/voters.py
@@ -0,0 +1,108 @@
+"""Who votes in the control group, and what a quorum of them is."""
+
+import dataclasses
+import typing
+
+from mangobay import ids
+from mangobay.generated import messages
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Config:
+    """The voters from one index of the log on.
+
+    Attributes:
+      index: where the log names them.
+      change: who they are.
+    """
+
+    index: int
+    change: messages.VoterChange
+
+
+class Voters:
+    """The voters that the log names.
+
+    A voter is a disk, not a host: one that comes back empty has another
+    identity, and neither its votes nor its acknowledgements count until the
+    log names it.
+
+    While the newest change is not known to be committed, a quorum is a
+    majority of the former voters and also of the new ones.  With a majority
+    of the new ones alone, the hosts that have not seen the change could
+    elect a leader without any host that has.
+
+    Attributes:
+      configs: the changes at hand, oldest first; one is left at least of
+        those that are committed.
+    """
+
+    def __init__(self) -> None:
+        self.configs: list[Config] = []
+
+    def learn(self, entries: list[messages.LogEntry]) -> None:
+        """Takes in the changes among entries added to the log."""
+        for entry in entries:
+            match entry.body:
+                case messages.VoterChange() as change:
+                    self.configs.append(Config(entry.index, change))
+
+    def learn_snapshot(self, snapshot: messages.Snapshot) -> None:
+        """Takes in the voters of a snapshot, in place of what came before."""
+        if not snapshot.voters.voters:
+            return
+        later = [c for c in self.configs if c.index > snapshot.last_index]
+        base = Config(snapshot.last_index, snapshot.voters)
+        self.configs = [base, *later]
+
+    def forget_from(self, index: int) -> None:
+        """Drops the changes of entries that were cut from the log."""
+        self.configs = [c for c in self.configs if c.index < index]
+
+    def at(self, index: int) -> messages.VoterChange:
+        """Returns the voters that the log names up to an index."""
+        known = [c.change for c in self.configs if c.index <= index]
+        return known[-1] if known else messages.VoterChange()
+
+    def active(self, commit: int) -> list[messages.VoterChange]:
+        """Returns the sets of voters whose majorities make a quorum now."""
+        pending = [c.change for c in self.configs if c.index > commit]
+        settled = [c.change for c in self.configs if c.index <= commit]
+        return settled[-1:] + pending
+
+    def newest(self) -> list[messages.Peer]:
+        """Returns the voters that the last change names."""
+        return self.configs[-1].change.voters if self.configs else []
+
+    def pending(self, commit: int) -> bool:
+        """Whether a change is not known to be committed."""
+        return bool(self.configs) and self.configs[-1].index > commit
+
+    def names(self, identity: ids.DiskId) -> bool:
+        """Whether the last change names a disk."""
+        return any(peer.identity == identity for peer in self.newest())
+
+    def quorum(
+        self, commit: int, value: typing.Callable[[ids.DiskId], float]
+    ) -> float:
+        """Returns the highest value that a quorum of the voters has reached.
+
+        Args:
+          commit: newest index known to be committed.
+          value: what one voter has reached.
+
+        Returns:
+          The value; minus infinity when no voters are known.
+        """
+        sets = self.active(commit)
+        if not sets:
+            return float("-inf")
+        return min(majority(change.voters, value) for change in sets)
+
+
+def majority(
+    voters: list[messages.Peer], value: typing.Callable[[ids.DiskId], float]
+) -> float:
+    """Returns the highest value that more than half of the voters reached."""
+    values = sorted((value(peer.identity) for peer in voters), reverse=True)
+    return values[len(values) // 2]
--- /dev/null
+++ b/mangobay/waiters.py
@@ -0,0 +1,70 @@
+"""The callers that wait on a leader of the control group."""
+
+import asyncio
+import dataclasses
+
+from mangobay import errors
+from mangobay.generated import messages
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reader:
+    """A caller that waits until a quorum confirmed the leader."""
+
+    round: int
+    confirmed: "asyncio.Future[None]"
+
+
+class Waiters:
+    """Callers whose entry is not applied or whose round is not confirmed.
+
+    Attributes:
+      round: newest round of confirmation that a caller waits for.
+      proposals: by index, the callers that wait for an entry.
+      readers: the callers that wait for a round.
+    """
+
+    def __init__(self) -> None:
+        self.round = 0
+        self.proposals: dict[int, asyncio.Future[messages.LogEntry]] = {}
+        self.readers: list[Reader] = []
+
+    def applied(self, index: int) -> "asyncio.Future[messages.LogEntry]":
+        """Returns what resolves once the entry is applied."""
+        future = asyncio.get_running_loop().create_future()
+        self.proposals[index] = future
+        return future
+
+    def confirmed(self) -> "asyncio.Future[None]":
+        """Returns what resolves once a round that starts now is confirmed."""
+        self.round += 1
+        future = asyncio.get_running_loop().create_future()
+        self.readers.append(Reader(self.round, future))
+        return future
+
+    def apply(self, entry: messages.LogEntry) -> None:
+        """Answers the caller of an entry."""
+        future = self.proposals.pop(entry.index, None)
+        if future and not future.done():
+            future.set_result(entry)
+
+    def confirm(self, reached: float) -> None:
+        """Answers the callers of every round up to the one reached."""
+        waiting = []
+        for reader in self.readers:
+            if reader.round > reached:
+                waiting.append(reader)
+            elif not reader.confirmed.done():
+                reader.confirmed.set_result(None)
+        self.readers = waiting
+
+    def fail(self, why: errors.NotLeaderError) -> None:
+        """Tells everyone that the lead is lost."""
+        proposals, self.proposals = self.proposals, {}
+        for index, future in proposals.items():
+            if not future.done():
+                future.set_exception(errors.UncertainError(index))
+        readers, self.readers = self.readers, []
+        for reader in readers:
+            if not reader.confirmed.done():
+                reader.confirmed.set_exception(why)
--- a/schema/messages.capnp
+++ b/schema/messages.capnp
@@ -329,12 +329,15 @@
   lastIndex @3 :UInt64 $id("LogIndex");
   lastTerm @4 :UInt64 $id("Term");
   prevote @5 :Bool;
+  founding @6 :Bool;
+  # The candidate knows no voters: asks every host for a brand new group.
 }
 
 struct VoteReply {
   term @0 :UInt64 $id("Term");
   granted @1 :Bool;
   identity @2 :Text $id("DiskId");
+  host @3 :Text $id("HostId");
 }
 
 struct AppendRequest {
@@ -344,6 +347,10 @@
   prevTerm @3 :UInt64 $id("Term");
   entries @4 :List(LogEntry);
   commit @5 :UInt64 $id("LogIndex");
+  identity @6 :Text $id("DiskId");
+  # Disk of the leader.
+  address @7 :Text;
+  # Peer address of the leader.
 }
 
 struct AppendReply {
@@ -352,18 +359,22 @@
   lastIndex @2 :UInt64 $id("LogIndex");
   # Matched: newest index known to agree.  Otherwise: where to look next.
   identity @3 :Text $id("DiskId");
+  host @4 :Text $id("HostId");
 }
 
 struct SnapshotPut {
   term @0 :UInt64 $id("Term");
   leader @1 :Text $id("HostId");
   snapshot @2 :Snapshot;
+  identity @3 :Text $id("DiskId");
+  address @4 :Text;
 }
 
 struct SnapshotReply {
   term @0 :UInt64 $id("Term");
   lastIndex @1 :UInt64 $id("LogIndex");
   identity @2 :Text $id("DiskId");
+  host @3 :Text $id("HostId");
 }
 
 struct HistoryItem {
@@ -399,6 +410,8 @@
   term @0 :UInt64 $id("Term");
   votedFor @1 :Text $id("DiskId");
   identity @2 :Text $id("DiskId");
+  commit @3 :UInt64 $id("LogIndex");
+  # A lower bound of what is committed, as of the last write.
 }
 
 # ---- the wire ----
--- /dev/null
+++ b/tests/groupfakes.py
@@ -0,0 +1,270 @@
+"""Fakes at the interfaces of the control group: disk, network, machine."""
+
+import asyncio
+import copy
+import errno
+import random
+
+from mangobay import consensus, errors, ids, options, storage
+from mangobay.generated import messages, settings
+
+ELECTION_TIMEOUT = 0.6
+HEARTBEAT = 0.1
+SNAPSHOT_ENTRIES = 40
+
+
+class FakeDisk:
+    """Files in memory that forget in a crash what was not synced."""
+
+    def __init__(self, rng: random.Random):
+        self.rng = rng
+        self.names: dict[str, bytearray] = {}
+        self.lasting_names: dict[str, bytearray] = {}
+        self.lasting: dict[int, bytes] = {}
+        self.full = False
+        self.sync_seconds = 0.0
+        self.syncs = 0
+
+    def __str__(self) -> str:
+        return "disk"
+
+    def open(self) -> None:
+        pass
+
+    def read(self, name):
+        file = self.names.get(name)
+        return None if file is None else bytes(file)
+
+    def write(self, name, data):
+        self.names[name] = bytearray()
+        self.append(name, data)
+
+    def append(self, name, data):
+        file = self.names.setdefault(name, bytearray())
+        if self.full:
+            file += data[: len(data) // 2]
+            raise OSError(errno.ENOSPC, "No space left on device")
+        file += data
+
+    def cut(self, name, size):
+        del self.names[name][size:]
+
+    def sync(self, name):
+        if self.full:
+            raise OSError(errno.EIO, "Input/output error")
+        self.syncs += 1
+        file = self.names[name]
+        self.lasting[id(file)] = bytes(file)
+
+    def rename(self, old, new):
+        self.names[new] = self.names.pop(old)
+
+    def sync_folder(self):
+        self.lasting_names = dict(self.names)
+
+    async def offload(self, work):
+        if self.sync_seconds:
+            await asyncio.sleep(self.sync_seconds)
+        return work()
+
+    def crash(self) -> None:
+        """Loses the names and any part of the bytes that were not synced."""
+        if self.rng.random() < 0.5:
+            self.names = dict(self.lasting_names)
+        for file in self.names.values():
+            kept = self.lasting.get(id(file), b"")
+            tail = bytes(file[len(kept) :]) if file.startswith(kept) else b""
+            file[:] = kept + tail[: self.rng.randint(0, len(tail))]
+        self.names = {n: bytearray(f) for n, f in self.names.items()}
+        self.lasting_names = dict(self.names)
+        self.lasting = {id(f): bytes(f) for f in self.names.values()}
+
+
+class FakeMachine:
+    """Remembers the index and version of every sheet."""
+
+    def __init__(self) -> None:
+        self.applied = 0
+        self.sheets: list[tuple[int, str]] = []
+
+    def apply(self, entry):
+        assert entry.index == self.applied + 1
+        self.applied = entry.index
+        match entry.body:
+            case messages.SheetChange(version=version):
+                self.sheets.append((entry.index, version))
+
+    def snapshot(self):
+        history = [
+            messages.HistoryItem(revision=index, version=version)
+            for index, version in self.sheets
+        ]
+        return messages.Snapshot(history=history)
+
+    def restore(self, snapshot):
+        assert snapshot.last_index >= self.applied
+        self.applied = snapshot.last_index
+        self.sheets = [(h.revision, h.version) for h in snapshot.history]
+
+
+class FakeNetwork:
+    """Carries messages with delay, loss and cuts, each one way."""
+
+    def __init__(self, rng: random.Random):
+        self.rng = rng
+        self.groups: dict[options.Address, consensus.Group] = {}
+        self.cut: set[tuple[options.Address, options.Address]] = set()
+        self.loss = 0.0
+        self.delay = 0.003
+
+    def silent(self, sender, receiver) -> bool:
+        lost = self.rng.random() < self.loss
+        return lost or (sender, receiver) in self.cut
+
+    async def carry(self, sender, receiver, body):
+        await asyncio.sleep(self.delay * (0.5 + self.rng.random()))
+        if self.silent(sender, receiver):
+            await asyncio.Event().wait()
+        return copy.deepcopy(body)
+
+    async def ask(self, sender, receiver, body, timeout):
+        async with asyncio.timeout(timeout):
+            body = await self.carry(sender, receiver, body)
+            group = self.groups.get(receiver)
+            if group is None:
+                raise errors.PeerUnreachableError(str(receiver))
+            try:
+                reply = await group.handle(body)
+            except errors.StorageError as error:
+                raise errors.PeerBrokenError(str(error)) from error
+            return await self.carry(receiver, sender, reply)
+
+
+class FakeTransport:
+    """One host's end of the network."""
+
+    def __init__(self, network: FakeNetwork, address: options.Address):
+        self.network = network
+        self.address = address
+
+    async def ask(self, address, body, timeout):
+        return await self.network.ask(self.address, address, body, timeout)
+
+
+class FakeHost:
+    """A control host that can crash, start again and lose its disk."""
+
+    def __init__(self, cluster: "Cluster", address: options.Address):
+        self.cluster = cluster
+        self.address = address
+        self.name = ids.HostId(f"control-{address.port}")
+        self.disk = FakeDisk(cluster.rng)
+        self.task: asyncio.Task | None = None
+        self.group: consensus.Group
+        self.machine: FakeMachine
+
+    def start(self, join: bool = False) -> None:
+        log = storage.Storage(self.disk)
+        log.open()
+        self.machine = FakeMachine()
+        self.group = consensus.Group(
+            settings.ControlGroup(
+                hosts=self.cluster.addresses,
+                election_timeout=ELECTION_TIMEOUT,
+                heartbeat_interval=HEARTBEAT,
+                data="",
+                snapshot_entries=self.cluster.snapshot_entries,
+                join=join,
+            ),
+            log,
+            self.machine,
+            FakeTransport(self.cluster.network, self.address),
+            host=self.name,
+            address=self.address,
+            rng=self.cluster.rng,
+        )
+        self.cluster.network.groups[self.address] = self.group
+        self.task = asyncio.create_task(self.group.run())
+
+    async def crash(self) -> None:
+        if self.task is None:
+            return
+        self.cluster.network.groups.pop(self.address, None)
+        self.task.cancel()
+        await asyncio.wait([self.task])
+        self.task = None
+        self.disk.crash()
+
+    def lose_disk(self) -> None:
+        assert self.task is None
+        self.disk = FakeDisk(self.cluster.rng)
+
+    @property
+    def leads(self) -> bool:
+        return self.task is not None and self.group.leading.is_set()
+
+
+class Cluster:
+    """Some control hosts on one fake network."""
+
+    def __init__(self, seed=1, size=3, snapshot_entries=SNAPSHOT_ENTRIES):
+        self.rng = random.Random(seed)
+        self.snapshot_entries = snapshot_entries
+        self.network = FakeNetwork(self.rng)
+        self.addresses = tuple(
+            options.Address("127.0.0.1", 7000 + number)
+            for number in range(size)
+        )
+        self.hosts = [FakeHost(self, address) for address in self.addresses]
+
+    async def __aenter__(self):
+        for host in self.hosts:
+            host.start()
+        return self
+
+    async def __aexit__(self, *unused):
+        for host in self.hosts:
+            await host.crash()
+
+    def cut_off(self, host: FakeHost) -> None:
+        """Silently drops everything from and to a host."""
+        for other in self.addresses:
+            self.network.cut |= {(host.address, other), (other, host.address)}
+
+    def heal(self) -> None:
+        self.network.cut.clear()
+
+    async def leader(self, seconds: float = 30) -> FakeHost:
+        """Returns a host that a quorum has confirmed."""
+        async with asyncio.timeout(seconds):
+            while True:
+                for host in self.hosts:
+                    if host.leads:
+                        try:
+                            await host.group.confirm()
+                            return host
+                        except errors.NotLeaderError:
+                            pass
+                await asyncio.sleep(HEARTBEAT / 2)
+
+    async def commit(self, version: str, seconds: float = 30) -> FakeHost:
+        """Proposes a sheet until a leader has applied it."""
+        async with asyncio.timeout(seconds):
+            while True:
+                leader = await self.leader(seconds)
+                try:
+                    await leader.group.propose(
+                        messages.SheetChange(version=version)
+                    )
+                    return leader
+                except (errors.NotLeaderError, errors.UncertainError):
+                    await asyncio.sleep(HEARTBEAT)
+
+    async def until(self, condition, seconds: float = 30) -> None:
+        """Returns once the condition holds."""
+        async with asyncio.timeout(seconds):
+            while not condition():
+                await asyncio.sleep(HEARTBEAT / 2)
+
+    def others(self, host: FakeHost) -> list[FakeHost]:
+        return [other for other in self.hosts if other is not host]
