Decisions: admission, tries, routing behind the agreed interfaces

Cause: the way of a call needs admission, conserved tries, a retry ratio and routing to code against.

Ruled out: CoDel's shortest wait as the sign of a standing queue. With the newest call first it is near zero over any number of stale calls; the time since the queue was last empty is used.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements and the demonstration; not part of the product."""
--- /dev/null
+++ b/mangobay/admission.py
@@ -0,0 +1,355 @@
+"""Admission at the node beside the backend server.
+
+A call runs at once while fewer than the limit run and nobody waits.  Else it
+waits for a short time, bounded by the settings and by its own deadline, or is
+refused at once.  Nothing is held back to calm a caller: a refusal is sent as
+soon as it is known.
+
+The setting [recovery] weight scales both times that trade goodput against
+recovery, [admission] queue_time and reopen_time, by 2 ** (1 - 2 * weight): at
+0 they are doubled, at 0.5 as written, at 1 halved.
+"""
+
+import asyncio
+import dataclasses
+import random
+
+from mangobay import errors, fairness, ids, levels, limiter, pressure, waiting
+from mangobay.generated import messages, settings
+
+CALM_FACTOR = 4
+"""Times queue_time that a call may wait while the queue does not stand, and a
+critical one always."""
+STANDING_FACTOR = 2
+"""Times queue_time after which a queue that was never empty stands."""
+FORGET_TIME = 1.0
+"""Seconds in which the expected service time halves without an answer."""
+LONGEST_RETRY_AFTER = 30.0
+"""Seconds."""
+SHORTEST_RETRY_AFTER = 0.05
+"""Seconds."""
+RATE_PART = 0.05
+"""Weight of the newest answer in the mean time between two answers."""
+
+
+class ShedError(errors.MangobayError):
+    """The call was refused; nothing of it ran.
+
+    Attributes:
+      reason: why.
+      retry_after: seconds, jittered, after which the caller may try again.
+    """
+
+    def __init__(self, reason: messages.Reason, retry_after: float):
+        super().__init__(f"shed: {reason.name.lower()}")
+        self.reason = reason
+        self.retry_after = retry_after
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Ticket:
+    """What admission needs to know of a call.
+
+    Attributes:
+      importance: from the sheet, the same in the whole call tree.
+      depth: hops from the first node.
+      deadline: loop time.
+      client: who entered the call tree.
+      tree: names the call tree, such as its trace id; when empty, the client
+        stands for it.  Trees of one importance are refused by its hash.
+    """
+
+    importance: messages.Importance
+    depth: int
+    deadline: float
+    client: ids.ClientId
+    tree: str = ""
+
+
+class Pass:
+    """The right to run one call at the backend server.
+
+    Attributes:
+      waited: seconds in the queue.
+    """
+
+    __slots__ = ("admission", "began", "open", "waited")
+
+    def __init__(self, admission: "Admission", began: float, waited: float):
+        self.admission = admission
+        self.began = began
+        self.waited = waited
+        self.open = True
+
+    def leave(
+        self,
+        service_seconds: float,
+        ok: bool,
+        awaited: float = 0.0,
+        shed: bool = False,
+    ) -> None:
+        """Gives the slot back; only the first call counts.
+
+        Args:
+          service_seconds: time from the first byte to the whole answer.
+          ok: it was a whole answer; other times are not learned from.
+          awaited: part of that time with child calls in flight.
+          shed: the backend server itself refused the call.
+        """
+        if self.open:
+            self.open = False
+            self.admission.left(self, service_seconds, ok, awaited, shed)
+
+
+class Expected:
+    """A low estimate of the service time, so that no call is given up early.
+
+    It follows the fast answers, and fades without answers: an estimate above
+    every deadline would refuse all calls, so that no answer could mend it.
+    """
+
+    FALL = 0.3
+    RISE = 0.03
+
+    def __init__(self):
+        self.seconds = 0.0
+        self.seen = 0.0
+
+    def observe(self, seconds: float, now: float) -> None:
+        """Learns from one answer."""
+        part = self.FALL if seconds < self.seconds else self.RISE
+        self.seconds += (seconds - self.seconds) * part
+        self.seen = now
+
+    def at(self, now: float) -> float:
+        """Returns the seconds that a call needs at least."""
+        return self.seconds * 0.5 ** ((now - self.seen) / FORGET_TIME)
+
+
+class Admission:
+    """Admits calls to the backend server on this host.
+
+    Attributes:
+      running: calls that run now.
+      limiter: finds how many may.
+    """
+
+    def __init__(
+        self,
+        admission: settings.NodeAdmission,
+        retries: settings.NodeRetries,
+        recovery: settings.NodeRecovery,
+        dice: random.Random,
+    ):
+        scale = 2.0 ** (1 - 2 * recovery.weight)
+        self.settings = admission
+        self.queue_time = admission.queue_time * scale
+        self.calm_time = self.queue_time * CALM_FACTOR
+        self.dice = dice
+        self.limiter = limiter.make(admission.policy)
+        self.waiting = waiting.Waiting(admission.order == "newest")
+        self.fairness = fairness.Fairness(retries.client_share)
+        self.pressure = pressure.Pressure(
+            self.queue_time * STANDING_FACTOR, admission.reopen_time * scale
+        )
+        self.expected = Expected()
+        self.running = 0
+        self.pace = 0.0
+        self.answered_at = 0.0
+
+    @property
+    def threshold(self) -> int:
+        """The lowest level admitted now; goes back on every reply."""
+        return self.pressure.threshold
+
+    @property
+    def limit(self) -> int:
+        """Calls that may run at once."""
+        return self.limiter.limit
+
+    def set_slots(self, slots: int) -> None:
+        """Takes the slots announced by the backend server."""
+        self.limiter.set_slots(slots)
+        self.fill(asyncio.get_running_loop().time())
+
+    async def enter(self, ticket: Ticket) -> Pass:
+        """Returns the pass of an admitted call, perhaps after a short wait.
+
+        Raises:
+          ShedError: the call was refused and must not run.
+        """
+        loop = asyncio.get_running_loop()
+        now = loop.time()
+        level, rank = self.place(ticket, now)
+        self.check(ticket, level, now)
+        if not self.waiting.length and self.running < self.limiter.limit:
+            return self.admit(now, 0.0)
+        waiter = self.line_up(ticket, level, rank, loop)
+        return await self.wait(waiter)
+
+    def place(self, ticket: Ticket, now: float) -> tuple[int, int]:
+        """Counts the arrival; returns its level and its rank in the queue."""
+        importance = messages.Importance.NORMAL
+        if self.settings.by_importance:
+            importance = ticket.importance
+        self.fairness.arrived(ticket.client, now)
+        heavy = bool(self.waiting.length) and self.fairness.heavy(
+            ticket.client, now
+        )
+        level = importance * levels.FRACTIONS
+        if not heavy:
+            level = levels.level_of(importance, ticket.tree or ticket.client)
+        depth = ticket.depth if self.settings.by_depth else 0
+        return level, waiting.rank_of(importance, heavy, depth)
+
+    def check(self, ticket: Ticket, level: int, now: float) -> None:
+        """Refuses what would be shed anyway, or could not finish in time.
+
+        Raises:
+          ShedError: the call must not run.
+        """
+        self.pressure.look(not self.waiting.length, now)
+        self.pressure.arrived[level // pressure.STEP] += 1
+        if level < self.pressure.threshold:
+            raise self.refusal(messages.Reason.OVERLOADED, level)
+        if now + self.expected.at(now) >= ticket.deadline:
+            raise self.refusal(messages.Reason.DEADLINE_EXCEEDED, level)
+
+    def admit(self, now: float, waited: float) -> Pass:
+        """Takes a slot."""
+        self.running += 1
+        return Pass(self, now, waited)
+
+    def line_up(
+        self,
+        ticket: Ticket,
+        level: int,
+        rank: int,
+        loop: asyncio.AbstractEventLoop,
+    ) -> waiting.Waiter:
+        """Puts the call into the queue, in the place of a worse one if full.
+
+        Raises:
+          ShedError: the queue is full of calls that are no worse.
+        """
+        if self.queue_time <= 0:
+            raise self.refusal(messages.Reason.OVERLOADED, level)
+        if self.waiting.length >= self.settings.queue_length:
+            self.make_room(level, rank)
+        now = loop.time()
+        latest = ticket.deadline - self.expected.at(now)
+        waiter = waiting.Waiter(rank, level, now, latest, loop.create_future())
+        self.waiting.add(waiter)
+        end = min(now + self.patience(ticket, now), latest)
+        waiter.timer = loop.call_at(end, self.give_up, waiter)
+        return waiter
+
+    def make_room(self, level: int, rank: int) -> None:
+        """Sheds the worst waiting call for a better one.
+
+        Raises:
+          ShedError: the new call is the worst.
+        """
+        worst = self.waiting.worst_rank()
+        better = rank > worst or (rank == worst and self.waiting.newest_first)
+        if worst < 0 or not better:
+            raise self.refusal(messages.Reason.OVERLOADED, level)
+        self.refuse(self.waiting.pop_worst(), messages.Reason.OVERLOADED)
+
+    def patience(self, ticket: Ticket, now: float) -> float:
+        """Returns the longest wait in seconds.
+
+        A critical call may wait longer while the queue stands: nothing less
+        important is let in before it, so it waits only for running calls.
+        """
+        critical = ticket.importance == messages.Importance.CRITICAL
+        if critical and self.settings.by_importance:
+            return self.calm_time
+        return (
+            self.queue_time if self.pressure.standing(now) else self.calm_time
+        )
+
+    async def wait(self, waiter: waiting.Waiter) -> Pass:
+        """Returns the pass once it is the waiter's turn.
+
+        Raises:
+          ShedError: its time was up, or a better call took its place.
+        """
+        try:
+            return await waiter.future
+        except asyncio.CancelledError:
+            self.abandon(waiter)
+            raise
+
+    def abandon(self, waiter: waiting.Waiter) -> None:
+        """Takes a cancelled call out of the queue.
+
+        The pass may have been given in the same turn of the loop in which
+        the task was cancelled: nobody would ever give that slot back.
+        """
+        self.waiting.remove(waiter)
+        waiter.timer.cancel()
+        future = waiter.future
+        if future.done() and not future.cancelled() and not future.exception():
+            future.result().leave(0.0, ok=False)
+
+    def give_up(self, waiter: waiting.Waiter) -> None:
+        """Ends a wait whose time is up."""
+        if not self.waiting.remove(waiter):
+            return
+        now = asyncio.get_running_loop().time()
+        late = now >= waiter.latest
+        reason = messages.Reason.QUEUE_TIMEOUT
+        if late:
+            reason = messages.Reason.DEADLINE_EXCEEDED
+        self.refuse(waiter, reason)
+        self.pressure.look(not self.waiting.length, now)
+
+    def left(
+        self, gone: Pass, seconds: float, ok: bool, awaited: float, shed: bool
+    ) -> None:
+        """Takes a slot back and gives it to the best waiting call."""
+        now = asyncio.get_running_loop().time()
+        running = self.running
+        self.running -= 1
+        self.pressure.served += 1
+        self.count_pace(now)
+        if ok:
+            own = max(0.0, seconds - awaited)
+            self.expected.observe(seconds, now)
+            self.limiter.observe(own, running, gone.began, now)
+        elif shed:
+            self.limiter.shed(running, now)
+        self.fill(now)
+
+    def fill(self, now: float) -> None:
+        """Admits waiting calls while slots are free."""
+        while self.waiting.length and self.running < self.limiter.limit:
+            waiter = self.waiting.pop_best()
+            waiter.timer.cancel()
+            if waiter.future.done():
+                continue
+            if now > waiter.latest:
+                self.refuse(waiter, messages.Reason.DEADLINE_EXCEEDED)
+                continue
+            waiter.future.set_result(self.admit(now, now - waiter.since))
+        self.pressure.look(not self.waiting.length, now)
+
+    def refuse(self, waiter: waiting.Waiter, reason: messages.Reason) -> None:
+        """Ends the wait of a call that left the queue."""
+        waiter.timer.cancel()
+        if not waiter.future.done():
+            waiter.future.set_exception(self.refusal(reason, waiter.level))
+
+    def refusal(self, reason: messages.Reason, level: int) -> ShedError:
+        """Returns the error of a refusal, with a time to try again."""
+        drain = self.waiting.length * self.pace
+        seconds = drain + self.pressure.reopens_in(level)
+        seconds = min(max(seconds, SHORTEST_RETRY_AFTER), LONGEST_RETRY_AFTER)
+        return ShedError(reason, seconds * (0.5 + self.dice.random()))
+
+    def count_pace(self, now: float) -> None:
+        """Follows the mean time between two answers."""
+        gap = min(now - self.answered_at, 1.0)
+        self.answered_at = now
+        self.pace += (gap - self.pace) * RATE_PART
--- /dev/null
+++ b/mangobay/hosts.py
@@ -0,0 +1,234 @@
+"""The hosts of one service, as one node sees them."""
+
+import dataclasses
+import typing
+
+from mangobay import ejection, ids, levels
+from mangobay.generated import messages, settings
+
+LOWEST_RAMP = 0.1
+"""Share of its slots that a new host counts with at first."""
+HINT_PART = 0.25
+"""Most that a host's own word on its load changes its score."""
+SHED_PART = 0.1
+"""Weight of the newest reply in the share of sheds."""
+SHED_COST = 4.0
+"""A host that sheds everything counts as this much busier."""
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Observation:
+    """What one call showed of a host.
+
+    Attributes:
+      outcome: as defined in the messages.
+      reason: as defined in the messages.
+      seconds: from sending the call to its reply.
+      threshold: what the host admits now, from its reply.
+      inflight: calls it says it runs; a hint.
+      limit: calls it says may run; a hint.
+    """
+
+    outcome: messages.Outcome
+    reason: messages.Reason = messages.Reason.NONE
+    seconds: float = 0.0
+    threshold: int = 0
+    inflight: int = 0
+    limit: int = 0
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Host:
+    """One host of a service.
+
+    Attributes:
+      member: as the control group announced it.
+      since: loop time at which it was first seen; minus infinity when it was
+        there before this node.
+      outstanding: this node's own calls in flight there.
+      threshold: from the last reply.
+      told: loop time of that reply.
+      hint: share of its limit that it says is in use, 0 to 1.
+      sheds: share of the last replies that were refusals.
+    """
+
+    member: messages.Member
+    since: float
+    outstanding: int = 0
+    threshold: int = levels.OPEN
+    told: float = 0.0
+    hint: float = 0.0
+    sheds: float = 0.0
+
+    def threshold_at(self, now: float, reopen_time: float) -> int:
+        """Returns the threshold, fallen since it was told.
+
+        A host that gets no calls sends no replies: a threshold that never
+        fell would keep it without calls for ever.
+        """
+        if not self.threshold:
+            return levels.OPEN
+        share = 1.0 - (now - self.told) / reopen_time
+        return max(levels.OPEN, int(self.threshold * share))
+
+    def score(self, now: float, slow_start: float) -> float:
+        """Returns how busy the host is; the lower one is picked.
+
+        Its own word on its load may be stale or wrong, so it only shifts a
+        choice between hosts that are about equal by this node's own count.
+        """
+        capacity = max(self.member.slots, 1) * self.ramp(now, slow_start)
+        busy = (self.outstanding + 1) / capacity
+        return busy * (1 + HINT_PART * self.hint + SHED_COST * self.sheds)
+
+    def ramp(self, now: float, slow_start: float) -> float:
+        """Returns the share of its slots that the host counts with.
+
+        A cold backend server is slower than it will be; a full share at once
+        fills it with calls that time out, so that it never warms up.
+        """
+        age = now - self.since
+        if age >= slow_start:
+            return 1.0
+        return max(LOWEST_RAMP, age / slow_start)
+
+    def observe(self, seen: Observation, now: float) -> None:
+        """Learns from one reply."""
+        shed = seen.reason in SHED_REASONS
+        self.sheds += ((1.0 if shed else 0.0) - self.sheds) * SHED_PART
+        if seen.outcome == messages.Outcome.UNKNOWN:
+            return
+        self.threshold = seen.threshold
+        self.told = now
+        if seen.limit > 0:
+            self.hint = min(1.0, seen.inflight / seen.limit)
+
+
+SHED_REASONS = frozenset(
+    {
+        messages.Reason.OVERLOADED,
+        messages.Reason.QUEUE_TIMEOUT,
+        messages.Reason.BACKEND_SHED,
+        messages.Reason.CALLER_THROTTLED,
+    }
+)
+"""Refusals of a host that works but has no room."""
+FAILURE_REASONS = frozenset(
+    {
+        messages.Reason.CONNECTION_FAILED,
+        messages.Reason.CONNECTION_BROKEN,
+        messages.Reason.INCOMPLETE_ANSWER,
+        messages.Reason.NO_BACKEND,
+    }
+)
+"""What counts towards ejection, besides every unknown outcome."""
+GONE_REASONS = frozenset({messages.Reason.LEAVING})
+"""The host takes no more calls, though the view does not say so yet."""
+NOT_FAILURES = frozenset(
+    {
+        messages.Reason.CANCELLED,
+        messages.Reason.KEY_EXPIRED,
+        messages.Reason.OWNER_CHANGED,
+        messages.Reason.RUNNING,
+    }
+)
+"""Unknown outcomes that say nothing about the host."""
+
+
+def is_failure(seen: Observation) -> bool:
+    """Returns whether the observation speaks against the host."""
+    if seen.reason in FAILURE_REASONS:
+        return True
+    unknown = seen.outcome == messages.Outcome.UNKNOWN
+    return unknown and seen.reason not in NOT_FAILURES
+
+
+class ServiceHosts:
+    """The hosts of one service that take calls.
+
+    Attributes:
+      near: those in the own data centre, or all when that does not matter.
+      far: the others.
+    """
+
+    def __init__(self, routing: settings.NodeRouting, home: ids.DataCentre):
+        self.settings = routing
+        self.home = home
+        self.version = ids.ViewVersion(-1)
+        self.known: dict[ids.HostId, Host] = {}
+        self.near: list[Host] = []
+        self.far: list[Host] = []
+        self.ejection = ejection.Ejection(routing)
+
+    def update(self, view: messages.ServiceView, now: float) -> None:
+        """Takes the members of a view; keeps what was observed of them."""
+        if view.version == self.version:
+            return
+        since = now if self.known else float("-inf")
+        former = self.known
+        self.known = {
+            member.host: self.renewed(former.get(member.host), member, since)
+            for member in view.members
+        }
+        for host in former.keys() - self.known.keys():
+            self.ejection.forget(host)
+        self.version = view.version
+        self.ejection.hosts = len(self.known)
+        self.arrange()
+
+    def renewed(
+        self, host: Host | None, member: messages.Member, since: float
+    ) -> Host:
+        """Returns the host with its new announcement."""
+        if host and host.member.incarnation == member.incarnation:
+            host.member = member
+            return host
+        self.ejection.forget(member.host)
+        return Host(member, since)
+
+    def arrange(self) -> None:
+        """Sorts the hosts that take calls into near and far ones."""
+        staying = [
+            host for host in self.known.values() if not host.member.leaving
+        ]
+        self.near = [host for host in staying if self.is_near(host)]
+        self.far = [host for host in staying if not self.is_near(host)]
+        if not self.near:
+            self.near, self.far = self.far, []
+
+    def is_near(self, host: Host) -> bool:
+        """Returns whether the host is preferred for its place."""
+        if not self.settings.local_first:
+            return True
+        return host.member.data_centre == self.home
+
+    def gone(self, host: Host) -> None:
+        """Stops using a host that said it is leaving."""
+        host.member = dataclasses.replace(host.member, leaving=True)
+        self.arrange()
+
+    def usable(
+        self,
+        host: Host,
+        excluding: typing.AbstractSet[ids.HostId],
+        now: float,
+    ) -> bool:
+        """Returns whether an ordinary call may go to the host."""
+        name = host.member.host
+        if name in excluding:
+            return False
+        if name not in self.ejection.records:
+            return True
+        return self.ejection.state(name, now) == ejection.State.IN_USE
+
+    def due(
+        self, excluding: typing.AbstractSet[ids.HostId], now: float
+    ) -> Host | None:
+        """Returns a host that a probing call may go to."""
+        for name in self.ejection.records:
+            if self.ejection.state(name, now) != ejection.State.DUE:
+                continue
+            host = self.known[name]
+            if name not in excluding and not host.member.leaving:
+                return host
+        return None
--- /dev/null
+++ b/mangobay/levels.py
@@ -0,0 +1,27 @@
+"""Admission levels: importance in the high byte, a stable fraction below.
+
+A threshold is a level too: calls below it are refused.  The fraction comes
+from the caller, so one call tree has the same level at each hop, and a
+threshold inside an importance refuses whole trees instead of single hops.
+"""
+
+import xxhash
+
+from mangobay.generated import messages
+
+FRACTIONS = 256
+OPEN = 0
+"""The threshold that refuses nothing."""
+HIGHEST = messages.Importance.CRITICAL * FRACTIONS
+"""No threshold is higher: critical calls are refused only by the queue."""
+TOP = (messages.Importance.CRITICAL + 1) * FRACTIONS
+
+
+def fraction_of(text: str) -> int:
+    """Returns the stable fraction, 0 to 255, of a caller or call tree."""
+    return xxhash.xxh32_intdigest(text.encode()) & (FRACTIONS - 1)
+
+
+def level_of(importance: int, text: str) -> int:
+    """Returns the level of a call of this importance from this caller."""
+    return importance * FRACTIONS + fraction_of(text)
--- /dev/null
+++ b/mangobay/routing.py
@@ -0,0 +1,292 @@
+"""Picks the host for a call, among those that serve the service called."""
+
+import asyncio
+import dataclasses
+import random
+import typing
+
+from mangobay import errors, hosts, ids, levels, logs
+from mangobay.generated import messages, settings
+
+DRAWS = 4
+"""Hosts drawn at random before all are looked at."""
+PROBE_SHARE = 0.02
+"""Share of the calls that go on although every threshold is above them."""
+SHORTEST_RETRY_AFTER = 0.05
+"""Seconds."""
+
+Observation = hosts.Observation
+
+
+@dataclasses.dataclass(slots=True)
+class Choice:
+    """What one pick looks for.
+
+    Attributes:
+      excluding: hosts already tried.
+      level: of the call.
+      idempotent: may probe.
+      now: loop time.
+    """
+
+    excluding: typing.AbstractSet[ids.HostId]
+    level: int
+    idempotent: bool
+    now: float
+
+
+class NoHostError(errors.MangobayError):
+    """No host can take the call: none is known, or all were tried."""
+
+
+class EarlyRefusalError(errors.MangobayError):
+    """Every host would refuse the call, by what they said last.
+
+    Attributes:
+      retry_after: seconds, jittered, after which the caller may try again.
+    """
+
+    def __init__(self, retry_after: float):
+        super().__init__("every host refuses calls of this importance")
+        self.retry_after = retry_after
+
+
+class Router:
+    """Routes the calls of one node.
+
+    It holds only the services of the views it is given, so a node knows the
+    hosts of the services that it calls and of no others.
+    """
+
+    def __init__(
+        self,
+        routing: settings.NodeRouting,
+        admission: settings.NodeAdmission,
+        home: ids.DataCentre,
+        dice: random.Random,
+    ):
+        self.settings = routing
+        self.early_refusal = admission.early_refusal
+        self.by_importance = admission.by_importance
+        self.reopen_time = admission.reopen_time
+        self.home = home
+        self.dice = dice
+        self.services: dict[ids.ServiceName, hosts.ServiceHosts] = {}
+
+    def update(
+        self, views: dict[ids.ServiceName, messages.ServiceView]
+    ) -> None:
+        """Takes the views as committed by the control group."""
+        now = asyncio.get_running_loop().time()
+        for service in self.services.keys() - views.keys():
+            del self.services[service]
+        for service, view in views.items():
+            if service not in self.services:
+                self.services[service] = hosts.ServiceHosts(
+                    self.settings, self.home
+                )
+            self.services[service].update(view, now)
+
+    def pick(
+        self,
+        service: ids.ServiceName,
+        excluding: typing.AbstractSet[ids.HostId],
+        importance: messages.Importance,
+        depth: int,
+        *,
+        idempotent: bool = False,
+        tree: str = "",
+    ) -> messages.Member:
+        """Returns the host for a call.
+
+        Args:
+          service: the service called.
+          excluding: hosts already tried for this call.
+          importance: of the call tree.
+          depth: hops from the first node.
+          idempotent: the call may probe a host that failed before.
+          tree: the text that the ticket's level comes from.
+
+        Raises:
+          NoHostError: there is none, or all are excluded or ejected.
+          EarlyRefusalError: the call would be refused wherever it went.
+        """
+        known = self.services.get(service)
+        if known is None or not known.near:
+            raise NoHostError(f"no host serves {service}")
+        now = asyncio.get_running_loop().time()
+        level = self.level(importance, tree)
+        choice = Choice(excluding, level, idempotent, now)
+        return self.choose(known, choice).member
+
+    def began(self, service: ids.ServiceName, host: ids.HostId) -> None:
+        """Counts a call sent to the host."""
+        found = self.find(service, host)
+        if found:
+            found.outstanding += 1
+
+    def ended(
+        self, service: ids.ServiceName, host: ids.HostId, seen: Observation
+    ) -> None:
+        """Learns from a call that began; every one must end here."""
+        known = self.services.get(service)
+        found = known.known.get(host) if known else None
+        if found is None:
+            return
+        now = asyncio.get_running_loop().time()
+        found.outstanding = max(0, found.outstanding - 1)
+        found.observe(seen, now)
+        if seen.reason in hosts.GONE_REASONS and not found.member.leaving:
+            known.gone(found)
+        self.judge(known, service, host, seen, now)
+
+    def judge(
+        self,
+        known: hosts.ServiceHosts,
+        service: ids.ServiceName,
+        host: ids.HostId,
+        seen: Observation,
+        now: float,
+    ) -> None:
+        """Ejects a host that keeps failing, or takes it back."""
+        if hosts.is_failure(seen):
+            if known.ejection.failed(host, now):
+                self.say("host ejected", service, host)
+        elif seen.outcome == messages.Outcome.UNKNOWN:
+            return
+        elif known.ejection.succeeded(host):
+            known.known[host].since = now
+            self.say("host back", service, host)
+
+    def say(
+        self, sentence: str, service: ids.ServiceName, host: ids.HostId
+    ) -> None:
+        """Logs a change of a host's state; rare, by the time out of use."""
+        logs.say(logs.Part.ROUTING, sentence, service=service, host=host)
+
+    def find(
+        self, service: ids.ServiceName, host: ids.HostId
+    ) -> hosts.Host | None:
+        """Returns what is known of a host of a service."""
+        known = self.services.get(service)
+        return known.known.get(host) if known else None
+
+    def level(self, importance: messages.Importance, tree: str) -> int:
+        """Returns the level of a call, as the called host will see it."""
+        if not self.by_importance:
+            importance = messages.Importance.NORMAL
+        return levels.level_of(importance, tree)
+
+    def choose(
+        self,
+        known: hosts.ServiceHosts,
+        choice: Choice,
+    ) -> hosts.Host:
+        """Returns a host to probe, else a near one, else a far one.
+
+        Raises:
+          NoHostError: all are excluded or ejected.
+          EarlyRefusalError: all refuse calls of this level.
+        """
+        if choice.idempotent and known.ejection.records:
+            due = known.due(choice.excluding, choice.now)
+            if due:
+                known.ejection.probe(due.member.host, choice.now)
+                return due
+        fallback = None
+        for group in (known.near, known.far):
+            found = self.draw(known, group, choice)
+            if found and self.threshold(found, choice.now) <= choice.level:
+                return found
+            fallback = fallback or found
+        if fallback is None:
+            raise NoHostError("every host was tried or is out of use")
+        self.refuse_early(fallback, choice)
+        return fallback
+
+    def refuse_early(self, refusing: hosts.Host, choice: Choice) -> None:
+        """Refuses a call that every host would refuse, but for a few.
+
+        Those few find out that a threshold fell, so that refusals end soon
+        after their cause and not only when the memory of it fades.
+
+        Raises:
+          EarlyRefusalError: nearly always.
+        """
+        if not self.early_refusal or self.dice.random() < PROBE_SHARE:
+            return
+        threshold = self.threshold(refusing, choice.now)
+        share = (threshold - choice.level) / threshold
+        wait = max(SHORTEST_RETRY_AFTER, share * self.reopen_time)
+        raise EarlyRefusalError(wait * (0.5 + self.dice.random()))
+
+    def threshold(self, host: hosts.Host, now: float) -> int:
+        """Returns what the host admits now, as far as is known."""
+        return host.threshold_at(now, self.reopen_time)
+
+    def draw(
+        self,
+        known: hosts.ServiceHosts,
+        group: list[hosts.Host],
+        choice: Choice,
+    ) -> hosts.Host | None:
+        """Returns the less busy of two random hosts that admit the call.
+
+        Only where the draws find none that admits it are all looked at: a
+        group in which most refuse is rare, and small next to the calls saved.
+
+        Returns:
+          A host that refuses the call if all do; None if none is usable.
+        """
+        if not group:
+            return None
+        wanted = 2 if self.settings.policy == "two_choices" else 1
+        drawn: list[hosts.Host] = []
+        for _ in range(DRAWS):
+            host = group[int(self.dice.random() * len(group))]
+            if host not in drawn and self.fits(known, host, choice):
+                drawn.append(host)
+                if len(drawn) == wanted:
+                    break
+        if not drawn:
+            return self.look_through(known, group, choice)
+        if len(drawn) == 1:
+            return drawn[0]
+        slow_start = self.settings.slow_start
+        first, second = drawn
+        if first.score(choice.now, slow_start) <= second.score(
+            choice.now, slow_start
+        ):
+            return first
+        return second
+
+    def fits(
+        self,
+        known: hosts.ServiceHosts,
+        host: hosts.Host,
+        choice: Choice,
+    ) -> bool:
+        """Returns whether the host is usable and admits the call."""
+        if not known.usable(host, choice.excluding, choice.now):
+            return False
+        return (
+            not host.threshold
+            or self.threshold(host, choice.now) <= choice.level
+        )
+
+    def look_through(
+        self,
+        known: hosts.ServiceHosts,
+        group: list[hosts.Host],
+        choice: Choice,
+    ) -> hosts.Host | None:
+        """Returns the usable host with the lowest threshold."""
+        usable = [
+            host
+            for host in group
+            if known.usable(host, choice.excluding, choice.now)
+        ]
+        if not usable:
+            return None
+        self.dice.shuffle(usable)
+        return min(usable, key=lambda host: self.threshold(host, choice.now))
--- /dev/null
+++ b/mangobay/waiting.py
@@ -0,0 +1,105 @@
+"""The queue of calls that wait for a slot at the backend server."""
+
+import asyncio
+import collections
+import dataclasses
+
+from mangobay.generated import messages
+
+DEPTHS = 8
+"""Deeper calls than this rank alike."""
+RANKS = len(messages.Importance) * 2 * DEPTHS
+
+
+def rank_of(importance: int, heavy: bool, depth: int) -> int:
+    """Returns the rank: importance, then light callers, then deeper calls."""
+    light = 0 if heavy else 1
+    return (importance * 2 + light) * DEPTHS + min(depth, DEPTHS - 1)
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Waiter:
+    """One waiting call.
+
+    Attributes:
+      rank: from rank_of; higher goes first.
+      level: its admission level.
+      since: loop time of its arrival.
+      latest: loop time at which it could no longer finish in time.
+      future: gets the pass, or the error of a refusal.
+      timer: ends the wait.
+    """
+
+    rank: int
+    level: int
+    since: float
+    latest: float
+    future: asyncio.Future
+    timer: asyncio.TimerHandle | None = None
+
+
+class Waiting:
+    """Waiters by rank; both ends of every rank are reached in O(1).
+
+    Attributes:
+      newest_first: within a rank, the newest goes first and the oldest is
+        shed first; otherwise the other way round.
+    """
+
+    def __init__(self, newest_first: bool):
+        self.newest_first = newest_first
+        self.ranks = [collections.OrderedDict() for _ in range(RANKS)]
+        self.occupied = 0
+        self.length = 0
+
+    def add(self, waiter: Waiter) -> None:
+        """Adds a waiter."""
+        self.ranks[waiter.rank][waiter] = None
+        self.occupied |= 1 << waiter.rank
+        self.length += 1
+
+    def remove(self, waiter: Waiter) -> bool:
+        """Removes a waiter; returns whether it was still waiting."""
+        rank = self.ranks[waiter.rank]
+        if waiter not in rank:
+            return False
+        del rank[waiter]
+        self.removed(waiter.rank)
+        return True
+
+    def pop_best(self) -> Waiter:
+        """Removes and returns the waiter that goes next.
+
+        Raises:
+          KeyError: nobody waits.
+        """
+        rank = self.best_rank()
+        waiter, _ = self.ranks[rank].popitem(last=self.newest_first)
+        self.removed(rank)
+        return waiter
+
+    def pop_worst(self) -> Waiter:
+        """Removes and returns the waiter that is shed first.
+
+        Raises:
+          KeyError: nobody waits.
+        """
+        rank = self.worst_rank()
+        waiter, _ = self.ranks[rank].popitem(last=not self.newest_first)
+        self.removed(rank)
+        return waiter
+
+    def best_rank(self) -> int:
+        """Returns the highest rank that waits; -1 when nobody does."""
+        return self.occupied.bit_length() - 1
+
+    def worst_rank(self) -> int:
+        """Returns the lowest rank that waits; -1 when nobody does."""
+        lowest = self.occupied & -self.occupied
+        return lowest.bit_length() - 1
+
+    def removed(self, rank: int) -> None:
+        """Keeps the counts after one waiter left its rank."""
+        self.length -= 1
+        if not self.ranks[rank]:
+            self.occupied &= ~(1 << rank)
--- /dev/null
+++ b/tests/decisionfakes.py
@@ -0,0 +1,52 @@
+"""Settings and views for the tests of the decisions."""
+
+from mangobay import ids, routing
+from mangobay.generated import messages, settings
+
+QUOTES = ids.ServiceName("quotes")
+HOME = ids.DataCentre("lima")
+AWAY = ids.DataCentre("trujillo")
+SEED = 11
+
+
+def section(name: str, **changes):
+    """Returns one section of the node's settings: defaults and changes."""
+    made, options = settings.NODE_SECTIONS[name]
+    values = {
+        option.name: option.parse(option.default)
+        for option in options
+        if option.default is not None
+    }
+    return made(**(values | changes))
+
+
+def member(
+    host: str, data_centre: str = HOME, incarnation: str = "1", slots: int = 20
+) -> messages.Member:
+    """Returns a host that serves with these slots."""
+    return messages.Member(
+        host=ids.HostId(host),
+        incarnation=ids.Incarnation(incarnation),
+        data_centre=ids.DataCentre(data_centre),
+        peer_address="127.0.0.1:1",
+        slots=slots,
+    )
+
+
+def view(version: int, *members: messages.Member) -> dict:
+    """Returns the views of a node that calls only quotes."""
+    return {
+        QUOTES: messages.ServiceView(
+            service=QUOTES,
+            version=ids.ViewVersion(version),
+            members=list(members),
+            active=True,
+        )
+    }
+
+
+ANSWERED = routing.Observation(outcome=messages.Outcome.ANSWERED)
+BROKEN = routing.Observation(
+    outcome=messages.Outcome.UNKNOWN,
+    reason=messages.Reason.CONNECTION_BROKEN,
+)
--- /dev/null
+++ b/tests/test_tries.py
@@ -0,0 +1,129 @@
+"""Extra tries of a call tree."""
+
+import hypothesis
+from hypothesis import strategies
+
+from mangobay import ids, tries
+
+CALL = ids.CallId("call-1")
+
+
+class TestGrant:
+    """The tries of one subtree."""
+
+    def test_lends_half_rounded_up(self):
+        grant = tries.Grant(3)
+        assert [grant.lend(), grant.lend(), grant.lend()] == [2, 1, 0]
+
+    def test_a_reply_that_returns_too_much_makes_no_tries(self):
+        """A broken peer returns more tries than it was lent.
+
+        The node would then repeat calls that nobody granted, and the sum
+        over the tree would pass the grant.  The surplus is cut.
+        """
+        grant = tries.Grant(4)
+        lent = grant.lend()
+        grant.give_back(lent + 100)
+        assert grant.left == 4
+
+    def test_a_late_reply_gives_nothing_back(self):
+        """The node's own reply has gone up when a child's reply comes.
+
+        Its tries were counted as lost by then; taking them back would let
+        both the node and its caller use them.
+        """
+        grant = tries.Grant(4)
+        lent = grant.lend()
+        assert grant.close() == 2
+        grant.give_back(lent)
+        assert grant.left == 0
+        assert not grant.take()
+
+
+class TestRunning:
+    """A backend server that repeats its own child calls."""
+
+    def test_a_repeat_costs_a_try(self):
+        """A backend server's own client library retries a failed child call.
+
+        With two tries for the subtree it gets two repeats through, then a
+        refusal; a different child call is free of charge.
+        """
+        running = tries.Grants().open(CALL, tries.Grant(2))
+        made = [running.child("GET", "/price/1", b"") for _ in range(4)]
+        assert made == [True, True, True, False]
+        assert running.child("GET", "/price/2", b"")
+
+    def test_time_with_children_in_flight_counts_once(self):
+        running = tries.Running(tries.Grant(0))
+        running.child_began(1.0)
+        running.child_began(2.0)
+        running.child_ended(3.0)
+        running.child_ended(5.0)
+        assert running.awaited_at(9.0) == 4.0
+
+    def test_a_closed_call_is_unknown(self):
+        grants = tries.Grants()
+        grants.open(CALL, tries.Grant(5))
+        assert grants.close(CALL) == 5
+        assert grants.find(CALL) is None
+        assert grants.close(CALL) == 0
+
+
+class Tree:
+    """A call tree in which every hop fails, repeats and loses replies.
+
+    Attributes:
+      extra: attempts beyond the first of each call.
+    """
+
+    def __init__(self, data):
+        self.data = data
+        self.extra = 0
+
+    def call(self, granted: int, depth: int) -> int | None:
+        """Runs one call; returns the tries its reply brings, None if lost."""
+        grants = tries.Grants()
+        running = grants.open(CALL, tries.Grant(granted))
+        if depth:
+            for child in range(self.data.draw(strategies.integers(0, 2))):
+                self.child(running, child, depth)
+        left = grants.close(CALL)
+        return left if self.data.draw(strategies.booleans()) else None
+
+    def child(self, running: tries.Running, child: int, depth: int) -> None:
+        """Makes a child call as often as the tries allow."""
+        for repeat in range(1 + self.data.draw(strategies.integers(0, 3))):
+            if not running.child("GET", f"/{child}", b""):
+                return
+            self.extra += repeat > 0
+            self.attempts(running.grant, depth)
+
+    def attempts(self, grant: tries.Grant, depth: int) -> None:
+        """The node's own retry loop around one child call."""
+        for attempt in range(1 + self.data.draw(strategies.integers(0, 2))):
+            if attempt and not grant.take():
+                return
+            self.extra += attempt > 0
+            back = self.call(grant.lend(), depth - 1)
+            if back is not None:
+                grant.give_back(back)
+
+
+class TestTree:
+    """The sum over a whole call tree."""
+
+    @hypothesis.settings(derandomize=True, deadline=None, max_examples=150)
+    @hypothesis.given(
+        strategies.data(), strategies.integers(0, 6), strategies.integers(1, 3)
+    )
+    def test_extra_attempts_never_exceed_the_grant(self, data, granted, depth):
+        """Backend servers and nodes repeat at every hop; replies get lost.
+
+        Without conservation three tries a hop over four hops make 81
+        attempts of the last call.  Here the extra attempts of the whole tree
+        stay within what the first node granted.
+        """
+        tree = Tree(data)
+        left = tree.call(granted, depth)
+        assert tree.extra + (left or 0) <= granted
