Views carry their lineage in the replicated state; one test layout

Cause: the machine kept one former view, takeover asks for a witness of each view since the last complete owner.

--- a/mangobay/leases.py
+++ b/mangobay/leases.py
@@ -138,7 +138,9 @@
         for record in self.machine.members.values():
             owners.add(activity.owner_of(record.member))
         for view in views:
-            owners.update(activity.owner_of(m) for m in view.former_members)
+            owners.update(
+                activity.owner_of(m) for m in machine.former_members(view)
+            )
         self.silence.restart(sorted(owners), clock.now())
         self.reports.revisions.clear()
         self.activity = activity.ViewActivity()
@@ -147,7 +149,7 @@
 
     def follow_view(self, view: messages.ServiceView) -> None:
         """Takes a view into the activity of this term."""
-        if view.service not in self.activity.versions and view.former_version:
+        if view.service not in self.activity.versions and view.formers:
             # The first view of a service in this term may follow on others
             # that never became active, of which the snapshot tells nothing.
             self.activity.wait_for(view.service, activity.UNSEEN, view.version)
--- a/mangobay/machine.py
+++ b/mangobay/machine.py
@@ -40,6 +40,33 @@
     revision: ids.Revision
 
 
+MOST_FORMERS = 8
+"""Former views kept with a view.
+
+A new owner of a slot must find a witness of each view since the last owner
+that knew everything; with more changes than this in between it gives up and
+answers `unknown` to older keys.
+"""
+
+
+def lineage_of(old: messages.ServiceView) -> list[messages.FormerView]:
+    """Returns the views that a view following on the old one comes after.
+
+    When every member of a service died, the next ones still have to know that
+    keys may have run before them: without a former view they would run a
+    repeated booking again.  A view without members adds nothing to that.
+    """
+    if not old.members:
+        return old.formers
+    newest = messages.FormerView(version=old.version, members=old.members)
+    return [newest, *old.formers]
+
+
+def former_members(view: messages.ServiceView) -> list[messages.Member]:
+    """Returns who was a member before the view."""
+    return view.formers[0].members if view.formers else []
+
+
 class ConfigMachine:
     """Applies committed entries; implements `consensus.Machine`.
 
@@ -205,16 +232,14 @@
         members.sort(key=lambda item: item.host)
         if members == old.members:
             return False
-        # When every member of a service died, the next ones still have to
-        # know that keys may have run before them: without a former view they
-        # would run a repeated booking again.
-        keep = not old.members
+        lineage = lineage_of(old)
         self.views[service] = messages.ServiceView(
             service=service,
             version=ids.ViewVersion(index),
             members=members,
-            former_version=old.former_version if keep else old.version,
-            former_members=old.former_members if keep else old.members,
+            formers=lineage[:MOST_FORMERS],
+            lineage_whole=len(lineage) <= MOST_FORMERS
+            and (old.lineage_whole or not old.version),
         )
         return True
 
--- a/schema/messages.capnp
+++ b/schema/messages.capnp
@@ -213,14 +213,11 @@
   service @0 :Text $id("ServiceName");
   version @1 :UInt64 $id("ViewVersion");
   members @2 :List(Member);
-  formerVersion @3 :UInt64 $id("ViewVersion");
-  formerMembers @4 :List(Member);
-  # The members that could own slots before this version.
-  active @5 :Bool;
+  active @3 :Bool;
   # Every living member of the former view has seen this one.
-  formers @6 :List(FormerView);
+  formers @4 :List(FormerView);
   # Views before this one, newest first; at most a fixed number.
-  lineageWhole @7 :Bool;
+  lineageWhole @5 :Bool;
   # `formers` reaches back to the first view of the service.
 }
 
--- a/tests/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Tests; fakes live beside the tests that use them."""
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -2,11 +2,11 @@
 
 import asyncio
 
+import groupfakes
 import pytest
 
 from mangobay import errors
 from mangobay.generated import messages
-from tests import groupfakes
 
 pytestmark = pytest.mark.looptime
 
--- a/tests/test_edges.py
+++ b/tests/test_edges.py
@@ -3,11 +3,11 @@
 import asyncio
 import json
 
+import nodes
 import pytest
 from aiohttp import web
 
 from mangobay import fields
-from tests import nodes
 
 
 async def answer(request):
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -190,7 +190,7 @@
                 await asyncio.sleep(0.5)
             assert versions == sorted(set(versions))
             view = state.views["quotes"]
-            assert view.former_members[0].incarnation == "7"
+            assert machine.former_members(view)[0].incarnation == "7"
             assert "quotes" not in table.activity.active
             await keep(
                 table,
--- a/tests/test_once.py
+++ b/tests/test_once.py
@@ -3,11 +3,11 @@
 import asyncio
 import dataclasses
 
+import once_fakes
 import pytest
 
 from mangobay import invariants, slots
 from mangobay.generated import messages
-from tests import once_fakes
 
 
 @pytest.mark.looptime
--- a/tests/test_once_random.py
+++ b/tests/test_once_random.py
@@ -7,12 +7,12 @@
 
 import hypothesis
 import looptime
+import once_fakes
 from hypothesis import stateful
 from hypothesis import strategies as st
 
 from mangobay import invariants
 from mangobay.generated import messages
-from tests import once_fakes
 
 HOSTS = 5
 KEYS = 6
--- a/tests/test_ratio.py
+++ b/tests/test_ratio.py
@@ -2,8 +2,9 @@
 
 import random
 
+import decisionfakes
+
 from mangobay import ratio
-from tests import decisionfakes
 
 
 class TestRetryRatio:
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -3,11 +3,11 @@
 import collections
 import random
 
+import decisionfakes as fakes
 import pytest
 
 from mangobay import ids, routing
 from mangobay.generated import messages
-from tests import decisionfakes as fakes
 
 NORMAL = messages.Importance.NORMAL
 
