--- a/bench/latency.py
+++ b/bench/latency.py
@@ -65,7 +65,7 @@
     try:
         for number in range(WARM_UP + rounds):
             for way in ways:
-                target = deployment.target_of(operation, number, "latency")
+                target = deployment.target_of(operation, number)
                 began = loop.time()
                 async with session.get(way.url + target) as response:
                     await response.read()
--- a/bench/load.py
+++ b/bench/load.py
@@ -139,12 +139,13 @@
         operation = work.operation
         call = Call(deployment.work_id(operation), operation.importance, due)
         self.calls.append(call)
+        target = deployment.target_of(operation, self.random.randrange(1000))
         give_up = due + operation.deadline_ms / 1000
         key = "" if operation.idempotent else str(uuid6.uuid7())
         for number in range(1 + self.tries):
             attempt = Attempt(str(uuid6.uuid7()))
             call.attempts.append(attempt)
-            await self.attempt(call, operation, key, give_up)
+            await self.attempt(call, operation, target, key, give_up)
             if attempt.whole or attempt.status not in RETRYABLE:
                 break
             pause = self.random.uniform(0, RETRY_PAUSE * 2**number)
@@ -159,17 +160,17 @@
         self,
         call: Call,
         operation: messages.Operation,
+        target: str,
         key: str,
         give_up: float,
     ) -> None:
         """Makes the newest attempt of a call at a host picked at random."""
         attempt = call.attempts[-1]
-        target = deployment.target_of(
-            operation, self.random.randrange(1000), attempt.marker
-        )
         node = self.random.choice(self.targets)
         url = f"http://{node}/{operation.service}{target}"
-        headers = {backend.KEY: key} if key else {}
+        headers = {backend.MARKER: attempt.marker}
+        if key:
+            headers[backend.KEY] = key
         left = max(0.001, give_up - asyncio.get_running_loop().time())
         try:
             async with self.session.request(
