--- a/mangobay/commands.py
+++ b/mangobay/commands.py
@@ -63,6 +63,23 @@
     ).isoformat(timespec="milliseconds")
 
 
+def unix_ms(text: str) -> int:
+    """Returns the Unix time, milliseconds, of an ISO 8601 text.
+
+    Raises:
+      argparse.ArgumentTypeError: it is none.
+    """
+    try:
+        parsed = datetime.datetime.fromisoformat(text)
+    except ValueError:
+        raise argparse.ArgumentTypeError(
+            f"{text!r} is no time such as 2026-03-31T07:00:00Z"
+        ) from None
+    if parsed.tzinfo is None:
+        parsed = parsed.replace(tzinfo=datetime.UTC)
+    return round(parsed.timestamp() * 1000)
+
+
 def read_sheet(path: str) -> bytes:
     """Returns the bytes of a sheet.
 
@@ -133,6 +150,7 @@
         raise NotImplementedError
 
 
+END_OF_TIME_MS = 2**63
 SHEET_ARGUMENT = {"metavar": "SHEET", "help": "CSV file"}
 
 
@@ -230,11 +248,30 @@
     """Shows the accepted sheets."""
 
     name = "history"
-    help = "show every accepted sheet, oldest first"
+    help = "show the accepted sheets, oldest first"
+    arguments = {
+        "--since": {
+            "type": unix_ms,
+            "default": 0,
+            "metavar": "TIME",
+            "help": "only those accepted at or after it, as in"
+            " 2026-03-31T07:00:00Z; without a zone it is UTC",
+        },
+        "--until": {
+            "type": unix_ms,
+            "default": END_OF_TIME_MS,
+            "metavar": "TIME",
+            "help": "only those accepted before it",
+        },
+    }
 
     async def run(self, arguments, client):
         """Asks for the history."""
-        changes = await client.history()
+        changes = [
+            change
+            for change in await client.history()
+            if arguments.since <= change.accepted_ms < arguments.until
+        ]
         lines = columns(
             ("revision", "accepted", "version", "operator", "rows"),
             [
--- a/tests/test_operatorclient.py
+++ b/tests/test_operatorclient.py
@@ -156,3 +156,23 @@
         assert json.loads(capsys.readouterr().out) == status
         assert await self.run(control, "status") == commands.Exit.OK
         assert "n1    lima         7" in capsys.readouterr().out
+
+    async def test_history_between_two_times(self, capsys):
+        items = [
+            {
+                "revision": revision,
+                "version": f"v{revision}",
+                "operator": "ana",
+                "accepted_ms": revision * 3_600_000,
+                "changed_rows": 1,
+                "removed_rows": 0,
+            }
+            for revision in (1, 2, 3)
+        ]
+        control = FakeControl((200, {"items": items}))
+        limits = ("--since", "1970-01-01T02:00", "--until", "1970-01-01T03:00Z")
+        assert await self.run(control, "history", *limits) == commands.Exit.OK
+        out = capsys.readouterr().out
+        assert "1970-01-01T02:00:00.000+00:00  v2" in out
+        assert "v1" not in out
+        assert "v3" not in out
