--- a/tests/controlfakes.py
+++ b/tests/controlfakes.py
@@ -2,60 +2,11 @@
 
 import asyncio
 import contextlib
-import importlib.util
-import sys
-import types
 
 from mangobay import errors, ids
 from mangobay.generated import messages
 
 
-class FakeTable:
-    """Stands for `table.Table` where that module is not there yet."""
-
-    def __init__(self, revision=0, operations=None):
-        self.revision = revision
-        self.operations = operations or {}
-
-    def rows(self):
-        return list(self.operations.values())
-
-    def updated(self, update):
-        if update.revision == self.revision:
-            return self
-        assert update.base in (0, self.revision)
-        operations = dict(self.operations) if update.base else {}
-        for row in update.removed:
-            operations.pop((row.service, row.name), None)
-        for row in update.changed:
-            operations[row.service, row.name] = row
-        return FakeTable(update.revision, operations)
-
-
-def fake_difference(old, new):
-    """Stands for `table.difference`."""
-    before = {(row.service, row.name): row for row in old}
-    after = {(row.service, row.name): row for row in new}
-    return types.SimpleNamespace(
-        changed=[row for key, row in after.items() if row != before.get(key)],
-        removed=[
-            messages.OperationRef(service=service, name=name)
-            for service, name in before.keys() - after
-        ],
-    )
-
-
-def stand_in(name, **members):
-    """Puts a module of the project in its place while it is not there."""
-    if importlib.util.find_spec(name) is None:
-        module = sys.modules[name] = types.ModuleType(name)
-        vars(module).update(members)
-
-
-stand_in("mangobay.table", Table=FakeTable, difference=fake_difference)
-stand_in("mangobay.sheet", Sheet=object, parse=None)
-
-
 @contextlib.asynccontextmanager
 async def running(part):
     """Runs a part of the program in a task of its own.
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -7,13 +7,8 @@
 import sys
 
 import aiohttp
-import pytest
 
-pytest.importorskip("mangobay.consensus")
-pytest.importorskip("mangobay.peers")
-pytest.importorskip("mangobay.settings")
-
-from mangobay import (  # noqa: E402
+from mangobay import (
     control,
     controlclient,
     ids,
@@ -21,8 +16,8 @@
     peers,
     settings,
 )
-from mangobay.generated import messages  # noqa: E402
-from mangobay.generated import settings as generated  # noqa: E402
+from mangobay.generated import messages
+from mangobay.generated import settings as generated
 
 PATIENCE = 15.0
 """Seconds after which a test gives up; nothing is measured by it."""
