--- a/mangobay/cmdnode.py
+++ b/mangobay/cmdnode.py
@@ -2,20 +2,35 @@
 
 import argparse
 import asyncio
+import enum
 import sys
 
 from mangobay import errors, logs, node, settings
 from mangobay.generated import settings as generated
 
-BAD_SETTINGS = 2
-CANNOT_START = 1
+EXIT_HELP = (
+    "exit codes: 0 left as asked, nothing cut; 1 cannot start, or calls were"
+    " cut; 2 bad settings or command line"
+)
+
+
+class Exit(enum.IntEnum):
+    """What the exit codes mean."""
+
+    OK = 0
+    FAILED = 1
+    BAD_SETTINGS = 2
 
 
 def make_parser() -> argparse.ArgumentParser:
     """Returns the parser of the command line."""
-    parser = argparse.ArgumentParser(prog="mangobay-node", description=__doc__)
+    parser = argparse.ArgumentParser(
+        prog="mangobay-node",
+        description="The node beside a backend server.",
+        epilog=EXIT_HELP,
+    )
     parser.add_argument(
-        "--settings", required=True, metavar="FILE", help="settings, INI"
+        "--settings", required=True, metavar="FILE", help="INI file"
     )
     parser.add_argument(
         "--check", action="store_true", help="only check the settings"
@@ -37,9 +52,10 @@
         )
     except errors.SettingsError as error:
         print(error, file=sys.stderr)
-        return BAD_SETTINGS
+        return Exit.BAD_SETTINGS
     if parsed.check:
-        return 0
+        print(f"{parsed.settings}: no fault found")
+        return Exit.OK
     try:
         logs.open_log(config.log.file)
         return asyncio.run(run(config))
@@ -47,7 +63,7 @@
         print(f"mangobay-node: log file: {error}", file=sys.stderr)
     except errors.StartError as error:
         print(f"mangobay-node: {error}", file=sys.stderr)
-    return CANNOT_START
+    return Exit.FAILED
 
 
 if __name__ == "__main__":
--- a/mangobay/entry.py
+++ b/mangobay/entry.py
@@ -316,7 +316,7 @@
 
 def is_redirect(reply: messages.Reply) -> bool:
     """Returns whether the host cannot have touched the call."""
-    return reply.outcome == Outcome.NOT_RUN and reply.reason in REDIRECTS
+    return reply.outcome is Outcome.NOT_RUN and reply.reason in REDIRECTS
 
 
 def may_retry(request: calls.Request, reply: messages.Reply) -> bool:
--- a/mangobay/fields.py
+++ b/mangobay/fields.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import dataclasses
+import functools
 import math
 import random
 import re
@@ -63,16 +64,23 @@
     A field that a caller smuggles in (`Mangobay-Outcome`, say) would be taken
     for the word of a node; nothing with the system's prefix is passed on.
     """
-    dropped = DROPPED
-    if "Connection" in received:
-        tokens = received["Connection"].lower().split(",")
-        dropped = DROPPED.union(token.strip() for token in tokens)
-    return [
+    kept = [
         messages.Header(name=name, value=value)
         for name, value in received.items()
-        if (low := name.lower()) not in dropped
-        and not low.startswith(SYSTEM_PREFIX)
+        if is_end_to_end(name)
     ]
+    if "Connection" not in received:
+        return kept
+    tokens = received["Connection"].lower().split(",")
+    named = {token.strip() for token in tokens}
+    return [header for header in kept if header.name.lower() not in named]
+
+
+@functools.lru_cache(maxsize=4096)
+def is_end_to_end(name: str) -> bool:
+    """Returns whether a field is passed on; names repeat, so it is cached."""
+    low = name.lower()
+    return low not in DROPPED and not low.startswith(SYSTEM_PREFIX)
 
 
 def parse_timeout(text: str) -> float:
@@ -136,6 +144,11 @@
     return Trace(match["trace"], match["span"], sampled)
 
 
+def own_trace(traceparent: str, call_id: ids.CallId) -> Trace:
+    """Returns the trace in a traceparent made by a node, unchecked."""
+    return Trace(traceparent[3:35], call_id, traceparent.endswith("1"))
+
+
 def new_span() -> ids.CallId:
     """Returns a fresh id of a call; it is the id of its span as well."""
     return ids.CallId(f"{random.getrandbits(64) or 1:016x}")
--- a/mangobay/metrics.py
+++ b/mangobay/metrics.py
@@ -3,6 +3,7 @@
 import collections
 import collections.abc
 import dataclasses
+import typing
 
 import prometheus_client
 from hdrh import histogram
@@ -15,17 +16,50 @@
 LOWEST_US = 1
 HIGHEST_US = 3_600_000_000
 DIGITS = 2
+KEPT_BITS = 8
+"""Leading bits of a time that two digits need."""
 QUANTILES = (0.5, 0.9, 0.99, 0.999)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class End:
-    """How calls of one kind ended."""
+class OperationKey(typing.NamedTuple):
+    """One operation."""
 
     service: ids.ServiceName
     operation: ids.OperationName
-    outcome: messages.Outcome
-    reason: messages.Reason
+
+
+class Ends:
+    """How the calls of one operation ended.
+
+    Attributes:
+      counts: by reason and outcome, flat: hashing costs more than the rest.
+      recorded: microseconds of answered calls, up to the last look.
+      pending: those since, rounded to what the histogram tells apart; a
+        record there costs ten times as much as counting here.
+    """
+
+    def __init__(self):
+        self.counts = [0] * len(messages.Reason) * len(messages.Outcome)
+        self.recorded = histogram.HdrHistogram(LOWEST_US, HIGHEST_US, DIGITS)
+        self.pending: collections.Counter[int] = collections.Counter()
+
+    def count(self, reply: messages.Reply, seconds: float) -> None:
+        """Counts one call."""
+        place = reply.reason * len(messages.Outcome) + reply.outcome
+        self.counts[place] += 1
+        if reply.outcome is messages.Outcome.ANSWERED:
+            microseconds = int(seconds * 1e6)
+            shift = max(microseconds.bit_length() - KEPT_BITS, 0)
+            self.pending[microseconds >> shift << shift] += 1
+
+    @property
+    def latency(self) -> histogram.HdrHistogram:
+        """The histogram of everything so far."""
+        for microseconds, count in self.pending.items():
+            value = min(max(microseconds, LOWEST_US), HIGHEST_US)
+            self.recorded.record_value(value, count)
+        self.pending.clear()
+        return self.recorded
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -47,14 +81,12 @@
     """Counts calls; reads all else only when it is asked.
 
     Attributes:
-      ends: calls by how they ended.
-      latencies: microseconds of answered calls, by service.
+      ends: how calls ended, by operation.
       gauges: numbers read when asked.
     """
 
     def __init__(self):
-        self.ends: collections.Counter[End] = collections.Counter()
-        self.latencies: dict[ids.ServiceName, histogram.HdrHistogram] = {}
+        self.ends: dict[OperationKey, Ends] = {}
         self.gauges: list[Gauge] = []
         self.registry = prometheus_client.CollectorRegistry(auto_describe=False)
         self.registry.register(self)
@@ -66,17 +98,11 @@
         seconds: float,
     ) -> None:
         """Counts one call that entered here."""
-        service = operation.service
-        self.ends[
-            End(service, operation.name, reply.outcome, reply.reason)
-        ] += 1
-        if reply.outcome != messages.Outcome.ANSWERED:
-            return
-        latency = self.latencies.get(service)
-        if latency is None:
-            latency = histogram.HdrHistogram(LOWEST_US, HIGHEST_US, DIGITS)
-            self.latencies[service] = latency
-        latency.record_value(max(int(seconds * 1e6), LOWEST_US))
+        key = OperationKey(operation.service, operation.name)
+        ends = self.ends.get(key)
+        if ends is None:
+            ends = self.ends[key] = Ends()
+        ends.count(reply, seconds)
 
     def render(self) -> bytes:
         """Returns everything in the text format."""
@@ -98,16 +124,14 @@
             "Calls that entered at this node, by how they ended.",
             labels=("service", "operation", "outcome", "reason"),
         )
-        for end, count in self.ends.items():
-            family.add_metric(
-                (
-                    end.service,
-                    end.operation,
-                    end.outcome.name.lower(),
-                    end.reason.name.lower(),
-                ),
-                count,
-            )
+        outcomes = len(messages.Outcome)
+        for key, ends in self.ends.items():
+            for place, count in enumerate(ends.counts):
+                if not count:
+                    continue
+                outcome = messages.Outcome(place % outcomes).name.lower()
+                reason = messages.Reason(place // outcomes).name.lower()
+                family.add_metric((*key, outcome, reason), count)
         return family
 
     def latency_family(self) -> core.GaugeMetricFamily:
@@ -115,12 +139,13 @@
         family = core.GaugeMetricFamily(
             "mangobay_answer_seconds",
             "Time of answered calls since the start, by quantile.",
-            labels=("service", "quantile"),
+            labels=("service", "operation", "quantile"),
         )
-        for service, latency in self.latencies.items():
+        for key, ends in self.ends.items():
+            latency = ends.latency
             for quantile in QUANTILES:
                 value = latency.get_value_at_percentile(quantile * 100)
-                family.add_metric((service, str(quantile)), value / 1e6)
+                family.add_metric((*key, str(quantile)), value / 1e6)
         return family
 
     def promise_families(self):
--- a/mangobay/node.py
+++ b/mangobay/node.py
@@ -285,10 +285,10 @@
 
     async def run(self) -> int:
         """Runs until the node has left; returns the exit code."""
-        await self.start()
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.stop)
+        await self.start()
         gc.collect()
         gc.freeze()
         gc.set_threshold(ALLOCATIONS_BETWEEN_COLLECTIONS, 10, 10)
--- a/mangobay/serving.py
+++ b/mangobay/serving.py
@@ -118,11 +118,11 @@
     ) -> messages.Reply:
         """Returns the reply with what this host says of itself.
 
-        A copy, since every repeat of a key gets the same stored reply.
+        The reply is changed in place: one that is stored for the repeats of
+        its key has to be a copy.
         """
-        reply = dataclasses.replace(
-            reply, tries_left=tries_left, host=self.process.host
-        )
+        reply.tries_left = tries_left
+        reply.host = self.process.host
         if place is not None:
             reply.threshold = place.admission.threshold
             reply.inflight = place.admission.running
@@ -149,14 +149,14 @@
             waiting.cancel()
             raise
         if done:
-            return waiting.result()
+            return dataclasses.replace(waiting.result())
         waiting.cancel()
         return await self.end_waiting(waiting)
 
     async def end_waiting(self, waiting: asyncio.Task) -> messages.Reply:
         """Returns the reply at the deadline; it may just have come."""
         try:
-            return await waiting
+            return dataclasses.replace(await waiting)
         except asyncio.CancelledError:
             return calls.unknown(Reason.DEADLINE_EXCEEDED)
 
@@ -190,13 +190,13 @@
         Raises:
           Exception: whatever the gate raises; no byte was sent.
         """
-        trace = fields.parse_traceparent(call.traceparent)
+        trace = fields.own_trace(call.traceparent, call.call_id)
         ticket = admission.Ticket(
             importance=call.importance,
             depth=call.depth,
             deadline=deadline,
             client=call.client,
-            tree=trace.trace_id if trace else "",
+            tree=trace.trace_id,
         )
         try:
             permit = await place.admission.enter(ticket)
@@ -206,7 +206,7 @@
         self.parents[call.call_id] = calls.Parent(
             call=call,
             deadline=deadline,
-            trace=trace or fields.new_trace(0),
+            trace=trace,
             running=running,
         )
         attempt = backend.Attempt(gate)
--- /dev/null
+++ b/tests/test_cmdnode.py
@@ -0,0 +1,90 @@
+"""The program mangobay-node as a process."""
+
+import os
+import signal
+import socket
+import subprocess
+import sys
+
+import pytest
+
+from tests import nodes
+
+LONG = 30
+
+
+def command(path, *more) -> list[str]:
+    module = [sys.executable, "-m", "mangobay.cmdnode"]
+    return [*module, "--settings", str(path), *more]
+
+
+def run(path, *more) -> subprocess.CompletedProcess:
+    return subprocess.run(
+        command(path, *more),
+        capture_output=True,
+        text=True,
+        timeout=LONG,
+        check=False,
+    )
+
+
+class TestProcess:
+    """Starting and stopping, as an operator sees it."""
+
+    def test_faults_of_the_settings_are_told_together(self, tmp_path):
+        path = tmp_path / "node.ini"
+        path.write_text("[host]\nnmae = a\n[listen]\nlocal = db:1\n")
+        done = run(path)
+        assert done.returncode == 2
+        assert "nmae" in done.stderr
+        assert "db" in done.stderr
+        assert "Traceback" not in done.stderr
+
+    def test_check_opens_nothing(self, tmp_path):
+        path = tmp_path / "node.ini"
+        path.write_text(nodes.SETTINGS.format(host="one"))
+        assert run(path, "--check").returncode == 0
+
+    @pytest.mark.parametrize(
+        "extra", ["", "[trace]\nfile = /nowhere/at/all/spans\n"]
+    )
+    def test_what_keeps_it_from_starting_is_one_line(self, tmp_path, extra):
+        with socket.create_server(("127.0.0.1", 0)) as taken:
+            port = taken.getsockname()[1] if not extra else 0
+            text = nodes.SETTINGS.format(host="one") + extra
+            path = tmp_path / "node.ini"
+            path.write_text(
+                text.replace(
+                    "outside = 127.0.0.1:0", f"outside = 127.0.0.1:{port}"
+                )
+            )
+            done = run(path)
+        assert done.returncode == 1
+        (line,) = [
+            each
+            for each in done.stderr.splitlines()
+            if each.startswith("mangobay-node:")
+        ]
+        assert "listen" in line or "trace" in line
+        assert "Traceback" not in done.stderr
+
+    def test_without_control_it_starts_and_leaves_when_asked(self, tmp_path):
+        """No control host is there yet, and an operator stops the node.
+
+        It must not fail at the start, since control may come later; and with
+        nothing in flight SIGTERM ends it at once, with exit code 0.
+        """
+        path = tmp_path / "node.ini"
+        path.write_text(nodes.SETTINGS.format(host="one"))
+        process = subprocess.Popen(
+            command(path), stderr=subprocess.PIPE, text=True, env=os.environ
+        )
+        try:
+            while "started" not in (line := process.stderr.readline()):
+                assert line, "ended before it had started"
+            process.send_signal(signal.SIGTERM)
+            assert process.wait(LONG) == 0
+        finally:
+            process.kill()
+            process.wait()
+            process.stderr.close()
--- /dev/null
+++ b/tests/test_metrics.py
@@ -0,0 +1,34 @@
+"""What the node counts."""
+
+from mangobay import metrics
+from mangobay.generated import messages
+
+OPERATION = messages.Operation(service="stock", name="price")
+
+
+class TestMetrics:
+    """Counters and quantiles in the text format."""
+
+    def test_ends_and_quantiles_are_told(self):
+        counts = metrics.Metrics()
+        answered = messages.Reply(outcome=messages.Outcome.ANSWERED)
+        shed = messages.Reply(
+            outcome=messages.Outcome.NOT_RUN,
+            reason=messages.Reason.OVERLOADED,
+        )
+        for thousandth in range(1, 1001):
+            counts.ended(OPERATION, answered, thousandth / 1000)
+        counts.ended(OPERATION, shed, 1e9)
+        lines = counts.render().decode().splitlines()
+        labels = 'operation="price",outcome="not_run",reason="overloaded"'
+        assert f'mangobay_calls_total{{{labels},service="stock"}} 1.0' in lines
+        (median,) = [line for line in lines if 'quantile="0.5"' in line]
+        assert abs(float(median.split()[-1]) - 0.5) < 0.01
+        assert counts.render().decode().splitlines() == lines
+
+    def test_an_absurd_time_is_kept_within_the_histogram(self):
+        counts = metrics.Metrics()
+        answered = messages.Reply(outcome=messages.Outcome.ANSWERED)
+        for seconds in (-1.0, 0.0, 1e9):
+            counts.ended(OPERATION, answered, seconds)
+        assert b'quantile="0.999"' in counts.render()
--- /dev/null
+++ b/tests/test_traces.py
@@ -0,0 +1,62 @@
+"""Spans in the file."""
+
+import asyncio
+import json
+
+from mangobay import calls, fields, traces, tries
+from mangobay.generated import messages
+
+ME = calls.Process("me", "lima", "run-1")
+
+
+class TestFileTracer:
+    """One line for each attempt, as part of the caller's trace."""
+
+    async def test_a_span_names_hop_outcome_and_tries(self, tmp_path):
+        path = tmp_path / "spans"
+        tracer = traces.FileTracer(str(path), ME)
+        trace = fields.Trace("ab" * 16, "cd" * 8, True)
+        operation = messages.Operation(service="stock", name="price")
+        request = calls.Request(
+            operation=operation,
+            revision=1,
+            target="/",
+            headers=[],
+            body=b"",
+            caller="quotes",
+            client="c",
+            importance=messages.Importance.HIGH,
+            depth=2,
+            deadline=0,
+            grant=tries.Grant(0),
+            key="",
+            trace=trace,
+        )
+        call = messages.Call(
+            service="stock", operation="price", call_id="12" * 8, tries=3
+        )
+        reply = messages.Reply(
+            outcome=messages.Outcome.NOT_RUN,
+            reason=messages.Reason.OVERLOADED,
+            tries_left=3,
+        )
+        tracer.record(
+            traces.Attempt(
+                request=request,
+                call=call,
+                member=messages.Member(host="other", data_centre="trujillo"),
+                reply=reply,
+                began=asyncio.get_running_loop().time(),
+            )
+        )
+        tracer.close()
+        (line,) = path.read_text().splitlines()
+        span = json.loads(line)
+        assert span["context"]["span_id"] == "0x" + "12" * 8
+        assert span["context"]["trace_id"] == "0x" + "ab" * 16
+        assert span["parent_id"] == "0x" + "cd" * 8
+        seen = span["attributes"]
+        assert seen["mangobay.host"] == "other"
+        assert seen["mangobay.data_centre"] == "trujillo"
+        assert seen["mangobay.outcome"] == "not_run"
+        assert seen["mangobay.tries_left"] == 3
--- a/tools/generate.py
+++ b/tools/generate.py
@@ -163,6 +163,8 @@
     lines += [f'    """Enumeration {name} of schema/messages.capnp."""', ""]
     for position, item in enumerate(schema.node.enum.enumerants):
         lines.append(f"    {snake(item.name).upper()} = {position}")
+    # Enum hashes its name in Python, on each look into a set or table.
+    lines += ["", "    __hash__ = int.__hash__"]
     return lines
 
 
