--- a/mangobay/announcements.py
+++ b/mangobay/announcements.py
@@ -6,7 +6,7 @@
 import re
 import typing
 
-from mangobay import errors, ids, logs, options
+from mangobay import calls, ids, logs, options
 from mangobay.generated import messages
 
 if typing.TYPE_CHECKING:
@@ -59,7 +59,7 @@
     """Returns the announcement in a JSON document.
 
     Raises:
-      errors.RequestError: with every fault of the document.
+      calls.RequestError: with every fault of the document.
     """
     if not isinstance(document, dict):
         raise malformed(["not a JSON object"])
@@ -85,9 +85,9 @@
     )
 
 
-def malformed(faults: list[str]) -> errors.RequestError:
+def malformed(faults: list[str]) -> calls.RequestError:
     """Returns the error that tells every fault at once."""
-    return errors.RequestError(messages.Reason.MALFORMED, "; ".join(faults))
+    return calls.RequestError(messages.Reason.MALFORMED, "; ".join(faults))
 
 
 class Announcements:
@@ -110,7 +110,7 @@
         """Takes an announcement, new or renewed.
 
         Raises:
-          errors.RequestError: too many services on one host.
+          calls.RequestError: too many services on one host.
         """
         now = asyncio.get_running_loop().time()
         known = self.served.get(said.service)
--- a/mangobay/calls.py
+++ b/mangobay/calls.py
@@ -3,7 +3,7 @@
 import dataclasses
 import typing
 
-from mangobay import fields, ids
+from mangobay import errors, fields, ids
 from mangobay.generated import messages
 
 if typing.TYPE_CHECKING:
@@ -16,6 +16,18 @@
 """Seconds, where neither the sheet nor the caller gives a deadline."""
 
 
+class RequestError(errors.MangobayError):
+    """An HTTP request was refused before it became a call.
+
+    Attributes:
+      reason: why.
+    """
+
+    def __init__(self, reason: Reason, detail: str):
+        super().__init__(detail)
+        self.reason = reason
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Process:
     """This run of the node.
--- a/mangobay/edges.py
+++ b/mangobay/edges.py
@@ -71,7 +71,7 @@
         detail = ""
         try:
             reply = await self.call(request)
-        except errors.RequestError as error:
+        except calls.RequestError as error:
             reply = calls.not_run(error.reason)
             detail = str(error)
         except errors.MangobayError as error:
@@ -83,7 +83,7 @@
         """Returns the reply to a request.
 
         Raises:
-          errors.RequestError: it became no call.
+          calls.RequestError: it became no call.
         """
         raise NotImplementedError
 
@@ -99,7 +99,7 @@
         """Returns the whole body.
 
         Raises:
-          errors.RequestError: it is too long, too slow or incomplete.
+          calls.RequestError: it is too long, too slow or incomplete.
         """
         return await httpserver.read_body(
             request, self.limits.body_bytes, self.limits.header_timeout
@@ -118,12 +118,12 @@
         """Waits until control told of the services.
 
         Raises:
-          errors.RequestError: no control host answers.
+          calls.RequestError: no control host answers.
         """
         try:
             await asyncio.gather(*map(self.directory.interest, services))
         except errors.MangobayError as error:
-            raise errors.RequestError(Reason.NO_LEASE, str(error)) from None
+            raise calls.RequestError(Reason.NO_LEASE, str(error)) from None
 
 
 class Outside(Edge):
@@ -141,7 +141,7 @@
         """Returns the reply to a caller's request.
 
         Raises:
-          errors.RequestError: it became no call.
+          calls.RequestError: it became no call.
         """
         if self.serving.leaving:
             return calls.not_run(Reason.LEAVING)
@@ -181,7 +181,7 @@
         equally long.
 
         Raises:
-          errors.RequestError: there is none, or none that may be seen.
+          calls.RequestError: there is none, or none that may be seen.
         """
         found = self.find(service, method, target, ids.OUTSIDE)
         if found is None:
@@ -189,7 +189,7 @@
             await self.ask_control(service, decoy)
             found = self.find(service, method, target, ids.OUTSIDE)
         if found is None:
-            raise errors.RequestError(Reason.NO_SUCH_OPERATION, "")
+            raise calls.RequestError(Reason.NO_SUCH_OPERATION, "")
         return found
 
     def trace_of(self, received: fields.Fields) -> fields.Trace:
@@ -212,7 +212,7 @@
         """Returns the reply to a call of the backend server.
 
         Raises:
-          errors.RequestError: it became no call.
+          calls.RequestError: it became no call.
         """
         received = request.headers
         parent = self.serving.parent_of(
@@ -272,7 +272,7 @@
         """Returns the service that calls.
 
         Raises:
-          errors.RequestError: none announced itself, or it is not clear
+          calls.RequestError: none announced itself, or it is not clear
             which of several calls.
         """
         if parent is not None:
@@ -282,7 +282,7 @@
         if named in names:
             return ids.CallerName(named)
         if named or len(names) != 1:
-            raise errors.RequestError(
+            raise calls.RequestError(
                 Reason.MALFORMED,
                 f"announce the calling service first, and name it in "
                 f"{fields.SERVICE} where several are announced",
@@ -299,14 +299,14 @@
         """Returns the operation that the caller asks for.
 
         Raises:
-          errors.RequestError: there is none, or the caller may not reach it.
+          calls.RequestError: there is none, or the caller may not reach it.
         """
         found = self.find(service, method, target, caller)
         if found is None:
             await self.ask_control(service)
             found = self.find(service, method, target, caller)
         if found is None:
-            raise errors.RequestError(Reason.NO_SUCH_OPERATION, "")
+            raise calls.RequestError(Reason.NO_SUCH_OPERATION, "")
         return found
 
 
@@ -314,10 +314,10 @@
     """Returns the service and the target in /SERVICE/rest?query.
 
     Raises:
-      errors.RequestError: the request names a whole URL.
+      calls.RequestError: the request names a whole URL.
     """
     if not raw_path.startswith("/"):
-        raise errors.RequestError(Reason.MALFORMED, "not a path")
+        raise calls.RequestError(Reason.MALFORMED, "not a path")
     path, mark, query = raw_path.partition("?")
     service, _, rest = path[1:].partition("/")
     return ids.ServiceName(service), f"/{rest}{mark}{query}"
@@ -329,7 +329,7 @@
     """Returns the loop time by which the caller must have its answer.
 
     Raises:
-      errors.RequestError: Request-Timeout is malformed.
+      calls.RequestError: Request-Timeout is malformed.
     """
     seconds = operation.deadline_ms / 1000 or calls.DEFAULT_DEADLINE
     given = received.get(fields.REQUEST_TIMEOUT)
@@ -337,7 +337,7 @@
         try:
             seconds = min(seconds, fields.parse_timeout(given))
         except ValueError as error:
-            raise errors.RequestError(Reason.MALFORMED, str(error)) from None
+            raise calls.RequestError(Reason.MALFORMED, str(error)) from None
     return asyncio.get_running_loop().time() + seconds
 
 
@@ -345,7 +345,7 @@
     """Returns the idempotency key, empty where there is none.
 
     Raises:
-      errors.RequestError: it is malformed.
+      calls.RequestError: it is malformed.
     """
     given = received.get(fields.IDEMPOTENCY_KEY)
     if given is None:
@@ -353,7 +353,7 @@
     try:
         return fields.parse_key(given)
     except ValueError as error:
-        raise errors.RequestError(Reason.MALFORMED, str(error)) from None
+        raise calls.RequestError(Reason.MALFORMED, str(error)) from None
 
 
 def headers_of(received: fields.Fields) -> list[messages.Header]:
--- a/mangobay/errors.py
+++ b/mangobay/errors.py
@@ -4,7 +4,6 @@
 
 if typing.TYPE_CHECKING:
     from mangobay import findings as findings_module
-    from mangobay.generated import messages
 
 
 class MangobayError(Exception):
@@ -83,18 +82,6 @@
     """The deadline passed; the attempt tells whether a byte was sent."""
 
 
-class RequestError(MangobayError):
-    """An HTTP request was refused before it became a call.
-
-    Attributes:
-      reason: why.
-    """
-
-    def __init__(self, reason: "messages.Reason", detail: str):
-        super().__init__(detail)
-        self.reason = reason
-
-
 class StorageError(MangobayError):
     """The data folder cannot be read or written."""
 
--- a/mangobay/httpserver.py
+++ b/mangobay/httpserver.py
@@ -9,7 +9,6 @@
 
 from mangobay import (
     calls,
-    errors,
     fields,
     listening,
     logs,
@@ -153,7 +152,7 @@
     """Returns the whole body of at most `most` bytes.
 
     Raises:
-      errors.RequestError: too long, too slow, or ended early.
+      calls.RequestError: too long, too slow, or ended early.
     """
     if not request.body_exists:
         return b""
@@ -171,19 +170,19 @@
                     raise too_large(most)
                 parts.append(part)
     except TimeoutError:
-        raise errors.RequestError(
+        raise calls.RequestError(
             messages.Reason.MALFORMED, f"no whole body in {seconds:g} s"
         ) from None
     except web.RequestPayloadError:
-        raise errors.RequestError(
+        raise calls.RequestError(
             messages.Reason.MALFORMED, "the body ended early"
         ) from None
     return b"".join(parts)
 
 
-def too_large(most: int) -> errors.RequestError:
+def too_large(most: int) -> calls.RequestError:
     """Returns the error of a body above the limit."""
-    return errors.RequestError(
+    return calls.RequestError(
         messages.Reason.TOO_LARGE, f"the body is above {most} bytes"
     )
 
--- a/mangobay/localapi.py
+++ b/mangobay/localapi.py
@@ -6,7 +6,7 @@
 
 from aiohttp import web
 
-from mangobay import announcements, edges, errors, httpserver, metrics
+from mangobay import announcements, calls, edges, httpserver, metrics
 from mangobay.generated import messages
 
 Reason = messages.Reason
@@ -60,9 +60,9 @@
         try:
             answer = self.paths.get((request.method, path))
             if answer is None:
-                raise errors.RequestError(Reason.NO_SUCH_OPERATION, path)
+                raise calls.RequestError(Reason.NO_SUCH_OPERATION, path)
             return await answer(request)
-        except errors.RequestError as error:
+        except calls.RequestError as error:
             reply = messages.Reply(
                 outcome=messages.Outcome.NOT_RUN, reason=error.reason
             )
@@ -79,7 +79,7 @@
         document = await self.document_of(request)
         service = document.get("service") if isinstance(document, dict) else ""
         if not self.served.leave(service):
-            raise errors.RequestError(
+            raise calls.RequestError(
                 Reason.MALFORMED, "service: not announced here"
             )
         return in_json({})
@@ -88,13 +88,13 @@
         """Returns the JSON document in the body.
 
         Raises:
-          errors.RequestError: there is none.
+          calls.RequestError: there is none.
         """
         body = await self.local.body_of(request)
         try:
             return json.loads(body)
         except ValueError:
-            raise errors.RequestError(
+            raise calls.RequestError(
                 Reason.MALFORMED, "the body is not JSON"
             ) from None
 
