--- a/mangobay/consensus.py
+++ b/mangobay/consensus.py
@@ -162,9 +162,15 @@
         # next write would repeat it.
         task = asyncio.create_task(self.answer(body))
         self.answering.add(task)
-        task.add_done_callback(self.answering.discard)
+        task.add_done_callback(self.answered)
         return await asyncio.shield(task)
 
+    def answered(self, task: asyncio.Task) -> None:
+        """Forgets an answer, also one whose asker is gone."""
+        self.answering.discard(task)
+        if not task.cancelled():
+            task.exception()
+
     async def answer(self, body: messages.EnvelopeBody) -> typing.Any:
         """Answers another control host, to the end."""
         async with self.lock:
@@ -388,6 +394,10 @@
                 return of_this_host
             return self.followers.reached(identity, measure)
 
+        if not self.commit and measure is progress.Measure.MATCH:
+            # Were a group founded with one disk still empty, the loss of the
+            # others would leave empty disks only, and those found anew.
+            return self.voters.unanimous(value)
         return self.voters.quorum(self.commit, value)
 
     def commit_to(self, index: int) -> None:
--- a/mangobay/storage.py
+++ b/mangobay/storage.py
@@ -89,6 +89,9 @@
         if scan.torn:
             logs.say(logs.Part.STORAGE, "cut a torn tail", bytes=scan.torn)
             self.disk.cut(LOG, scan.size)
+        if data:
+            # A killed process leaves bytes that it never synced; they count
+            # as held from here on and must not go with a loss of power.
             self.disk.sync(LOG)
         self.first = scan.frames[0].first if scan.frames else 1
         self.records = [
@@ -118,7 +121,7 @@
             return
         if self.term_at(last, log_only=True) == self.snapshot.last_term:
             return
-        if self.records and self.first <= last + 1:
+        if self.records and self.first <= last:
             self.records = []
         if not self.records:
             self.first = last + 1
@@ -162,8 +165,6 @@
         """Returns the term of an entry, None when it is not at hand."""
         if self.first <= index < self.first + len(self.records):
             return self.records[index - self.first].entry.term
-        if index == 0:
-            return 0
         if index == self.snapshot.last_index and not log_only:
             return self.snapshot.last_term
         return None
@@ -270,6 +271,9 @@
         cut = max(self.first, snapshot.last_index + 1 - trailing)
         del self.records[: cut - self.first]
         self.first = cut
+        # What the snapshot replaced counts as synced no more: entries that
+        # come in its place would never be written, yet be acknowledged.
+        self.synced = min(self.synced, self.last_index)
         await self.rewrite(max(self.synced, snapshot.last_index))
 
     def check(self) -> None:
--- a/mangobay/voters.py
+++ b/mangobay/voters.py
@@ -100,6 +100,12 @@
         return min(majority(change.voters, value) for change in sets)
 
 
+    def unanimous(self, value: typing.Callable[[ids.DiskId], float]) -> float:
+        """Returns what every one of the newest voters has reached."""
+        reached = (value(peer.identity) for peer in self.newest())
+        return min(reached, default=float("-inf"))
+
+
 def majority(
     voters: list[messages.Peer], value: typing.Callable[[ids.DiskId], float]
 ) -> float:
--- a/tests/groupfakes.py
+++ b/tests/groupfakes.py
@@ -11,6 +11,7 @@
 ELECTION_TIMEOUT = 0.6
 HEARTBEAT = 0.1
 SNAPSHOT_ENTRIES = 40
+FOREVER = 3600.0
 
 
 class FakeDisk:
@@ -20,8 +21,9 @@
         self.rng = rng
         self.names: dict[str, bytearray] = {}
         self.lasting_names: dict[str, bytearray] = {}
-        self.lasting: dict[int, bytes] = {}
+        self.lasting: dict[int, tuple[bytearray, bytes]] = {}
         self.full = False
+        self.steps_to_power_loss = -1
         self.sync_seconds = 0.0
         self.syncs = 0
 
@@ -29,7 +31,16 @@
         return "disk"
 
     def open(self) -> None:
-        pass
+        self.full = False
+        self.steps_to_power_loss = -1
+        self.sync_folder()
+
+    def step(self) -> None:
+        self.steps_to_power_loss -= 1
+        if self.steps_to_power_loss == 0:
+            self.full = True
+        if self.full:
+            raise OSError(errno.ENOSPC, "No space left on device")
 
     def read(self, name):
         file = self.names.get(name)
@@ -41,25 +52,26 @@
 
     def append(self, name, data):
         file = self.names.setdefault(name, bytearray())
-        if self.full:
-            file += data[: len(data) // 2]
-            raise OSError(errno.ENOSPC, "No space left on device")
-        file += data
+        file += data[: len(data) // 2]
+        self.step()
+        file += data[len(data) // 2 :]
 
     def cut(self, name, size):
+        self.step()
         del self.names[name][size:]
 
     def sync(self, name):
-        if self.full:
-            raise OSError(errno.EIO, "Input/output error")
+        self.step()
         self.syncs += 1
         file = self.names[name]
-        self.lasting[id(file)] = bytes(file)
+        self.lasting[id(file)] = (file, bytes(file))
 
     def rename(self, old, new):
+        self.step()
         self.names[new] = self.names.pop(old)
 
     def sync_folder(self):
+        self.step()
         self.lasting_names = dict(self.names)
 
     async def offload(self, work):
@@ -72,23 +84,26 @@
         if self.rng.random() < 0.5:
             self.names = dict(self.lasting_names)
         for file in self.names.values():
-            kept = self.lasting.get(id(file), b"")
+            _, kept = self.lasting.get(id(file), (file, b""))
             tail = bytes(file[len(kept) :]) if file.startswith(kept) else b""
             file[:] = kept + tail[: self.rng.randint(0, len(tail))]
         self.names = {n: bytearray(f) for n, f in self.names.items()}
         self.lasting_names = dict(self.names)
-        self.lasting = {id(f): bytes(f) for f in self.names.values()}
+        self.lasting = {id(f): (f, bytes(f)) for f in self.names.values()}
+        self.full = False
 
 
 class FakeMachine:
     """Remembers the index and version of every sheet."""
 
-    def __init__(self) -> None:
+    def __init__(self, committed: dict[int, messages.LogEntry]) -> None:
+        self.committed = committed
         self.applied = 0
         self.sheets: list[tuple[int, str]] = []
 
     def apply(self, entry):
         assert entry.index == self.applied + 1
+        assert self.committed.setdefault(entry.index, entry) == entry
         self.applied = entry.index
         match entry.body:
             case messages.SheetChange(version=version):
@@ -114,6 +129,8 @@
         self.rng = rng
         self.groups: dict[options.Address, consensus.Group] = {}
         self.cut: set[tuple[options.Address, options.Address]] = set()
+        self.frozen: set[options.Address] = set()
+        self.under_way: set[asyncio.Task] = set()
         self.loss = 0.0
         self.delay = 0.003
 
@@ -123,21 +140,35 @@
 
     async def carry(self, sender, receiver, body):
         await asyncio.sleep(self.delay * (0.5 + self.rng.random()))
+        while sender in self.frozen or receiver in self.frozen:
+            await asyncio.sleep(0.05)
         if self.silent(sender, receiver):
-            await asyncio.Event().wait()
+            await asyncio.sleep(FOREVER)
         return copy.deepcopy(body)
 
     async def ask(self, sender, receiver, body, timeout):
+        # The receiver acts on a message even when its sender gave up.
+        task = asyncio.create_task(self.exchange(sender, receiver, body))
+        self.under_way.add(task)
+        task.add_done_callback(self.arrived)
         async with asyncio.timeout(timeout):
-            body = await self.carry(sender, receiver, body)
-            group = self.groups.get(receiver)
-            if group is None:
-                raise errors.PeerUnreachableError(str(receiver))
-            try:
-                reply = await group.handle(body)
-            except errors.StorageError as error:
-                raise errors.PeerBrokenError(str(error)) from error
-            return await self.carry(receiver, sender, reply)
+            return await asyncio.shield(task)
+
+    def arrived(self, task) -> None:
+        self.under_way.discard(task)
+        if not task.cancelled():
+            task.exception()
+
+    async def exchange(self, sender, receiver, body):
+        body = await self.carry(sender, receiver, body)
+        group = self.groups.get(receiver)
+        if group is None:
+            raise errors.PeerUnreachableError(str(receiver))
+        try:
+            reply = await group.handle(body)
+        except (errors.StorageError, asyncio.CancelledError) as error:
+            raise errors.PeerBrokenError(str(error)) from error
+        return await self.carry(receiver, sender, reply)
 
 
 class FakeTransport:
@@ -166,7 +197,7 @@
     def start(self, join: bool = False) -> None:
         log = storage.Storage(self.disk)
         log.open()
-        self.machine = FakeMachine()
+        self.machine = FakeMachine(self.cluster.committed)
         self.group = consensus.Group(
             settings.ControlGroup(
                 hosts=self.cluster.addresses,
@@ -186,14 +217,15 @@
         self.cluster.network.groups[self.address] = self.group
         self.task = asyncio.create_task(self.group.run())
 
-    async def crash(self) -> None:
+    async def crash(self, power_lost: bool = True) -> None:
         if self.task is None:
             return
         self.cluster.network.groups.pop(self.address, None)
         self.task.cancel()
         await asyncio.wait([self.task])
         self.task = None
-        self.disk.crash()
+        if power_lost:
+            self.disk.crash()
 
     def lose_disk(self) -> None:
         assert self.task is None
@@ -211,6 +243,7 @@
         self.rng = random.Random(seed)
         self.snapshot_entries = snapshot_entries
         self.network = FakeNetwork(self.rng)
+        self.committed: dict[int, messages.LogEntry] = {}
         self.addresses = tuple(
             options.Address("127.0.0.1", 7000 + number)
             for number in range(size)
@@ -225,6 +258,8 @@
     async def __aexit__(self, *unused):
         for host in self.hosts:
             await host.crash()
+        for task in self.network.under_way:
+            task.cancel()
 
     def cut_off(self, host: FakeHost) -> None:
         """Silently drops everything from and to a host."""
@@ -233,6 +268,9 @@
 
     def heal(self) -> None:
         self.network.cut.clear()
+        self.network.frozen.clear()
+        self.network.loss = 0.0
+        self.network.delay = 0.003
 
     async def leader(self, seconds: float = 30) -> FakeHost:
         """Returns a host that a quorum has confirmed."""
--- /dev/null
+++ b/tests/test_consensus_random.py
@@ -0,0 +1,215 @@
+"""Random faults on the control group's real tasks, in virtual time."""
+
+import asyncio
+import collections
+import contextlib
+import os
+import random
+
+import pytest
+
+from mangobay import errors, invariants
+from mangobay.generated import messages
+from tests import groupfakes
+
+STEPS = 120
+CI_SEEDS = range(12)
+SOAK_SEEDS = range(1000, 1000 + int(os.environ.get("MANGOBAY_SEEDS", "200")))
+
+
+class Chaos:
+    """One random run: faults, callers, and what must hold throughout.
+
+    Attributes:
+      acknowledged: versions whose proposal returned.
+      newest: newest index that a caller was told of.
+      leaders: the disk that led each term.
+      faults: how many of each kind were injected.
+      checks: how many checks were made.
+    """
+
+    def __init__(self, seed: int):
+        self.rng = random.Random(seed)
+        self.cluster = groupfakes.Cluster(seed)
+        self.acknowledged: set[str] = set()
+        self.newest = 0
+        self.leaders: dict[int, str] = {}
+        self.faults: collections.Counter[str] = collections.Counter()
+        self.checks: collections.Counter[str] = collections.Counter()
+        self.callers: set[asyncio.Task] = set()
+        self.proposed = 0
+
+    def call(self, work) -> None:
+        task = asyncio.create_task(work)
+        self.callers.add(task)
+
+    async def propose(self, host) -> None:
+        self.proposed += 1
+        version = str(self.proposed)
+        try:
+            entry = await host.group.propose(
+                messages.SheetChange(version=version)
+            )
+        except (errors.NotLeaderError, errors.UncertainError):
+            return
+        self.acknowledged.add(version)
+        self.newest = max(self.newest, entry.index)
+
+    async def read(self, host) -> None:
+        newest, group, machine = self.newest, host.group, host.machine
+        try:
+            await group.confirm()
+        except errors.NotLeaderError:
+            return
+        self.checks["a confirmed host holds what callers were told"] += 1
+        assert machine.applied >= newest
+
+    def check(self) -> None:
+        for host in self.cluster.hosts:
+            if host.leads:
+                self.checks["one leader a term"] += 1
+                group = host.group
+                seen = self.leaders.setdefault(group.term, group.identity)
+                assert seen == group.identity
+
+    async def crash(self, host) -> None:
+        await host.crash(power_lost=self.rng.random() < 0.5)
+
+    async def lose_power(self, host) -> None:
+        host.disk.steps_to_power_loss = self.rng.randint(1, 12)
+
+    async def cut_off(self, host) -> None:
+        self.cluster.cut_off(host)
+
+    async def cut_one_way(self, host) -> None:
+        other = self.rng.choice(self.cluster.others(host))
+        self.cluster.network.cut.add((host.address, other.address))
+
+    async def freeze(self, host) -> None:
+        self.cluster.network.frozen.add(host.address)
+
+    async def slow_disk(self, host) -> None:
+        host.disk.sync_seconds = self.rng.choice((0.0, 0.01, 0.3))
+
+    async def bad_links(self, host) -> None:
+        self.cluster.network.loss = self.rng.choice((0.0, 0.1, 0.3))
+        self.cluster.network.delay = self.rng.choice((0.003, 0.05, 0.4))
+
+    async def lose_disk(self, host) -> None:
+        """Only once the former loss is repaired: the group needs a quorum."""
+        disks = {h.group.identity for h in self.cluster.hosts}
+        for other in self.cluster.others(host):
+            group = other.group
+            known = {p.identity for p in group.voters.newest()}
+            if other.leads and disks == known:
+                if group.commit and not group.voters.pending(group.commit):
+                    await host.crash()
+                    host.lose_disk()
+                    host.start(join=self.rng.random() < 0.5)
+                    self.faults["disk lost"] += 1
+                    return
+
+    async def step(self) -> None:
+        host = self.rng.choice(self.cluster.hosts)
+        fault = self.rng.choice(
+            (
+                self.crash,
+                self.crash,
+                self.lose_power,
+                self.cut_off,
+                self.cut_one_way,
+                self.freeze,
+                self.slow_disk,
+                self.bad_links,
+                self.lose_disk,
+                None,
+                None,
+                None,
+            )
+        )
+        if fault is None:
+            self.cluster.heal()
+        else:
+            if fault != self.lose_disk:
+                self.faults[fault.__name__] += 1
+            await fault(host)
+
+    async def restart_dead(self, share: float) -> None:
+        for host in self.cluster.hosts:
+            failed = host.task is not None and host.task.done()
+            if failed:
+                with contextlib.suppress(errors.StorageError):
+                    host.task.result()
+                await host.crash()
+            if host.task is None and self.rng.random() < share:
+                host.start()
+
+    async def run(self) -> None:
+        async with self.cluster:
+            for _ in range(STEPS):
+                await self.step()
+                for _ in range(self.rng.randint(1, 6)):
+                    await asyncio.sleep(self.rng.random() * 0.6)
+                    for host in self.cluster.hosts:
+                        self.call(self.propose(host))
+                        self.call(self.read(host))
+                    self.check()
+                await self.restart_dead(0.4)
+            await self.settle()
+
+    async def settle(self) -> None:
+        """Everything works again: nothing a caller was told may be missing."""
+        self.cluster.heal()
+        for host in self.cluster.hosts:
+            host.disk.steps_to_power_loss = -1
+            host.disk.sync_seconds = 0.0
+        await self.restart_dead(1)
+        leader = await self.cluster.commit("last", 120)
+        await self.cluster.until(
+            lambda: all(
+                h.machine.applied == leader.machine.applied
+                and leader.group.voters.names(h.group.identity)
+                for h in self.cluster.hosts
+            ),
+            120,
+        )
+        for host in self.cluster.hosts:
+            self.checks["nothing acknowledged is lost"] += 1
+            held = [version for _, version in host.machine.sheets]
+            assert self.acknowledged <= set(held)
+            assert len(held) == len(set(held))
+        await asyncio.gather(*self.callers)
+
+    def report(self) -> str:
+        inside = {
+            promise.value: count
+            for promise, count in invariants.checks.items()
+        }
+        return (
+            f"faults {dict(self.faults)}, checks {dict(self.checks)},"
+            f" inside {inside}, proposed {self.proposed},"
+            f" acknowledged {len(self.acknowledged)}"
+        )
+
+
+@pytest.mark.looptime
+class TestRandomFaults:
+    """Crashes, cuts, freezes, losses of power and disks in any order."""
+
+    @pytest.mark.parametrize("seed", CI_SEEDS)
+    async def test_nothing_committed_is_lost(self, seed):
+        await self.run(seed)
+
+    @pytest.mark.soak
+    @pytest.mark.parametrize("seed", SOAK_SEEDS)
+    async def test_nothing_committed_is_lost_in_many_runs(self, seed):
+        await self.run(seed)
+
+    async def run(self, seed) -> None:
+        chaos = Chaos(seed)
+        try:
+            await chaos.run()
+        finally:
+            print(f"seed {seed}: {chaos.report()}")
+        assert sum(chaos.faults.values()) > STEPS // 3
+        assert chaos.checks["a confirmed host holds what callers were told"]
