--- a/mangobay/consensus.py
+++ b/mangobay/consensus.py
@@ -23,6 +23,8 @@
 if typing.TYPE_CHECKING:
     from mangobay import peers
 
+SHORTEST_WAIT = 0.001
+"""Seconds; a sleep shorter than the clock's resolution would spin."""
 TRAILING_SHARE = 10
 """One in so many entries of a snapshot's span is kept in the log behind it."""
 
@@ -256,7 +258,8 @@
                 async with self.lock:
                     await rejoin.remember_voters(self)
             elif self.now() < self.campaign_at:
-                await asyncio.sleep(self.campaign_at - self.now())
+                wait = self.campaign_at - self.now()
+                await asyncio.sleep(max(wait, SHORTEST_WAIT))
             else:
                 self.put_off_campaign()
                 await election.campaign(self)
--- a/mangobay/voters.py
+++ b/mangobay/voters.py
@@ -99,7 +99,6 @@
             return float("-inf")
         return min(majority(change.voters, value) for change in sets)
 
-
     def unanimous(self, value: typing.Callable[[ids.DiskId], float]) -> float:
         """Returns what every one of the newest voters has reached."""
         reached = (value(peer.identity) for peer in self.newest())
