--- /dev/null
+++ b/tests/test_storage.py
@@ -0,0 +1,150 @@
+"""What a control host's disk gives back after a failure."""
+
+import random
+
+import pytest
+
+from mangobay import disk, errors, ids, storage
+from mangobay.generated import messages
+from tests import groupfakes
+
+
+def entry(index: int, term: int = 1) -> messages.LogEntry:
+    body = messages.SheetChange(version=f"{term}.{index}")
+    return messages.LogEntry(index=index, term=term, body=body)
+
+
+async def written(files, count: int) -> storage.Storage:
+    """Returns a storage that synced the entries one by one."""
+    log = storage.Storage(files)
+    log.open()
+    await log.save_state(1, ids.DiskId(""), 0)
+    for index in range(1, count + 1):
+        log.append([entry(index)])
+        await log.flush()
+    return log
+
+
+def reopened(files) -> storage.Storage:
+    log = storage.Storage(files)
+    log.open()
+    return log
+
+
+@pytest.fixture
+def files():
+    return groupfakes.FakeDisk(random.Random(1))
+
+
+class TestRealFolder:
+    """The same on a real folder."""
+
+    async def test_log_state_and_snapshot_come_back(self, tmp_path):
+        folder = disk.Disk(str(tmp_path))
+        log = await written(folder, 20)
+        snapshot = messages.Snapshot(last_index=15, last_term=1)
+        await log.save_snapshot(snapshot, 5)
+        log.append([entry(21)])
+        await log.flush()
+        folder.close()
+        again = reopened(disk.Disk(str(tmp_path)))
+        assert again.state == log.state
+        assert again.snapshot == snapshot
+        assert again.first == 11
+        assert again.records == log.records
+        assert again.last_index == 21
+
+    def test_a_second_process_is_kept_out(self, tmp_path):
+        """Two processes on one folder would vote twice as one voter."""
+        first = disk.Disk(str(tmp_path))
+        first.open()
+        with pytest.raises(errors.StorageError, match="another process"):
+            storage.Storage(disk.Disk(str(tmp_path))).open()
+        first.close()
+        storage.Storage(disk.Disk(str(tmp_path))).open()
+
+
+class TestLog:
+    """Torn, damaged and replaced parts of the log."""
+
+    async def test_a_torn_tail_is_cut(self, files):
+        """Power goes while the last record is written.
+
+        Only a part of it is on the disk and nobody was told of it: the log
+        ends before it, and what is added next is found again.
+        """
+        await written(files, 3)
+        whole = len(files.names["log"])
+        for left in range(1, 40):
+            log = reopened(files)
+            log.append([entry(4)])
+            await log.flush()
+            del files.names["log"][whole + left :]
+            assert reopened(files).last_index == 3
+            assert len(files.names["log"]) == whole
+
+    @pytest.mark.parametrize("share", (0.0, 0.2, 0.5, 0.8))
+    async def test_a_damaged_middle_is_refused(self, files, share):
+        """A bit rots in a record that others follow.
+
+        Cutting there would lose acknowledged entries, so the host does not
+        start, names file and byte, and leaves the file as it is.
+        """
+        await written(files, 10)
+        last = files.names["log"].rfind(b"mgbL")
+        files.names["log"][int(last * share)] ^= 1
+        before = bytes(files.names["log"])
+        with pytest.raises(errors.DamagedLogError, match="log: .*byte"):
+            reopened(files)
+        assert bytes(files.names["log"]) == before
+
+    async def test_a_damaged_end_is_refused_when_known_committed(self, files):
+        """The last record rots; cut as torn, a committed entry would go."""
+        log = await written(files, 5)
+        await log.save_state(1, ids.DiskId(""), 5)
+        files.names["log"][-1] ^= 1
+        with pytest.raises(errors.DamagedLogError, match="5 was committed"):
+            reopened(files)
+
+    @pytest.mark.parametrize("name", ("state", "snapshot"))
+    async def test_a_damaged_file_is_refused(self, files, name):
+        log = await written(files, 5)
+        await log.save_snapshot(messages.Snapshot(last_index=5), 0)
+        files.names[name][-1] ^= 1
+        with pytest.raises(errors.DamagedLogError, match=name):
+            reopened(files)
+
+    async def test_a_lost_state_file_is_no_new_disk(self, files):
+        await written(files, 5)
+        del files.names["state"]
+        with pytest.raises(errors.DamagedLogError, match="state"):
+            reopened(files)
+
+    async def test_entries_replaced_by_a_snapshot_are_written_anew(self, files):
+        """A follower's uncommitted tail goes with an installed snapshot.
+
+        Were it still counted as synced, the entries that come in its place
+        would be acknowledged without being written, and lost in a crash.
+        """
+        log = await written(files, 9)
+        await log.save_snapshot(messages.Snapshot(last_index=5, last_term=2), 0)
+        for index in range(6, 9):
+            log.append([entry(index, term=2)])
+            await log.flush()
+        files.crash()
+        assert [r.entry.index for r in reopened(files).records] == [6, 7, 8]
+
+    async def test_a_power_loss_at_any_step_keeps_what_was_synced(self, files):
+        """Power goes at each step of cutting the log in turn."""
+        for step in range(1, 9):
+            one = groupfakes.FakeDisk(random.Random(step))
+            log = await written(one, 9)
+            one.steps_to_power_loss = step
+            with pytest.raises(errors.StorageError):
+                await log.save_snapshot(
+                    messages.Snapshot(last_index=6, last_term=1), 0
+                )
+            one.crash()
+            again = reopened(one)
+            assert again.last_index == 9
+            assert again.state.identity == log.state.identity
