--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -48,3 +48,212 @@
                 )
             )
             assert leader.disk.syncs - before < 10
+
+
+class TestLostDisk:
+    """Hosts whose disks come back empty."""
+
+    async def repaired(self, cluster, host) -> None:
+        """Gives a host an empty disk and waits until that one votes."""
+        await host.crash()
+        host.lose_disk()
+        host.start(join=True)
+        leader = await cluster.leader()
+        await cluster.until(
+            lambda: (
+                leader.group.voters.names(host.group.identity)
+                and not leader.group.voters.pending(leader.group.commit)
+            )
+        )
+
+    async def test_a_second_host_lost_right_after_a_repair(self):
+        """One disk is replaced, and at once another host dies for good.
+
+        The repaired host must count in the place of its former self, or the
+        two that are left are no quorum; it holds all that was committed.
+        """
+        async with groupfakes.Cluster() as cluster:
+            leader = await cluster.commit("before")
+            first, second = cluster.others(leader)
+            await self.repaired(cluster, first)
+            await second.crash()
+            await cluster.commit("after")
+            assert [v for _, v in first.machine.sheets][0] == "before"
+
+    async def test_the_repaired_host_can_lead(self):
+        """After a repair the leader itself dies and comes back last."""
+        async with groupfakes.Cluster() as cluster:
+            leader = await cluster.commit("before")
+            first, second = cluster.others(leader)
+            await self.repaired(cluster, first)
+            await cluster.commit("between")
+            await leader.crash()
+            await cluster.commit("after")
+            for host in (first, second):
+                await cluster.until(lambda h=host: len(h.machine.sheets) == 3)
+                versions = [v for _, v in host.machine.sheets]
+                assert versions == ["before", "between", "after"]
+
+    @pytest.mark.parametrize("join", (True, False))
+    async def test_two_empty_disks_elect_nobody(self, join):
+        """Two of three disks are lost together; the third host is down.
+
+        The two empty hosts are a majority of the addresses.  Were they to
+        found a group, what the first group had committed would be denied.
+        """
+        async with groupfakes.Cluster() as cluster:
+            leader = await cluster.commit("kept")
+            for host in cluster.others(leader):
+                await host.crash()
+                host.lose_disk()
+                host.start(join=join)
+            await leader.crash()
+            await asyncio.sleep(30)
+            assert not any(host.leads for host in cluster.hosts)
+            leader.start()
+            await asyncio.sleep(30)
+            assert not any(host.leads for host in cluster.hosts)
+            bodies = [r.entry.body for r in leader.group.log.records]
+            assert messages.SheetChange(version="kept") in bodies
+            held = {h.group.log.last_index for h in cluster.others(leader)}
+            assert held == {0}
+
+    async def test_a_new_group_waits_for_every_host(self):
+        """At the very first start one host is late; nobody may lead yet."""
+        cluster = groupfakes.Cluster()
+        late = cluster.hosts[0]
+        async with cluster:
+            await late.crash()
+            await asyncio.sleep(30)
+            assert not any(host.leads for host in cluster.hosts)
+            late.start()
+            await cluster.commit("1")
+
+
+class TestCuts:
+    """Leaders and followers behind cuts that drop silently."""
+
+    async def test_a_leader_behind_a_silent_cut_confirms_nothing(self):
+        """Nothing reaches the leader any more, and no connection breaks.
+
+        The others elect a new leader and commit.  The former one must not
+        confirm its old state as current, and its callers must be told within
+        an election timeout or two instead of waiting for ever.
+        """
+        async with groupfakes.Cluster() as cluster:
+            leader = await cluster.commit("1")
+            cluster.cut_off(leader)
+            began = asyncio.get_running_loop().time()
+            told = await asyncio.gather(
+                leader.group.confirm(),
+                leader.group.propose(messages.SheetChange(version="2")),
+                return_exceptions=True,
+            )
+            waited = asyncio.get_running_loop().time() - began
+            assert isinstance(told[0], errors.NotLeaderError)
+            assert isinstance(told[1], errors.UncertainError)
+            assert waited < 3 * groupfakes.ELECTION_TIMEOUT
+            later = await cluster.commit("3")
+            assert later is not leader
+            with pytest.raises(errors.NotLeaderError):
+                await leader.group.confirm()
+            cluster.heal()
+            await cluster.until(
+                lambda: leader.machine.sheets == later.machine.sheets
+            )
+            assert [v for _, v in leader.machine.sheets] == ["1", "3"]
+
+    async def test_a_cut_off_follower_deposes_nobody_when_it_is_back(self):
+        """A follower times out again and again behind a cut, then returns.
+
+        Without pre-vote its higher term would depose the leader that all
+        others hear, and changes would fail for an election.
+        """
+        async with groupfakes.Cluster() as cluster:
+            leader = await cluster.commit("1")
+            term = leader.group.term
+            cluster.cut_off(cluster.others(leader)[0])
+            await asyncio.sleep(20)
+            cluster.heal()
+            await asyncio.sleep(5)
+            assert leader.leads
+            assert leader.group.term == term
+
+    async def test_a_host_far_behind_gets_a_snapshot(self):
+        """The log was cut past what a host that was down still needs."""
+        async with groupfakes.Cluster() as cluster:
+            leader = await cluster.commit("0")
+            late = cluster.others(leader)[0]
+            await late.crash()
+            for number in range(3 * groupfakes.SNAPSHOT_ENTRIES):
+                await cluster.commit(str(number))
+            leader = await cluster.leader()
+            assert leader.group.log.first > late.group.log.last_index
+            late.start()
+            await cluster.until(
+                lambda: late.machine.sheets == leader.machine.sheets
+            )
+
+
+class TestDisk:
+    """Disks that fill up and processes that start again."""
+
+    @pytest.mark.parametrize("leads", (True, False))
+    async def test_a_full_disk_claims_nothing(self, leads):
+        """The disk of the leader, or of a follower, fills up.
+
+        The host stops, says why and acknowledges nothing; the other two go
+        on.  With space again it starts and catches up.
+        """
+        async with groupfakes.Cluster() as cluster:
+            leader = await cluster.commit("1")
+            host = leader if leads else cluster.others(leader)[0]
+            host.disk.full = True
+            before = host.group.log.synced
+            await cluster.commit("2")
+            with pytest.raises(errors.StorageError, match="No space"):
+                await host.task
+            assert not host.leads
+            assert host.group.log.synced == before
+            await host.crash()
+            host.start()
+            last = await cluster.commit("3")
+            await cluster.until(
+                lambda: host.machine.sheets == last.machine.sheets
+            )
+
+    async def test_a_full_disk_fails_the_proposal_at_a_lone_leader(self):
+        """No quorum can make up for it: the caller must not hear success."""
+        async with groupfakes.Cluster(size=1) as cluster:
+            leader = await cluster.commit("1")
+            leader.disk.full = True
+            with pytest.raises(errors.UncertainError):
+                await leader.group.propose(messages.SheetChange(version="2"))
+            await leader.crash()
+            leader.start()
+            await cluster.commit("3")
+            assert leader.machine.sheets[0][1] == "1"
+
+    async def test_all_hosts_restart_after_a_thousand_changes(self):
+        """Power goes everywhere with a long log: every change comes back."""
+        async with groupfakes.Cluster(snapshot_entries=5000) as cluster:
+            leader = await cluster.leader()
+            for number in range(0, 1000, 20):
+                await asyncio.gather(
+                    *(
+                        leader.group.propose(
+                            messages.SheetChange(version=str(number + one))
+                        )
+                        for one in range(20)
+                    )
+                )
+            for host in cluster.hosts:
+                await host.crash()
+            for host in cluster.hosts:
+                host.start()
+            await cluster.leader()
+            for host in cluster.hosts:
+                assert host.group.log.last_index >= 1001
+            leader = await cluster.commit("last")
+            versions = [v for _, v in leader.machine.sheets]
+            assert versions == [*map(str, range(1000)), "last"]
