--- /dev/null
+++ b/mangobay/compaction.py
@@ -0,0 +1,40 @@
+"""Snapshots of the control group: taking them, and starting from one."""
+
+import typing
+
+from mangobay import ids
+
+if typing.TYPE_CHECKING:
+    from mangobay import consensus
+
+TRAILING_SHARE = 10
+"""One in so many entries of a snapshot's span is kept in the log behind it."""
+
+
+def restore(group: "consensus.Group") -> None:
+    """Builds the machine and the voters from what the disk holds."""
+    snapshot = group.log.snapshot
+    group.voters.learn_snapshot(snapshot)
+    entries = [record.entry for record in group.log.records]
+    group.voters.learn([e for e in entries if e.index > snapshot.last_index])
+    if snapshot.last_index:
+        group.machine.restore(snapshot)
+    group.commit = group.applied = snapshot.last_index
+    group.commit_to(group.log.state.commit)
+
+
+async def take_snapshots(group: "consensus.Group") -> None:
+    """Cuts the log when it has grown by the span of a snapshot."""
+    trailing = group.settings.snapshot_entries // TRAILING_SHARE
+    while True:
+        await group.snapshot_due.wait()
+        async with group.lock:
+            group.snapshot_due.clear()
+            if group.applied <= group.log.snapshot.last_index:
+                continue
+            snapshot = group.machine.snapshot()
+            snapshot.last_index = ids.LogIndex(group.applied)
+            snapshot.last_term = ids.Term(group.log.term_at(group.applied) or 0)
+            snapshot.voters = group.voters.at(group.applied)
+            await group.log.save_snapshot(snapshot, trailing)
+            group.voters.learn_snapshot(snapshot)
--- a/mangobay/consensus.py
+++ b/mangobay/consensus.py
@@ -5,6 +5,7 @@
 import typing
 
 from mangobay import (
+    compaction,
     election,
     errors,
     ids,
@@ -12,7 +13,6 @@
     logs,
     options,
     progress,
-    rejoin,
     replication,
     storage,
     voters,
@@ -23,11 +23,6 @@
 if typing.TYPE_CHECKING:
     from mangobay import peers
 
-SHORTEST_WAIT = 0.001
-"""Seconds; a sleep shorter than the clock's resolution would spin."""
-TRAILING_SHARE = 10
-"""One in so many entries of a snapshot's span is kept in the log behind it."""
-
 
 class Machine(typing.Protocol):
     """The state that the log builds."""
@@ -98,7 +93,7 @@
             [other for other in group_settings.hosts if other != address]
         )
         self.answering: set[asyncio.Task] = set()
-        self.restore()
+        compaction.restore(self)
 
     @property
     def term(self) -> int:
@@ -114,17 +109,6 @@
         """Returns the monotonic time, in seconds."""
         return asyncio.get_running_loop().time()
 
-    def restore(self) -> None:
-        """Builds the machine and the voters from what the disk holds."""
-        snapshot = self.log.snapshot
-        self.voters.learn_snapshot(snapshot)
-        entries = [record.entry for record in self.log.records]
-        self.voters.learn([e for e in entries if e.index > snapshot.last_index])
-        if snapshot.last_index:
-            self.machine.restore(snapshot)
-        self.commit = self.applied = snapshot.last_index
-        self.commit_to(self.log.state.commit)
-
     async def run(self) -> None:
         """Takes part in the group until cancelled.
 
@@ -135,9 +119,9 @@
         self.put_off_campaign()
         try:
             async with asyncio.TaskGroup() as tasks:
-                tasks.create_task(self.watch())
+                tasks.create_task(election.watch(self))
                 tasks.create_task(self.flush_log())
-                tasks.create_task(self.take_snapshots())
+                tasks.create_task(compaction.take_snapshots(self))
                 for follower in self.followers.all:
                     tasks.create_task(replication.replicate(self, follower))
         except BaseExceptionGroup as failed:
@@ -248,36 +232,6 @@
         wait = self.settings.election_timeout * (1 + self.rng.random())
         self.campaign_at = self.now() + wait
 
-    async def watch(self) -> None:
-        """Campaigns when no leader is heard; checks the quorum while leading."""
-        while True:
-            if self.role is election.Role.LEADER:
-                await asyncio.sleep(self.settings.heartbeat_interval)
-                self.check_quorum()
-                rejoin.settle_voters(self)
-                async with self.lock:
-                    await rejoin.remember_voters(self)
-            elif self.now() < self.campaign_at:
-                wait = self.campaign_at - self.now()
-                await asyncio.sleep(max(wait, SHORTEST_WAIT))
-            else:
-                self.put_off_campaign()
-                await election.campaign(self)
-
-    def check_quorum(self) -> None:
-        """Stops to lead when no quorum answered for an election timeout."""
-        # Behind a silent cut nothing tells the leader that another was
-        # elected: its callers would wait for ever.  Confirmations need a
-        # round of their own, so a late check costs time, never truth.
-        heard = self.quorum(progress.Measure.HEARD, of_this_host=self.now())
-        since = max(heard, self.led_since)
-        if (
-            self.role is election.Role.LEADER
-            and self.now() - since > self.settings.election_timeout
-        ):
-            logs.say(logs.Part.GROUP, "lost its quorum", term=self.term)
-            self.stop_leading()
-
     async def flush_log(self) -> None:
         """Syncs what the leader appended; what comes meanwhile shares a sync."""
         while True:
@@ -287,24 +241,6 @@
                 await self.log.flush()
             self.advance()
 
-    async def take_snapshots(self) -> None:
-        """Cuts the log when it has grown by the span of a snapshot."""
-        trailing = self.settings.snapshot_entries // TRAILING_SHARE
-        while True:
-            await self.snapshot_due.wait()
-            async with self.lock:
-                self.snapshot_due.clear()
-                if self.applied <= self.log.snapshot.last_index:
-                    continue
-                snapshot = self.machine.snapshot()
-                snapshot.last_index = ids.LogIndex(self.applied)
-                snapshot.last_term = ids.Term(
-                    self.log.term_at(self.applied) or 0
-                )
-                snapshot.voters = self.voters.at(self.applied)
-                await self.log.save_snapshot(snapshot, trailing)
-                self.voters.learn_snapshot(snapshot)
-
     async def enter_term(self, term: int, voted_for: str = "") -> None:
         """Follows in a newer term, or votes in the own; synced on return.
 
--- a/mangobay/election.py
+++ b/mangobay/election.py
@@ -12,7 +12,7 @@
 import enum
 import typing
 
-from mangobay import errors, ids, logs, options
+from mangobay import errors, ids, logs, options, progress, rejoin
 from mangobay.generated import messages
 
 if typing.TYPE_CHECKING:
@@ -27,6 +27,8 @@
     LEADER = "leader"
 
 
+SHORTEST_WAIT = 0.001
+"""Seconds; a sleep shorter than the clock's resolution would spin."""
 Ballots = dict[options.Address, messages.VoteReply]
 
 
@@ -93,6 +95,38 @@
     return silent < group.settings.election_timeout
 
 
+async def watch(group: "consensus.Group") -> None:
+    """Campaigns when no leader is heard; checks the quorum while leading."""
+    while True:
+        if group.role is Role.LEADER:
+            await asyncio.sleep(group.settings.heartbeat_interval)
+            check_quorum(group)
+            rejoin.settle_voters(group)
+            async with group.lock:
+                await rejoin.remember_voters(group)
+        elif group.now() < group.campaign_at:
+            wait = group.campaign_at - group.now()
+            await asyncio.sleep(max(wait, SHORTEST_WAIT))
+        else:
+            group.put_off_campaign()
+            await campaign(group)
+
+
+def check_quorum(group: "consensus.Group") -> None:
+    """Stops to lead when no quorum answered for an election timeout."""
+    # Behind a silent cut nothing tells the leader that another was
+    # elected: its callers would wait for ever.  Confirmations need a
+    # round of their own, so a late check costs time, never truth.
+    heard = group.quorum(progress.Measure.HEARD, of_this_host=group.now())
+    since = max(heard, group.led_since)
+    if (
+        group.role is Role.LEADER
+        and group.now() - since > group.settings.election_timeout
+    ):
+        logs.say(logs.Part.GROUP, "lost its quorum", term=group.term)
+        group.stop_leading()
+
+
 async def campaign(group: "consensus.Group") -> None:
     """Asks for votes, first without raising the term; leads when elected.
 
