--- a/mangobay/consensus.py
+++ b/mangobay/consensus.py
@@ -181,6 +181,24 @@
             f"{type(body).__name__} is no message for the group"
         )
 
+    async def ask(
+        self,
+        address: options.Address,
+        body: messages.EnvelopeBody,
+        patience: float,
+    ) -> messages.EnvelopeBody | None:
+        """Returns another control host's answer, None when none came.
+
+        Args:
+          address: where it listens.
+          body: the request.
+          patience: how long to wait, seconds.
+        """
+        try:
+            return await self.transport.ask(address, body, patience)
+        except (errors.PeerError, TimeoutError):
+            return None
+
     async def propose(self, body: messages.LogEntryBody) -> messages.LogEntry:
         """Adds an entry to the log; returns once it is applied here.
 
--- a/mangobay/election.py
+++ b/mangobay/election.py
@@ -12,7 +12,7 @@
 import enum
 import typing
 
-from mangobay import errors, ids, logs, options, progress, rejoin
+from mangobay import ids, logs, options, progress, rejoin
 from mangobay.generated import messages
 
 if typing.TYPE_CHECKING:
@@ -189,9 +189,10 @@
 async def poll(group: "consensus.Group", ask: messages.VoteRequest) -> Ballots:
     """Returns the answers that came in time, by address."""
     ballots: Ballots = {}
+    patience = group.settings.election_timeout / 2
 
     async def one(address: options.Address) -> None:
-        ballot = await ask_peer(group, address, ask)
+        ballot = await group.ask(address, ask, patience)
         if isinstance(ballot, messages.VoteReply):
             ballots[address] = ballot
         if elected(group, ballots, ask.founding):
@@ -220,17 +221,6 @@
     enough.set()
 
 
-async def ask_peer(
-    group: "consensus.Group", address: options.Address, body: typing.Any
-) -> messages.EnvelopeBody | None:
-    """Returns another control host's answer, None when none came in time."""
-    patience = group.settings.election_timeout / 2
-    try:
-        return await group.transport.ask(address, body, patience)
-    except (errors.PeerError, TimeoutError):
-        return None
-
-
 def elected(group: "consensus.Group", ballots: Ballots, founding: bool) -> bool:
     """Whether the votes make this host leader."""
     granted = {b.identity for b in ballots.values() if b.granted}
--- a/mangobay/replication.py
+++ b/mangobay/replication.py
@@ -3,7 +3,7 @@
 import asyncio
 import typing
 
-from mangobay import errors, ids, invariants, progress, rejoin
+from mangobay import ids, invariants, progress, rejoin
 from mangobay.generated import messages
 
 if typing.TYPE_CHECKING:
@@ -11,6 +11,7 @@
 
 BATCH_BYTES = 1 << 20
 """Entries in one request, but at least one."""
+Answer = messages.AppendReply | messages.SnapshotReply
 SNAPSHOT_PATIENCE = 10
 """Election timeouts that a snapshot may take."""
 
@@ -57,9 +58,8 @@
         patience *= 2 * SNAPSHOT_PATIENCE
     else:
         body = append_request(group, follower)
-    try:
-        reply = await group.transport.ask(follower.address, body, patience)
-    except (errors.PeerError, TimeoutError):
+    reply = await group.ask(follower.address, body, patience)
+    if not isinstance(reply, Answer):
         return False
     if reply.term > group.term:
         async with group.lock:
@@ -80,8 +80,8 @@
 def take_reply(
     group: "consensus.Group",
     follower: progress.Follower,
-    sent: typing.Any,
-    reply: typing.Any,
+    sent: messages.AppendRequest | messages.SnapshotPut,
+    reply: Answer,
 ) -> None:
     """Takes in what a follower of the same term said it holds."""
     if follower.identity != reply.identity:
--- a/tests/groupfakes.py
+++ b/tests/groupfakes.py
@@ -244,11 +244,16 @@
         self.snapshot_entries = snapshot_entries
         self.network = FakeNetwork(self.rng)
         self.committed: dict[int, messages.LogEntry] = {}
-        self.addresses = tuple(
-            options.Address("127.0.0.1", 7000 + number)
-            for number in range(size)
-        )
-        self.hosts = [FakeHost(self, address) for address in self.addresses]
+        self.addresses: tuple[options.Address, ...] = ()
+        self.hosts: list[FakeHost] = []
+        self.add_hosts(size)
+
+    def add_hosts(self, count: int) -> None:
+        for _ in range(count):
+            port = 7000 + len(self.hosts)
+            address = options.Address("127.0.0.1", port)
+            self.addresses += (address,)
+            self.hosts.append(FakeHost(self, address))
 
     async def __aenter__(self):
         for host in self.hosts:
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -130,6 +130,29 @@
             await cluster.commit("1")
 
 
+class TestGrowth:
+    """More control hosts than the group was founded with."""
+
+    async def test_a_group_grows_from_three_to_five(self):
+        """Two empty hosts are added to the settings; then two others die.
+
+        Each is named a voter once it has caught up, one at a time, so that
+        three of the five are a quorum.
+        """
+        async with groupfakes.Cluster() as cluster:
+            await cluster.commit("1")
+            cluster.add_hosts(2)
+            for host in cluster.hosts:
+                await host.crash()
+                host.start(join=True)
+            leader = await cluster.leader()
+            await cluster.until(lambda: len(leader.group.voters.newest()) == 5)
+            await cluster.commit("2")
+            for host in cluster.others(leader)[:2]:
+                await host.crash()
+            await cluster.commit("3")
+
+
 class TestCuts:
     """Leaders and followers behind cuts that drop silently."""
 
