--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -1,6 +1,8 @@
 """What a control host's disk gives back after a failure."""
 
 import random
+import subprocess
+import sys
 
 import pytest
 
@@ -169,3 +171,43 @@
             again.append([entry(again.last_index + 1, term=2)])
             await again.flush()
             assert reopened(one).last_index == again.last_index
+
+
+WRITER = """
+import asyncio, sys
+from mangobay import disk, storage
+from mangobay.generated import messages
+
+async def main():
+    log = storage.Storage(disk.Disk(sys.argv[1]))
+    log.open()
+    while True:
+        index = log.last_index + 1
+        log.append([messages.LogEntry(index=index, body=messages.Noop())])
+        await log.flush()
+        if index % 50 == 0:
+            await log.save_snapshot(messages.Snapshot(last_index=index), 5)
+        print(index, flush=True)
+
+asyncio.run(main())
+"""
+
+
+class TestKilled:
+    """A real process on a real folder, killed while it writes."""
+
+    def test_what_was_acknowledged_is_there_after_a_kill(self, tmp_path):
+        """SIGKILL comes wherever the process happens to be.
+
+        Every index that it printed had been synced, so the next start must
+        find it, whether the last write or snapshot was finished or not.
+        """
+        for acknowledged in (20, 75, 130):
+            command = [sys.executable, "-c", WRITER, str(tmp_path)]
+            with subprocess.Popen(command, stdout=subprocess.PIPE) as writer:
+                for _ in range(acknowledged):
+                    told = int(writer.stdout.readline())
+                writer.kill()
+            folder = disk.Disk(str(tmp_path))
+            assert reopened(folder).last_index >= told
+            folder.close()
