--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -186,6 +186,38 @@
             )
             assert [v for _, v in leader.machine.sheets] == ["1", "3"]
 
+    async def test_a_frozen_leader_that_wakes_confirms_nothing(self):
+        """A leader is stopped, others elect and commit, then it goes on.
+
+        Its clock check has not run: it still takes itself for the leader and
+        holds old state.  The round of its own that a confirmation needs is
+        what tells it; a change that it takes now must not take effect.
+        """
+        async with groupfakes.Cluster() as cluster:
+            leader = await cluster.commit("1")
+            leader.group.led_since = float("inf")  # No check of the quorum.
+            cluster.network.frozen.add(leader.address)
+            await cluster.until(
+                lambda: any(host.leads for host in cluster.others(leader))
+            )
+            assert leader.leads
+            reading = asyncio.create_task(leader.group.confirm())
+            writing = asyncio.create_task(
+                leader.group.propose(messages.SheetChange(version="stale"))
+            )
+            await asyncio.sleep(1)
+            assert not reading.done()
+            cluster.heal()
+            with pytest.raises(errors.NotLeaderError):
+                await reading
+            with pytest.raises(errors.UncertainError):
+                await writing
+            later = await cluster.commit("2")
+            await cluster.until(
+                lambda: leader.machine.sheets == later.machine.sheets
+            )
+            assert [v for _, v in leader.machine.sheets] == ["1", "2"]
+
     async def test_a_cut_off_follower_deposes_nobody_when_it_is_back(self):
         """A follower times out again and again behind a cut, then returns.
 
