--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -234,6 +234,23 @@
             assert leader.leads
             assert leader.group.term == term
 
+    async def test_one_link_cut_deposes_nobody(self):
+        """A follower hears the third host, but no longer the leader.
+
+        Its log is as good as any.  Were the third host to vote for it while
+        it hears the leader itself, the two would depose each other in turn.
+        """
+        async with groupfakes.Cluster() as cluster:
+            leader = await cluster.commit("1")
+            other = cluster.others(leader)[0]
+            cluster.network.cut |= {
+                (leader.address, other.address),
+                (other.address, leader.address),
+            }
+            await asyncio.sleep(20)
+            assert leader.leads
+            await leader.group.propose(messages.SheetChange(version="2"))
+
     async def test_a_host_far_behind_gets_a_snapshot(self):
         """The log was cut past what a host that was down still needs."""
         async with groupfakes.Cluster() as cluster:
