--- a/mangobay/election.py
+++ b/mangobay/election.py
@@ -12,7 +12,7 @@
 import enum
 import typing
 
-from mangobay import errors, ids, logs, options
+from mangobay import ids, logs, options, progress, rejoin
 from mangobay.generated import messages
 
 if typing.TYPE_CHECKING:
@@ -27,6 +27,8 @@
     LEADER = "leader"
 
 
+SHORTEST_WAIT = 0.001
+"""Seconds; a sleep shorter than the clock's resolution would spin."""
 Ballots = dict[options.Address, messages.VoteReply]
 
 
@@ -93,6 +95,38 @@
     return silent < group.settings.election_timeout
 
 
+async def watch(group: "consensus.Group") -> None:
+    """Campaigns when no leader is heard; checks the quorum while leading."""
+    while True:
+        if group.role is Role.LEADER:
+            await asyncio.sleep(group.settings.heartbeat_interval)
+            check_quorum(group)
+            rejoin.settle_voters(group)
+            async with group.lock:
+                await rejoin.remember_voters(group)
+        elif group.now() < group.campaign_at:
+            wait = group.campaign_at - group.now()
+            await asyncio.sleep(max(wait, SHORTEST_WAIT))
+        else:
+            group.put_off_campaign()
+            await campaign(group)
+
+
+def check_quorum(group: "consensus.Group") -> None:
+    """Stops to lead when no quorum answered for an election timeout."""
+    # Behind a silent cut nothing tells the leader that another was
+    # elected: its callers would wait for ever.  Confirmations need a
+    # round of their own, so a late check costs time, never truth.
+    heard = group.quorum(progress.Measure.HEARD, of_this_host=group.now())
+    since = max(heard, group.led_since)
+    if (
+        group.role is Role.LEADER
+        and group.now() - since > group.settings.election_timeout
+    ):
+        logs.say(logs.Part.GROUP, "lost its quorum", term=group.term)
+        group.stop_leading()
+
+
 async def campaign(group: "consensus.Group") -> None:
     """Asks for votes, first without raising the term; leads when elected.
 
@@ -155,9 +189,10 @@
 async def poll(group: "consensus.Group", ask: messages.VoteRequest) -> Ballots:
     """Returns the answers that came in time, by address."""
     ballots: Ballots = {}
+    patience = group.settings.election_timeout / 2
 
     async def one(address: options.Address) -> None:
-        ballot = await ask_peer(group, address, ask)
+        ballot = await group.ask(address, ask, patience)
         if isinstance(ballot, messages.VoteReply):
             ballots[address] = ballot
         if elected(group, ballots, ask.founding):
@@ -186,17 +221,6 @@
     enough.set()
 
 
-async def ask_peer(
-    group: "consensus.Group", address: options.Address, body: typing.Any
-) -> messages.EnvelopeBody | None:
-    """Returns another control host's answer, None when none came in time."""
-    patience = group.settings.election_timeout / 2
-    try:
-        return await group.transport.ask(address, body, patience)
-    except (errors.PeerError, TimeoutError):
-        return None
-
-
 def elected(group: "consensus.Group", ballots: Ballots, founding: bool) -> bool:
     """Whether the votes make this host leader."""
     granted = {b.identity for b in ballots.values() if b.granted}
