Calls from another hop may wait sixteen times queue_time

Cause: in the trials of the narrow last service, 233 of 333 refusals there were calls that its threshold let in and that then waited 50 ms for a slot, while a call took 100 ms. Each wasted the work of three hops.

Ruled out: letting calls from other hops in a little below the threshold (32 levels): wasted 17% against 16%. The adaptive limit as the cause: the same with a fixed one. Oldest first in the queue wastes less (0.8%) but the first second after the trouble answers 57% against 95%.

Change: a call from another hop waits up to 16 times queue_time, its deadline permitting. A threshold falls straight where the host sees the effect itself, and by the fourth power of the time where it was told by another. Estimates have a module of their own.

--- a/mangobay/admission.py
+++ b/mangobay/admission.py
@@ -17,6 +17,7 @@
 from mangobay import (
     downstream,
     errors,
+    estimates,
     fairness,
     ids,
     levels,
@@ -29,16 +30,15 @@
 CALM_FACTOR = 4
 """Times queue_time that a call may wait while the queue does not stand, and a
 critical one always."""
+DEEP_FACTOR = 16
+"""Times queue_time that a call from another hop may wait, its deadline
+permitting."""
 STANDING_FACTOR = 2
 """Times queue_time after which a queue that was never empty stands."""
-FORGET_TIME = 1.0
-"""Seconds in which the expected service time halves without an answer."""
 LONGEST_RETRY_AFTER = 30.0
 """Seconds."""
 SHORTEST_RETRY_AFTER = 0.05
 """Seconds."""
-RATE_PART = 0.05
-"""Weight of the newest answer in the mean time between two answers."""
 
 
 class ShedError(errors.MangobayError):
@@ -122,31 +122,6 @@
         self.admission.left(now)
 
 
-class Expected:
-    """A low estimate of the service time, so that no call is given up early.
-
-    It follows the fast answers, and fades without answers: an estimate above
-    every deadline would refuse all calls, so that no answer could mend it.
-    """
-
-    FALL = 0.3
-    RISE = 0.03
-
-    def __init__(self):
-        self.seconds = 0.0
-        self.seen = 0.0
-
-    def observe(self, seconds: float, now: float) -> None:
-        """Learns from one answer."""
-        part = self.FALL if seconds < self.seconds else self.RISE
-        self.seconds += (seconds - self.seconds) * part
-        self.seen = now
-
-    def at(self, now: float) -> float:
-        """Returns the seconds that a call needs at least."""
-        return self.seconds * 0.5 ** ((now - self.seen) / FORGET_TIME)
-
-
 class Admission:
     """Admits calls to the backend server on this host.
 
@@ -166,6 +141,7 @@
         self.settings = admission
         self.queue_time = admission.queue_time * scale
         self.calm_time = self.queue_time * CALM_FACTOR
+        self.deep_time = self.queue_time * DEEP_FACTOR
         self.dice = dice
         self.limiter = limiter.make(admission.policy)
         self.waiting = waiting.Waiting(admission.order == "newest")
@@ -174,10 +150,9 @@
             self.queue_time * STANDING_FACTOR, admission.reopen_time * scale
         )
         self.downstream = downstream.Downstream(admission.reopen_time * scale)
-        self.expected = Expected()
+        self.expected = estimates.ServiceTime()
         self.running = 0
-        self.pace = 0.0
-        self.answered_at = 0.0
+        self.pace = estimates.Pace()
 
     @property
     def threshold(self) -> int:
@@ -233,7 +208,8 @@
         """
         self.pressure.look(not self.waiting.length, now)
         self.pressure.arrived[level // pressure.STEP] += 1
-        if level < max(self.pressure.threshold, self.downstream.threshold(now)):
+        threshold = max(self.pressure.threshold, self.downstream.threshold(now))
+        if level < threshold:
             raise self.refusal(messages.Reason.OVERLOADED, level)
         if now + self.expected.at(now) >= ticket.deadline:
             raise self.refusal(messages.Reason.DEADLINE_EXCEEDED, level)
@@ -282,15 +258,21 @@
     def patience(self, ticket: Ticket, now: float) -> float:
         """Returns the longest wait in seconds.
 
+        A call from another hop may wait long: giving it up wastes the work
+        done above.  That queue stays short, since the threshold rises while
+        it stands and the hops above refuse new calls by it.
+
         A critical call may wait longer while the queue stands: nothing less
         important is let in before it, so it waits only for running calls.
         """
+        if ticket.depth and self.settings.by_depth:
+            return self.deep_time
         critical = ticket.importance == messages.Importance.CRITICAL
         if critical and self.settings.by_importance:
             return self.calm_time
-        return (
-            self.queue_time if self.pressure.standing(now) else self.calm_time
-        )
+        if self.pressure.standing(now):
+            return self.queue_time
+        return self.calm_time
 
     async def wait(self, waiter: waiting.Waiter) -> Pass:
         """Returns the pass once it is the waiter's turn.
@@ -342,7 +324,7 @@
         """Takes a slot back and gives it to the best waiting call."""
         self.running -= 1
         self.pressure.served += 1
-        self.count_pace(now)
+        self.pace.answered(now)
         self.fill(now)
 
     def fill(self, now: float) -> None:
@@ -367,13 +349,7 @@
 
     def refusal(self, reason: messages.Reason, level: int) -> ShedError:
         """Returns the error of a refusal, with a time to try again."""
-        drain = self.waiting.length * self.pace
+        drain = self.waiting.length * self.pace.seconds
         seconds = drain + self.pressure.reopens_in(level)
         seconds = min(max(seconds, SHORTEST_RETRY_AFTER), LONGEST_RETRY_AFTER)
         return ShedError(reason, seconds * (0.5 + self.dice.random()))
-
-    def count_pace(self, now: float) -> None:
-        """Follows the mean time between two answers."""
-        gap = min(now - self.answered_at, 1.0)
-        self.answered_at = now
-        self.pace += (gap - self.pace) * RATE_PART
--- a/mangobay/downstream.py
+++ b/mangobay/downstream.py
@@ -60,4 +60,6 @@
         if not self.told or self.share < NEARLY_ALL:
             return levels.OPEN
         height = min(self.told, levels.HIGHEST)
-        return levels.fallen(height, now - self.told_at, self.reopen_time)
+        return levels.fallen(
+            height, now - self.told_at, self.reopen_time, levels.TOLD
+        )
--- a/mangobay/hosts.py
+++ b/mangobay/hosts.py
@@ -68,7 +68,9 @@
         """
         if not self.threshold:
             return levels.OPEN
-        return levels.fallen(self.threshold, now - self.told, reopen_time)
+        return levels.fallen(
+            self.threshold, now - self.told, reopen_time, levels.TOLD
+        )
 
     def sheds_at(self, now: float, reopen_time: float) -> float:
         """Returns the share of sheds, faded since the last reply.
--- a/mangobay/levels.py
+++ b/mangobay/levels.py
@@ -14,6 +14,8 @@
 """The threshold that refuses nothing."""
 HIGHEST = messages.Importance.CRITICAL * FRACTIONS
 """No threshold is higher: critical calls are refused only by the queue."""
+OWN = 1
+TOLD = 4
 TOP = (messages.Importance.CRITICAL + 1) * FRACTIONS
 
 
@@ -27,14 +29,16 @@
     return importance * FRACTIONS + fraction_of(text)
 
 
-def fallen(height: int, seconds: float, reopen_time: float) -> int:
+def fallen(height: int, seconds: float, reopen_time: float, power: int) -> int:
     """Returns the threshold that was `height` this many seconds ago.
 
     It falls slowly at first and to nothing within reopen_time.  A straight
     fall lets a surge back in before the next reply can say that it is still
-    too much; work done for those calls at the hops above is wasted.
+    too much; work done for those calls at the hops above is wasted.  The
+    higher the power, the later it falls: OWN where this host sees at once
+    what comes of it, TOLD where another host's threshold is remembered.
     """
     gone = seconds / reopen_time
     if gone >= 1.0:
         return OPEN
-    return int(height * (1.0 - gone * gone))
+    return int(height * (1.0 - gone**power))
--- a/mangobay/pressure.py
+++ b/mangobay/pressure.py
@@ -86,7 +86,7 @@
     def reopen(self, now: float) -> None:
         """Lowers the threshold by the time since the queue last stood."""
         self.threshold = levels.fallen(
-            self.height, now - self.stood, self.reopen_time
+            self.height, now - self.stood, self.reopen_time, levels.OWN
         )
 
     def forget(self) -> None:
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -118,7 +118,8 @@
         load = fakechain.Load(chain)
         kinds = [fakechain.Kind(NORMAL, 200, name="reader")]
         await load.run(kinds, 5)
-        late = [service.busy.total() for service in chain]
         served = sum(load.answered.values())
-        assert served >= 5 * 4 / 0.12 * 0.75
-        assert load.wasted <= 0.25 * sum(late)
+        busy = sum(service.busy.total() for service in chain)
+        print(f"served {served}, wasted {load.wasted / busy:.3f}")
+        assert served >= 5 * 4 / 0.1 * 0.85
+        assert load.wasted <= 0.1 * busy
