Calls cut by a restart say nothing about the new incarnation

Cause: replies name only the host, so calls in flight at a killed process would eject the process that took its place.

Change: a result for a host with no calls in flight is not counted. Random runs of the router (hosts come, leave, fail and restart, four seeds) check that no leaving or tried host is picked.

--- a/mangobay/routing.py
+++ b/mangobay/routing.py
@@ -132,13 +132,18 @@
     def ended(
         self, service: ids.ServiceName, host: ids.HostId, seen: Observation
     ) -> None:
-        """Learns from a call that began; every one must end here."""
+        """Learns from a call that began; every one must end here.
+
+        Calls cut by a restart may end when the host is already known under
+        its new incarnation, and would eject it before its first call.  It has
+        no calls in flight then, so they are told by that.
+        """
         known = self.services.get(service)
         found = known.known.get(host) if known else None
-        if found is None:
+        if found is None or not found.outstanding:
             return
         now = asyncio.get_running_loop().time()
-        found.outstanding = max(0, found.outstanding - 1)
+        found.outstanding -= 1
         found.observe(seen, now)
         if seen.reason in hosts.GONE_REASONS and not found.member.leaving:
             known.gone(found)
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -154,6 +154,24 @@
         left = {pick(router) for _ in range(100)}
         assert len(left) == 2
 
+    async def test_a_restarted_host_is_not_ejected_for_its_former_life(self):
+        """A host is killed with ten calls in flight and announces itself anew.
+
+        The calls break after the view was updated. They say nothing about
+        the new process, which gets calls at once.
+        """
+        others = [fakes.member("b"), fakes.member("c")]
+        router = make_router(fakes.member("a"), *others)
+        host = ids.HostId("a")
+        for _ in range(10):
+            router.began(fakes.QUOTES, host)
+        router.update(
+            fakes.view(2, fakes.member("a", incarnation="2"), *others)
+        )
+        for _ in range(10):
+            router.ended(fakes.QUOTES, host, fakes.BROKEN)
+        assert not router.services[fakes.QUOTES].ejection.records
+
     async def test_sheds_do_not_eject(self):
         router = make_router(fakes.member("a"), fakes.member("b"))
         for host in ("a", "b", "a", "b") * 10:
@@ -257,3 +275,94 @@
             else:
                 router.ended(fakes.QUOTES, host, full)
         assert stuck <= 4
+
+
+class Cluster:
+    """Random hosts that fail, shed, leave and restart.
+
+    Attributes:
+      picked: calls that found a host.
+    """
+
+    def __init__(self, seed: int):
+        self.dice = random.Random(seed)
+        self.version = 1
+        self.members: dict[str, messages.Member] = {}
+        self.router = make_router()
+        self.inflight: list[ids.HostId] = []
+        self.picked = 0
+
+    def change(self) -> None:
+        """Adds, restarts, drains or removes a host."""
+        name = f"host-{self.dice.randrange(8)}"
+        if self.dice.random() < 0.3:
+            self.members.pop(name, None)
+        else:
+            made = fakes.member(
+                name,
+                self.dice.choice([fakes.HOME, fakes.AWAY]),
+                str(self.dice.randrange(3)),
+            )
+            made.leaving = self.dice.random() < 0.3
+            self.members[name] = made
+        self.version += 1
+        self.router.update(fakes.view(self.version, *self.members.values()))
+
+    def call(self) -> None:
+        """Picks a host; checks that it may be picked."""
+        excluding = {ids.HostId(f"host-{self.dice.randrange(8)}")}
+        idempotent = self.dice.random() < 0.5
+        try:
+            found = self.router.pick(
+                fakes.QUOTES,
+                excluding,
+                messages.Importance(self.dice.randrange(4)),
+                1,
+                idempotent=idempotent,
+                tree=str(self.dice.random()),
+            )
+        except (routing.NoHostError, routing.EarlyRefusalError):
+            return
+        self.picked += 1
+        assert found.host not in excluding
+        assert not self.members[found.host].leaving
+        self.router.began(fakes.QUOTES, found.host)
+        self.inflight.append(found.host)
+
+    def end(self) -> None:
+        """Ends a random call in a random way."""
+        if not self.inflight:
+            return
+        place = self.dice.randrange(len(self.inflight))
+        seen = self.dice.choice(
+            [fakes.ANSWERED, fakes.BROKEN, fakes.BROKEN, refusing(500)]
+        )
+        self.router.ended(fakes.QUOTES, self.inflight.pop(place), seen)
+
+    def check(self) -> None:
+        """Asserts what holds at any time."""
+        known = self.router.services[fakes.QUOTES]
+        assert known.known.keys() == self.members.keys()
+        assert known.ejection.records.keys() <= known.known.keys()
+        assert all(host.outstanding >= 0 for host in known.known.values())
+
+
+@pytest.mark.looptime
+class TestRandomRuns:
+    """Hosts come, go, fail and return while calls are in flight."""
+
+    @pytest.mark.parametrize("seed", range(4))
+    async def test_only_usable_hosts_are_picked(self, seed):
+        """Replies arrive from hosts that restarted or left meanwhile.
+
+        Counts of a former incarnation must not stay with the new one, and
+        no call may go to a host that leaves or was already tried.
+        """
+        cluster = Cluster(seed)
+        cluster.change()
+        steps = [cluster.change] + [cluster.call, cluster.end] * 8
+        for _ in range(3000):
+            cluster.dice.choice(steps)()
+            cluster.check()
+            await asyncio.sleep(0.01)
+        assert cluster.picked > 500
