--- a/Makefile
+++ b/Makefile
@@ -38,4 +38,4 @@
 	$(RUN) -m bench.slopes
 
 soak: $(READY)
-	MANGOBAY_SOAK=1 $(RUN) -m pytest -m soak
+	$(RUN) -m pytest -m soak -o faulthandler_timeout=3600
--- a/tests/test_consensus_random.py
+++ b/tests/test_consensus_random.py
@@ -217,9 +217,6 @@
         await self.run(seed, capsys)
 
     @pytest.mark.soak
-    @pytest.mark.skipif(
-        "MANGOBAY_SOAK" not in os.environ, reason="run by `make soak`"
-    )
     @pytest.mark.parametrize("seed", SOAK_SEEDS)
     async def test_nothing_committed_is_lost_in_many_runs(self, seed, capsys):
         await self.run(seed, capsys)
--- a/tests/test_leases_random.py
+++ b/tests/test_leases_random.py
@@ -1,7 +1,6 @@
 """Leases, views and nodes together under random faults, on virtual time."""
 
 import asyncio
-import os
 import random
 
 import controlfakes
@@ -12,7 +11,8 @@
 
 pytestmark = pytest.mark.looptime
 
-SEEDS = range(300 if os.environ.get("MANGOBAY_SOAK") else 6)
+CI_SEEDS = range(6)
+SOAK_SEEDS = range(6, 300)
 SECONDS = 45
 HOSTS = ("a", "b", "c", "d")
 SERVICES = ("quotes", "prices")
@@ -151,8 +151,7 @@
 class TestRandomFaults:
     """What `active` promises to those who take over slots."""
 
-    @pytest.mark.soak
-    @pytest.mark.parametrize("seed", SEEDS)
+    @pytest.mark.parametrize("seed", CI_SEEDS)
     async def test_nobody_acts_behind_an_active_view(self, seed):
         """Nodes restart, are cut off and change services; leaders change.
 
@@ -160,6 +159,14 @@
         So no process that holds a lease on its own clock may still be a
         member by an older view: it could run a key twice.
         """
+        await self.run(seed)
+
+    @pytest.mark.soak
+    @pytest.mark.parametrize("seed", SOAK_SEEDS)
+    async def test_nobody_acts_in_many_runs(self, seed):
+        await self.run(seed)
+
+    async def run(self, seed) -> None:
         world = World(seed)
         await world.run()
         print(f"seed {seed}: {world.faults} faults, {world.checks} checks")
--- a/tests/test_once_random.py
+++ b/tests/test_once_random.py
@@ -3,11 +3,11 @@
 import asyncio
 import collections
 import dataclasses
-import os
 
 import hypothesis
 import looptime
 import once_fakes
+import pytest
 from hypothesis import stateful
 from hypothesis import strategies as st
 
@@ -19,7 +19,6 @@
 TTL = 2.0
 MARGIN = 0.5
 TICK = 0.2
-SOAK = "MANGOBAY_SOAK" in os.environ
 
 
 class ClockLease:
@@ -223,24 +222,33 @@
         await asyncio.gather(*self.tasks, return_exceptions=True)
 
 
-OnceMachine.TestCase.settings = hypothesis.settings(
-    max_examples=1000 if SOAK else 40,
-    stateful_step_count=60 if SOAK else 40,
+CI = hypothesis.settings(
+    max_examples=40,
+    stateful_step_count=40,
     deadline=None,
-    derandomize=not SOAK,
+    derandomize=True,
+    database=None,
     suppress_health_check=list(hypothesis.HealthCheck),
 )
+SOAK = hypothesis.settings(
+    CI, max_examples=1000, stateful_step_count=60, derandomize=False
+)
 
 
 class TestRandomFaults:
     """Random schedules; what was injected and checked is printed."""
 
     def test_no_key_runs_twice_and_no_refusal_lies(self, capsys):
+        self.run(CI, capsys)
+
+    @pytest.mark.soak
+    def test_no_key_runs_twice_in_many_runs(self, capsys):
+        self.run(SOAK, capsys)
+
+    def run(self, options: hypothesis.settings, capsys) -> None:
         promise = invariants.Promise.AT_MOST_ONCE
         before = invariants.checks[promise]
-        stateful.run_state_machine_as_test(
-            OnceMachine, settings=OnceMachine.TestCase.settings
-        )
+        stateful.run_state_machine_as_test(OnceMachine, settings=options)
         checked = invariants.checks[promise] - before
         with capsys.disabled():
             faults = dict(OnceMachine.faults)
