A refusal after a broken attempt is told as unknown

Cause: an idempotent call whose first attempt broke off and whose second was refused ended with the second's not_run, although the first may have run. Ruled out: giving the try up after a broken attempt (goodput for nothing). Change: the entry side remembers the broken attempt and tells its outcome. Before: the new test failed with not_run. After: it passes. Conclusion: not_run now speaks of every attempt of the call.

--- a/mangobay/entry.py
+++ b/mangobay/entry.py
@@ -90,11 +90,27 @@
       excluded: hosts that are not tried again.
       retries: extra tries used here.
       redirects: free attempts used.
+      broken: the reply of an attempt that may have run.
     """
 
     excluded: set[ids.HostId] = dataclasses.field(default_factory=set)
     retries: int = 0
     redirects: int = 0
+    broken: messages.Reply | None = None
+
+    def note(self, reply: messages.Reply) -> None:
+        """Remembers an attempt whose fate is unknown."""
+        if reply.outcome == Outcome.UNKNOWN:
+            self.broken = reply
+
+    def told(self, reply: messages.Reply) -> messages.Reply:
+        """Returns what the caller is told.
+
+        A refusal by the last host is true of that host only.  After an
+        attempt that may have run, `not_run` would be a lie to the caller.
+        """
+        refused = reply.outcome == Outcome.NOT_RUN
+        return self.broken if refused and self.broken else reply
 
 
 class Entry:
@@ -134,12 +150,13 @@
         while True:
             member = self.pick(request, made.excluded)
             if isinstance(member, messages.Reply):
-                return reply or member
+                return made.told(reply or member)
             made.excluded.add(member.host)
             reply = await self.attempt(request, member)
+            made.note(reply)
             wait = self.wait_before_next(request, reply, made)
             if wait is None:
-                return reply
+                return made.told(reply)
             if wait:
                 await asyncio.sleep(wait)
 
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -188,6 +188,25 @@
         assert reply.outcome == Outcome.UNKNOWN
         assert len(hosts.asked) == attempts
 
+    async def test_a_refusal_after_a_broken_attempt_is_not_told_as_not_run(
+        self,
+    ):
+        """The first host breaks off, every other one refuses unrun.
+
+        The first may have run the call, so the caller must not be told that
+        nothing ran, however true it is of the last host.
+        """
+        broken = [errors.PeerBrokenError("cut")]
+
+        def script(host, call):
+            return broken.pop() if broken else refused()(host, call)
+
+        made, hosts = make_entry(script)
+        reply = await made.handle(make_request())
+        assert len(hosts.asked) == 3
+        assert reply.outcome == Outcome.UNKNOWN
+        assert reply.reason == Reason.CONNECTION_BROKEN
+
     async def test_a_refusal_that_time_will_not_mend_is_final(self):
         for reason in (Reason.DEADLINE_EXCEEDED, Reason.TRIES_EXHAUSTED):
             made, hosts = make_entry(refused(reason))
