--- a/tests/test_once.py
+++ b/tests/test_once.py
@@ -152,6 +152,31 @@
             reply = await net.send(net.owner(young), young)
             assert reply.outcome is messages.Outcome.ANSWERED
 
+    async def test_a_floor_outlives_the_owner_that_set_it(self):
+        """Owner and holder are lost, then the owner after them as well.
+
+        The second owner knew nothing of the key and answered `unknown`; its
+        holder got everything it had, so the third owner must learn from the
+        holder that older keys may have run.
+        """
+        async with once_fakes.network(6) as net:
+            key = once_fakes.new_key()
+            owner, holder = net.owner(key), net.holder(key)
+            await net.send(owner, key)
+            net.kill(owner)
+            net.kill(holder)
+            rest = [h for h in net.members if h not in (owner, holder)]
+            net.publish(*rest)
+            await asyncio.sleep(3)
+            second = net.owner(key)
+            net.kill(second)
+            rest.remove(second)
+            net.publish(*rest)
+            await asyncio.sleep(3)
+            again = await net.send(net.owner(key), key)
+            assert again.outcome is messages.Outcome.UNKNOWN
+            assert net.runs == ["run"]
+
     async def test_views_that_change_twice_at_once_lose_nothing(self):
         """Two hosts of a data centre die; the views change one by one.
 
