Report and trace commands, from what the nodes recorded

Cause: a disclosure needs what ran, what did not and what is unknown, from when to when; the counters of a node were lost with its process, and a caller that hung up was counted nowhere.

Ruled out: fetching counters through the control hosts (a new message, and a killed node would still take its counts along).

Change: each node logs one line a minute with its counts by service, operation, importance, origin, outcome and reason, also when all are zero, and a last one when it ends in good order. 'mangobay report LOG...' adds them up and names the times that no line covers; 'mangobay trace FILE...' prints span files as trees.

Conclusion: what a killed node took in since its last line stays unknown, and the report says so.

--- a/mangobay/cmdline.py
+++ b/mangobay/cmdline.py
@@ -9,7 +9,13 @@
 
 import shtab
 
-from mangobay import commands, errors, operatorclient, options
+from mangobay import (
+    commands,
+    errors,
+    filecommands,
+    operatorclient,
+    options,
+)
 
 CONTROL_VARIABLE = "MANGOBAY_CONTROL"
 
@@ -52,7 +58,7 @@
     )
     shtab.add_argument_to(parser, ["--print-completion"])
     parsers = parser.add_subparsers(required=True, metavar="COMMAND")
-    for command in commands.COMMANDS:
+    for command in (*commands.COMMANDS, *filecommands.COMMANDS):
         command().add(parsers)
     return parser
 
--- a/mangobay/commands.py
+++ b/mangobay/commands.py
@@ -152,6 +152,21 @@
 
 END_OF_TIME_MS = 2**63
 SHEET_ARGUMENT = {"metavar": "SHEET", "help": "CSV file"}
+PERIOD = {
+    "--since": {
+        "type": unix_ms,
+        "default": 0,
+        "metavar": "TIME",
+        "help": "only what is at or after it, as in"
+        " 2026-03-31T07:00:00Z; without a zone it is UTC",
+    },
+    "--until": {
+        "type": unix_ms,
+        "default": END_OF_TIME_MS,
+        "metavar": "TIME",
+        "help": "only what is before it",
+    },
+}
 
 
 class Check(Command):
@@ -249,21 +264,7 @@
 
     name = "history"
     help = "show the accepted sheets, oldest first"
-    arguments = {
-        "--since": {
-            "type": unix_ms,
-            "default": 0,
-            "metavar": "TIME",
-            "help": "only those accepted at or after it, as in"
-            " 2026-03-31T07:00:00Z; without a zone it is UTC",
-        },
-        "--until": {
-            "type": unix_ms,
-            "default": END_OF_TIME_MS,
-            "metavar": "TIME",
-            "help": "only those accepted before it",
-        },
-    }
+    arguments = PERIOD
 
     async def run(self, arguments, client):
         """Asks for the history."""
--- a/mangobay/edges.py
+++ b/mangobay/edges.py
@@ -16,6 +16,7 @@
     fields,
     httpserver,
     ids,
+    ledger,
     logs,
     metrics,
     serving,
@@ -56,6 +57,7 @@
         entry_side: entry.Entry,
         serving_side: serving.Serving,
         counts: metrics.Metrics,
+        record: ledger.Ledger,
         sample: float,
     ):
         self.limits = limits
@@ -63,6 +65,7 @@
         self.entry = entry_side
         self.serving = serving_side
         self.metrics = counts
+        self.ledger = record
         self.sample = sample
         self.dice = random.Random()
 
@@ -91,8 +94,18 @@
         """Brings a call in and counts how it ended."""
         loop = asyncio.get_running_loop()
         began = loop.time()
-        reply = await self.entry.handle(request)
-        self.metrics.ended(request.operation, reply, loop.time() - began)
+        # What a caller that hung up would have been told: it may have run.
+        reply = calls.unknown(Reason.CANCELLED)
+        try:
+            reply = await self.entry.handle(request)
+        finally:
+            self.metrics.ended(request.operation, reply, loop.time() - began)
+            self.ledger.count(
+                request.operation,
+                request.importance,
+                request.caller == ids.OUTSIDE,
+                reply,
+            )
         return reply
 
     async def body_of(self, request: web.BaseRequest) -> bytes:
--- a/mangobay/errors.py
+++ b/mangobay/errors.py
@@ -184,5 +184,19 @@
         super().__init__(f"no control host answered: {told}")
 
 
+class LogFileError(MangobayError):
+    """A file given to `mangobay report` or `trace` cannot be read."""
+
+    def __init__(self, path: str, why: str):
+        super().__init__(f"{path}: {why}")
+
+
+class NothingRecordedError(MangobayError):
+    """The logs given say nothing of the period asked for."""
+
+    def __init__(self):
+        super().__init__("the logs given record nothing of this period")
+
+
 class InvariantError(MangobayError):
     """A promise of the system was about to be broken; the action was stopped."""
--- /dev/null
+++ b/mangobay/filecommands.py
@@ -0,0 +1,156 @@
+"""The operators' commands that read files of the nodes, not control hosts."""
+
+import dataclasses
+
+from mangobay import commands, report, spantree
+
+FILES = {"metavar": "FILE", "nargs": "+"}
+
+
+class ShowReport(commands.Command):
+    """Tells what ran, what did not and what is unknown."""
+
+    name = "report"
+    help = "sum up nodes' logs: what ran, what did not, what is unknown"
+    arguments = {
+        "files": {**FILES, "help": "log file of a node; give every node's"},
+        **commands.PERIOD,
+    }
+    asks_control = False
+
+    async def run(self, arguments, client):
+        """Reads the logs and sums them up."""
+        reading = report.read(arguments.files)
+        told = report.summed(reading, arguments.since, arguments.until)
+        return commands.Result(report_data(told), report_lines(told))
+
+
+class ShowTrace(commands.Command):
+    """Prints spans as trees."""
+
+    name = "trace"
+    help = "print span files as trees, one for each call tree"
+    arguments = {
+        "files": {**FILES, "help": "span file of a node; give every node's"},
+        "--trace": {
+            "default": "",
+            "metavar": "ID",
+            "help": "only traces whose id begins like this",
+        },
+    }
+    asks_control = False
+
+    async def run(self, arguments, client):
+        """Reads the files and prints the trees."""
+        spans = [
+            span
+            for span in spantree.read(arguments.files)
+            if span.trace.startswith(arguments.trace)
+        ]
+        data = [
+            {**dataclasses.asdict(span), "start": span.start.isoformat()}
+            for span in spans
+        ]
+        lines = spantree.tree_lines(spans) or ["no such span"]
+        code = commands.Exit.OK if spans else commands.Exit.FAILED
+        return commands.Result(data, lines, code)
+
+
+def report_data(told: report.Report) -> dict:
+    """Returns the report as plain values."""
+    return {
+        "since_ms": told.since_ms,
+        "until_ms": told.until_ms,
+        "hosts": told.hosts,
+        "totals": [
+            {
+                **group._asdict(),
+                "outcomes": dict(total.outcomes),
+                "reasons": dict(total.reasons),
+                "first_ms": total.first_ms,
+                "last_ms": total.last_ms,
+            }
+            for group, total in sorted(told.totals.items())
+        ],
+        "gaps": [dataclasses.asdict(gap) for gap in told.gaps],
+        "unreadable": told.unreadable,
+    }
+
+
+def report_lines(told: report.Report) -> list[str]:
+    """Returns the report for people."""
+    lines = [
+        f"recorded from {commands.moment(told.since_ms)}"
+        f" to {commands.moment(told.until_ms)}"
+        f" by {len(told.hosts)} hosts: {', '.join(told.hosts)}",
+    ]
+    for outside, title in (
+        (True, "calls of callers outside"),
+        (False, "calls among the services, part of those above or their own"),
+    ):
+        totals = {
+            group: total
+            for group, total in sorted(told.totals.items())
+            if group.outside is outside
+        }
+        if totals:
+            lines += ["", title, *total_lines(totals)]
+    return [*lines, "", *gap_lines(told)]
+
+
+def total_lines(totals: dict[report.Group, report.Total]) -> list[str]:
+    """Returns how calls ended, and why those that were not answered."""
+    titles = (
+        "service",
+        "operation",
+        "importance",
+        "answered",
+        "not run",
+        "unknown",
+        "not run or unknown from",
+        "to",
+    )
+    rows = [
+        (
+            group.service,
+            group.operation,
+            group.importance,
+            total.outcomes[report.ANSWERED],
+            total.outcomes[report.NOT_RUN],
+            total.outcomes[report.UNKNOWN],
+            period_end(total.first_ms),
+            period_end(total.last_ms),
+        )
+        for group, total in totals.items()
+    ]
+    lines = commands.columns(titles, rows)
+    for group, total in totals.items():
+        for reason, count in sorted(total.reasons.items()):
+            name = f"{group.service}.{group.operation}"
+            lines.append(f"  {name}  {reason}  {count}")
+    return lines
+
+
+def period_end(milliseconds: int | None) -> str:
+    """Returns where a period begins or ends; a dash without one."""
+    return "-" if milliseconds is None else commands.moment(milliseconds)
+
+
+def gap_lines(told: report.Report) -> list[str]:
+    """Returns what nobody recorded."""
+    lines = []
+    if told.gaps:
+        lines.append("not recorded, so nothing is known of calls that entered")
+        rows = [
+            (gap.host, *map(commands.moment, (gap.since_ms, gap.until_ms)))
+            for gap in told.gaps
+        ]
+        lines += commands.columns(("host", "from", "to"), rows)
+    else:
+        lines.append("no gap in the record of these hosts")
+    if told.unreadable:
+        lines.append(f"{told.unreadable} lines could not be read")
+    return lines
+
+
+COMMANDS: tuple[type[commands.Command], ...] = (ShowReport, ShowTrace)
--- /dev/null
+++ b/mangobay/ledger.py
@@ -0,0 +1,130 @@
+"""The record of how calls ended: one log line for each interval.
+
+The counts say what ran, what did not and what is unknown; `mangobay report`
+adds them up over the logs of all nodes.
+"""
+
+import asyncio
+import collections
+import collections.abc
+import dataclasses
+import typing
+
+from mangobay import clock, ids, logs
+from mangobay.generated import messages
+
+INTERVAL = 60.0
+"""Seconds that one line covers."""
+
+SENTENCE = "calls of an interval"
+MESSAGE_TYPE = f"{logs.Part.CALL.value}: {SENTENCE}"
+
+
+class Kind(typing.NamedTuple):
+    """Calls that are counted together.
+
+    Attributes:
+      outside: whether a caller sent them, and not a backend server.
+    """
+
+    service: ids.ServiceName
+    operation: ids.OperationName
+    importance: messages.Importance
+    outside: bool
+    outcome: messages.Outcome
+    reason: messages.Reason
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Entry:
+    """How many calls of one kind ended, as the log line holds it."""
+
+    service: str
+    operation: str
+    importance: str
+    outside: bool
+    outcome: str
+    reason: str
+    count: int
+
+
+def entry_of(kind: Kind, count: int) -> Entry:
+    """Returns what the log line says of the calls of a kind."""
+    return Entry(
+        service=kind.service,
+        operation=kind.operation,
+        importance=kind.importance.name.lower(),
+        outside=kind.outside,
+        outcome=kind.outcome.name.lower(),
+        reason=kind.reason.name.lower(),
+        count=count,
+    )
+
+
+class Ledger:
+    """Counts the calls that entered at one node.
+
+    Attributes:
+      host: this node's name.
+      counts: the calls since the last line.
+      since_ms: Unix time where the interval began, milliseconds.
+      wall_ms: Unix time in milliseconds.
+    """
+
+    def __init__(
+        self,
+        host: ids.HostId,
+        wall_ms: collections.abc.Callable[[], int] = clock.unix_ms,
+    ):
+        self.host = host
+        self.wall_ms = wall_ms
+        self.counts: collections.Counter[Kind] = collections.Counter()
+        self.since_ms = wall_ms()
+
+    def count(
+        self,
+        operation: messages.Operation,
+        importance: messages.Importance,
+        outside: bool,
+        reply: messages.Reply,
+    ) -> None:
+        """Counts one call that ended."""
+        kind = Kind(
+            operation.service,
+            operation.name,
+            importance,
+            outside,
+            reply.outcome,
+            reply.reason,
+        )
+        self.counts[kind] += 1
+
+    def write(self, last: bool = False) -> None:
+        """Logs the interval that ends now, also when no call ended in it.
+
+        An empty interval is written too: without it a quiet node and a dead
+        one would look the same in a report.
+
+        Args:
+          last: the node ends in good order, so that no call follows.
+        """
+        # A wall clock set back must not make an interval of negative length.
+        until_ms = max(self.since_ms, self.wall_ms())
+        counts = sorted(self.counts.items())
+        logs.say(
+            logs.Part.CALL,
+            SENTENCE,
+            host=self.host,
+            since_ms=self.since_ms,
+            until_ms=until_ms,
+            last=last,
+            calls=[dataclasses.asdict(entry_of(*item)) for item in counts],
+        )
+        self.since_ms = until_ms
+        self.counts.clear()
+
+    async def run(self) -> None:
+        """Writes a line for each interval, until cancelled."""
+        while True:
+            await asyncio.sleep(INTERVAL)
+            self.write()
--- a/mangobay/node.py
+++ b/mangobay/node.py
@@ -17,6 +17,7 @@
     errors,
     httpserver,
     ids,
+    ledger,
     localapi,
     logs,
     metrics,
@@ -58,6 +59,7 @@
         )
         self.dice = random.Random()
         self.metrics = metrics.Metrics()
+        self.ledger = ledger.Ledger(self.process.host)
         self.tasks: list[asyncio.Task] = []
         self.leaving: asyncio.Task | None = None
         self.ended = asyncio.Event()
@@ -175,6 +177,7 @@
             self.entry,
             self.serving,
             self.metrics,
+            self.ledger,
             sample,
         )
         self.local_api = localapi.LocalApi(
@@ -279,6 +282,7 @@
             self.control.run(),
             self.served.run(),
             self.once.expire(),
+            self.ledger.run(),
         ):
             self.tasks.append(asyncio.create_task(work))
         logs.say(logs.Part.NODE, "started", host=self.process.host)
@@ -356,6 +360,7 @@
         for task in self.tasks:
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
+        self.ledger.write(last=True)
         await self.once.close()
         await self.peers.close()
         await self.backend.close()
--- /dev/null
+++ b/mangobay/report.py
@@ -0,0 +1,220 @@
+"""What to state of a period: what ran, what did not, what is unknown.
+
+Read from the nodes' logs, where `ledger` wrote it.  Only recorded facts are
+told, and what no log covers is told as such.
+"""
+
+import collections
+import collections.abc
+import dataclasses
+import json
+import typing
+
+from mangobay import errors, ledger
+from mangobay.generated import messages
+
+ANSWERED = messages.Outcome.ANSWERED.name.lower()
+NOT_RUN = messages.Outcome.NOT_RUN.name.lower()
+UNKNOWN = messages.Outcome.UNKNOWN.name.lower()
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Interval:
+    """One line of a node.
+
+    Attributes:
+      since_ms: Unix time, milliseconds.
+      until_ms: Unix time, milliseconds.
+      last: the node ended in good order.
+    """
+
+    host: str
+    since_ms: int
+    until_ms: int
+    last: bool
+    calls: tuple[ledger.Entry, ...]
+
+
+@dataclasses.dataclass(slots=True)
+class Reading:
+    """What the files held.
+
+    Attributes:
+      intervals: in the order of the files.
+      unreadable: lines that are no log lines, such as one torn by a kill.
+    """
+
+    intervals: list[Interval] = dataclasses.field(default_factory=list)
+    unreadable: int = 0
+
+
+class Group(typing.NamedTuple):
+    """Calls that one line of the report sums up."""
+
+    outside: bool
+    service: str
+    operation: str
+    importance: str
+
+
+@dataclasses.dataclass(slots=True)
+class Total:
+    """How the calls of a group ended.
+
+    Attributes:
+      outcomes: calls by outcome.
+      reasons: calls that were not answered, by outcome and reason.
+      first_ms: where the first interval with one of those began.
+      last_ms: where the last one ended.
+    """
+
+    outcomes: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    reasons: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    first_ms: int | None = None
+    last_ms: int | None = None
+
+    def add(self, entry: ledger.Entry, interval: Interval) -> None:
+        """Adds the calls of one entry."""
+        self.outcomes[entry.outcome] += entry.count
+        if entry.outcome == ANSWERED:
+            return
+        self.reasons[f"{entry.outcome}: {entry.reason}"] += entry.count
+        first = interval.since_ms if self.first_ms is None else self.first_ms
+        self.first_ms = min(first, interval.since_ms)
+        self.last_ms = max(self.last_ms or 0, interval.until_ms)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Gap:
+    """A time of which a node recorded nothing, Unix milliseconds."""
+
+    host: str
+    since_ms: int
+    until_ms: int
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Report:
+    """What is known of a period.
+
+    Attributes:
+      since_ms: of the first interval that is counted.
+      until_ms: of the last interval that is counted.
+      hosts: those that recorded something.
+      totals: calls by group.
+      gaps: what nobody recorded.
+      unreadable: lines that could not be read.
+    """
+
+    since_ms: int
+    until_ms: int
+    hosts: list[str]
+    totals: dict[Group, Total]
+    gaps: list[Gap]
+    unreadable: int
+
+
+def read(paths: collections.abc.Iterable[str]) -> Reading:
+    """Returns the intervals in log files; other log lines are passed over.
+
+    Raises:
+      errors.LogFileError: a file cannot be read.
+    """
+    reading = Reading()
+    for path in paths:
+        try:
+            with open(path, encoding="utf-8", errors="replace") as file:
+                read_lines(file, reading)
+        except OSError as error:
+            raise errors.LogFileError(path, error.strerror or "") from None
+    return reading
+
+
+def read_lines(lines: collections.abc.Iterable[str], reading: Reading) -> None:
+    """Adds the intervals in the lines to the reading."""
+    for line in lines:
+        try:
+            interval = parse(line)
+        except (ValueError, KeyError, TypeError, AttributeError):
+            reading.unreadable += 1
+            continue
+        if interval is not None:
+            reading.intervals.append(interval)
+
+
+def parse(line: str) -> Interval | None:
+    """Returns the interval in a log line, None for any other line."""
+    document = json.loads(line)
+    if document.get("message_type") != ledger.MESSAGE_TYPE:
+        return None
+    return Interval(
+        host=document["host"],
+        since_ms=int(document["since_ms"]),
+        until_ms=int(document["until_ms"]),
+        last=bool(document["last"]),
+        calls=tuple(ledger.Entry(**item) for item in document["calls"]),
+    )
+
+
+def summed(reading: Reading, since_ms: int, until_ms: int) -> Report:
+    """Returns the report of a period.
+
+    An interval counts whole when it touches the period: nothing says where
+    in it a call ended.
+
+    Raises:
+      errors.NothingRecordedError: no interval touches the period.
+    """
+    # The same file given twice must not count twice.
+    distinct = dict.fromkeys(reading.intervals)
+    inside = [
+        interval
+        for interval in distinct
+        if interval.since_ms < until_ms and interval.until_ms > since_ms
+    ]
+    if not inside:
+        raise errors.NothingRecordedError
+    totals: dict[Group, Total] = collections.defaultdict(Total)
+    for interval in inside:
+        for entry in interval.calls:
+            group = Group(
+                entry.outside, entry.service, entry.operation, entry.importance
+            )
+            totals[group].add(entry, interval)
+    start = min(interval.since_ms for interval in inside)
+    end = max(interval.until_ms for interval in inside)
+    return Report(
+        since_ms=start,
+        until_ms=end,
+        hosts=sorted({interval.host for interval in inside}),
+        totals=dict(totals),
+        gaps=gaps(distinct, start, end),
+        unreadable=reading.unreadable,
+    )
+
+
+def gaps(
+    intervals: collections.abc.Iterable[Interval], start: int, end: int
+) -> list[Gap]:
+    """Returns the times between start and end that a node left unrecorded.
+
+    A node that ended in good order leaves none until its next start.  One
+    that was killed leaves one from its last line on: what entered there
+    since has been counted by nobody.
+    """
+    by_host = collections.defaultdict(list)
+    for interval in intervals:
+        by_host[interval.host].append(interval)
+    found = []
+    for host in sorted(by_host):
+        lines = sorted(by_host[host], key=lambda line: line.since_ms)
+        starts = [line.since_ms for line in lines[1:]] + [end]
+        for line, following in zip(lines, starts, strict=True):
+            gap = Gap(host, max(line.until_ms, start), min(following, end))
+            if not line.last and gap.since_ms < gap.until_ms:
+                found.append(gap)
+    return found
--- /dev/null
+++ b/mangobay/spantree.py
@@ -0,0 +1,132 @@
+"""Span files as trees: which hop called which, and how each one ended."""
+
+import collections
+import collections.abc
+import dataclasses
+import datetime
+import json
+
+from mangobay import errors
+
+FORK, LAST_FORK, LINE, BLANK = "├─ ", "└─ ", "│  ", "   "
+PREFIX = "mangobay."
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Span:
+    """One attempt of one hop, as `traces` wrote it.
+
+    Attributes:
+      parent: span id; of a span that nobody recorded at the root.
+      start: when the attempt began.
+      milliseconds: how long it took.
+      sender: the host that made the attempt.
+      host: the host that was asked.
+    """
+
+    trace: str
+    span: str
+    parent: str
+    name: str
+    start: datetime.datetime
+    milliseconds: float
+    sender: str
+    host: str
+    data_centre: str
+    outcome: str
+    reason: str
+    status: int
+    tries_given: int
+    tries_left: int
+
+
+def parse(line: str) -> Span:
+    """Returns the span in a line.
+
+    Raises:
+      ValueError: the line holds none.
+    """
+    try:
+        document = json.loads(line)
+        facts = document["attributes"]
+        start = datetime.datetime.fromisoformat(document["start_time"])
+        end = datetime.datetime.fromisoformat(document["end_time"])
+        return Span(
+            trace=document["context"]["trace_id"].removeprefix("0x"),
+            span=document["context"]["span_id"],
+            parent=document["parent_id"] or "",
+            name=document["name"],
+            start=start,
+            milliseconds=(end - start).total_seconds() * 1000,
+            sender=document["resource"]["attributes"]["host.name"],
+            host=facts[f"{PREFIX}host"],
+            data_centre=facts[f"{PREFIX}data_centre"],
+            outcome=facts[f"{PREFIX}outcome"],
+            reason=facts[f"{PREFIX}reason"],
+            status=facts[f"{PREFIX}status"],
+            tries_given=facts[f"{PREFIX}tries_given"],
+            tries_left=facts[f"{PREFIX}tries_left"],
+        )
+    except (KeyError, TypeError, AttributeError) as error:
+        raise ValueError(f"no span: {error}") from None
+
+
+def read(paths: collections.abc.Iterable[str]) -> list[Span]:
+    """Returns the spans in files; a torn line is passed over.
+
+    Raises:
+      errors.LogFileError: a file cannot be read.
+    """
+    found = []
+    for path in paths:
+        try:
+            with open(path, encoding="utf-8", errors="replace") as file:
+                lines = file.readlines()
+        except OSError as error:
+            raise errors.LogFileError(path, error.strerror or "") from None
+        for line in lines:
+            try:
+                found.append(parse(line))
+            except ValueError:
+                continue
+    return found
+
+
+def tree_lines(spans: collections.abc.Iterable[Span]) -> list[str]:
+    """Returns every trace as a tree, the oldest first."""
+    by_trace = collections.defaultdict(list)
+    for span in sorted(spans, key=lambda span: span.start):
+        by_trace[span.trace].append(span)
+    lines = []
+    for trace, members in by_trace.items():
+        known = {span.span for span in members}
+        below = collections.defaultdict(list)
+        for span in members:
+            below[span.parent if span.parent in known else ""].append(span)
+        lines.append(f"trace {trace}")
+        lines += branch_lines(below, "", "")
+    return lines
+
+
+def branch_lines(
+    below: collections.abc.Mapping[str, list[Span]], parent: str, indent: str
+) -> list[str]:
+    """Returns the lines of what is below a span."""
+    lines = []
+    children = below.get(parent, [])
+    for place, span in enumerate(children, start=1):
+        last = place == len(children)
+        lines.append(f"{indent}{LAST_FORK if last else FORK}{text_of(span)}")
+        deeper = indent + (BLANK if last else LINE)
+        lines += branch_lines(below, span.span, deeper)
+    return lines
+
+
+def text_of(span: Span) -> str:
+    """Returns one span in words."""
+    end = str(span.status) if span.outcome == "answered" else span.reason
+    return (
+        f"{span.name}: {span.outcome} {end}, {span.milliseconds:.1f} ms,"
+        f" {span.sender} -> {span.host} ({span.data_centre}),"
+        f" tries {span.tries_given} given {span.tries_left} left"
+    )
