Take the at-most-once module apart

Change: the gate before the first byte (startgate) and telling others how runs ended (handover) are modules of their own; once uses calls and clock.

--- a/mangobay/clock.py
+++ b/mangobay/clock.py
@@ -1,4 +1,4 @@
-"""The two clocks: the loop's for decisions, the wall's for the history."""
+"""The two clocks: the loop's for decisions, the wall's for all dates."""
 
 import asyncio
 import time
@@ -10,5 +10,8 @@
 
 
 def unix_ms() -> int:
-    """Returns the wall clock in milliseconds; nothing is decided by it."""
+    """Returns the wall clock in milliseconds.
+
+    Only the age of an idempotency key is judged by it: the key holds a date.
+    """
     return int(time.time() * 1000)
--- a/mangobay/once.py
+++ b/mangobay/once.py
@@ -2,19 +2,18 @@
 
 import asyncio
 import collections.abc
-import functools
-import time
 import typing
 
 from mangobay import (
+    calls,
+    clock,
     copies,
-    errors,
+    handover,
     ids,
-    invariants,
     keys,
-    logs,
     records,
     slots,
+    startgate,
     takeover,
     tenure,
 )
@@ -23,39 +22,13 @@
 if typing.TYPE_CHECKING:
     from mangobay import lease, peers
 
-Gate = collections.abc.Callable[[], collections.abc.Awaitable[None]]
 Execute = collections.abc.Callable[
-    [Gate], collections.abc.Awaitable[messages.Reply]
+    [startgate.Gate], collections.abc.Awaitable[messages.Reply]
 ]
 
 EXPIRE_INTERVAL = 5.0
 """Seconds between two looks for records that left the window."""
 
-HANDOVER_POLL = 0.05
-"""Seconds between two looks whether another node owns everything."""
-
-
-class RefusedError(errors.MangobayError):
-    """The gate stays shut: nothing was sent, nothing may be.
-
-    Attributes:
-      reason: why.
-    """
-
-    def __init__(self, reason: messages.Reason):
-        super().__init__(f"not started: {reason.name.lower()}")
-        self.reason = reason
-
-
-def not_run(reason: messages.Reason) -> messages.Reply:
-    """Returns the reply of a call that certainly did not run here."""
-    return messages.Reply(outcome=messages.Outcome.NOT_RUN, reason=reason)
-
-
-def unix_ms() -> int:
-    """Returns the wall clock, milliseconds."""
-    return int(time.time() * 1000)
-
 
 class Once:
     """Every keyed call that this node runs, owns or holds a copy of.
@@ -74,7 +47,7 @@
         me: tenure.Process,
         transport: "peers.Transport",
         lease: "lease.Lease",
-        wall_ms: collections.abc.Callable[[], int] = unix_ms,
+        wall_ms: collections.abc.Callable[[], int] = clock.unix_ms,
     ):
         self.options = options
         self.me = me
@@ -143,9 +116,7 @@
             runner = tenure.Process(record.runner, record.runner_incarnation)
             if record.state is records.State.STARTED and runner not in alive:
                 reason = messages.Reason.OWNER_CHANGED
-                record.settle(
-                    records.State.UNKNOWN, records.unknown_reply(reason)
-                )
+                record.settle(records.State.UNKNOWN, calls.unknown(reason))
 
     async def expire(self) -> None:
         """Drops old records for ever, until cancelled."""
@@ -175,7 +146,7 @@
             settled = entry.state is not messages.OnceState.STARTED
             if settled and share.owns(entry.slot):
                 record = share.registry.get(entry.key)
-                self.spawn(self._spread(share, record))
+                self.spawn(handover.spread(share, self.sender, record))
 
     async def run(
         self, call: messages.Call, execute: Execute
@@ -203,7 +174,7 @@
         if refusal is not None:
             return refusal
         if share.registry.full:
-            return not_run(messages.Reason.OVERLOADED)
+            return calls.not_run(messages.Reason.OVERLOADED)
         record = self._claim(share, slot, call)
         task = self.spawn(self._first(share, record, execute))
         return await self._watch(task, record)
@@ -221,16 +192,16 @@
         )
         while True:
             if not self.lease.holds():
-                return not_run(messages.Reason.NO_LEASE)
+                return calls.not_run(messages.Reason.NO_LEASE)
             if not share.owns(slot):
-                return not_run(messages.Reason.NOT_OWNER)
+                return calls.not_run(messages.Reason.NOT_OWNER)
             if share.ready(slot):
                 return None
             try:
                 async with asyncio.timeout_at(patience):
                     await share.moved.wait()
             except TimeoutError:
-                return not_run(messages.Reason.OWNER_CHANGED)
+                return calls.not_run(messages.Reason.OWNER_CHANGED)
 
     def _by_age(
         self,
@@ -243,10 +214,10 @@
         window_ms = int(self.options.window * 1000)
         age = keys.age(key, now_ms, self._skew_ms)
         if not age.foreign and age.minted_ms < now_ms - window_ms:
-            return records.unknown_reply(messages.Reason.KEY_EXPIRED)
+            return calls.unknown(messages.Reason.KEY_EXPIRED)
         floor_ms = share.floors.get(slot, 0)
         if age.before(floor_ms, window_ms, now_ms):
-            return records.unknown_reply(messages.Reason.OWNER_CHANGED)
+            return calls.unknown(messages.Reason.OWNER_CHANGED)
         return None
 
     def _claim(
@@ -283,22 +254,24 @@
         self, record: records.Record, call: messages.Call, deadline: float
     ) -> messages.Reply:
         if record.digest != records.digest_of(call):
-            return not_run(messages.Reason.KEY_REUSED)
+            return calls.not_run(messages.Reason.KEY_REUSED)
         try:
             async with asyncio.timeout_at(deadline):
                 await record.settled.wait()
         except TimeoutError:
-            return records.unknown_reply(messages.Reason.RUNNING)
+            return calls.unknown(messages.Reason.RUNNING)
         return record.reply
 
     async def _first(
         self, share: tenure.Tenure, record: records.Record, execute: Execute
     ) -> messages.Reply:
-        gate = functools.partial(self._gate, share, record)
+        gate = startgate.StartGate(
+            lease=self.lease, sender=self.sender, share=share, record=record
+        )
         try:
-            reply = await execute(gate)
-        except RefusedError as refused:
-            reply = not_run(refused.reason)
+            reply = await execute(gate.open)
+        except startgate.RefusedError as refused:
+            reply = calls.not_run(refused.reason)
         except BaseException:
             self._settle(share, record, self._broken_off(record))
             raise
@@ -307,55 +280,8 @@
 
     def _broken_off(self, record: records.Record) -> messages.Reply:
         if record.state is records.State.CLAIMED:
-            return not_run(messages.Reason.CANCELLED)
-        return records.unknown_reply(messages.Reason.INTERNAL)
-
-    async def _gate(self, share: tenure.Tenure, record: records.Record) -> None:
-        """Lets a call start after every holder knows that it will.
-
-        Raises:
-          RefusedError: it must not start here.
-        """
-        self._must_own(share, record)
-        version = share.view.version
-        holders = share.placement.holders(record.slot)
-        if holders:
-            await self._announce_start(share, record, holders)
-        # Between here and the first byte nothing is awaited: a node that
-        # froze while it waited for the holders wakes up at this check.
-        self._must_own(share, record)
-        if share.view.version != version:
-            raise RefusedError(messages.Reason.OWNER_CHANGED)
-        invariants.check(
-            invariants.Promise.AT_MOST_ONCE,
-            share.registry.get(record.key) is record,
-            f"key {record.key} has another record",
-        )
-        record.state = records.State.STARTED
-
-    async def _announce_start(
-        self,
-        share: tenure.Tenure,
-        record: records.Record,
-        holders: list[messages.Member],
-    ) -> None:
-        now = asyncio.get_running_loop().time()
-        entry = records.started_entry(record, now)
-        put = messages.CopyPut(
-            service=share.service,
-            view_version=share.view.version,
-            entries=[entry],
-        )
-        if not await self.sender.put_all(holders, put):
-            raise RefusedError(messages.Reason.COPY_FAILED)
-
-    def _must_own(self, share: tenure.Tenure, record: records.Record) -> None:
-        if not self.lease.holds():
-            raise RefusedError(messages.Reason.NO_LEASE)
-        if not share.ready(record.slot):
-            raise RefusedError(messages.Reason.OWNER_CHANGED)
-        if record.state is not records.State.CLAIMED:
-            raise RefusedError(messages.Reason.RUNNING)
+            return calls.not_run(messages.Reason.CANCELLED)
+        return calls.unknown(messages.Reason.INTERNAL)
 
     def _settle(
         self,
@@ -375,63 +301,11 @@
         answered = reply.outcome is messages.Outcome.ANSWERED
         state = records.State.ANSWERED if answered else records.State.UNKNOWN
         record.settle(state, reply)
-        self.spawn(self._spread(share, record))
-
-    async def _spread(
-        self, share: tenure.Tenure, record: records.Record
-    ) -> None:
-        """Tells the slot's owner and holders how a run ended.
-
-        A fenced node waits for the newer view first: under its old one it
-        would tell itself, and the new owner would wait for the end of the
-        run for ever.
-
-        The caller has its answer already.  If this process dies before the
-        copies arrive, a repeat gets `unknown`, never a second run.
-        """
-        while share.fenced:
-            await share.moved.wait()
-        placement = share.placement
-        owner = placement.owner(record.slot)
-        told = [*placement.holders(record.slot)]
-        if owner is not None:
-            told.append(owner)
-        told = [member for member in told if not share.is_me(member)]
-        if not told:
-            return
-        now = asyncio.get_running_loop().time()
-        put = messages.CopyPut(
-            service=share.service,
-            view_version=share.view.version,
-            entries=[records.to_entry(record, now)],
-        )
-        if not await self.sender.put_all(told, put):
-            logs.say(
-                logs.Part.ONCE,
-                "an answer has no copy",
-                service=share.service,
-            )
+        self.spawn(handover.spread(share, self.sender, record))
 
     async def handed_over(self) -> None:
-        """Returns when no record here is needed by a newer owner any more.
-
-        A leaving node stays until nothing of its own still runs and the new
-        owners of its slots have asked for what it knows.  Gone earlier, its
-        callers' repeats would get `unknown` where a copy is missing.
-        """
-        while not all(map(self._is_free, self.shares.values())):
-            now = asyncio.get_running_loop().time()
-            for share in self.shares.values():
-                await copies.hand_over(share, self.sender, now)
-            await asyncio.sleep(HANDOVER_POLL)
-
-    def _is_free(self, share: tenure.Tenure) -> bool:
-        running = any(
-            record.state in (records.State.CLAIMED, records.State.STARTED)
-            and record.runner == self.me.host
-            for record in share.registry.by_key.values()
-        )
-        return not running and not share.mine and not share.unfetched()
+        """Returns when no record here is needed by a newer owner any more."""
+        await handover.finish(self.me, self.shares, self.sender)
 
     async def close(self) -> None:
         """Ends every task of this part."""
--- a/mangobay/records.py
+++ b/mangobay/records.py
@@ -8,7 +8,7 @@
 
 import xxhash
 
-from mangobay import ids
+from mangobay import calls, ids
 from mangobay.generated import messages
 
 
@@ -78,11 +78,6 @@
     return digest.digest()
 
 
-def unknown_reply(reason: messages.Reason) -> messages.Reply:
-    """Returns the reply of a call whose fate is not known."""
-    return messages.Reply(outcome=messages.Outcome.UNKNOWN, reason=reason)
-
-
 def to_entry(record: Record, now: float) -> messages.OnceEntry:
     """Returns what travels of a record; `now` is loop time, seconds."""
     reply = record.reply or messages.Reply()
@@ -108,7 +103,7 @@
 
 def _entry_reply(entry: messages.OnceEntry) -> messages.Reply:
     if entry.state is messages.OnceState.UNKNOWN:
-        return unknown_reply(messages.Reason.OWNER_CHANGED)
+        return calls.unknown(messages.Reason.OWNER_CHANGED)
     return messages.Reply(
         outcome=messages.Outcome.ANSWERED,
         status=entry.status,
