A node on a host that has been up for 34 minutes answers again

Cause: loop time is the host's uptime, and the weight of an arrival was 2 to the power of half the seconds since time 0. From 2048 s on that overflows: each call of a fresh node got 'unknown: internal', on loopback 400 of 400. The same after 34 idle minutes (by reading).

Change: the exponent is bounded at 64 half-lives, after which no weight is left anyway. The new test fails with OverflowError without it.

--- a/mangobay/fairness.py
+++ b/mangobay/fairness.py
@@ -13,6 +13,12 @@
 FRESHEN_AT = 2.0**4
 """Weight of an arrival at which weights are scaled back and idle clients
 forgotten: else they would drag the mean down and make everybody heavy."""
+MOST_HALVINGS = 64.0
+"""Half-lives that are told apart.
+
+Loop time is the host's uptime: the first call after 34 minutes of uptime, or
+of silence, would raise 2.0 to more than a float holds, and that call and all
+after it would fail.  After this many half-lives nothing is left to weigh."""
 
 
 class Fairness:
@@ -55,7 +61,8 @@
 
     def unit(self, now: float) -> float:
         """Returns the weight of one arrival at this time."""
-        return 2.0 ** ((now - self.origin) / HALF_LIFE)
+        halvings = (now - self.origin) / HALF_LIFE
+        return 2.0 ** min(halvings, MOST_HALVINGS)
 
     def freshen(self, now: float) -> None:
         """Makes now the origin and forgets who has not sent for long."""
--- a/tests/test_fairness.py
+++ b/tests/test_fairness.py
@@ -39,6 +39,20 @@
             seen.arrived(name(0), step * 0.01)
         assert not seen.heavy(name(0), 5.0)
 
+    def test_a_first_call_long_after_the_start_of_the_clock(self):
+        """Calls are counted on a host that has been up for months.
+
+        Loop time is its uptime, so the first call comes long after time 0,
+        and the next one after weeks of silence.  Both once raised
+        OverflowError, and each call of such a node got `unknown`.
+        """
+        seen = fairness.Fairness(4)
+        for now in (1e4, 1e7, 2e7):
+            seen.arrived(name(0), now)
+            seen.arrived(name(1), now)
+            assert not seen.heavy(name(0), now)
+            assert seen.total == 2.0
+
     def test_memory_is_bounded(self):
         """Ever new names arrive, as from callers that change theirs.
 
