--- a/mangobay/ledger.py
+++ b/mangobay/ledger.py
@@ -124,7 +124,12 @@
         self.counts.clear()
 
     async def run(self) -> None:
-        """Writes a line for each interval, until cancelled."""
+        """Writes a line now and one for each interval, until cancelled.
+
+        The first one covers no time.  It tells that this node runs, so that
+        one killed within its first interval is seen to be missing.
+        """
+        self.write()
         while True:
             await asyncio.sleep(INTERVAL)
             self.write()
--- a/mangobay/report.py
+++ b/mangobay/report.py
@@ -211,7 +211,9 @@
         by_host[interval.host].append(interval)
     found = []
     for host in sorted(by_host):
-        lines = sorted(by_host[host], key=lambda line: line.since_ms)
+        lines = sorted(
+            by_host[host], key=lambda line: (line.since_ms, line.until_ms)
+        )
         starts = [line.since_ms for line in lines[1:]] + [end]
         for line, following in zip(lines, starts, strict=True):
             gap = Gap(host, max(line.until_ms, start), min(following, end))
