--- a/mangobay/commands.py
+++ b/mangobay/commands.py
@@ -7,7 +7,15 @@
 import getpass
 import typing
 
-from mangobay import errors, findings, ids, operatorclient, settings, sheet
+from mangobay import (
+    display,
+    errors,
+    findings,
+    ids,
+    operatorclient,
+    settings,
+    sheet,
+)
 from mangobay.generated import settings as generated
 
 
@@ -44,25 +52,6 @@
     code: Exit = Exit.OK
 
 
-def columns(titles: tuple[str, ...], rows: list[tuple]) -> list[str]:
-    """Returns a table as lines with columns of equal width."""
-    cells = [titles, *([str(cell) for cell in row] for row in rows)]
-    widths = [max(map(len, column)) for column in zip(*cells)]
-    return [
-        "  ".join(
-            cell.ljust(width) for cell, width in zip(row, widths)
-        ).rstrip()
-        for row in cells
-    ]
-
-
-def moment(milliseconds: int) -> str:
-    """Returns a Unix time as UTC text."""
-    return datetime.datetime.fromtimestamp(
-        milliseconds / 1000, datetime.UTC
-    ).isoformat(timespec="milliseconds")
-
-
 def unix_ms(text: str) -> int:
     """Returns the Unix time, milliseconds, of an ISO 8601 text.
 
@@ -94,32 +83,6 @@
         raise errors.SheetError([finding]) from None
 
 
-def in_force_lines(state: operatorclient.InForce) -> list[str]:
-    """Returns how far a revision has come, and who lags."""
-    lines = [f"in force on {state.count} of {state.of} hosts"]
-    if state.stragglers:
-        lines.append(f"not yet on {', '.join(state.stragglers)}")
-    return lines
-
-
-def host_lines(hosts: list[operatorclient.Host]) -> list[str]:
-    """Returns the hosts as a table."""
-    return columns(
-        ("host", "data centre", "revision", "lease", "leaving", "serves"),
-        [
-            (
-                host.host,
-                host.data_centre,
-                host.revision,
-                "held" if host.lease else "none",
-                "yes" if host.leaving else "no",
-                ", ".join(host.serves),
-            )
-            for host in hosts
-        ],
-    )
-
-
 class Command:
     """A subcommand; subclasses say its name, arguments and work."""
 
@@ -237,7 +200,7 @@
         facts = dataclasses.asdict(accepted)
         facts["in_force"] = dataclasses.asdict(state)
         code = Exit.OK if state.everywhere else Exit.NOT_IN_FORCE
-        return Result(facts, [line, *in_force_lines(state)], code)
+        return Result(facts, [line, *display.in_force_lines(state)], code)
 
 
 class ShowStatus(Command):
@@ -253,8 +216,8 @@
             f"leader {status.leader}, term {status.term},"
             f" log committed to {status.commit}",
             f"revision {status.revision}",
-            *in_force_lines(status.in_force),
-            *host_lines(status.hosts),
+            *display.in_force_lines(status.in_force),
+            *display.host_lines(status.hosts),
         ]
         return Result(dataclasses.asdict(status), lines)
 
@@ -273,12 +236,12 @@
             for change in await client.history()
             if arguments.since <= change.accepted_ms < arguments.until
         ]
-        lines = columns(
+        lines = display.columns(
             ("revision", "accepted", "version", "operator", "rows"),
             [
                 (
                     change.revision,
-                    moment(change.accepted_ms),
+                    display.moment(change.accepted_ms),
                     change.version,
                     change.operator,
                     f"{change.changed_rows} changed,"
@@ -300,7 +263,7 @@
         """Asks for the hosts."""
         hosts = await client.hosts()
         data = [dataclasses.asdict(host) for host in hosts]
-        return Result(data, host_lines(hosts))
+        return Result(data, display.host_lines(hosts))
 
 
 class Drain(Command):
--- /dev/null
+++ b/mangobay/display.py
@@ -0,0 +1,50 @@
+"""How the operators' commands show tables, times and hosts."""
+
+import datetime
+
+from mangobay import operatorclient
+
+
+def columns(titles: tuple[str, ...], rows: list[tuple]) -> list[str]:
+    """Returns a table as lines with columns of equal width."""
+    cells = [titles, *([str(cell) for cell in row] for row in rows)]
+    widths = [max(map(len, column)) for column in zip(*cells)]
+    return [
+        "  ".join(
+            cell.ljust(width) for cell, width in zip(row, widths)
+        ).rstrip()
+        for row in cells
+    ]
+
+
+def moment(milliseconds: int) -> str:
+    """Returns a Unix time as UTC text."""
+    return datetime.datetime.fromtimestamp(
+        milliseconds / 1000, datetime.UTC
+    ).isoformat(timespec="milliseconds")
+
+
+def in_force_lines(state: operatorclient.InForce) -> list[str]:
+    """Returns how far a revision has come, and who lags."""
+    lines = [f"in force on {state.count} of {state.of} hosts"]
+    if state.stragglers:
+        lines.append(f"not yet on {', '.join(state.stragglers)}")
+    return lines
+
+
+def host_lines(hosts: list[operatorclient.Host]) -> list[str]:
+    """Returns the hosts as a table."""
+    return columns(
+        ("host", "data centre", "revision", "lease", "leaving", "serves"),
+        [
+            (
+                host.host,
+                host.data_centre,
+                host.revision,
+                "held" if host.lease else "none",
+                "yes" if host.leaving else "no",
+                ", ".join(host.serves),
+            )
+            for host in hosts
+        ],
+    )
--- a/mangobay/filecommands.py
+++ b/mangobay/filecommands.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from mangobay import commands, report, spantree
+from mangobay import commands, display, report, spantree
 
 FILES = {"metavar": "FILE", "nargs": "+"}
 
@@ -80,8 +80,8 @@
 def report_lines(told: report.Report) -> list[str]:
     """Returns the report for people."""
     lines = [
-        f"recorded from {commands.moment(told.since_ms)}"
-        f" to {commands.moment(told.until_ms)}"
+        f"recorded from {display.moment(told.since_ms)}"
+        f" to {display.moment(told.until_ms)}"
         f" by {len(told.hosts)} hosts: {', '.join(told.hosts)}",
     ]
     for outside, title in (
@@ -123,7 +123,7 @@
         )
         for group, total in totals.items()
     ]
-    lines = commands.columns(titles, rows)
+    lines = display.columns(titles, rows)
     for group, total in totals.items():
         for reason, count in sorted(total.reasons.items()):
             name = f"{group.service}.{group.operation}"
@@ -133,7 +133,7 @@
 
 def period_end(milliseconds: int | None) -> str:
     """Returns where a period begins or ends; a dash without one."""
-    return "-" if milliseconds is None else commands.moment(milliseconds)
+    return "-" if milliseconds is None else display.moment(milliseconds)
 
 
 def gap_lines(told: report.Report) -> list[str]:
@@ -142,10 +142,10 @@
     if told.gaps:
         lines.append("not recorded, so nothing is known of calls that entered")
         rows = [
-            (gap.host, *map(commands.moment, (gap.since_ms, gap.until_ms)))
+            (gap.host, *map(display.moment, (gap.since_ms, gap.until_ms)))
             for gap in told.gaps
         ]
-        lines += commands.columns(("host", "from", "to"), rows)
+        lines += display.columns(("host", "from", "to"), rows)
     else:
         lines.append("no gap in the record of these hosts")
     if told.unreadable:
--- /dev/null
+++ b/mangobay/program.py
@@ -0,0 +1,84 @@
+"""What the entry points of the two daemons share."""
+
+import argparse
+import asyncio
+import enum
+import sys
+import typing
+
+from mangobay import errors, logs, settings
+
+
+class Exit(enum.IntEnum):
+    """What the exit codes mean."""
+
+    OK = 0
+    FAILED = 1
+    BAD_SETTINGS = 2
+
+
+class Program:
+    """A daemon; subclasses say its name, settings and work.
+
+    Attributes:
+      name: as it is started.
+      help: what it is.
+      exit_help: what its exit codes mean.
+      sections: known sections of its settings.
+      config: class of its settings.
+    """
+
+    name = ""
+    help = ""
+    exit_help = ""
+    sections: settings.Sections = {}
+    config: type = object
+
+    async def run(self, config: typing.Any) -> int:
+        """Runs until it is told to stop; returns the exit code.
+
+        Raises:
+          errors.StartError: it cannot start.
+          errors.StorageError: the data folder failed.
+        """
+        raise NotImplementedError
+
+    def parser(self) -> argparse.ArgumentParser:
+        """Returns the parser of the command line."""
+        parser = argparse.ArgumentParser(
+            prog=self.name, description=self.help, epilog=self.exit_help
+        )
+        parser.add_argument(
+            "--settings", required=True, metavar="FILE", help="INI file"
+        )
+        parser.add_argument(
+            "--check", action="store_true", help="only check the settings"
+        )
+        return parser
+
+    def main(self, argv: list[str] | None = None) -> int:
+        """Runs the program; returns the exit code."""
+        arguments = self.parser().parse_args(argv)
+        try:
+            config = settings.load(
+                arguments.settings, self.sections, self.config
+            )
+        except errors.SettingsError as error:
+            print(error, file=sys.stderr)
+            return Exit.BAD_SETTINGS
+        if arguments.check:
+            print(f"{arguments.settings}: no fault found")
+            return Exit.OK
+        try:
+            logs.open_log(config.log.file)
+        except OSError as error:
+            return self.failed(f"log file: {error}")
+        try:
+            return asyncio.run(self.run(config))
+        except (errors.StartError, errors.StorageError, OSError) as error:
+            return self.failed(str(error))
+
+    def failed(self, why: str) -> Exit:
+        """Says in one line why the program ends."""
+        print(f"{self.name}: {why}", file=sys.stderr)
+        return Exit.FAILED
