No needless underscores

The house style keeps attributes public unless they must not be. Methods and functions of once, startgate, takeover, tenure, slots, copies, records and options lose their underscore and get a docstring.

--- a/mangobay/copies.py
+++ b/mangobay/copies.py
@@ -125,7 +125,7 @@
             by_holder.setdefault(holder.host, []).append(slot)
             members[holder.host] = holder
     done = [
-        await _sync_holder(share, sender, members[host], batch, version, now)
+        await sync_holder(share, sender, members[host], batch, version, now)
         for host, batch in by_holder.items()
     ]
     return all(done)
@@ -147,11 +147,11 @@
         batches.setdefault(owner.host, []).append(slot)
         members[owner.host] = owner
     for host, batch in batches.items():
-        if await _send_entries(share, sender, members[host], batch, now):
+        if await send_entries(share, sender, members[host], batch, now):
             share.fetched.update(dict.fromkeys(batch, version))
 
 
-async def _send_entries(
+async def send_entries(
     share: tenure.Tenure,
     sender: CopySender,
     member: messages.Member,
@@ -177,7 +177,7 @@
     return True
 
 
-async def _sync_holder(
+async def sync_holder(
     share: tenure.Tenure,
     sender: CopySender,
     holder: messages.Member,
@@ -185,7 +185,8 @@
     version: ids.ViewVersion,
     now: float,
 ) -> bool:
-    if not await _send_entries(share, sender, holder, batch, now):
+    """Gives one holder all of some slots; true when it has all."""
+    if not await send_entries(share, sender, holder, batch, now):
         return False
     if share.view.version != version:
         return False
--- a/mangobay/once.py
+++ b/mangobay/once.py
@@ -69,10 +69,11 @@
     def share(self, service: ids.ServiceName) -> tenure.Tenure:
         """Returns the tenure of a service, made when first needed."""
         if service not in self.shares:
-            self.shares[service] = self._new_share(service)
+            self.shares[service] = self.new_share(service)
         return self.shares[service]
 
-    def _new_share(self, service: ids.ServiceName) -> tenure.Tenure:
+    def new_share(self, service: ids.ServiceName) -> tenure.Tenure:
+        """Makes the tenure of a service and starts its takeovers."""
         # A record outlives its key by twice the clock skew, so that no key
         # still counts as young after its record was dropped.
         window = self.options.window + 2 * self.options.clock_skew
@@ -84,13 +85,14 @@
             slots.CopyPlace(self.options.copy_place),
         )
         worker = takeover.Takeover(
-            made, self.sender, self.wall_ms, self._skew_ms
+            made, self.sender, self.wall_ms, self.skew_ms
         )
         self.spawn(worker.run())
         return made
 
     @property
-    def _skew_ms(self) -> int:
+    def skew_ms(self) -> int:
+        """How far callers' clocks may be ahead, milliseconds."""
         return int(self.options.clock_skew * 1000)
 
     def update(
@@ -99,17 +101,18 @@
         """Acts by the newest views of the services this node is a member of."""
         for service, view in views.items():
             known = service in self.shares
-            if not known and not self._concerns_me(view):
+            if not known and not self.concerns_me(view):
                 continue
             share = self.share(service)
             if view.version >= share.view.version:
                 share.adopt(view)
-                self._settle_orphans(share)
+                self.settle_orphans(share)
 
-    def _concerns_me(self, view: messages.ServiceView) -> bool:
+    def concerns_me(self, view: messages.ServiceView) -> bool:
+        """Whether this host is a member of the view."""
         return any(member.host == self.me.host for member in view.members)
 
-    def _settle_orphans(self, share: tenure.Tenure) -> None:
+    def settle_orphans(self, share: tenure.Tenure) -> None:
         """Settles records whose runner is gone: their fate stays unknown."""
         alive = {tenure.process_of(m) for m in share.view.members} | {self.me}
         for record in list(share.registry.by_key.values()):
@@ -135,12 +138,12 @@
         match body:
             case messages.CopyPut():
                 ack = copies.keep(share, body, now)
-                self._pass_on(share, body)
+                self.pass_on(share, body)
                 return ack
             case messages.CopyFetch():
                 return copies.tell(share, body, now)
 
-    def _pass_on(self, share: tenure.Tenure, put: messages.CopyPut) -> None:
+    def pass_on(self, share: tenure.Tenure, put: messages.CopyPut) -> None:
         """Sends the end of a run that began under a former owner onward."""
         for entry in put.entries:
             settled = entry.state is not messages.OnceState.STARTED
@@ -163,26 +166,27 @@
         """
         share = self.share(call.service)
         slot = slots.slot_of(call.key)
-        deadline = self._deadline(call)
-        refusal = await self._refusal(share, slot, deadline)
+        deadline = self.deadline_of(call)
+        refusal = await self.refusal(share, slot, deadline)
         if refusal is not None:
             return refusal
         record = share.registry.get(call.key)
         if record is not None:
-            return await self._repeat(record, call, deadline)
-        refusal = self._by_age(share, slot, call.key)
+            return await self.repeat(record, call, deadline)
+        refusal = self.refusal_by_age(share, slot, call.key)
         if refusal is not None:
             return refusal
         if share.registry.full:
             return calls.not_run(messages.Reason.OVERLOADED)
-        record = self._claim(share, slot, call)
-        task = self.spawn(self._first(share, record, execute))
-        return await self._watch(task, record)
+        record = self.claim(share, slot, call)
+        task = self.spawn(self.first(share, record, execute))
+        return await self.watch(task, record)
 
-    def _deadline(self, call: messages.Call) -> float:
+    def deadline_of(self, call: messages.Call) -> float:
+        """Returns the loop time at which the caller gives up."""
         return asyncio.get_running_loop().time() + call.deadline_ms / 1000
 
-    async def _refusal(
+    async def refusal(
         self, share: tenure.Tenure, slot: ids.Slot, deadline: float
     ) -> messages.Reply | None:
         """Waits a moment for a takeover; says why this node can't run it."""
@@ -203,7 +207,7 @@
             except TimeoutError:
                 return calls.not_run(messages.Reason.OWNER_CHANGED)
 
-    def _by_age(
+    def refusal_by_age(
         self,
         share: tenure.Tenure,
         slot: ids.Slot,
@@ -212,7 +216,7 @@
         """Answers keys that may have run before this node can remember."""
         now_ms = self.wall_ms()
         window_ms = int(self.options.window * 1000)
-        age = keys.age(key, now_ms, self._skew_ms)
+        age = keys.age(key, now_ms, self.skew_ms)
         if not age.foreign and age.minted_ms < now_ms - window_ms:
             return calls.unknown(messages.Reason.KEY_EXPIRED)
         floor_ms = share.floors.get(slot, 0)
@@ -220,9 +224,10 @@
             return calls.unknown(messages.Reason.OWNER_CHANGED)
         return None
 
-    def _claim(
+    def claim(
         self, share: tenure.Tenure, slot: ids.Slot, call: messages.Call
     ) -> records.Record:
+        """Makes the record of a key that nothing is known of."""
         record = records.Record(
             key=call.key,
             service=call.service,
@@ -235,7 +240,7 @@
         share.registry.add(record)
         return record
 
-    async def _watch(
+    async def watch(
         self, task: asyncio.Task, record: records.Record
     ) -> messages.Reply:
         """Waits for the run; a caller that hangs up ends only a claim.
@@ -250,9 +255,10 @@
                 task.cancel()
             raise
 
-    async def _repeat(
+    async def repeat(
         self, record: records.Record, call: messages.Call, deadline: float
     ) -> messages.Reply:
+        """Returns the reply of the run that the key had."""
         if record.digest != records.digest_of(call):
             return calls.not_run(messages.Reason.KEY_REUSED)
         try:
@@ -262,9 +268,10 @@
             return calls.unknown(messages.Reason.RUNNING)
         return record.reply
 
-    async def _first(
+    async def first(
         self, share: tenure.Tenure, record: records.Record, execute: Execute
     ) -> messages.Reply:
+        """Runs the call and settles its record."""
         gate = startgate.StartGate(
             lease=self.lease, sender=self.sender, share=share, record=record
         )
@@ -273,22 +280,24 @@
         except startgate.RefusedError as refused:
             reply = calls.not_run(refused.reason)
         except BaseException:
-            self._settle(share, record, self._broken_off(record))
+            self.settle(share, record, self.broken_off(record))
             raise
-        self._settle(share, record, reply)
+        self.settle(share, record, reply)
         return reply
 
-    def _broken_off(self, record: records.Record) -> messages.Reply:
+    def broken_off(self, record: records.Record) -> messages.Reply:
+        """Returns the reply of a run that ended with an error."""
         if record.state is records.State.CLAIMED:
             return calls.not_run(messages.Reason.CANCELLED)
         return calls.unknown(messages.Reason.INTERNAL)
 
-    def _settle(
+    def settle(
         self,
         share: tenure.Tenure,
         record: records.Record,
         reply: messages.Reply,
     ) -> None:
+        """Settles a record that was claimed here, by its reply."""
         mine = record.state in (records.State.CLAIMED, records.State.STARTED)
         if not mine:
             return
--- a/mangobay/options.py
+++ b/mangobay/options.py
@@ -66,11 +66,11 @@
         """
         match self.kind:
             case Kind.INTEGER:
-                return self._in_range(_number(text, int, "a whole number"))
+                return self.in_range(number(text, int, "a whole number"))
             case Kind.NUMBER | Kind.DURATION:
-                return self._in_range(_number(text, float, "a number"))
+                return self.in_range(number(text, float, "a number"))
             case Kind.BOOLEAN:
-                return _boolean(text)
+                return boolean(text)
             case Kind.ADDRESS:
                 return parse_address(text)
             case Kind.ADDRESSES:
@@ -82,7 +82,8 @@
                 )
         return text
 
-    def _in_range(self, value: float) -> float:
+    def in_range(self, value: float) -> float:
+        """Returns the value; raises ValueError outside the range."""
         unit = f" {self.unit}" if self.unit else ""
         if self.low is not None and value < self.low:
             raise ValueError(f"{value:g} is below {self.low:g}{unit}")
@@ -91,14 +92,16 @@
         return value
 
 
-def _number(text: str, make: typing.Callable, what: str) -> float:
+def number(text: str, make: typing.Callable, what: str) -> float:
+    """Returns the number in a text; raises ValueError if none."""
     try:
         return make(text)
     except ValueError:
         raise ValueError(f"{text!r} is not {what}") from None
 
 
-def _boolean(text: str) -> bool:
+def boolean(text: str) -> bool:
+    """Returns yes or no; raises ValueError if it is neither."""
     match text.lower():
         case "yes" | "true" | "on" | "1":
             return True
--- a/mangobay/records.py
+++ b/mangobay/records.py
@@ -101,7 +101,8 @@
     return to_entry(dataclasses.replace(record, state=State.STARTED), now)
 
 
-def _entry_reply(entry: messages.OnceEntry) -> messages.Reply:
+def entry_reply(entry: messages.OnceEntry) -> messages.Reply:
+    """Returns the reply that a settled entry holds."""
     if entry.state is messages.OnceState.UNKNOWN:
         return calls.unknown(messages.Reason.OWNER_CHANGED)
     return messages.Reply(
@@ -191,5 +192,5 @@
             record.digest = entry.digest
             record.state = state
             if state in SETTLED:
-                record.settle(state, _entry_reply(entry))
+                record.settle(state, entry_reply(entry))
         return record
--- a/mangobay/slots.py
+++ b/mangobay/slots.py
@@ -27,7 +27,8 @@
     return ids.Slot(xxhash.xxh3_64_intdigest(key.encode()) % SLOTS)
 
 
-def _score(member: messages.Member, slot: ids.Slot) -> int:
+def score(member: messages.Member, slot: ids.Slot) -> int:
+    """Returns what the hashing ranks a member by."""
     return xxhash.xxh3_64_intdigest(f"{slot}/{member.host}".encode())
 
 
@@ -36,7 +37,7 @@
 ) -> list[messages.Member]:
     """Returns the members that may own the slot, the owner first."""
     able = [member for member in members if not member.leaving]
-    return sorted(able, key=lambda member: _score(member, slot), reverse=True)
+    return sorted(able, key=lambda member: score(member, slot), reverse=True)
 
 
 class Placement:
@@ -54,9 +55,10 @@
         self.members = members
         self.copies = copies
         self.place = place
-        self.ranks = functools.cache(self._rank)
+        self.ranks = functools.cache(self.rank)
 
-    def _rank(self, slot: ids.Slot) -> list[messages.Member]:
+    def rank(self, slot: ids.Slot) -> list[messages.Member]:
+        """Returns the members that may own the slot, the owner first."""
         return ranked(self.members, slot)
 
     def owner(self, slot: ids.Slot) -> messages.Member | None:
@@ -80,4 +82,4 @@
 def owner(view: messages.ServiceView, slot: ids.Slot) -> messages.Member | None:
     """Returns who owns the slot under the view, None when nobody may."""
     able = (member for member in view.members if not member.leaving)
-    return max(able, key=lambda member: _score(member, slot), default=None)
+    return max(able, key=lambda member: score(member, slot), default=None)
--- a/mangobay/startgate.py
+++ b/mangobay/startgate.py
@@ -51,14 +51,14 @@
         Raises:
           RefusedError: it must not start here.
         """
-        self._must_own()
+        self.must_own()
         version = self.share.view.version
         holders = self.share.placement.holders(self.record.slot)
         if holders:
-            await self._announce(holders)
+            await self.announce(holders)
         # Between here and the first byte nothing is awaited: a node that
         # froze while it waited for the holders wakes up at this check.
-        self._must_own()
+        self.must_own()
         if self.share.view.version != version:
             raise RefusedError(messages.Reason.OWNER_CHANGED)
         invariants.check(
@@ -68,7 +68,8 @@
         )
         self.record.state = records.State.STARTED
 
-    async def _announce(self, holders: list[messages.Member]) -> None:
+    async def announce(self, holders: list[messages.Member]) -> None:
+        """Tells every holder that the call will start."""
         now = asyncio.get_running_loop().time()
         put = messages.CopyPut(
             service=self.share.service,
@@ -78,7 +79,8 @@
         if not await self.sender.put_all(holders, put):
             raise RefusedError(messages.Reason.COPY_FAILED)
 
-    def _must_own(self) -> None:
+    def must_own(self) -> None:
+        """Raises RefusedError unless this node may start the call."""
         if not self.lease.holds():
             raise RefusedError(messages.Reason.NO_LEASE)
         if not self.share.ready(self.record.slot):
--- a/mangobay/takeover.py
+++ b/mangobay/takeover.py
@@ -49,20 +49,21 @@
         if share.fenced:
             return False
         version = share.view.version
-        answers = self._own_answers()
-        self._take_known(answers)
+        answers = self.own_answers()
+        self.take_known(answers)
         if share.missing():
-            await self._ask(answers)
+            await self.ask(answers)
             if share.view.version != version or share.fenced:
                 return False
-            self._take_known(answers)
+            self.take_known(answers)
         if share.missing() and share.view.active:
-            self._set_floors()
+            self.set_floors()
         if share.missing():
             return False
-        return await self._sync(version)
+        return await self.sync(version)
 
-    async def _sync(self, version: ids.ViewVersion) -> bool:
+    async def sync(self, version: ids.ViewVersion) -> bool:
+        """Gives the holders what they lack; true when they have all."""
         if self.synced == version:
             return True
         now = asyncio.get_running_loop().time()
@@ -71,12 +72,14 @@
             return True
         return False
 
-    def _own_answers(self) -> dict[tenure.Process, dict]:
+    def own_answers(self) -> dict[tenure.Process, dict]:
+        """Returns what this node itself can vouch for."""
         share = self.share
         mine = {slot: share.knowledge(slot) for slot in share.missing()}
         return {share.me: mine}
 
-    def _take_known(self, answers: dict[tenure.Process, dict]) -> None:
+    def take_known(self, answers: dict[tenure.Process, dict]) -> None:
+        """Takes the slots whose whole past the answers hold."""
         taken = False
         for slot in self.share.missing():
             told = {
@@ -90,23 +93,24 @@
         if taken:
             self.share.changed()
 
-    async def _ask(self, answers: dict[tenure.Process, dict]) -> None:
+    async def ask(self, answers: dict[tenure.Process, dict]) -> None:
+        """Asks every other witness and adds what they answer."""
         share = self.share
         message = messages.CopyFetch(
             service=share.service,
             view_version=share.view.version,
             slots=[int(slot) for slot in share.missing()],
         )
-        asked = self._witnesses()
+        asked = self.witnesses()
         lists = await asyncio.gather(
             *(self.sender.fetch(member, message) for member in asked)
         )
         now = asyncio.get_running_loop().time()
         for known in lists:
             if known is not None:
-                self._take_in(known, answers, now)
+                self.take_in(known, answers, now)
 
-    def _witnesses(self) -> list[messages.Member]:
+    def witnesses(self) -> list[messages.Member]:
         """Returns the other members of this and of the former views."""
         share = self.share
         found = {tenure.process_of(m): m for m in share.view.members}
@@ -116,12 +120,13 @@
         found.pop(share.me, None)
         return list(found.values())
 
-    def _take_in(
+    def take_in(
         self,
         known: messages.CopyList,
         answers: dict[tenure.Process, dict],
         now: float,
     ) -> None:
+        """Merges what one process told."""
         for entry in known.entries:
             self.share.registry.merge(entry, now)
         for floor in known.floors:
@@ -132,7 +137,7 @@
         process = tenure.Process(known.host, known.incarnation)
         answers[process] = {item.slot: item for item in known.knowledge}
 
-    def _set_floors(self) -> None:
+    def set_floors(self) -> None:
         """Gives up on the past of the slots that nobody vouches for.
 
         Every witness is gone, so a key minted before now may have run.  The
--- a/mangobay/tenure.py
+++ b/mangobay/tenure.py
@@ -84,7 +84,7 @@
         )
         if view.version > self.view.version:
             self.placement = self.placement_of(view.members)
-            self.mine = self._owned()
+            self.mine = self.owned()
         self.view = view
         self.fence(view.version)
         self.changed()
@@ -112,7 +112,8 @@
             self.owned_upto.get(slot, 0) == self.view.version
         )
 
-    def _owned(self) -> list[ids.Slot]:
+    def owned(self) -> list[ids.Slot]:
+        """Returns the slots that this node owns under the view."""
         every = map(ids.Slot, range(slots.SLOTS))
         return [
             slot for slot in every if self.is_me(self.placement.owner(slot))
@@ -178,15 +179,16 @@
     if vouched < oldest and not tenure.view.lineage_whole:
         return False
     later = (former for former in formers if former.version > vouched)
-    return all(_covered(tenure, former, slot, answers) for former in later)
+    return all(covered(tenure, former, slot, answers) for former in later)
 
 
-def _covered(
+def covered(
     tenure: Tenure,
     former: messages.FormerView,
     slot: ids.Slot,
     answers: Answers,
 ) -> bool:
+    """Whether the owner or a holder of the view answered."""
     placement = tenure.placement_of(former.members)
     owner = placement.owner(slot)
     if owner is None:
