--- a/mangobay/records.py
+++ b/mangobay/records.py
@@ -8,7 +8,7 @@
 
 import xxhash
 
-from mangobay import ids
+from mangobay import calls, ids
 from mangobay.generated import messages
 
 
@@ -78,11 +78,6 @@
     return digest.digest()
 
 
-def unknown_reply(reason: messages.Reason) -> messages.Reply:
-    """Returns the reply of a call whose fate is not known."""
-    return messages.Reply(outcome=messages.Outcome.UNKNOWN, reason=reason)
-
-
 def to_entry(record: Record, now: float) -> messages.OnceEntry:
     """Returns what travels of a record; `now` is loop time, seconds."""
     reply = record.reply or messages.Reply()
@@ -106,9 +101,10 @@
     return to_entry(dataclasses.replace(record, state=State.STARTED), now)
 
 
-def _entry_reply(entry: messages.OnceEntry) -> messages.Reply:
+def entry_reply(entry: messages.OnceEntry) -> messages.Reply:
+    """Returns the reply that a settled entry holds."""
     if entry.state is messages.OnceState.UNKNOWN:
-        return unknown_reply(messages.Reason.OWNER_CHANGED)
+        return calls.unknown(messages.Reason.OWNER_CHANGED)
     return messages.Reply(
         outcome=messages.Outcome.ANSWERED,
         status=entry.status,
@@ -196,5 +192,5 @@
             record.digest = entry.digest
             record.state = state
             if state in SETTLED:
-                record.settle(state, _entry_reply(entry))
+                record.settle(state, entry_reply(entry))
         return record
