A floor outlives the owner that set it

Cause: an owner that had given up on a slot's past told its holder that it had everything, but not the floor; the owner after it trusted the holder and ran older keys again. Ruled out: the witness rule itself (the holder's knowledge of entries was right) and late messages. Change: the message that completes a holder carries the floors.

--- a/mangobay/copies.py
+++ b/mangobay/copies.py
@@ -77,6 +77,10 @@
     share.fence(message.view_version)
     for entry in message.entries:
         share.registry.merge(entry, now)
+    # A floor stands for all that its owner did not know.  A holder without it
+    # would vouch for the slot, and the next owner would run older keys again.
+    for floor in message.floors:
+        share.raise_floor(floor.slot, floor.minted_before_ms)
     for slot in message.complete_slots:
         held = share.held_at.get(ids.Slot(slot), 0)
         share.held_at[ids.Slot(slot)] = max(held, message.view_version)
@@ -99,14 +103,21 @@
             for record in share.registry.in_slot(slot)
         ],
         knowledge=[share.knowledge(slot) for slot in wanted],
-        floors=[
-            messages.SlotFloor(slot=slot, minted_before_ms=share.floors[slot])
-            for slot in wanted
-            if slot in share.floors
-        ],
+        floors=floors_of(share, wanted),
     )
 
 
+def floors_of(
+    share: tenure.Tenure, wanted: list[ids.Slot]
+) -> list[messages.SlotFloor]:
+    """Returns the floors of some slots, as they travel."""
+    return [
+        messages.SlotFloor(slot=slot, minted_before_ms=share.floors[slot])
+        for slot in wanted
+        if slot in share.floors
+    ]
+
+
 async def sync_holders(
     share: tenure.Tenure, sender: CopySender, now: float
 ) -> bool:
@@ -194,6 +205,7 @@
         service=share.service,
         view_version=version,
         complete_slots=[int(slot) for slot in batch],
+        floors=floors_of(share, batch),
     )
     ack = await sender.put(holder, last)
     return ack is not None and ack.kept
--- a/schema/messages.capnp
+++ b/schema/messages.capnp
@@ -146,6 +146,13 @@
   body @10 :Data;
 }
 
+struct SlotFloor {
+  # Keys of the slot minted before this are answered `unknown`.
+  slot @0 :UInt16 $id("Slot");
+  mintedBeforeMs @1 :UInt64;
+  # Unix time, milliseconds.
+}
+
 struct CopyPut {
   # Owner to holder: keep these entries.  Acknowledged by CopyAck.
   service @0 :Text $id("ServiceName");
@@ -153,6 +160,8 @@
   entries @2 :List(OnceEntry);
   completeSlots @3 :List(UInt16);
   # Slots of which the holder now has everything the owner has.
+  floors @4 :List(SlotFloor);
+  # Of the complete slots.
 }
 
 struct CopyAck {
@@ -185,13 +194,6 @@
   floors @4 :List(SlotFloor);
 }
 
-struct SlotFloor {
-  # Keys of the slot minted before this are answered `unknown`.
-  slot @0 :UInt16 $id("Slot");
-  mintedBeforeMs @1 :UInt64;
-  # Unix time, milliseconds.
-}
-
 # ---- node to control ----
 
 struct ServedService {
