A call tree's name is made by the first node; an unmade try is given back

Cause: within an importance a hash of the trace id decides who is shed first, and a caller may send the trace id: one lucky id let all its calls through. Ruled out: ignoring the caller's trace, which would cut its traces in two; a hash of the client, which would shed the same callers in every overload. Change: Call.tree, 64 random bits of the first node, inherited by child calls; traces keep the caller's id. A caller that repeats draws anew, at the price that fairness sets. Also: a retry that found no host left had used a try of the tree and of the retry ratio without an attempt; both get it back.

--- a/mangobay/calls.py
+++ b/mangobay/calls.py
@@ -60,6 +60,7 @@
       grant: extra tries for this call and what is below it.
       key: idempotency key, empty without.
       trace: where the call stands in its trace.
+      tree: names the call tree to admission and routing.
     """
 
     operation: messages.Operation
@@ -75,6 +76,7 @@
     grant: "tries.Grant"
     key: ids.IdempotencyKey
     trace: fields.Trace
+    tree: ids.TreeId = ids.TreeId("")
 
     @property
     def owned(self) -> bool:
--- a/mangobay/edges.py
+++ b/mangobay/edges.py
@@ -166,6 +166,7 @@
                 grant=tries.Grant(operation.tries),
                 key=key,
                 trace=self.trace_of(received),
+                tree=fields.new_tree(),
             )
         )
 
@@ -239,6 +240,7 @@
             grant=tries.Grant(0),
             key=key,
             trace=fields.new_trace(self.sample),
+            tree=fields.new_tree(),
         )
         if parent is None:
             return await self.run(call)
@@ -257,6 +259,7 @@
         call.depth = parent.call.depth + 1
         call.deadline = min(call.deadline, parent.deadline)
         call.trace = parent.trace
+        call.tree = parent.call.tree
         call.grant = tries.Grant(running.grant.lend())
         loop = asyncio.get_running_loop()
         running.child_began(loop.time())
--- a/mangobay/entry.py
+++ b/mangobay/entry.py
@@ -90,11 +90,13 @@
       excluded: hosts that are not tried again.
       retries: extra tries used here.
       redirects: free attempts used.
+      paid: a try was taken for the attempt that comes next.
     """
 
     excluded: set[ids.HostId] = dataclasses.field(default_factory=set)
     retries: int = 0
     redirects: int = 0
+    paid: bool = False
 
 
 class Entry:
@@ -134,7 +136,10 @@
         while True:
             member = self.pick(request, made.excluded)
             if isinstance(member, messages.Reply):
+                if made.paid:
+                    self.put_back(request)
                 return reply or member
+            made.paid = False
             made.excluded.add(member.host)
             reply = await self.attempt(request, member)
             wait = self.wait_before_next(request, reply, made)
@@ -157,7 +162,7 @@
                 request.importance,
                 request.depth,
                 idempotent=request.operation.idempotent,
-                tree=request.trace.trace_id,
+                tree=request.tree,
             )
         except routing.EarlyRefusalError as error:
             return calls.not_run(Reason.OVERLOADED, error.retry_after)
@@ -206,8 +211,14 @@
             return None
         request.grant.take()
         made.retries += 1
+        made.paid = True
         return wait
 
+    def put_back(self, request: calls.Request) -> None:
+        """Takes back the try of an attempt for which there was no host."""
+        request.grant.put_back()
+        self.tools.ratio.put_back(request.operation.service)
+
     async def run_owned(self, request: calls.Request) -> messages.Reply:
         """Brings a keyed call to the owner of its key.
 
@@ -289,6 +300,7 @@
             call_id=call_id,
             view_version=view.version if view else ids.ViewVersion(0),
             client=request.client,
+            tree=request.tree,
         )
 
     async def deliver(
--- a/mangobay/fields.py
+++ b/mangobay/fields.py
@@ -154,6 +154,16 @@
     return ids.CallId(f"{random.getrandbits(64) or 1:016x}")
 
 
+def new_tree() -> ids.TreeId:
+    """Returns a fresh name of a call tree.
+
+    Within an importance, its hash decides who is shed first. By the trace id
+    that a caller may send along, a caller could pick a lucky one and send all
+    its calls with it; what a node makes nobody can pick.
+    """
+    return ids.TreeId(f"{random.getrandbits(64):016x}")
+
+
 def new_trace(sample: float) -> Trace:
     """Returns a trace of its own; sample is the share that is recorded."""
     trace_id = f"{random.getrandbits(128) or 1:032x}"
--- a/mangobay/ids.py
+++ b/mangobay/ids.py
@@ -14,6 +14,8 @@
 """The calling service, or OUTSIDE."""
 ClientId = typing.NewType("ClientId", str)
 """Who entered the call tree: a fingerprint, never a secret."""
+TreeId = typing.NewType("TreeId", str)
+"""A call tree, as named by the node at which it entered."""
 CallId = typing.NewType("CallId", str)
 """One attempt of one hop."""
 IdempotencyKey = typing.NewType("IdempotencyKey", str)
--- a/mangobay/ratio.py
+++ b/mangobay/ratio.py
@@ -34,6 +34,11 @@
         self.tokens[service] = saved - 1
         return True
 
+    def put_back(self, service: ids.ServiceName) -> None:
+        """Takes back a try that was taken and made no attempt."""
+        saved = self.tokens.get(service, self.burst)
+        self.tokens[service] = min(self.burst, saved + 1)
+
 
 def backoff(
     base: float, attempt: int, remaining: float, dice: random.Random
--- a/mangobay/serving.py
+++ b/mangobay/serving.py
@@ -196,7 +196,7 @@
             depth=call.depth,
             deadline=deadline,
             client=call.client,
-            tree=trace.trace_id,
+            tree=call.tree,
         )
         try:
             permit = await place.admission.enter(ticket)
--- a/mangobay/tries.py
+++ b/mangobay/tries.py
@@ -55,6 +55,12 @@
         self.check()
         return True
 
+    def put_back(self) -> None:
+        """Takes back a try that was taken here and made no attempt."""
+        self.used -= 1
+        self.left += 1
+        self.check()
+
     def lend(self) -> int:
         """Returns the tries for a child call: half, rounded up."""
         tries = (self.left + 1) // 2
--- a/schema/messages.capnp
+++ b/schema/messages.capnp
@@ -92,6 +92,8 @@
   # The sender's view of the service, for owned calls.
   client @17 :Text $id("ClientId");
   # Who entered the call tree, for fairness within an importance.
+  tree @18 :Text $id("TreeId");
+  # Made by the first node: a caller that chose it would choose who is shed.
 }
 
 struct Reply {
--- a/tests/test_edges.py
+++ b/tests/test_edges.py
@@ -277,8 +277,34 @@
         assert child.client == parent.client
         assert child.deadline_ms <= parent.deadline_ms <= 9000
         assert child.traceparent[3:35] == parent.traceparent[3:35]
+        assert child.tree == parent.tree != ""
         assert 0 < child.tries < parent.tries
 
+    async def test_a_caller_cannot_choose_its_place_among_equals(self, world):
+        """A caller sends the same traceparent with every call.
+
+        Who of one importance is shed first goes by the name of the call
+        tree. Were that the trace id, one lucky id would let all its calls
+        through; so the node makes the name, while the trace stays theirs.
+        """
+        seen = []
+        one = await world.start("one", answer)
+        serve = one.serving.serve
+
+        async def note(call):
+            seen.append(call)
+            return await serve(call)
+
+        one.serving.serve = note
+        theirs = f"00-{'ab' * 16}-{'cd' * 8}-01"
+        for _ in range(2):
+            await world.outside(
+                one, "GET", "/stock/price", headers={"traceparent": theirs}
+            )
+        first, second = seen
+        assert first.traceparent[3:35] == second.traceparent[3:35] == "ab" * 16
+        assert first.tree != second.tree
+
     async def test_a_backend_server_that_repeats_spends_the_trees_tries(
         self, world
     ):
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -214,6 +214,20 @@
         await made.handle(make_request(idempotent=False, granted=0))
         assert len(hosts.asked) == 1 + entry.MOST_REDIRECTS
 
+    async def test_a_try_without_a_host_left_is_given_back(self):
+        """Both hosts of a service refuse a call that has nine extra tries.
+
+        The second attempt costs one. The third finds no host that was not
+        tried, so it makes no attempt: its try goes back to the tree and to
+        the retry ratio.
+        """
+        made, hosts = make_entry(refused(), names=HOSTS[:2], burst=3, ratio=0)
+        request = make_request()
+        await made.handle(request)
+        assert len(hosts.asked) == 2
+        assert request.grant.left == 9 - 1
+        assert made.tools.ratio.tokens["stock"] == 3 - 1
+
     async def test_tries_given_down_come_back_once(self):
         def script(host, call):
             return messages.Reply(outcome=Outcome.ANSWERED, tries_left=99)
