--- a/mangobay/entry.py
+++ b/mangobay/entry.py
@@ -91,12 +91,14 @@
       retries: extra tries used here.
       redirects: free attempts used.
       broken: the reply of an attempt that may have run.
+      paid: a try was taken for the attempt that comes next.
     """
 
     excluded: set[ids.HostId] = dataclasses.field(default_factory=set)
     retries: int = 0
     redirects: int = 0
     broken: messages.Reply | None = None
+    paid: bool = False
 
     def note(self, reply: messages.Reply) -> None:
         """Remembers an attempt whose fate is unknown."""
@@ -150,7 +152,10 @@
         while True:
             member = self.pick(request, made.excluded)
             if isinstance(member, messages.Reply):
+                if made.paid:
+                    self.put_back(request)
                 return made.told(reply or member)
+            made.paid = False
             made.excluded.add(member.host)
             reply = await self.attempt(request, member)
             made.note(reply)
@@ -174,7 +179,7 @@
                 request.importance,
                 request.depth,
                 idempotent=request.operation.idempotent,
-                tree=request.trace.trace_id,
+                tree=request.tree,
             )
         except routing.EarlyRefusalError as error:
             return calls.not_run(Reason.OVERLOADED, error.retry_after)
@@ -203,8 +208,10 @@
         self, request: calls.Request, reply: messages.Reply, made: Attempts
     ) -> float | None:
         """Returns the seconds before another attempt, None for none."""
+        if reply.outcome is Outcome.ANSWERED:
+            return None
         left = request.deadline - asyncio.get_running_loop().time()
-        if left <= 0 or reply.outcome == Outcome.ANSWERED:
+        if left <= 0:
             return None
         if is_redirect(reply) and made.redirects < MOST_REDIRECTS:
             made.redirects += 1
@@ -223,8 +230,14 @@
             return None
         request.grant.take()
         made.retries += 1
+        made.paid = True
         return wait
 
+    def put_back(self, request: calls.Request) -> None:
+        """Takes back the try of an attempt for which there was no host."""
+        request.grant.put_back()
+        self.tools.ratio.put_back(request.operation.service)
+
     async def run_owned(self, request: calls.Request) -> messages.Reply:
         """Brings a keyed call to the owner of its key.
 
@@ -263,7 +276,7 @@
         call = self.to_call(request, left, lent)
         router = self.tools.router
         router.began(service, member.host)
-        reply = calls.unknown(Reason.CANCELLED)
+        reply = serving.CANCELLED
         try:
             reply = await self.deliver(call, member, left)
         finally:
@@ -306,6 +319,7 @@
             call_id=call_id,
             view_version=view.version if view else ids.ViewVersion(0),
             client=request.client,
+            tree=request.tree,
         )
 
     async def deliver(
