Test: whole processes killed, frozen and restarted; a node without control ends

Cause: a node that held keys waited its whole [leaving] grace on SIGTERM once every control host was gone, as nobody could take its keys over. Change: with nothing in flight it ends when its lease has ended. A lease outlasts an election, so its end means that control is out of reach.

--- a/mangobay/node.py
+++ b/mangobay/node.py
@@ -317,13 +317,38 @@
         try:
             async with asyncio.timeout(grace):
                 await self.finished()
-                await self.once.handed_over()
+                handed_over = await self.hand_over()
         except TimeoutError:
             self.end(f"still in flight after {grace:g} s")
             return
-        logs.say(logs.Part.NODE, "left", host=self.process.host)
+        logs.say(
+            logs.Part.NODE,
+            "left",
+            host=self.process.host,
+            keys_handed_over=handed_over,
+        )
         self.ended.set()
 
+    async def hand_over(self) -> bool:
+        """Hands keys over; returns False where nobody can take them.
+
+        With the control group gone no view ever names a successor, and a
+        planned stop of everything would wait out the whole grace.  A lease
+        outlasts an election, so a lease that ended means that control is out
+        of reach; what this node knows is with the holders of its copies.
+        """
+        handing = asyncio.create_task(self.once.handed_over())
+        try:
+            while True:
+                await asyncio.wait({handing}, timeout=IDLE_POLL)
+                if handing.done():
+                    handing.result()
+                    return True
+                if not self.control.lease.holds():
+                    return False
+        finally:
+            handing.cancel()
+
     async def finished(self) -> None:
         """Returns once nothing is in flight here."""
         while self.entry.entered or not self.serving.idle:
--- /dev/null
+++ b/tests/processfakes.py
@@ -0,0 +1,153 @@
+"""A small deployment of real processes on loopback."""
+
+import asyncio
+import contextlib
+import pathlib
+import signal
+
+from bench import backend, cluster, deployment, hosts, launcher, load, verdict
+from mangobay import ids, slots
+from mangobay.generated import messages
+
+BOOKING = pathlib.Path(__file__).parent / "booking"
+SERVICE = ids.ServiceName("bookings")
+LONG = 20.0
+CONTROL_CHANGES = {"lease": {"ttl": 1.5, "margin": 0.5}}
+NODE_CHANGES = {"control": {"renew_interval": 0.3}}
+LEAVING_SECONDS = 2.0
+"""After it a host that leaves gets no new work."""
+POLL_SECONDS = 0.05
+
+
+class World(cluster.Cluster):
+    """Control hosts, and nodes with backend servers of one service."""
+
+    async def signal(self, name: str, number: signal.Signals) -> None:
+        """Sends a signal to a process of the fleet."""
+        self.fleet.started[name].process.send_signal(number)
+
+    async def apply_first(self) -> None:
+        """Puts the sheet in force everywhere."""
+        await self.apply(self.plan.sheet.read_bytes(), "1", LONG)
+
+    async def owner(self, key: str) -> hosts.NodeHost:
+        """Returns the host that owns a key under the newest membership."""
+        members = [
+            messages.Member(host=host.host, leaving=host.leaving)
+            for host in await self.client.hosts()
+            if SERVICE in host.serves
+        ]
+        view = messages.ServiceView(service=SERVICE, members=members)
+        name = slots.owner(view, slots.slot_of(ids.IdempotencyKey(key))).host
+        return self.node(name)
+
+    def node(self, name: str) -> hosts.NodeHost:
+        """Returns the host of a name."""
+        return next(host for host in self.layout.nodes if host.name == name)
+
+    def others(self, host: hosts.NodeHost) -> list[hosts.NodeHost]:
+        """Returns the other hosts with backend servers."""
+        return [other for other in self.layout.nodes if other is not host]
+
+    async def book(self, host: hosts.NodeHost, key: str) -> str:
+        """Books through a node; returns the outcome that it tells."""
+        url = f"http://{host.outside}/{SERVICE}/bookings"
+        headers = {backend.KEY: key}
+        async with self.session.post(url, headers=headers) as response:
+            await response.read()
+            return response.headers[backend.OUTCOME]
+
+    async def book_until_told(self, host: hosts.NodeHost, key: str) -> str:
+        """Repeats a booking while it is refused as not run."""
+        async with asyncio.timeout(LONG):
+            while True:
+                outcome = await self.book(host, key)
+                if outcome != load.NOT_RUN:
+                    return outcome
+                await asyncio.sleep(POLL_SECONDS)
+
+    async def runs_with(self, key: str) -> list[backend.Run]:
+        """Returns the runs of a key at all backend servers."""
+        return [run for run in await self.runs() if run.key == key]
+
+    async def wait_run(self, key: str) -> None:
+        """Returns once a key runs at some backend server."""
+        async with asyncio.timeout(LONG):
+            while not await self.runs_with(key):
+                await asyncio.sleep(POLL_SECONDS)
+
+    async def wait_gone(self, host: hosts.NodeHost) -> None:
+        """Returns once control no longer counts a host as a member."""
+        async with asyncio.timeout(LONG):
+            while host.name in {h.host for h in await self.client.hosts()}:
+                await asyncio.sleep(POLL_SECONDS)
+
+    async def ended(self, name: str) -> int:
+        """Returns the exit code of a process once it has ended by itself."""
+        return await self.fleet.started.pop(name).process.wait()
+
+    async def check_no_new_work(self, host: hosts.NodeHost) -> None:
+        """Asserts that a host that left gets no new work any more."""
+        await asyncio.sleep(LEAVING_SECONDS)
+        before = len(await self.runs_of(host))
+        await asyncio.sleep(LEAVING_SECONDS / 2)
+        assert len(await self.runs_of(host)) == before
+
+    def rewrite_control(self, host: hosts.ControlHost, changes: dict) -> None:
+        """Writes the settings of a control host with further changes."""
+        sections = hosts.control_settings(host, self.layout)
+        for section, keys in changes.items():
+            sections.setdefault(section, {}).update(keys)
+        hosts.write(host.settings, sections, CONTROL_CHANGES)
+
+    async def wait_logged(self, host: hosts.ControlHost, text: str) -> None:
+        """Returns once a control host has logged some words."""
+        path = host.settings.with_suffix(".log")
+        async with asyncio.timeout(LONG):
+            while text not in path.read_text():
+                await asyncio.sleep(POLL_SECONDS)
+
+    async def check_truth(self, running: load.Load) -> verdict.Truth:
+        """Asserts that callers were told the truth and nothing doubled."""
+        truth = verdict.truth_of(self.plan, running.calls, await self.runs())
+        assert running.calls
+        assert truth == verdict.Truth([], [], [], [])
+        return truth
+
+
+@contextlib.asynccontextmanager
+async def world(folder: pathlib.Path, control_changes: dict | None = None):
+    """Gives a deployment that is not started yet; ends all its processes."""
+    plan = deployment.read(str(BOOKING))
+    async with (
+        launcher.Fleet(folder) as fleet,
+        World(plan, fleet, folder, 1.0) as made,
+    ):
+        changes = CONTROL_CHANGES | (control_changes or {})
+        hosts.write_all(made.layout, plan, NODE_CHANGES, changes)
+        yield made
+
+
+@contextlib.asynccontextmanager
+async def started_world(folder: pathlib.Path):
+    """Gives a deployment that runs, with its sheet in force."""
+    async with world(folder) as made:
+        await made.start()
+        await made.apply_first()
+        yield made
+
+
+@contextlib.asynccontextmanager
+async def loaded(made: World, targets: list[hosts.NodeHost]):
+    """Gives callers that call until the block ends; all are answered then."""
+    running = load.Load(
+        made.plan, [host.outside for host in targets], made.plan.rate, tries=6
+    )
+    calling = asyncio.create_task(running.run(LONG * 3))
+    try:
+        yield running
+        calling.cancel()
+        await running.finish()
+    finally:
+        calling.cancel()
+        await running.close()
--- /dev/null
+++ b/tests/test_processes.py
@@ -0,0 +1,268 @@
+"""Whole processes, killed, frozen, stopped and started again."""
+
+import asyncio
+import shutil
+import signal
+
+import processfakes
+import pytest
+import uuid6
+
+from bench import load
+from mangobay import operatorclient
+
+
+class TestOwner:
+    """At most once, when the owner of a key fails."""
+
+    async def test_the_owner_is_killed_in_the_middle_of_a_booking(
+        self, tmp_path
+    ):
+        """The owner's node dies by SIGKILL while its booking runs.
+
+        The caller repeats with the same key through another node.  The copy
+        says that the run began and nobody knows how it ended, so the caller
+        is told `unknown`; the booking has run once.
+        """
+        async with processfakes.started_world(tmp_path) as world:
+            key = str(uuid6.uuid7())
+            owner = await world.owner(key)
+            other = world.others(owner)[0]
+            await world.slow_down(processfakes.SERVICE, 50)
+            first = asyncio.create_task(world.book(other, key))
+            await world.wait_run(key)
+            await world.fleet.kill(owner.name)
+            assert await first == load.UNKNOWN
+            outcome = await world.book_until_told(other, key)
+            assert outcome == load.UNKNOWN
+            assert len(await world.runs_with(key)) == 1
+
+    async def test_a_frozen_owner_that_wakes_runs_nothing(self, tmp_path):
+        """The owner is stopped, and a booking waits in its socket.
+
+        Its lease ends and another node runs the caller's repeat.  Then the
+        owner wakes up and finds the first attempt, whose deadline has not
+        passed by its own clock: it must refuse it.
+        """
+        async with processfakes.started_world(tmp_path) as world:
+            key = str(uuid6.uuid7())
+            owner = await world.owner(key)
+            first_node, second_node = world.others(owner)
+            await world.signal(owner.name, signal.SIGSTOP)
+            first = asyncio.create_task(world.book(first_node, key))
+            await world.wait_gone(owner)
+            outcome = await world.book_until_told(second_node, key)
+            await world.signal(owner.name, signal.SIGCONT)
+            await first
+            await world.wait_serving({owner.name})
+            assert outcome == load.ANSWERED
+            assert len(await world.runs_with(key)) == 1
+
+
+class TestControl:
+    """The control group, when its hosts fail."""
+
+    async def test_the_leader_is_killed(self, tmp_path):
+        """The leader dies just after a change was accepted.
+
+        The next change is accepted by another leader within the client's
+        patience, and both are in the history.
+        """
+        async with processfakes.world(tmp_path) as world:
+            await start_controls(world)
+            await apply_number(world, 1)
+            leader = await world.leader()
+            await world.fleet.kill(leader.name)
+            await apply_number(world, 2)
+            assert (await world.leader()).name != leader.name
+            assert [c.version for c in await world.client.history()] == [
+                "1",
+                "2",
+            ]
+
+    async def test_a_frozen_leader_that_wakes_tells_no_old_state(
+        self, tmp_path
+    ):
+        """The leader is stopped, the others elect one and accept a change.
+
+        A status asked of the stopped host waits in its socket and is read
+        when it wakes, while it still believes that it leads.  It must not
+        tell the old revision: the operator hears the new one, or an error.
+        """
+        async with processfakes.world(tmp_path) as world:
+            await start_controls(world)
+            await apply_number(world, 1)
+            leader = await world.leader()
+            await world.signal(leader.name, signal.SIGSTOP)
+            async with asyncio.timeout(processfakes.LONG):
+                asked = asyncio.create_task(status_of(world, leader))
+                await asyncio.sleep(0)
+                accepted = await apply_number(world, 2)
+                await world.signal(leader.name, signal.SIGCONT)
+                assert await asked != 200
+                status = await world.client.status()
+            assert status.revision == accepted.revision
+            assert status.leader != leader.name
+
+    async def test_a_restart_after_hundreds_of_changes(self, tmp_path):
+        """Three hundred changes pile up and every control host is killed.
+
+        They come back with the newest configuration and the whole history,
+        and take the next change.
+        """
+        changes = 300
+        async with processfakes.world(
+            tmp_path, {"group": {"snapshot_entries": 100}}
+        ) as world:
+            await start_controls(world)
+            for number in range(1, changes + 1):
+                newest = await apply_number(world, number)
+            for host in world.layout.controls:
+                await world.fleet.kill(host.name)
+            await start_controls(world)
+            status = await world.client.status()
+            assert status.revision == newest.revision
+            history = await world.client.history()
+            assert history[-1].version == str(changes)
+            repeated = await apply_number(world, changes)
+            assert repeated.repeated
+            following = await apply_number(world, changes + 1)
+            assert following.revision > newest.revision
+
+    async def test_the_disk_of_a_host_is_emptied_and_another_is_lost(
+        self, tmp_path
+    ):
+        """A control host comes back with an empty disk and `join = yes`.
+
+        Once it is voted in again a second host is lost for good.  The two
+        that are left, one of them repaired a moment ago, hold every accepted
+        change and take the next one.
+        """
+        async with processfakes.world(tmp_path) as world:
+            await start_controls(world)
+            accepted = await apply_number(world, 1)
+            repaired, lost, _ = world.layout.controls
+            await world.fleet.kill(repaired.name)
+            shutil.rmtree(repaired.settings.with_suffix(".data"))
+            world.rewrite_control(repaired, {"group": {"join": "yes"}})
+            await world.start_control(repaired)
+            await world.wait_logged(repaired, "joined")
+            await world.fleet.kill(lost.name)
+            status = await world.client.status()
+            assert status.revision == accepted.revision
+            following = await apply_number(world, 2)
+            assert following.revision > accepted.revision
+
+
+class TestLeaving:
+    """Planned stops."""
+
+    async def test_a_node_under_load_is_told_to_stop(self, tmp_path):
+        """SIGTERM to a node while callers use it and the others.
+
+        Nothing in flight is cut, nothing new reaches its backend server
+        after two seconds, and it ends with 0; callers that it refuses are
+        told `not_run` and repeat elsewhere.
+        """
+        async with processfakes.started_world(tmp_path) as world:
+            leaver = world.layout.nodes[0]
+            async with processfakes.loaded(world, world.layout.nodes) as load_:
+                await calls_made(load_, 40)
+                code = await world.fleet.stop(leaver.name)
+                load_.targets.remove(leaver.outside)
+                await world.check_no_new_work(leaver)
+            assert code == 0
+            await world.check_truth(load_)
+            assert_all_answered(load_)
+
+    async def test_a_node_under_load_is_drained(self, tmp_path):
+        """An operator drains a host while callers use it and the others.
+
+        The node leaves by itself as after SIGTERM: exit 0, nothing cut, and
+        nothing new at its backend server after two seconds.
+        """
+        async with processfakes.started_world(tmp_path) as world:
+            leaver = world.layout.nodes[0]
+            async with processfakes.loaded(world, world.layout.nodes) as load_:
+                await calls_made(load_, 40)
+                await world.client.drain(leaver.name)
+                async with asyncio.timeout(processfakes.LONG):
+                    code = await world.ended(leaver.name)
+                load_.targets.remove(leaver.outside)
+                await world.check_no_new_work(leaver)
+            assert code == 0
+            await world.check_truth(load_)
+            assert_all_answered(load_)
+
+    async def test_everything_is_restarted_in_turn_under_load(self, tmp_path):
+        """Each node and each control host is stopped and started again.
+
+        Bookings may be refused `not_run` meanwhile and are repeated; in the
+        end each is answered, none ran twice and none was cut.
+        """
+        async with processfakes.started_world(tmp_path) as world:
+            async with processfakes.loaded(world, world.layout.nodes) as load_:
+                for host in world.layout.nodes:
+                    load_.targets.remove(host.outside)
+                    assert await world.fleet.stop(host.name) == 0
+                    await world.start_node(host)
+                    await world.wait_serving({host.name})
+                    load_.targets.append(host.outside)
+                for host in world.layout.controls:
+                    assert await world.fleet.stop(host.name) == 0
+                    await world.start_control(host)
+                    await world.client.status()
+            await world.check_truth(load_)
+            assert_all_answered(load_)
+
+    async def test_a_node_without_control_ends_at_once(self, tmp_path):
+        """Every control host is gone, then a node is told to stop.
+
+        Nobody can take over the keys that it owns.  It must not wait out
+        its grace of 30 s for that, and says so in its log.
+        """
+        async with processfakes.started_world(tmp_path) as world:
+            host = world.layout.nodes[0]
+            await world.book_until_told(host, str(uuid6.uuid7()))
+            for control in world.layout.controls:
+                await world.fleet.kill(control.name)
+            assert await world.fleet.stop(host.name) == 0
+            log = host.settings.with_suffix(".log").read_text()
+            assert '"keys_handed_over": false' in log
+
+
+async def calls_made(running: load.Load, number: int) -> None:
+    """Returns once that many calls have started."""
+    wanted = len(running.calls) + number
+    while len(running.calls) < wanted:
+        await asyncio.sleep(0.05)
+
+
+def assert_all_answered(running: load.Load) -> None:
+    """Asserts that every call got its whole answer in the end."""
+    told = [
+        [attempt.outcome for attempt in call.attempts]
+        for call in running.calls
+        if not call.attempts[-1].whole
+    ]
+    assert not told
+
+
+async def start_controls(world):
+    """Starts the control hosts and waits for a leader."""
+    for host in world.layout.controls:
+        await world.start_control(host)
+    await world.client.status()
+
+
+async def apply_number(world, number) -> operatorclient.Accepted:
+    """Applies a sheet whose deadline is the version's number."""
+    data = world.plan.sheet.read_bytes().replace(b"6000", b"%d" % number)
+    return await world.client.apply(data, str(number), "ana")
+
+
+async def status_of(world, host) -> int:
+    """Asks one control host alone for its status; returns the HTTP status."""
+    url = f"http://{host.operator}/v1/status"
+    async with world.session.get(url) as response:
+        return response.status
