Test: leaving under load, rolling restart, a repaired control host; health tells who votes

After a lost disk an operator has to know when the host votes again: only then may another one be stopped. The control host's /health now says it.

--- a/mangobay/consensus.py
+++ b/mangobay/consensus.py
@@ -105,6 +105,12 @@
         """The disk that votes for this host."""
         return self.log.state.identity
 
+    @property
+    def votes(self) -> bool:
+        """Whether this host's disk is agreed on as a voter's."""
+        agreed = not self.voters.pending(self.commit)
+        return agreed and self.voters.names(self.identity)
+
     def now(self) -> float:
         """Returns the monotonic time, in seconds."""
         return asyncio.get_running_loop().time()
--- a/mangobay/operatorapi.py
+++ b/mangobay/operatorapi.py
@@ -43,10 +43,12 @@
     Attributes:
       host: the name of this control host.
       commit: newest index known to be committed.
+      votes: whether it is a voter; a repaired one is once it has caught up.
     """
 
     host: ids.HostId
     commit: ids.LogIndex
+    votes: bool
 
 
 class OperatorApi:
@@ -205,6 +207,7 @@
             {
                 "host": self.group.host,
                 "leads": self.group.leading.is_set(),
+                "votes": self.group.votes,
                 "leader": self.group.leader,
                 "term": self.group.term,
             }
--- a/tests/controlfakes.py
+++ b/tests/controlfakes.py
@@ -33,6 +33,7 @@
         self.leader = ids.HostId(host)
         self.leader_address = address
         self.index = 0
+        self.votes = True
         self.whole = asyncio.Event()
         self.whole.set()
 
--- a/tests/processfakes.py
+++ b/tests/processfakes.py
@@ -100,13 +100,18 @@
             sections.setdefault(section, {}).update(keys)
         hosts.write(host.settings, sections, CONTROL_CHANGES)
 
-    async def wait_logged(self, host: hosts.ControlHost, text: str) -> None:
-        """Returns once a control host has logged some words."""
-        path = host.settings.with_suffix(".log")
+    async def wait_voter(self, host: hosts.ControlHost) -> None:
+        """Returns once a control host says that it votes."""
         async with asyncio.timeout(LONG):
-            while text not in path.read_text():
+            while not (await self.health(host))["votes"]:
                 await asyncio.sleep(POLL_SECONDS)
 
+    async def health(self, host: hosts.ControlHost) -> dict:
+        """Returns what a control host tells of itself."""
+        url = f"http://{host.operator}/health"
+        async with self.session.get(url) as response:
+            return await response.json()
+
     async def check_truth(self, running: load.Load) -> verdict.Truth:
         """Asserts that callers were told the truth and nothing doubled."""
         truth = verdict.truth_of(self.plan, running.calls, await self.runs())
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -5,7 +5,6 @@
 import signal
 
 import processfakes
-import pytest
 import uuid6
 
 from bench import load
@@ -146,7 +145,7 @@
             shutil.rmtree(repaired.settings.with_suffix(".data"))
             world.rewrite_control(repaired, {"group": {"join": "yes"}})
             await world.start_control(repaired)
-            await world.wait_logged(repaired, "joined")
+            await world.wait_voter(repaired)
             await world.fleet.kill(lost.name)
             status = await world.client.status()
             assert status.revision == accepted.revision
