A node on a host up for over 34 minutes answers its calls

Cause: the weight of an arrival is 2 ** (age / 2 s) with the origin at loop time 0, and loop time is the host's uptime: above 2048 s the power overflows. Every call ended in an OverflowError, from the first one on, and after any pause of 34 minutes as well. Change: the power is bounded at 64 half-lives; the next arrival then moves the origin and forgets all before, as after any other pause.

--- a/mangobay/fairness.py
+++ b/mangobay/fairness.py
@@ -13,6 +13,8 @@
 FRESHEN_AT = 2.0**4
 """Weight of an arrival at which weights are scaled back and idle clients
 forgotten: else they would drag the mean down and make everybody heavy."""
+MOST_HALVINGS = 64.0
+"""Half-lives after which an arrival counts as nothing."""
 
 
 class Fairness:
@@ -54,8 +56,14 @@
         return own * others > self.share * (self.total - own)
 
     def unit(self, now: float) -> float:
-        """Returns the weight of one arrival at this time."""
-        return 2.0 ** ((now - self.origin) / HALF_LIFE)
+        """Returns the weight of one arrival at this time.
+
+        Loop time counts from the start of the host, the origin from 0: on a
+        host that is up for half an hour the power overflows, and every first
+        call fails.  Bounded, it still outweighs all that came before.
+        """
+        halvings = (now - self.origin) / HALF_LIFE
+        return 2.0 ** min(halvings, MOST_HALVINGS)
 
     def freshen(self, now: float) -> None:
         """Makes now the origin and forgets who has not sent for long."""
--- a/tests/test_fairness.py
+++ b/tests/test_fairness.py
@@ -52,3 +52,17 @@
                 seen.arrived(name(-1), step * 0.0001)
         assert len(seen.weights) <= fairness.MOST_CLIENTS
         assert seen.heavy(name(-1), 2.0)
+
+    def test_a_host_that_is_up_for_long(self):
+        """A node starts on a host that is up for days, or idles for days.
+
+        Its loop time is far from the last origin of the weights.  The first
+        call overflowed their power, and no call was answered ever after.
+        """
+        day = 86400.0
+        seen = fairness.Fairness(4)
+        for now in (0.0, day, 100 * day, 200 * day):
+            assert not seen.heavy(name(1), now)
+            seen.arrived(name(1), now)
+            seen.arrived(name(2), now)
+            assert seen.weights == {name(1): 1.0, name(2): 1.0}
