A process speaks only as the host that its certificate names

Cause: any certificate of the authority could say any Hello.host, so that one stolen key renewed leases and owned keys for every host. Change: the Hello's host must be the certificate's common name or one of its DNS names, checked on both sides before a request is sent or answered. Left: a node's certificate may still claim the role of a control host.

--- a/mangobay/connections.py
+++ b/mangobay/connections.py
@@ -5,7 +5,7 @@
 import dataclasses
 import socket
 
-from mangobay import errors, logs, wire
+from mangobay import errors, logs, tls, wire
 from mangobay.generated import messages
 
 PROTOCOL = 1
@@ -113,6 +113,11 @@
             raise errors.PeerProtocolError(
                 f"protocol {theirs.protocol}, not {PROTOCOL}"
             )
+        certificate = self.writer.get_extra_info("peercert")
+        if certificate and not tls.names(certificate, theirs.host):
+            raise errors.PeerProtocolError(
+                f"the certificate is not that of host {theirs.host}"
+            )
         self.hello = theirs
         if not first:
             self.send(greeting)
--- a/mangobay/tls.py
+++ b/mangobay/tls.py
@@ -4,7 +4,13 @@
 import ssl
 import typing
 
-from mangobay import errors, logs
+from mangobay import errors, ids, logs
+
+COMMON_NAME = "commonName"
+DNS_NAME = "DNS"
+
+Certificate = dict[str, tuple]
+"""A verified certificate as the ssl module tells it."""
 
 
 class Section(typing.Protocol):
@@ -52,8 +58,8 @@
         certificate, key, authority = self.paths
         context = ssl.SSLContext(protocol)
         context.minimum_version = ssl.TLSVersion.TLSv1_3
-        # Peers are known by IP number, and the authority signs for this
-        # system alone: any certificate of the authority may speak.
+        # Peers are reached by IP number, which certificates need not name;
+        # the Hello says which host speaks, and `names` compares that.
         context.check_hostname = False
         context.verify_mode = ssl.CERT_REQUIRED
         try:
@@ -114,3 +120,27 @@
             "[tls] needs certificate, key and authority, or none of them"
         )
     return Identity(*paths)
+
+
+def names(certificate: Certificate, host: ids.HostId) -> bool:
+    """Returns whether a verified certificate is that of a host.
+
+    One host's stolen certificate could otherwise speak as every other host:
+    renew their leases in their place, and own their keys.
+
+    Args:
+      certificate: as `ssl.SSLSocket.getpeercert` gives it.
+      host: that the peer says it is.
+    """
+    common = [
+        value
+        for part in certificate.get("subject", ())
+        for name, value in part
+        if name == COMMON_NAME
+    ]
+    others = [
+        value
+        for kind, value in certificate.get("subjectAltName", ())
+        if kind == DNS_NAME
+    ]
+    return host in common or host in others
--- a/tests/test_tls.py
+++ b/tests/test_tls.py
@@ -32,14 +32,16 @@
     return builder.sign(signer, hashes.SHA256())
 
 
-def write_identity(folder: pathlib.Path, authority: str) -> tls.Section:
+def write_identity(
+    folder: pathlib.Path, authority: str, host: str = HELLO.host
+) -> tls.Identity:
     """Writes a new authority, and a certificate and key signed by it."""
     folder.mkdir(exist_ok=True)
     signer = ec.generate_private_key(ec.SECP256R1())
     key = ec.generate_private_key(ec.SECP256R1())
     pem = serialization.Encoding.PEM
     root = certify(authority, signer, authority, signer)
-    leaf = certify("host", key, authority, signer)
+    leaf = certify(host, key, authority, signer)
     (folder / "authority").write_bytes(root.public_bytes(pem))
     (folder / "certificate").write_bytes(leaf.public_bytes(pem))
     (folder / "key").write_bytes(
@@ -101,6 +103,41 @@
             with pytest.raises(errors.PeerUnreachableError):
                 await ask(listener.address, identity)
 
+    @pytest.mark.parametrize("liar", ["asking", "answering"])
+    async def test_a_host_cannot_speak_as_another(self, tmp_path, liar):
+        """One host's certificate and key are stolen, or mixed up.
+
+        With them a process says that it is another host.  Whether it asks or
+        answers, the other side ends the connection at the Hello: no request
+        is sent to it, and none of its requests is answered.
+        """
+        ours = write_identity(tmp_path / "ours", "authority")
+        claimed = messages.Hello(host="another", role="node")
+        mine, theirs = HELLO, claimed
+        if liar == "asking":
+            mine, theirs = claimed, HELLO
+        asked = []
+
+        async def answer_and_note(hello, body):
+            asked.append(hello)
+            return await answer(hello, body)
+
+        there = peers.Listener(LOOPBACK, theirs, answer_and_note, identity=ours)
+        await there.start()
+        asking = peers.Peers(mine, identity=ours)
+        try:
+            with pytest.raises(errors.PeerUnreachableError):
+                await asking.ask(there.address, messages.Call(), LONG)
+        finally:
+            await asking.close()
+            await there.close()
+        assert not asked
+
+    def test_a_name_beside_the_common_name_counts(self):
+        certificate = {"subjectAltName": (("DNS", "a"), ("DNS", "b"))}
+        assert tls.names(certificate, "b")
+        assert not tls.names(certificate, "c")
+
     async def test_replaced_files_are_in_force_without_a_restart(
         self, listener, tmp_path
     ):
