The operator listener takes bounded connections and waits bounded time

Cause: aiohttp bounds the wait for a request only after the first one; whoever connects to a control host and is silent kept a connection for ever, without limit to their number. Control hosts and operators share the descriptors. Ruled out: httpserver.Listener, which takes no application; a runner of our own by aiohttp's private hooks. Change: a doorkeeper gives the server its connections, refuses above [limits] operator_connections and ends those without a request head after header_timeout, which bounds the sheet's body too.

--- a/mangobay/control.py
+++ b/mangobay/control.py
@@ -8,6 +8,7 @@
     connections,
     consensus,
     disk,
+    doorkeeper,
     errors,
     ids,
     leases,
@@ -79,6 +80,10 @@
             self.machine,
             self.leases,
             config.limits.sheet_bytes,
+            doorkeeper.Bounds(
+                config.limits.operator_connections,
+                config.limits.header_timeout,
+            ),
         )
         self.listener = peers.Listener(
             config.listen.peer,
--- a/mangobay/operatorapi.py
+++ b/mangobay/operatorapi.py
@@ -12,10 +12,12 @@
     activity,
     clock,
     controlmetrics,
+    doorkeeper,
     errors,
     ids,
     inforce,
     leases,
+    listening,
     logs,
     machine,
     operatorproblems,
@@ -27,8 +29,7 @@
 LONGEST_WAIT = 60.0
 """Seconds that an answer about a revision is kept back at most."""
 
-BODY_TIMEOUT = 10.0
-"""Seconds an operator has to send a sheet."""
+USUAL_BOUNDS = doorkeeper.Bounds()
 
 LONGEST_NAME = 200
 """Characters of a version or an operator's name."""
@@ -76,6 +77,7 @@
         config: machine.ConfigMachine,
         lease_table: leases.LeaseTable,
         sheet_bytes: int,
+        bounds: doorkeeper.Bounds = USUAL_BOUNDS,
     ):
         self.address = address
         self.group = group
@@ -86,9 +88,12 @@
         self.registry.register(
             controlmetrics.Collector(group, config, lease_table)
         )
+        self.bounds = bounds
+        self.door = doorkeeper.Doorkeeper(bounds)
+        self.listening: asyncio.Server | None = None
         app = web.Application(
             client_max_size=sheet_bytes,
-            middlewares=[operatorproblems.tell_problems],
+            middlewares=[self.door.note, operatorproblems.tell_problems],
         )
         for method, path, name in self.routes:
             app.router.add_route(method, path, getattr(self, name))
@@ -103,26 +108,26 @@
           errors.StartError: the address is in use or not of this host.
         """
         await self.runner.setup()
-        site = web.TCPSite(self.runner, self.address.ip, self.address.port)
         try:
-            await site.start()
-        except OSError as error:
+            self.listening = await listening.open_server(
+                self.address, self.door.open(self.runner.server, *self.address)
+            )
+        except errors.StartError:
             await self.runner.cleanup()
-            raise errors.StartError(
-                f"cannot listen on {self.address}: {error.strerror or error}"
-            ) from None
-        port = self.runner.addresses[0][1]
-        self.address = options.Address(self.address.ip, port)
+            raise
+        self.address = listening.bound_to(self.address, self.listening)
 
     async def close(self) -> None:
         """Ends the answers under way and closes the socket."""
+        if self.listening is not None:
+            self.listening.close()
         await self.runner.cleanup()
 
     async def post_sheet(self, request: web.Request) -> web.Response:
         """Takes in a sheet, whole or not at all."""
         version = ids.SheetVersion(parameter(request, "version"))
         operator = parameter(request, "operator")
-        async with asyncio.timeout(BODY_TIMEOUT):
+        async with asyncio.timeout(self.bounds.request_seconds):
             data = await request.read()
         checked = await asyncio.to_thread(sheet.parse, data, "sheet")
         accepted = await self.acceptance.accept(checked, version, operator)
