A node told to stop in the turn in which a connect ends does stop

Cause: asyncio.wait_for of Python 3.11 returns the result and drops the cancellation when both come in one turn of the loop. The renewals then went on after they were cancelled, and close() waited for them for ever.

--- a/mangobay/peers.py
+++ b/mangobay/peers.py
@@ -113,9 +113,11 @@
             peer.connecting = asyncio.create_task(self.connect(address, peer))
         try:
             # One who gives up must not end the connect that others wait for.
-            return await asyncio.wait_for(
-                asyncio.shield(peer.connecting), timeout
-            )
+            # `asyncio.wait_for` would lose a cancellation that comes in the
+            # turn in which the connect ends: a node told to stop just then
+            # would wait for its own renewals for ever.
+            async with asyncio.timeout(timeout):
+                return await asyncio.shield(peer.connecting)
         except TimeoutError:
             raise errors.PeerUnreachableError(
                 f"{address} accepts too slowly"
