A host that comes and goes is kept out of views, longer each time

Cause: a backend server that announces itself and vanishes made an entry of the log and a new view each time, which every node of its service takes in. Ruled out: holding back also those that leave, since they would get calls. Change: after eight joins in a row a host's next join waits 2 s, doubled each time up to 60 s; two minutes without a join forget it. Kept by the leader in memory: a new one starts anew.

--- a/mangobay/leases.py
+++ b/mangobay/leases.py
@@ -8,6 +8,7 @@
     activity,
     clock,
     errors,
+    flapping,
     ids,
     inforce,
     logs,
@@ -65,6 +66,7 @@
       silence: when each process was last granted a lease.
       activity: which views are active.
       reports: the revision each host reported in this term.
+      flapping: which hosts come and go too often.
       replaced: processes whose host has started another one since.
     """
 
@@ -88,6 +90,7 @@
             collections.OrderedDict()
         )
         self.news = news.News()
+        self.flapping = flapping.Flapping()
         config.watchers.append(self.follow)
 
     async def renew(self, renewal: messages.LeaseRenew) -> messages.LeaseGrant:
@@ -187,6 +190,10 @@
         self.publish_active(active)
         change = renewals.change_of(renewal)
         record = self.machine.members.get(renewal.host)
+        joins = renewals.joins(record, change)
+        if joins and self.flapping.is_held(renewal.host, clock.now()):
+            change = renewals.without(change, joins)
+            joins = set()
         if record is not None and machine.matches(record, change):
             return
         # A process that announces itself and then dies before its first
@@ -195,6 +202,8 @@
         if record is not None and not machine.same_process(record, renewal):
             self.replace(activity.owner_of(record.member))
         await self.group.propose(change)
+        if joins:
+            self.flapping.joined(renewal.host, clock.now())
 
     def replace(self, owner: activity.Owner) -> None:
         """Refuses a process from here on: its host has started another.
--- a/mangobay/renewals.py
+++ b/mangobay/renewals.py
@@ -22,6 +22,24 @@
     )
 
 
+def joins(
+    record: messages.MemberRecord | None, change: messages.MemberChange
+) -> set[ids.ServiceName]:
+    """Returns the services that a process has not served so far."""
+    served = {item.name for item in change.serves}
+    if record is not None and machine.same_process(record, change.member):
+        served -= {item.name for item in record.serves}
+    return served
+
+
+def without(
+    change: messages.MemberChange, services: set[ids.ServiceName]
+) -> messages.MemberChange:
+    """Returns the change of a process that does not serve some services."""
+    kept = [item for item in change.serves if item.name not in services]
+    return dataclasses.replace(change, serves=kept)
+
+
 def services_of(renewal: messages.LeaseRenew) -> set[ids.ServiceName]:
     """Returns the services whose views concern the node.
 
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -5,7 +5,7 @@
 import controlfakes
 import pytest
 
-from mangobay import clock, ids, leases, machine
+from mangobay import clock, flapping, ids, leases, machine
 from mangobay.generated import messages
 
 TTL = 4.0
@@ -37,6 +37,49 @@
         await asyncio.sleep(1)
 
 
+class TestFlapping:
+    """Backend servers that come and go."""
+
+    async def test_a_host_that_comes_and_goes_is_kept_out_longer(
+        self, table, state, group
+    ):
+        """A backend server announces itself and vanishes every second.
+
+        The first joins are agreed on, then it is kept out, longer each time:
+        in ten minutes it makes few entries. Its node keeps its lease all
+        along, and once the backend server stays it becomes a member again.
+        """
+        while clock.now() < 600:
+            for services in ((), ("quotes",)):
+                assert (
+                    await table.renew(controlfakes.renewal("a", *services))
+                ).granted
+                await asyncio.sleep(0.5)
+        assert group.index < 60
+        await keep(table, 800, controlfakes.renewal("a", "quotes"))
+        assert [m.host for m in state.views["quotes"].members] == ["a"]
+
+    async def test_a_host_that_restarts_now_and_then_is_not_kept_out(
+        self, table, state
+    ):
+        for run in range(20):
+            await table.renew(controlfakes.renewal("a", "quotes", run=str(run)))
+            (member,) = state.views["quotes"].members
+            assert member.incarnation == str(run)
+            await asyncio.sleep(flapping.CALM_SECONDS + 1)
+
+    async def test_one_that_leaves_is_out_at_once(self, table, state):
+        """A host that may not join again yet is told to take no more work.
+
+        Only its joins are held back: it is out of the view with the first
+        renewal that says so, whatever came before.
+        """
+        for _ in range(flapping.FREE_JOINS):
+            await table.renew(controlfakes.renewal("a", "quotes"))
+            await table.renew(controlfakes.renewal("a"))
+            assert not state.views["quotes"].members
+
+
 class TestGrants:
     """When a lease is granted, and with what."""
 
