--- a/bench/controlslopes.py
+++ b/bench/controlslopes.py
@@ -29,6 +29,8 @@
 """Long: renewals are held for a quarter of it, longer than a measurement."""
 MARGIN = 1.0
 INTERESTS = 40
+PAUSE = 0.001
+"""Seconds between two looks at how long the loop stood still."""
 ADDRESS = options.Address("127.0.0.1", 1)
 HELLO = messages.Hello(host=ids.HostId("control"), role="control")
 
@@ -308,6 +310,20 @@
     )
 
 
+async def snapshot_pause_us(members: int) -> float:
+    """Longest time the loop stands still while a snapshot is encoded."""
+    made = snapshot_of(members)
+    work = asyncio.create_task(
+        asyncio.to_thread(messages.encode_snapshot, made)
+    )
+    longest = 0.0
+    while not work.done():
+        began = time.perf_counter()
+        await asyncio.sleep(PAUSE)
+        longest = max(longest, time.perf_counter() - began - PAUSE)
+    return longest * 1e6
+
+
 async def snapshot_row_bytes(rows: int) -> float:
     """Size of a snapshot of rows."""
     made = stock.machine_with(rows=rows).snapshot()
@@ -325,7 +341,9 @@
     series.Series(
         ROLE, "sheet in the history", "bytes", HUNDREDS, history_bytes
     ),
-    series.Series(ROLE, "held renewal", "bytes", HUNDREDS, held_bytes),
+    series.Series(
+        ROLE, "held renewal", "bytes", (1000, 1500, 2000, 3000), held_bytes
+    ),
     series.Series(ROLE, "applying a restart", "us", THOUSANDS, apply_us),
     series.Series(
         ROLE, "renewal of a node that follows 40", "us", HUNDREDS, lease_us
@@ -385,6 +403,13 @@
         THOUSANDS,
         snapshot_encode_us,
     ),
+    series.Series(
+        ROLE,
+        "longest pause of the loop beside the encoding, a member",
+        "us on the clock",
+        THOUSANDS,
+        snapshot_pause_us,
+    ),
     series.Series(
         ROLE,
         "loading a snapshot, a member",
--- a/mangobay/compaction.py
+++ b/mangobay/compaction.py
@@ -2,7 +2,8 @@
 
 import typing
 
-from mangobay import ids
+from mangobay import ids, storage
+from mangobay.generated import messages
 
 if typing.TYPE_CHECKING:
     from mangobay import consensus
@@ -24,7 +25,11 @@
 
 
 async def take_snapshots(group: "consensus.Group") -> None:
-    """Cuts the log when it has grown by the span of a snapshot."""
+    """Cuts the log when it has grown by the span of a snapshot.
+
+    Raises:
+      errors.StorageError: the disk failed.
+    """
     trailing = group.settings.snapshot_entries // TRAILING_SHARE
     while True:
         await group.snapshot_due.wait()
@@ -32,9 +37,22 @@
             group.snapshot_due.clear()
             if group.applied <= group.log.snapshot.last_index:
                 continue
-            snapshot = group.machine.snapshot()
-            snapshot.last_index = ids.LogIndex(group.applied)
-            snapshot.last_term = ids.Term(group.log.term_at(group.applied) or 0)
-            snapshot.voters = group.voters.at(group.applied)
-            await group.log.save_snapshot(snapshot, trailing)
+            snapshot = snapshot_of(group)
+        # All hosts come here at the same entry. Did they encode and sync
+        # under the lock, none would answer the leader meanwhile; that of
+        # 23,000 hosts takes longer than an election timeout.
+        data = await group.log.stage(snapshot)
+        async with group.lock:
+            if snapshot.last_index <= group.log.snapshot.last_index:
+                continue
+            await group.log.adopt(storage.STAGED, snapshot, data, trailing)
             group.voters.learn_snapshot(snapshot)
+
+
+def snapshot_of(group: "consensus.Group") -> messages.Snapshot:
+    """Returns the state of machine and voters; the lock is held."""
+    snapshot = group.machine.snapshot()
+    snapshot.last_index = ids.LogIndex(group.applied)
+    snapshot.last_term = ids.Term(group.log.term_at(group.applied) or 0)
+    snapshot.voters = group.voters.at(group.applied)
+    return snapshot
--- a/mangobay/consensus.py
+++ b/mangobay/consensus.py
@@ -1,6 +1,7 @@
 """The control group's agreement on one log, in the Raft family."""
 
 import asyncio
+import collections.abc
 import random
 import typing
 
@@ -15,6 +16,7 @@
     progress,
     replication,
     storage,
+    transfer,
     voters,
     waiters,
 )
@@ -52,6 +54,7 @@
       leader_address: its peer address, empty when unknown.
       followers: the other control hosts.
       waiters: the callers that wait on this host's lead.
+      receiving: a leader's snapshot that is on its way here.
       term_start: index of the first entry of the term that this host leads.
     """
 
@@ -93,6 +96,7 @@
             [other for other in group_settings.hosts if other != address]
         )
         self.answering: set[asyncio.Task] = set()
+        self.receiving: transfer.Receiving | None = None
         compaction.restore(self)
 
     @property
@@ -146,10 +150,17 @@
         # A sender that hangs up cancels the caller of this.  Cancelled over a
         # sync, the log in memory would not know what the disk holds, and the
         # next write would repeat it.
-        task = asyncio.create_task(self.answer(body))
+        return await asyncio.shield(self.answer_later(self.answer(body)))
+
+    def answer_later(
+        self,
+        work: collections.abc.Coroutine[typing.Any, typing.Any, typing.Any],
+    ) -> asyncio.Task:
+        """Starts work for another control host that only `stop` cancels."""
+        task = asyncio.create_task(work)
         self.answering.add(task)
         task.add_done_callback(self.answered)
-        return await asyncio.shield(task)
+        return task
 
     def answered(self, task: asyncio.Task) -> None:
         """Forgets an answer, also one whose asker is gone."""
@@ -164,10 +175,14 @@
                 self.log.check()
                 return await self.dispatch(body)
             except errors.StorageError:
-                self.stop_leading()
-                self.unsynced.set()  # Ends run() with this error.
+                self.fail()
                 raise
 
+    def fail(self) -> None:
+        """Ends `run` with the error of the disk."""
+        self.stop_leading()
+        self.unsynced.set()
+
     async def dispatch(self, body: messages.EnvelopeBody) -> typing.Any:
         """Answers by the kind of message; `lock` is held."""
         match body:
@@ -176,7 +191,7 @@
             case messages.AppendRequest():
                 return await replication.take_entries(self, body)
             case messages.SnapshotPut():
-                return await replication.take_snapshot(self, body)
+                return await transfer.take_part(self, body)
         raise errors.PeerProtocolError(
             f"{type(body).__name__} is no message for the group"
         )
--- a/mangobay/election.py
+++ b/mangobay/election.py
@@ -244,3 +244,22 @@
         host=group.host, identity=group.identity, address=str(group.address)
     )
     return messages.VoterChange(voters=[me, *voters])
+
+
+async def follow(
+    group: "consensus.Group",
+    body: messages.AppendRequest | messages.SnapshotPut,
+) -> bool:
+    """Follows the sender; returns False when its term is over."""
+    if body.term < group.term:
+        return False
+    group.saw_leader(body.term, body.identity)
+    if body.term > group.term:
+        await group.enter_term(body.term)
+    else:
+        group.stop_leading()
+    group.leader = body.leader
+    group.leader_address = body.address
+    group.leader_heard = group.now()
+    group.put_off_campaign()
+    return True
--- a/mangobay/progress.py
+++ b/mangobay/progress.py
@@ -3,10 +3,14 @@
 import asyncio
 import dataclasses
 import enum
+import typing
 
 from mangobay import ids, options
 from mangobay.generated import messages
 
+if typing.TYPE_CHECKING:
+    from mangobay import transfer
+
 NEVER = float("-inf")
 
 
@@ -31,6 +35,7 @@
       heard: when the last request was sent that it answered, seconds.
       round: newest round of confirmation that it answered.
       wake: set when there is something to send.
+      sending: a snapshot that is on its way there.
     """
 
     address: options.Address
@@ -41,6 +46,7 @@
     heard: float = NEVER
     round: int = 0
     wake: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
+    sending: "transfer.Sending | None" = None
 
     def reset(self, next_index: int) -> None:
         """Forgets what an earlier term or another disk had confirmed."""
@@ -48,6 +54,7 @@
         self.match = 0
         self.heard = NEVER
         self.round = 0
+        self.sending = None
         self.wake.set()
 
     def peer(self) -> messages.Peer:
--- a/mangobay/replication.py
+++ b/mangobay/replication.py
@@ -3,7 +3,7 @@
 import asyncio
 import typing
 
-from mangobay import ids, invariants, progress, rejoin
+from mangobay import election, ids, invariants, progress, rejoin, transfer
 from mangobay.generated import messages
 
 if typing.TYPE_CHECKING:
@@ -12,8 +12,6 @@
 BATCH_BYTES = 1 << 20
 """Entries in one request, but at least one."""
 Answer = messages.AppendReply | messages.SnapshotReply
-SNAPSHOT_PATIENCE = 10
-"""Election timeouts that a snapshot may take."""
 
 
 async def replicate(
@@ -24,11 +22,18 @@
         await group.leading.wait()
         follower.wake.clear()
         answered = await exchange(group, follower)
-        if answered and follower.next <= group.log.last_index:
+        if answered and has_more(group, follower):
             continue
         await pause(group, follower, answered)
 
 
+def has_more(group: "consensus.Group", follower: progress.Follower) -> bool:
+    """Returns whether the follower can take more at once."""
+    if follower.sending is not None:
+        return not follower.sending.is_sent
+    return follower.next <= group.log.last_index
+
+
 async def pause(
     group: "consensus.Group", follower: progress.Follower, answered: bool
 ) -> None:
@@ -53,9 +58,8 @@
     sent_round = group.waiters.round
     sent_at = group.now()
     patience = group.settings.election_timeout / 2
-    if group.log.term_at(follower.next - 1) is None:
-        body: messages.EnvelopeBody = snapshot_put(group)
-        patience *= 2 * SNAPSHOT_PATIENCE
+    if follower.sending or group.log.term_at(follower.next - 1) is None:
+        body: messages.EnvelopeBody = transfer.next_part(group, follower)
     else:
         body = append_request(group, follower)
     reply = await group.ask(follower.address, body, patience)
@@ -93,20 +97,11 @@
         case messages.AppendReply(matched=False):
             hint = min(reply.last_index + 1, sent.prev_index)
             follower.next = max(1, hint)
-        case messages.AppendReply() | messages.SnapshotReply():
+        case messages.AppendReply():
             follower.match = max(follower.match, reply.last_index)
             follower.next = follower.match + 1
-
-
-def snapshot_put(group: "consensus.Group") -> messages.SnapshotPut:
-    """Returns the newest snapshot, for a host behind the log's start."""
-    return messages.SnapshotPut(
-        term=ids.Term(group.term),
-        leader=group.host,
-        snapshot=group.log.snapshot,
-        identity=group.identity,
-        address=str(group.address),
-    )
+        case messages.SnapshotReply():
+            transfer.take_reply(follower, reply)
 
 
 def append_request(
@@ -126,25 +121,6 @@
     )
 
 
-async def follow(
-    group: "consensus.Group",
-    body: messages.AppendRequest | messages.SnapshotPut,
-) -> bool:
-    """Follows the sender; returns False when its term is over."""
-    if body.term < group.term:
-        return False
-    group.saw_leader(body.term, body.identity)
-    if body.term > group.term:
-        await group.enter_term(body.term)
-    else:
-        group.stop_leading()
-    group.leader = body.leader
-    group.leader_address = body.address
-    group.leader_heard = group.now()
-    group.put_off_campaign()
-    return True
-
-
 async def take_entries(
     group: "consensus.Group", body: messages.AppendRequest
 ) -> messages.AppendReply:
@@ -153,7 +129,7 @@
     Raises:
       errors.StorageError: the disk failed: nothing is acknowledged.
     """
-    if not await follow(group, body):
+    if not await election.follow(group, body):
         return append_reply(group, False, group.log.last_index)
     if not continues(group, body):
         return append_reply(group, False, look_back(group, body.prev_index))
@@ -219,27 +195,3 @@
     )
     group.voters.forget_from(index)
     await group.log.truncate(index)
-
-
-async def take_snapshot(
-    group: "consensus.Group", body: messages.SnapshotPut
-) -> messages.SnapshotReply:
-    """Replaces log and machine by a leader's snapshot; the lock is held.
-
-    Raises:
-      errors.StorageError: the disk failed: nothing is acknowledged.
-    """
-    followed = await follow(group, body)
-    snapshot = body.snapshot
-    if followed and snapshot.last_index > group.commit:
-        await group.log.save_snapshot(snapshot, 0)
-        group.voters.forget_from(group.log.last_index + 1)
-        group.voters.learn_snapshot(snapshot)
-        group.machine.restore(snapshot)
-        group.commit = group.applied = snapshot.last_index
-    return messages.SnapshotReply(
-        term=ids.Term(group.term),
-        last_index=ids.LogIndex(snapshot.last_index if followed else 0),
-        identity=group.identity,
-        host=group.host,
-    )
--- a/mangobay/storage.py
+++ b/mangobay/storage.py
@@ -16,6 +16,8 @@
 SNAPSHOT = "snapshot"
 LOG = "log"
 NEW = ".new"
+STAGED = "snapshot.staged"
+RECEIVED = "snapshot.received"
 SUM = struct.Struct("<Q")
 
 
@@ -37,6 +39,7 @@
     Attributes:
       state: term, vote and identity as they were last synced.
       snapshot: the newest one.
+      snapshot_data: the same, encoded.
       records: the entries at hand, without a gap, from `first` on.
       first: index of the first of them.
       synced: newest index that is durable.
@@ -47,6 +50,7 @@
         self.disk = disk
         self.state = messages.HardState()
         self.snapshot = messages.Snapshot()
+        self.snapshot_data = b""
         self.records: list[Record] = []
         self.first = 1
         self.synced = 0
@@ -67,7 +71,10 @@
 
     def load(self) -> None:
         """Takes in what the folder holds."""
-        state = self.checked(STATE, messages.decode_hard_state)
+        body = self.checked(STATE)
+        state = None
+        if body is not None:
+            state = self.decoded(STATE, body, messages.decode_hard_state)
         log = self.disk.read(LOG)
         if state is None and (log or self.disk.read(SNAPSHOT)):
             raise errors.DamagedLogError(f"{self.disk}/{STATE}: missing")
@@ -78,8 +85,12 @@
             state = messages.HardState(identity=identity)
             self.put(STATE, messages.encode_hard_state(state))
         self.state = state
-        snapshot = self.checked(SNAPSHOT, messages.decode_snapshot)
-        self.snapshot = snapshot or messages.Snapshot()
+        body = self.checked(SNAPSHOT)
+        if body is not None:
+            self.snapshot_data = body
+            self.snapshot = self.decoded(
+                SNAPSHOT, body, messages.decode_snapshot
+            )
         self.load_log(log or b"")
 
     def load_log(self, data: bytes) -> None:
@@ -131,8 +142,8 @@
         if not self.records:
             self.first = last + 1
 
-    def checked(self, name: str, decode: typing.Callable) -> typing.Any:
-        """Returns the message in a file, None when there is no such file."""
+    def checked(self, name: str) -> bytes | None:
+        """Returns what a file holds, None when there is no such file."""
         data = self.disk.read(name)
         if data is None:
             return None
@@ -140,6 +151,12 @@
         digest = SUM.pack(xxhash.xxh3_64_intdigest(body))
         if digest != data[: SUM.size]:
             raise errors.DamagedLogError(f"{self.disk}/{name}: bad checksum")
+        return body
+
+    def decoded(
+        self, name: str, body: bytes, decode: typing.Callable
+    ) -> typing.Any:
+        """Returns the message in the body of a file."""
         try:
             return decode(body)
         except capnp.KjException as error:
@@ -149,13 +166,17 @@
 
     def put(self, name: str, body: bytes, with_sum: bool = True) -> None:
         """Replaces a file so that a crash leaves the old one or the new."""
-        prefix = SUM.pack(xxhash.xxh3_64_intdigest(body)) if with_sum else b""
-        self.disk.write(name + NEW, prefix + body)
-        # Unsynced bytes under the final name could be found empty later.
-        self.disk.sync(name + NEW)
+        self.put_beside(name + NEW, body, with_sum)
         self.disk.rename(name + NEW, name)
         self.disk.sync_folder()
 
+    def put_beside(self, name: str, body: bytes, with_sum: bool = True) -> None:
+        """Writes a file that is to take the place of another."""
+        prefix = SUM.pack(xxhash.xxh3_64_intdigest(body)) if with_sum else b""
+        self.disk.write(name, prefix + body)
+        # Unsynced bytes under the final name could be found empty later.
+        self.disk.sync(name)
+
     @property
     def last_index(self) -> int:
         """Newest index, 0 when there is none."""
@@ -256,22 +277,58 @@
         await self.run(lambda: self.put(LOG, data, with_sum=False))
         self.synced = max(last, self.snapshot.last_index)
 
-    async def save_snapshot(
-        self, snapshot: messages.Snapshot, trailing: int
+    async def stage(self, snapshot: messages.Snapshot) -> bytes:
+        """Writes a snapshot that nothing uses yet; returns it encoded.
+
+        It may run beside other coroutines, and should: encoding and syncing
+        that of a large system takes longer than an election timeout.
+
+        Raises:
+          errors.StorageError: the disk is full or failed.
+        """
+
+        def work() -> bytes:
+            data = messages.encode_snapshot(snapshot)
+            self.put_beside(STAGED, data)
+            return data
+
+        return await self.run(work)
+
+    async def stage_received(self, data: bytes) -> messages.Snapshot:
+        """Does the same with an encoded snapshot; returns it decoded.
+
+        Raises:
+          errors.StorageError: the disk is full or failed.
+        """
+
+        def work() -> messages.Snapshot:
+            snapshot = messages.decode_snapshot(data)
+            self.put_beside(RECEIVED, data)
+            return snapshot
+
+        return await self.run(work)
+
+    async def adopt(
+        self,
+        name: str,
+        snapshot: messages.Snapshot,
+        data: bytes,
+        trailing: int,
     ) -> None:
-        """Makes a snapshot durable and cuts the log behind it.
+        """Makes a staged snapshot the newest and cuts the log behind it.
 
         Args:
+          name: where it is staged.
           snapshot: the state at its `last_index`.
+          data: the same, encoded.
           trailing: entries before it to keep, for hosts a little behind.
 
         Raises:
           errors.StorageError: the disk is full or failed.
         """
-        await self.run(
-            lambda: self.put(SNAPSHOT, messages.encode_snapshot(snapshot))
-        )
+        await self.run(lambda: self.replace_snapshot(name))
         self.snapshot = snapshot
+        self.snapshot_data = data
         self.drop_what_the_snapshot_replaced()
         cut = max(self.first, snapshot.last_index + 1 - trailing)
         del self.records[: cut - self.first]
@@ -281,6 +338,11 @@
         self.synced = min(self.synced, self.last_index)
         await self.rewrite(max(self.synced, snapshot.last_index))
 
+    def replace_snapshot(self, name: str) -> None:
+        """Gives a staged file the snapshot's name."""
+        self.disk.rename(name, SNAPSHOT)
+        self.disk.sync_folder()
+
     def check(self) -> None:
         """Refuses to go on after a failure.
 
@@ -290,11 +352,11 @@
         if self.failure:
             raise errors.StorageError(self.failure)
 
-    async def run(self, work: typing.Callable[[], None]) -> None:
+    async def run(self, work: typing.Callable[[], typing.Any]) -> typing.Any:
         """Runs disk work off the loop; after a failure nothing more is run."""
         self.check()
         try:
-            await self.disk.offload(work)
+            return await self.disk.offload(work)
         except OSError as error:
             # A sync that failed may have dropped the pages it could not
             # write; a later one would report success without them.
--- /dev/null
+++ b/mangobay/transfer.py
@@ -0,0 +1,181 @@
+"""How a snapshot gets from the leader to a host that its log cannot serve.
+
+It goes in parts, each of which is answered and counts as a heartbeat. Sent
+as one message, that of a large system would not fit a frame, and a follower
+silent for as long as it takes would cost a leader without others its quorum.
+"""
+
+import asyncio
+import dataclasses
+import typing
+
+import capnp
+import xxhash
+
+from mangobay import election, errors, ids, logs, storage
+from mangobay.generated import messages
+
+if typing.TYPE_CHECKING:
+    from mangobay import consensus, progress
+
+PART_BYTES = 256 * 1024
+
+
+@dataclasses.dataclass(slots=True)
+class Sending:
+    """A snapshot on its way to one follower.
+
+    Attributes:
+      last_index: of the snapshot.
+      data: the whole of it, encoded.
+      checksum: of `data`.
+      offset: what the follower holds, bytes.
+    """
+
+    last_index: ids.LogIndex
+    data: bytes
+    checksum: int
+    offset: int = 0
+
+    @property
+    def is_sent(self) -> bool:
+        """Whether only the news that it is installed is awaited."""
+        return self.offset >= len(self.data)
+
+
+@dataclasses.dataclass(slots=True)
+class Receiving:
+    """A snapshot on its way to this host.
+
+    Attributes:
+      last_index: of the snapshot.
+      size: of the whole of it, bytes.
+      checksum: of the whole of it.
+      data: what has come.
+      installing: runs once everything has come.
+    """
+
+    last_index: ids.LogIndex
+    size: int
+    checksum: int
+    data: bytearray = dataclasses.field(default_factory=bytearray)
+    installing: asyncio.Task | None = None
+
+    def continues(self, body: messages.SnapshotPut) -> bool:
+        """Returns whether a part is of this snapshot, to the byte."""
+        return (
+            self.last_index == body.last_index
+            and self.size == body.size
+            and self.checksum == body.checksum
+        )
+
+
+def next_part(
+    group: "consensus.Group", follower: "progress.Follower"
+) -> messages.SnapshotPut:
+    """Returns the next part for a host behind the log's start."""
+    if follower.sending is None:
+        data = group.log.snapshot_data
+        follower.sending = Sending(
+            last_index=group.log.snapshot.last_index,
+            data=data,
+            checksum=xxhash.xxh3_64_intdigest(data),
+        )
+    sending = follower.sending
+    return messages.SnapshotPut(
+        term=ids.Term(group.term),
+        leader=group.host,
+        part=sending.data[sending.offset : sending.offset + PART_BYTES],
+        identity=group.identity,
+        address=str(group.address),
+        last_index=sending.last_index,
+        offset=sending.offset,
+        size=len(sending.data),
+        checksum=sending.checksum,
+    )
+
+
+def take_reply(
+    follower: "progress.Follower", reply: messages.SnapshotReply
+) -> None:
+    """Takes in how much a follower holds, or that it has installed it."""
+    sending = follower.sending
+    if sending is None:
+        return
+    if reply.last_index < sending.last_index:
+        sending.offset = reply.received
+        return
+    follower.sending = None
+    follower.match = max(follower.match, reply.last_index)
+    follower.next = follower.match + 1
+
+
+async def take_part(
+    group: "consensus.Group", body: messages.SnapshotPut
+) -> messages.SnapshotReply:
+    """Keeps a part of a leader's snapshot; the group's lock is held."""
+    if not await election.follow(group, body):
+        return reply_of(group, 0, 0)
+    if body.last_index <= group.commit:
+        group.receiving = None
+        return reply_of(group, body.last_index, body.size)
+    receiving = group.receiving
+    if receiving is None or not receiving.continues(body):
+        receiving = Receiving(body.last_index, body.size, body.checksum)
+        group.receiving = receiving
+    if body.offset == len(receiving.data):
+        receiving.data += body.part
+    received = len(receiving.data)
+    if received >= receiving.size and receiving.installing is None:
+        receiving.installing = group.answer_later(install(group, receiving))
+    return reply_of(group, 0, received)
+
+
+def reply_of(
+    group: "consensus.Group", last_index: int, received: int
+) -> messages.SnapshotReply:
+    """Returns this host's answer to a part."""
+    return messages.SnapshotReply(
+        term=ids.Term(group.term),
+        last_index=ids.LogIndex(last_index),
+        identity=group.identity,
+        host=group.host,
+        received=received,
+    )
+
+
+async def install(group: "consensus.Group", receiving: Receiving) -> None:
+    """Replaces log and machine by a snapshot that has come whole."""
+    try:
+        data = bytes(receiving.data)
+        if xxhash.xxh3_64_intdigest(data) != receiving.checksum:
+            raise errors.PeerProtocolError("a snapshot has a bad checksum")
+        # Without the lock: what decodes and syncs for long must not keep
+        # this host from answering the leader's heartbeats.
+        snapshot = await group.log.stage_received(data)
+        async with group.lock:
+            if snapshot.last_index > group.commit:
+                await adopt(group, snapshot, data)
+    except errors.StorageError:
+        group.fail()
+    except (errors.PeerProtocolError, capnp.KjException) as error:
+        logs.say(logs.Part.GROUP, "snapshot not installed", why=str(error))
+    finally:
+        # From the first byte again, if it was not installed.
+        if group.receiving is receiving:
+            group.receiving = None
+
+
+async def adopt(
+    group: "consensus.Group", snapshot: messages.Snapshot, data: bytes
+) -> None:
+    """Takes in a staged snapshot; the lock is held.
+
+    Raises:
+      errors.StorageError: the disk failed.
+    """
+    await group.log.adopt(storage.RECEIVED, snapshot, data, 0)
+    group.voters.forget_from(group.log.last_index + 1)
+    group.voters.learn_snapshot(snapshot)
+    group.machine.restore(snapshot)
+    group.commit = group.applied = snapshot.last_index
--- a/schema/messages.capnp
+++ b/schema/messages.capnp
@@ -399,18 +399,30 @@
 }
 
 struct SnapshotPut {
+  # Part of the leader's newest snapshot; each part is a heartbeat as well.
   term @0 :UInt64 $id("Term");
   leader @1 :Text $id("HostId");
-  snapshot @2 :Snapshot;
+  part @2 :Data;
   identity @3 :Text $id("DiskId");
   address @4 :Text;
+  lastIndex @5 :UInt64 $id("LogIndex");
+  # Of the snapshot.
+  offset @6 :UInt64;
+  # Of the part in the encoded snapshot, bytes.
+  size @7 :UInt64;
+  # Of the whole encoded snapshot, bytes.
+  checksum @8 :UInt64;
+  # Of the whole encoded snapshot.
 }
 
 struct SnapshotReply {
   term @0 :UInt64 $id("Term");
   lastIndex @1 :UInt64 $id("LogIndex");
+  # Once the snapshot is installed, else 0.
   identity @2 :Text $id("DiskId");
   host @3 :Text $id("HostId");
+  received @4 :UInt64;
+  # Bytes of the snapshot held so far; the next part starts there.
 }
 
 struct HistoryItem {
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -5,7 +5,7 @@
 import groupfakes
 import pytest
 
-from mangobay import errors
+from mangobay import errors, storage, transfer
 from mangobay.generated import messages
 
 pytestmark = pytest.mark.looptime
@@ -253,18 +253,120 @@
 
     async def test_a_host_far_behind_gets_a_snapshot(self):
         """The log was cut past what a host that was down still needs."""
+        async with groupfakes.Cluster() as cluster:
+            late = await leave_behind(cluster)
+            leader = await cluster.leader()
+            assert leader.group.log.first > late.group.log.last_index
+            late.start()
+            await cluster.until(
+                lambda: late.machine.sheets == leader.machine.sheets
+            )
+
+
+class TestLargeSnapshots:
+    """Snapshots that take longer than an election timeout."""
+
+    async def test_two_hosts_keep_their_quorum_while_one_takes_a_snapshot(
+        self, monkeypatch
+    ):
+        """One of three hosts is lost; another comes back far behind.
+
+        The leader's only follower needs a snapshot that arrives in hundreds
+        of parts and takes 3 s to sync. Each part is answered like a
+        heartbeat, and so is the leader while the follower syncs: the quorum
+        is never lost, and a change made meanwhile is committed.
+        """
+        monkeypatch.setattr(transfer, "PART_BYTES", 16)
+        slow_down(monkeypatch, "stage_received")
+        async with groupfakes.Cluster() as cluster:
+            late = await leave_behind(cluster)
+            leader = await cluster.leader()
+            for lost in cluster.others(leader):
+                await lost.crash()
+            late.start()
+            await cluster.until(lambda: leader.leads and late.group.receiving)
+            term = leader.group.term
+            await cluster.until(lambda: late.group.receiving.installing)
+            await leader.group.propose(messages.SheetChange(version="last"))
+            assert leader.group.term == term
+            await cluster.until(
+                lambda: late.machine.sheets == leader.machine.sheets
+            )
+
+    async def test_all_hosts_write_a_long_snapshot_at_one_entry(
+        self, monkeypatch
+    ):
+        """Every host cuts its log at the same entry, for 3 s.
+
+        Were it done under the lock, no host would answer or sync meanwhile,
+        and every caller would wait for as long each time that the log is
+        cut. Changes go on within a heartbeat, under the same leader.
+        """
+        slow_down(monkeypatch, "stage")
+        loop = asyncio.get_running_loop()
         async with groupfakes.Cluster() as cluster:
             leader = await cluster.commit("0")
-            late = cluster.others(leader)[0]
-            await late.crash()
+            term = leader.group.term
+            slowest = 0.0
             for number in range(3 * groupfakes.SNAPSHOT_ENTRIES):
+                began = loop.time()
                 await cluster.commit(str(number))
-            leader = await cluster.leader()
-            assert leader.group.log.first > late.group.log.last_index
+                slowest = max(slowest, loop.time() - began)
+            await asyncio.sleep(10)
+            assert slowest < groupfakes.ELECTION_TIMEOUT
+            assert leader.group.term == term
+            for host in cluster.hosts:
+                assert host.group.log.snapshot.last_index
+
+    async def test_a_snapshot_damaged_on_its_way_is_sent_again(
+        self, monkeypatch
+    ):
+        """A part arrives damaged.
+
+        The host finds a wrong checksum when it has every part, installs
+        nothing and asks for the first part again.
+        """
+        monkeypatch.setattr(transfer, "PART_BYTES", 64)
+        sent = transfer.next_part
+        damaged = []
+
+        def next_part(group, follower):
+            body = sent(group, follower)
+            if body.offset and not damaged:
+                damaged.append(body.offset)
+                body.part = bytes(len(body.part))
+            return body
+
+        monkeypatch.setattr(transfer, "next_part", next_part)
+        async with groupfakes.Cluster() as cluster:
+            late = await leave_behind(cluster)
             late.start()
+            leader = await cluster.leader()
             await cluster.until(
                 lambda: late.machine.sheets == leader.machine.sheets
             )
+            assert damaged
+
+
+async def leave_behind(cluster) -> groupfakes.FakeHost:
+    """Returns a host that is down and needs more than the log holds."""
+    leader = await cluster.commit("0")
+    late = cluster.others(leader)[0]
+    await late.crash()
+    for number in range(3 * groupfakes.SNAPSHOT_ENTRIES):
+        await cluster.commit(str(number))
+    return late
+
+
+def slow_down(monkeypatch, name) -> None:
+    """Makes a step of the storage take longer than an election timeout."""
+    step = getattr(storage.Storage, name)
+
+    async def slow(self, given):
+        await asyncio.sleep(5 * groupfakes.ELECTION_TIMEOUT)
+        return await step(self, given)
+
+    monkeypatch.setattr(storage.Storage, name, slow)
 
 
 class TestDisk:
--- a/tests/test_consensus_random.py
+++ b/tests/test_consensus_random.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from mangobay import errors, invariants
+from mangobay import errors, invariants, transfer
 from mangobay.generated import messages
 from tests import groupfakes
 
@@ -19,6 +19,12 @@
 SOAK_SEEDS = range(1000, 1000 + int(os.environ.get("MANGOBAY_SEEDS", "100")))
 
 
+@pytest.fixture(autouse=True)
+def small_parts(monkeypatch):
+    """Makes every snapshot arrive in several parts."""
+    monkeypatch.setattr(transfer, "PART_BYTES", 64)
+
+
 class Chaos:
     """One random run: faults, callers, and what must hold throughout.
 
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -27,6 +27,12 @@
     return log
 
 
+async def save_snapshot(log, snapshot, trailing: int) -> None:
+    """Stages and adopts a snapshot, as a host does that cuts its log."""
+    data = await log.stage(snapshot)
+    await log.adopt(storage.STAGED, snapshot, data, trailing)
+
+
 def reopened(files) -> storage.Storage:
     log = storage.Storage(files)
     log.open()
@@ -45,7 +51,7 @@
         folder = disk.Disk(str(tmp_path))
         log = await written(folder, 20)
         snapshot = messages.Snapshot(last_index=15, last_term=1)
-        await log.save_snapshot(snapshot, 5)
+        await save_snapshot(log, snapshot, 5)
         log.append([entry(21)])
         await log.flush()
         folder.close()
@@ -111,7 +117,7 @@
     @pytest.mark.parametrize("name", ("state", "snapshot"))
     async def test_a_damaged_file_is_refused(self, files, name):
         log = await written(files, 5)
-        await log.save_snapshot(messages.Snapshot(last_index=5), 0)
+        await save_snapshot(log, messages.Snapshot(last_index=5), 0)
         files.names[name][-1] ^= 1
         with pytest.raises(errors.DamagedLogError, match=name):
             reopened(files)
@@ -129,7 +135,9 @@
         would be acknowledged without being written, and lost in a crash.
         """
         log = await written(files, 9)
-        await log.save_snapshot(messages.Snapshot(last_index=5, last_term=2), 0)
+        await save_snapshot(
+            log, messages.Snapshot(last_index=5, last_term=2), 0
+        )
         for index in range(6, 9):
             log.append([entry(index, term=2)])
             await log.flush()
@@ -143,8 +151,8 @@
             log = await written(one, 9)
             one.steps_to_power_loss = step
             with pytest.raises(errors.StorageError):
-                await log.save_snapshot(
-                    messages.Snapshot(last_index=6, last_term=1), 0
+                await save_snapshot(
+                    log, messages.Snapshot(last_index=6, last_term=1), 0
                 )
             one.crash()
             again = reopened(one)
@@ -162,8 +170,8 @@
             log = await written(one, 9)
             one.steps_to_power_loss = step
             with pytest.raises(errors.StorageError):
-                await log.save_snapshot(
-                    messages.Snapshot(last_index=20, last_term=2), 0
+                await save_snapshot(
+                    log, messages.Snapshot(last_index=20, last_term=2), 0
                 )
             one.crash()
             again = reopened(one)
@@ -186,7 +194,9 @@
         log.append([messages.LogEntry(index=index, body=messages.Noop())])
         await log.flush()
         if index % 50 == 0:
-            await log.save_snapshot(messages.Snapshot(last_index=index), 5)
+            snapshot = messages.Snapshot(last_index=index)
+            data = await log.stage(snapshot)
+            await log.adopt(storage.STAGED, snapshot, data, 5)
         print(index, flush=True)
 
 asyncio.run(main())
