Bound the memory of keys in bytes; drop services long unused

Cause: keys were bounded by number only: 200,000 of them with answers of 1 kB are 511 MB at 2,557 bytes each, measured, against 256 MB; and a service called once was followed for ever, 64 bytes of each renewal and a push of about 9 kB with each restart of one of its hosts. Ruled out: forgetting the oldest keys to make room (a repeat would run again); refusing at the holder of a copy (a transfer could never end). Answers of calls that run come on top. A service unused for 15 to 30 minutes is dropped with its rows and view.

--- a/mangobay/controlclient.py
+++ b/mangobay/controlclient.py
@@ -101,7 +101,7 @@
         if served == self.served:
             return
         self.served = list(served)
-        self.interests.wanted.update(item.name for item in served)
+        self.interests.serve(item.name for item in served)
         self.changed.set()
 
     @property
@@ -210,6 +210,7 @@
 
     def renewal(self) -> messages.LeaseRenew:
         """Returns what this node reports and asks."""
+        self.drop(self.interests.drop_idle())
         new = self.interests.new()
         wait = self.lease.holds() and not new and not self.changed.is_set()
         self.changed.clear()
@@ -228,6 +229,18 @@
             views=[self.ack(view) for view in self.views.value.values()],
         )
 
+    def drop(self, services: set[ids.ServiceName]) -> None:
+        """Forgets rows and views of services that are not followed."""
+        # Left in the table they would age unseen, and the first call after
+        # a long time would go by rows that a later revision replaced.
+        if not services:
+            return
+        self.tables.on_next(self.tables.value.without(services))
+        views = self.views.value.items()
+        self.views.on_next(
+            {name: view for name, view in views if name not in services}
+        )
+
     def ack(self, view: messages.ServiceView) -> messages.ViewAck:
         """Returns what this node says of a view that it acts by."""
         me = self.identity
--- a/mangobay/interests.py
+++ b/mangobay/interests.py
@@ -11,6 +11,13 @@
 MOST_UNKNOWN = 1024
 """Services remembered as unknown to control; names come from outsiders."""
 
+IDLE_SECONDS = 900.0
+"""A service that no call asked for this long is not followed any more.
+
+Each costs bytes in every renewal and a push with each restart of its hosts.
+Longer than any deadline, so that no call still needs what is dropped.
+"""
+
 
 class Interests:
     """Which services a node follows.
@@ -19,6 +26,9 @@
       wanted: services that the node follows or wants to.
       known: those of them that control told of.
       unknown: loop time until which a service is taken for unknown.
+      served: services that this host serves or served; always followed.
+      used: services asked for since the last look for idle ones.
+      looked_at: loop time of that look.
     """
 
     def __init__(self):
@@ -27,14 +37,43 @@
         self.unknown: collections.OrderedDict[ids.ServiceName, float] = (
             collections.OrderedDict()
         )
+        self.served: set[ids.ServiceName] = set()
+        self.used: set[ids.ServiceName] = set()
+        self.looked_at = float("-inf")
+
+    def serve(
+        self, services: collections.abc.Iterable[ids.ServiceName]
+    ) -> None:
+        """Follows services for good: their keys are this host's concern."""
+        self.served.update(services)
+        self.wanted.update(self.served)
+
+    def drop_idle(self) -> set[ids.ServiceName]:
+        """Stops to follow what went unused since the last look, and names it.
+
+        A service is dropped after one to two times IDLE_SECONDS; noting each
+        use in a set costs a call less than noting its time.
+        """
+        if clock.now() < self.looked_at + IDLE_SECONDS:
+            return set()
+        idle = self.known - self.used - self.served
+        self.known -= idle
+        self.wanted -= idle
+        self.used.clear()
+        self.looked_at = clock.now()
+        return idle
 
     def new(self) -> list[ids.ServiceName]:
         """Returns the services to ask for next."""
         return sorted(self.wanted - self.known)[:MOST_NEW]
 
     def is_settled(self, service: ids.ServiceName) -> bool:
-        """Returns whether control lately told what it knows of a service."""
+        """Returns whether control lately told what it knows of a service.
+
+        Whoever asks is about to use it.
+        """
         if service in self.known:
+            self.used.add(service)
             return True
         until = self.unknown.get(service)
         if until is None:
@@ -64,6 +103,7 @@
         for service in asked:
             if service in told:
                 self.known.add(service)
+                self.used.add(service)
                 continue
             self.wanted.discard(service)
             self.unknown[service] = until
--- a/mangobay/once.py
+++ b/mangobay/once.py
@@ -65,6 +65,7 @@
       me: this process.
       lease: without it nothing new is started.
       wall_ms: Unix time in milliseconds.
+      budget: memory for the records of every service.
       shares: per service, what this node may vouch for.
     """
 
@@ -84,6 +85,7 @@
             transport=transport, timeout=options.copy_timeout
         )
         self.shares: dict[ids.ServiceName, tenure.Tenure] = {}
+        self.budget = records.Budget(options.memory_bytes)
         self.tasks: set[asyncio.Task] = set()
 
     def spawn(self, work: collections.abc.Coroutine) -> asyncio.Task:
@@ -106,7 +108,7 @@
         made = tenure.Tenure(
             service,
             self.me,
-            records.Registry(window, self.options.entries),
+            records.Registry(window, self.options.entries, self.budget),
             self.options.copies,
             slots.CopyPlace(self.options.copy_place),
         )
@@ -375,6 +377,7 @@
         answered = reply.outcome is messages.Outcome.ANSWERED
         state = records.State.ANSWERED if answered else records.State.UNKNOWN
         record.settle(state, reply)
+        share.registry.weigh(record)
         self.spawn(self._spread(share, record))
 
     async def _spread(
--- a/mangobay/records.py
+++ b/mangobay/records.py
@@ -38,6 +38,12 @@
 }
 
 
+RECORD_BYTES = 1600
+"""Memory of a record besides its answer; measured by `make slopes`."""
+HEADER_BYTES = 200
+"""Memory of a header besides its characters."""
+
+
 @dataclasses.dataclass(slots=True, kw_only=True)
 class Record:
     """One key.
@@ -49,6 +55,7 @@
       runner_incarnation: the run of that host's process.
       reply: what every repeat is answered; set once settled or refused.
       settled: set when `reply` is.
+      weight: bytes that the budget counts for it; 0 while not remembered.
     """
 
     key: ids.IdempotencyKey
@@ -61,6 +68,7 @@
     runner_incarnation: ids.Incarnation = ids.Incarnation("")
     reply: messages.Reply | None = None
     settled: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
+    weight: int = 0
 
     def settle(self, state: State, reply: messages.Reply) -> None:
         """Gives the record its reply and wakes the repeats that wait."""
@@ -118,17 +126,47 @@
     )
 
 
+def weight_of(record: Record) -> int:
+    """Returns about how many bytes a record keeps."""
+    if record.reply is None:
+        return RECORD_BYTES
+    headers = sum(
+        HEADER_BYTES + len(header.name) + len(header.value)
+        for header in record.reply.headers
+    )
+    return RECORD_BYTES + headers + len(record.reply.body)
+
+
+@dataclasses.dataclass(slots=True)
+class Budget:
+    """Memory for the records of all services at one node.
+
+    A node that ran out of memory would be ended by its host and forget every
+    key. Refusing new keys before that keeps the promise for the old ones;
+    the answers still to come of the calls that run go on top.
+
+    Attributes:
+      limit: bytes; from there on no new key is taken.
+      used: bytes.
+    """
+
+    limit: int
+    used: int = 0
+
+
 class Registry:
     """The records of one service at one node, bounded in number and age.
 
     Attributes:
       window: seconds that a record is kept after it was made.
       limit: most records.
+      budget: the memory, shared with the node's other services.
     """
 
-    def __init__(self, window: float, limit: int):
+    def __init__(self, window: float, limit: int, budget: Budget):
         self.window = window
         self.limit = limit
+        self.budget = budget
         self.by_key: dict[ids.IdempotencyKey, Record] = {}
         self.by_slot: collections.defaultdict[
             ids.Slot, dict[ids.IdempotencyKey, Record]
@@ -140,7 +178,9 @@
     @property
     def full(self) -> bool:
         """Whether a new key has no room."""
-        return len(self.by_key) >= self.limit
+        if len(self.by_key) >= self.limit:
+            return True
+        return self.budget.used + RECORD_BYTES > self.budget.limit
 
     def get(self, key: ids.IdempotencyKey) -> Record | None:
         """Returns the record of a key."""
@@ -150,11 +190,22 @@
         """Remembers a record."""
         self.by_key[record.key] = record
         self.by_slot[record.slot][record.key] = record
+        self.weigh(record)
+
+    def weigh(self, record: Record) -> None:
+        """Counts what a record keeps, after it got its answer."""
+        if self.by_key.get(record.key) is not record:
+            return
+        weight = weight_of(record)
+        self.budget.used += weight - record.weight
+        record.weight = weight
 
     def forget(self, record: Record) -> None:
         """Drops a record: its key was not run, or left the window."""
         self.by_key.pop(record.key, None)
         self.by_slot[record.slot].pop(record.key, None)
+        self.budget.used -= record.weight
+        record.weight = 0
 
     def expire(self, now: float) -> None:
         """Drops the records that left the window, oldest first."""
@@ -197,4 +248,5 @@
             record.state = state
             if state in SETTLED:
                 record.settle(state, _entry_reply(entry))
+                self.weigh(record)
         return record
--- a/mangobay/table.py
+++ b/mangobay/table.py
@@ -155,6 +155,17 @@
             key=sort_key,
         )
 
+    def without(
+        self, services: collections.abc.Set[ids.ServiceName]
+    ) -> "Table":
+        """Returns the table of the same revision without some services."""
+        kept = {
+            name: offers
+            for name, offers in self.services.items()
+            if name not in services
+        }
+        return Table(self.revision, kept)
+
     def updated(self, update: messages.TableUpdate) -> "Table":
         """Returns the table after an update; only changed services are built.
 
--- a/tests/once_fakes.py
+++ b/tests/once_fakes.py
@@ -18,6 +18,7 @@
 OPTIONS = settings.NodeOnce(
     window=3600.0,
     entries=1000,
+    memory_bytes=1 << 30,
     copies=1,
     copy_place="other_data_centre",
     clock_skew=2.0,
@@ -47,6 +48,7 @@
         self.parted: set[frozenset] = set()
         self.travels: set[asyncio.Task] = set()
         self.runs: list[str] = []
+        self.answer = b"slip 1"
         self.options = dataclasses.replace(OPTIONS, **changes)
         self.formers: list[messages.FormerView] = []
         self.view = messages.ServiceView(service=SERVICE)
@@ -145,7 +147,7 @@
         self.runs.append("run")
         await asyncio.sleep(RUN_TIME)
         return messages.Reply(
-            outcome=messages.Outcome.ANSWERED, status=201, body=b"slip 1"
+            outcome=messages.Outcome.ANSWERED, status=201, body=self.answer
         )
 
     async def send(self, host: str, key: str, **options) -> messages.Reply:
--- a/tests/test_controlclient.py
+++ b/tests/test_controlclient.py
@@ -199,6 +199,36 @@
             await client.interest("none-1099")
             assert len(transport.asked) == asked
 
+    async def test_a_service_unused_for_long_is_not_followed_any_more(
+        self, client, group, transport
+    ):
+        """A service was called once, weeks ago, and its rows change later.
+
+        Followed for ever, each such service would cost every renewal and
+        push. It is dropped with rows and view; called again, the first call
+        goes by the rows in force then. What is served or used stays.
+        """
+        first = controlfakes.operation("rank", service="prices", tries=1)
+        later = controlfakes.operation("rank", service="prices", tries=2)
+        stock = controlfakes.operation("list", service="stock")
+        group.append(controlfakes.joins("b", "prices"))
+        entry = group.append(controlfakes.sheet("1", first, stock))
+        async with controlfakes.running(client):
+            client.serves = [messages.ServedService(name="quotes", slots=70)]
+            await client.interest("prices")
+            for _ in range(10):
+                await client.interest("stock")
+                await asyncio.sleep(interests.IDLE_SECONDS / 4)
+            assert client.interests.known == {"quotes", "stock"}
+            assert "prices" not in client.views.value
+            assert "prices" not in client.tables.value.services
+            assert "prices" not in transport.asked[-1][2].interests
+            group.append(controlfakes.sheet("2", later, base=entry.index))
+            await client.interest("prices")
+            found = client.tables.value.services["prices"].operations["rank"]
+            assert found.tries == 2
+            assert "prices" in client.views.value
+
     async def test_a_flood_of_new_names_does_not_end_the_lease(
         self, client, transport
     ):
--- a/tests/test_once.py
+++ b/tests/test_once.py
@@ -6,7 +6,7 @@
 import once_fakes
 import pytest
 
-from mangobay import invariants, slots
+from mangobay import invariants, records, slots
 from mangobay.generated import messages
 
 
@@ -75,6 +75,54 @@
             assert net.runs == ["run"]
 
 
+@pytest.mark.looptime
+class TestBounds:
+    """More keys and larger answers than a node may remember."""
+
+    def expire(self, net):
+        """Drops what left the window, as every node does from time to time."""
+        now = asyncio.get_running_loop().time()
+        for node in net.nodes.values():
+            node.share(once_fakes.SERVICE).registry.expire(now)
+
+    async def test_answers_fill_the_memory_and_new_keys_are_refused(self):
+        """Large answers fill what a node may use; callers go on.
+
+        Keys that ran are never forgotten to make room: their repeats get
+        the same answer, and a new key is told `not run`, which is true. Once
+        the old ones leave the window, new keys run again.
+        """
+        async with once_fakes.network(window=20.0, memory_bytes=40_000) as net:
+            net.answer = b"x" * 10_000
+            keys = []
+            reply = messages.Reply(outcome=messages.Outcome.ANSWERED)
+            while reply.outcome is messages.Outcome.ANSWERED:
+                keys.append(once_fakes.new_key())
+                reply = await net.send(net.owner(keys[-1]), keys[-1])
+            assert reply.outcome is messages.Outcome.NOT_RUN
+            assert reply.reason is messages.Reason.OVERLOADED
+            assert 4 <= len(net.runs) == len(keys) - 1 < 40
+            for key in keys[:-1]:
+                again = await net.send(net.owner(key), key)
+                assert again.body == net.answer
+            await asyncio.sleep(40)
+            self.expire(net)
+            key = once_fakes.new_key()
+            assert (await net.send(net.owner(key), key)).body == net.answer
+
+    async def test_what_the_budget_counts_goes_with_the_records(self):
+        async with once_fakes.network(window=20.0) as net:
+            for _ in range(20):
+                key = once_fakes.new_key()
+                await net.send(net.owner(key), key)
+            await asyncio.sleep(1)
+            used = [node.budget.used for node in net.nodes.values()]
+            assert sum(used) >= 40 * records.RECORD_BYTES
+            await asyncio.sleep(60)
+            self.expire(net)
+            assert not any(node.budget.used for node in net.nodes.values())
+
+
 @pytest.mark.looptime
 class TestTakeover:
     """The owner is lost, alone or with its copies."""
