Former views go only to the members of a service

Change: others get the view without them, marked as not reaching back. Tests: leases, random leases, random at most once, control pass.

--- a/mangobay/renewals.py
+++ b/mangobay/renewals.py
@@ -68,10 +68,25 @@
             or ack.version < view.version
             or (is_active and not ack.active)
         ):
-            views.append(dataclasses.replace(view, active=is_active))
+            views.append(told_to(renewal, view, is_active))
     return views
 
 
+def told_to(
+    renewal: messages.LeaseRenew, view: messages.ServiceView, active: bool
+) -> messages.ServiceView:
+    """Returns a view as the node needs it.
+
+    Only members take slots over and ask who was a member before. To the many
+    who call the service the former views would be most of every push.
+    """
+    if any(member.host == renewal.host for member in view.members):
+        return dataclasses.replace(view, active=active)
+    return dataclasses.replace(
+        view, active=active, formers=[], lineage_whole=False
+    )
+
+
 def is_drained(
     config: machine.ConfigMachine, renewal: messages.LeaseRenew
 ) -> bool:
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -54,6 +54,25 @@
         assert [view.service for view in grant.views] == ["quotes"]
         assert grant.views[0].active
 
+    async def test_only_members_are_told_of_former_views(self, table, group):
+        """A service's hosts restart all day; hundreds of nodes call it.
+
+        The former views are for whoever takes its slots over. Told to every
+        caller they would be most of each push; without them the view does
+        not claim to reach back to the first one.
+        """
+        for run in "1234":
+            group.append(controlfakes.joins("a", "quotes", run=run))
+        caller = controlfakes.renewal("b", "prices", interests=["quotes"])
+        told = {v.service: v for v in (await table.renew(caller)).views}
+        assert [m.host for m in told["quotes"].members] == ["a"]
+        assert not told["quotes"].formers
+        assert not told["quotes"].lineage_whole
+        member = controlfakes.renewal("a", "quotes", run="4")
+        (view,) = (await table.renew(member)).views
+        assert len(view.formers) == 3
+        assert view.lineage_whole
+
     async def test_a_leader_that_is_cut_off_grants_nothing(self, table, group):
         """The leader is cut off silently and still believes that it leads.
 
