--- a/bench/controlslopes.py
+++ b/bench/controlslopes.py
@@ -125,6 +125,22 @@
     return await series.processor_us_of(work) / RENEWALS
 
 
+async def answer_us(views: int) -> float:
+    """Processor time of one renewal that is answered with changed views."""
+    tabled = Tabled(INTERESTS * stock.MEMBERS)
+    asked = stock.renewal(stock.MEMBERS * INTERESTS - 1, INTERESTS)
+    for number, ack in enumerate(asked.views):
+        view = tabled.state.views[ack.service]
+        ack.version = ids.ViewVersion(view.version - (number < views))
+    frame = messages.encode_envelope(messages.Envelope(body=asked))
+
+    async def work():
+        for _ in range(RENEWALS):
+            await tabled.take(frame)
+
+    return await series.processor_us_of(work) / RENEWALS
+
+
 async def held_bytes(renewals: int) -> float:
     """Memory of renewals that are held, above that of the members."""
     tabled = Tabled(renewals)
@@ -355,6 +371,13 @@
         (5, 10, 20, 40, 80),
         lease_interests_us,
     ),
+    series.Series(
+        ROLE,
+        "one renewal that follows 40, a changed view in the answer",
+        "us",
+        (5, 10, 20, 40),
+        answer_us,
+    ),
     series.Series(
         ROLE,
         "renewal that follows 40 over a connection, both ends",
--- a/bench/nodeslopes.py
+++ b/bench/nodeslopes.py
@@ -30,13 +30,13 @@
     return series.heap(lambda: swap(rows))
 
 
-async def view_bytes(services: int) -> float:
-    """Memory of views with their former views, and of the router's hosts."""
+async def view_bytes(services: int, formers: int) -> float:
+    """Memory of views with so many former views, and of the router's hosts."""
 
     def build():
         views = {}
         for number in range(services):
-            grant = messages.LeaseGrant(views=[stock.view(number, FORMERS)])
+            grant = messages.LeaseGrant(views=[stock.view(number, formers)])
             for view in stock.over_the_wire(grant).views:
                 views[view.service] = view
         router = routing.Router(
@@ -216,7 +216,7 @@
 async def push_us(views: int) -> float:
     """Processor time of taking in changed views."""
     grant = messages.LeaseGrant(
-        granted=True, views=[stock.view(n, FORMERS) for n in range(views)]
+        granted=True, views=[stock.view(n, 0) for n in range(views)]
     )
     frame = messages.encode_envelope(messages.Envelope(body=grant))
 
@@ -252,10 +252,17 @@
     ),
     series.Series(
         ROLE,
-        "7 members, 8 former views, router: a service followed",
+        "view of 7 members and the router's hosts: a service followed",
         "bytes",
         (10, 20, 40, 80),
-        view_bytes,
+        lambda services: view_bytes(services, 0),
+    ),
+    series.Series(
+        ROLE,
+        "the same with 8 former views: a service served",
+        "bytes",
+        (10, 20, 40, 80),
+        lambda services: view_bytes(services, FORMERS),
     ),
     series.Series(
         ROLE,
@@ -307,7 +314,7 @@
     ),
     series.Series(
         ROLE,
-        "taking in changed views with 8 formers, a view",
+        "taking in changed views of services called, a view",
         "us",
         (5, 10, 20, 40),
         push_us,
