--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -21,8 +21,14 @@
       layout: where each one listens.
       client: for operators' requests.
       former: runs of backend servers that were stopped.
+      queue_share: of its connections, calls that may wait for a slot in a
+        backend server.
+      controlled: whether there is a control group to take a sheet.
     """
 
+    queue_share = 0.0
+    controlled = True
+
     def __init__(
         self,
         plan: deployment.Deployment,
@@ -72,6 +78,9 @@
             "listen": host.backend,
             "node": host.local,
             "slots": host.slots,
+            "queue": round(
+                self.plan.services[host.service].connections * self.queue_share
+            ),
         }
         arguments = [f"--{key}={facts[key]}" for key in facts]
         await self.fleet.start(name, "bench.backend", *arguments)
@@ -185,6 +194,7 @@
     """
 
     tries = 3
+    controlled = False
 
     async def start(self) -> None:
         """Starts a forwarder and a backend server on each host."""
