A node on a host up for 35 minutes answers calls again

Cause: Fairness weighs arrivals by 2 ** (seconds / 2) from loop time 0, which is the boot of the host. From 2,048 s on the power overflows and every call is answered 500 internal; the same after 34 minutes without a call. Change: the exponent is bounded at 64 half-lives, where what came before has faded anyway.

--- a/mangobay/fairness.py
+++ b/mangobay/fairness.py
@@ -4,6 +4,8 @@
 
 HALF_LIFE = 2.0
 """Seconds in which an old arrival loses half of its weight."""
+MOST_HALF_LIVES = 64.0
+"""After which an arrival counts for nothing."""
 MOST_CLIENTS = 2048
 """Callers remembered; the lightest ones are forgotten first."""
 FORGOTTEN = 0.25
@@ -54,8 +56,15 @@
         return own * others > self.share * (self.total - own)
 
     def unit(self, now: float) -> float:
-        """Returns the weight of one arrival at this time."""
-        return 2.0 ** ((now - self.origin) / HALF_LIFE)
+        """Returns the weight of one arrival at this time.
+
+        The loop's clock starts when the host booted, and a node may get no
+        call for hours: without the bound the power overflows, and the node
+        answers every call with an internal error.  At the bound whatever
+        came before has faded, so that it changes no decision.
+        """
+        half_lives = (now - self.origin) / HALF_LIFE
+        return 2.0 ** min(half_lives, MOST_HALF_LIVES)
 
     def freshen(self, now: float) -> None:
         """Makes now the origin and forgets who has not sent for long."""
--- a/tests/test_fairness.py
+++ b/tests/test_fairness.py
@@ -33,6 +33,18 @@
             seen.arrived(name(step % 20), later)
         assert not seen.heavy(name(99), later)
 
+    def test_works_on_a_host_up_for_long_and_after_a_long_silence(self):
+        """The clock counts from the host's boot, hours before the node.
+
+        The first call of the node comes at a large loop time, the next one
+        a month later.  Both are counted, and neither makes anybody heavy.
+        """
+        seen = fairness.Fairness(4)
+        for start in (4000.0, 3e6):
+            for step in range(200):
+                seen.arrived(name(step % 20), start + step * 0.01)
+            assert not seen.heavy(name(1), start + 2)
+
     def test_nobody_is_heavy_among_equals_or_alone(self):
         seen = fairness.Fairness(4)
         for step in range(500):
