What a deeper service refuses is learned per operation, and on the real path

Cause: Running.child_refused was never called and Pass.leave never got `below`, so that nothing was learned of refusals below (the fakes of the tests took the argument, the product did not pass it). A 502 of a backend server whose child call was refused counted as a whole answer and would have lowered what was learned. And the lesson was kept for a host, not for an operation. Change: edges.Local tells the running call, serving hands it on, admission keeps it by operation; Reply.below carries it, and the router refuses that operation early; such a refusal is not tried at another host.

--- a/bench/load.py
+++ b/bench/load.py
@@ -11,7 +11,7 @@
 import uuid6
 
 from bench import backend, deployment, sessions
-from mangobay import options
+from mangobay import fields, options
 from mangobay.generated import messages
 
 LONGEST_US = 60_000_000
@@ -56,6 +56,7 @@
       seconds: from then until it was over.
       in_time: whether it was over within its deadline.
       attempts: each attempt.
+      keyed: whether all attempts carry one idempotency key.
     """
 
     work: deployment.WorkId
@@ -64,6 +65,7 @@
     seconds: float = 0.0
     in_time: bool = False
     attempts: list[Attempt] = dataclasses.field(default_factory=list)
+    keyed: bool = False
 
     @property
     def good(self) -> bool:
@@ -142,6 +144,7 @@
         target = deployment.target_of(operation, self.random.randrange(1000))
         give_up = due + operation.deadline_ms / 1000
         key = "" if operation.idempotent else str(uuid6.uuid7())
+        call.keyed = bool(key)
         for number in range(1 + self.tries):
             attempt = Attempt(str(uuid6.uuid7()))
             call.attempts.append(attempt)
@@ -172,6 +175,7 @@
         if key:
             headers[backend.KEY] = key
         left = max(0.001, give_up - asyncio.get_running_loop().time())
+        headers[fields.REQUEST_TIMEOUT] = f"{left:.3f}"
         try:
             async with self.session.request(
                 operation.method,
--- a/bench/outcomes.py
+++ b/bench/outcomes.py
@@ -131,6 +131,27 @@
             f"{self.busiest:.0%}",
         ]
 
+    def failures(self) -> list[str]:
+        """Returns how failed calls of the trouble ended, most often first."""
+        counts = collections.Counter(
+            f"{call.work} {call.attempts[-1].status}"
+            f" {call.attempts[-1].outcome or 'no answer'}"
+            for call in self.trouble.calls(self.calls)
+            if call.attempts and not call.good
+        )
+        return [f"{count:5d} {name}" for name, count in counts.most_common()]
+
+    def lost_seconds(self) -> list[str]:
+        """Returns the slot seconds of failed attempts by operation."""
+        lost = collections.Counter()
+        served = verdict.served_markers(self.calls)
+        for run in self.runs:
+            if run.marker not in served:
+                lost[f"{run.work} {'whole' if run.finished else 'cut'}"] += (
+                    run.seconds
+                )
+        return [f"{lost[name]:6.1f} s {name}" for name in lost]
+
     def wasted(self) -> float:
         """Returns the share of slot time spent on failed attempts."""
         return verdict.wasted_share(self.trouble.calls(self.calls), self.runs)
--- a/mangobay/admission.py
+++ b/mangobay/admission.py
@@ -64,6 +64,7 @@
       depth: hops from the first node.
       deadline: loop time.
       client: who entered the call tree.
+      operation: what is called, among those of the service.
       tree: names the call tree, such as its trace id; when empty, the client
         stands for it.  Trees of one importance are refused by its hash.
     """
@@ -72,6 +73,7 @@
     depth: int
     deadline: float
     client: ids.ClientId
+    operation: ids.OperationName = ids.OperationName("")
     tree: str = ""
 
 
@@ -82,12 +84,25 @@
       waited: seconds in the queue.
     """
 
-    __slots__ = ("admission", "began", "level", "open", "waited")
+    __slots__ = (
+        "admission",
+        "began",
+        "level",
+        "open",
+        "operation",
+        "waited",
+    )
 
     def __init__(
-        self, admission: "Admission", level: int, began: float, waited: float
+        self,
+        admission: "Admission",
+        operation: ids.OperationName,
+        level: int,
+        began: float,
+        waited: float,
     ):
         self.admission = admission
+        self.operation = operation
         self.level = level
         self.began = began
         self.waited = waited
@@ -118,7 +133,9 @@
         if shed:
             self.admission.limiter.shed(self.admission.running, now)
         used = awaited > 0 or below > levels.OPEN
-        self.admission.downstream.observe(self.level, below, used, ok, now)
+        self.admission.downstreams.observe(
+            self.operation, self.level, below, used, ok, now
+        )
         self.admission.left(now)
 
 
@@ -149,7 +166,7 @@
         self.pressure = pressure.Pressure(
             self.queue_time * STANDING_FACTOR, admission.reopen_time * scale
         )
-        self.downstream = downstream.Downstream(admission.reopen_time * scale)
+        self.downstreams = downstream.Downstreams(admission.reopen_time * scale)
         self.expected = estimates.ServiceTime()
         self.running = 0
         self.pace = estimates.Pace()
@@ -157,8 +174,12 @@
     @property
     def threshold(self) -> int:
         """The lowest level admitted now; goes back on every reply."""
+        return self.pressure.threshold
+
+    def below(self, operation: ids.OperationName) -> int:
+        """The lowest level of an operation that is admitted below."""
         now = asyncio.get_running_loop().time()
-        return max(self.pressure.threshold, self.downstream.threshold(now))
+        return self.downstreams.threshold(operation, now)
 
     @property
     def limit(self) -> int:
@@ -181,7 +202,7 @@
         level, rank = self.place(ticket, now)
         self.check(ticket, level, now)
         if not self.waiting.length and self.running < self.limiter.limit:
-            return self.admit(level, now, 0.0)
+            return self.admit(ticket.operation, level, now, 0.0)
         waiter = self.line_up(ticket, level, rank, loop)
         return await self.wait(waiter)
 
@@ -208,16 +229,22 @@
         """
         self.pressure.look(not self.waiting.length, now)
         self.pressure.arrived[level // pressure.STEP] += 1
-        threshold = max(self.pressure.threshold, self.downstream.threshold(now))
-        if level < threshold:
+        below = self.downstreams.threshold(ticket.operation, now)
+        if level < max(self.pressure.threshold, below):
             raise self.refusal(messages.Reason.OVERLOADED, level)
         if now + self.expected.at(now) >= ticket.deadline:
             raise self.refusal(messages.Reason.DEADLINE_EXCEEDED, level)
 
-    def admit(self, level: int, now: float, waited: float) -> Pass:
+    def admit(
+        self,
+        operation: ids.OperationName,
+        level: int,
+        now: float,
+        waited: float,
+    ) -> Pass:
         """Takes a slot."""
         self.running += 1
-        return Pass(self, level, now, waited)
+        return Pass(self, operation, level, now, waited)
 
     def line_up(
         self,
@@ -237,7 +264,9 @@
             self.make_room(level, rank)
         now = loop.time()
         latest = ticket.deadline - self.expected.at(now)
-        waiter = waiting.Waiter(rank, level, now, latest, loop.create_future())
+        waiter = waiting.Waiter(
+            ticket.operation, rank, level, now, latest, loop.create_future()
+        )
         self.waiting.add(waiter)
         end = min(now + self.patience(ticket, now), latest)
         waiter.timer = loop.call_at(end, self.give_up, waiter)
@@ -338,7 +367,9 @@
                 self.refuse(waiter, messages.Reason.DEADLINE_EXCEEDED)
                 continue
             waited = now - waiter.since
-            waiter.future.set_result(self.admit(waiter.level, now, waited))
+            waiter.future.set_result(
+                self.admit(waiter.operation, waiter.level, now, waited)
+            )
         self.pressure.look(not self.waiting.length, now)
 
     def refuse(self, waiter: waiting.Waiter, reason: messages.Reason) -> None:
--- a/mangobay/calls.py
+++ b/mangobay/calls.py
@@ -28,6 +28,10 @@
         self.reason = reason
 
 
+LEARNED_REFUSALS = frozenset({Reason.OVERLOADED, Reason.QUEUE_TIMEOUT})
+"""Refusals that say what the services below admit."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Process:
     """This run of the node.
--- a/mangobay/downstream.py
+++ b/mangobay/downstream.py
@@ -1,22 +1,23 @@
 """What the services below refuse, learned from the calls that ran here.
 
 A call that is admitted here and refused below has wasted its slot and the
-work of every hop above.  Where nearly all calls need the services below, this
-host refuses what they refuse, and its replies carry that on to the hops above.
+work of every hop above.  So what is refused below an operation is refused
+here, and its replies carry that on to the hops above.  Operations are kept
+apart: those that never call the service in trouble go on.
 """
 
-from mangobay import levels
+from mangobay import ids, levels
 
 NEARLY_ALL = 0.8
 """Share of calls with child calls above which the level below counts here:
-else operations that need no child call would be refused for a service that
-they never use."""
+else an operation that needs a child call only now and then would be refused
+for it always."""
 PART = 0.1
 """Weight of the newest call in that share."""
 
 
 class Downstream:
-    """Follows the threshold of the services called from here.
+    """Follows the threshold of the services that one operation calls.
 
     Attributes:
       told: the last threshold with which a child call was refused.
@@ -48,7 +49,7 @@
         if level >= self.told:
             return
         self.share += ((1.0 if used else 0.0) - self.share) * PART
-        if used and ok:
+        if used and ok and not below:
             self.told = (self.told + level) // 2
 
     def threshold(self, now: float) -> int:
@@ -63,3 +64,36 @@
         return levels.fallen(
             height, now - self.told_at, self.reopen_time, levels.TOLD
         )
+
+
+class Downstreams:
+    """What is refused below each operation.
+
+    Attributes:
+      known: by operation; as many as the sheet gives the service.
+    """
+
+    def __init__(self, reopen_time: float):
+        self.reopen_time = reopen_time
+        self.known: dict[ids.OperationName, Downstream] = {}
+
+    def observe(
+        self,
+        operation: ids.OperationName,
+        level: int,
+        below: int,
+        used: bool,
+        ok: bool,
+        now: float,
+    ) -> None:
+        """Learns from a call that ran here, as `Downstream.observe`."""
+        found = self.known.get(operation)
+        if found is None:
+            found = Downstream(self.reopen_time)
+            self.known[operation] = found
+        found.observe(level, below, used, ok, now)
+
+    def threshold(self, operation: ids.OperationName, now: float) -> int:
+        """Returns the lowest level of an operation not refused below."""
+        found = self.known.get(operation)
+        return found.threshold(now) if found else levels.OPEN
--- a/mangobay/edges.py
+++ b/mangobay/edges.py
@@ -261,7 +261,10 @@
         loop = asyncio.get_running_loop()
         running.child_began(loop.time())
         try:
-            return await self.run(call)
+            reply = await self.run(call)
+            if reply.reason in calls.LEARNED_REFUSALS:
+                running.child_refused(max(reply.threshold, reply.below))
+            return reply
         finally:
             running.child_ended(loop.time())
             running.grant.give_back(call.grant.close())
--- a/mangobay/entry.py
+++ b/mangobay/entry.py
@@ -156,11 +156,14 @@
                 excluded,
                 request.importance,
                 request.depth,
+                operation=request.operation.name,
                 idempotent=request.operation.idempotent,
                 tree=request.trace.trace_id,
             )
         except routing.EarlyRefusalError as error:
-            return calls.not_run(Reason.OVERLOADED, error.retry_after)
+            reply = calls.not_run(Reason.OVERLOADED, error.retry_after)
+            reply.threshold = error.threshold
+            return reply
         except routing.NoHostError:
             return calls.not_run(Reason.NO_BACKEND)
 
@@ -250,7 +253,11 @@
         try:
             reply = await self.deliver(call, member, left)
         finally:
-            router.ended(service, member.host, seen(reply, loop.time() - began))
+            router.ended(
+                service,
+                member.host,
+                seen(request, reply, loop.time() - began),
+            )
             if request.trace.sampled:
                 attempt = traces.Attempt(
                     request=request,
@@ -320,15 +327,24 @@
 
 
 def may_retry(request: calls.Request, reply: messages.Reply) -> bool:
-    """Returns whether an extra try may go to another host."""
+    """Returns whether an extra try may go to another host.
+
+    What is refused for the services below is refused at every host: a host
+    that has not learned it yet would run the call in vain.
+    """
     if reply.outcome == Outcome.NOT_RUN:
-        return reply.reason in RETRIED_REFUSALS
+        refused_below = reply.below > reply.threshold
+        return reply.reason in RETRIED_REFUSALS and not refused_below
     return request.operation.idempotent and reply.reason in RETRIED_UNKNOWNS
 
 
-def seen(reply: messages.Reply, seconds: float) -> hosts.Observation:
+def seen(
+    request: calls.Request, reply: messages.Reply, seconds: float
+) -> hosts.Observation:
     """Returns what the reply shows of its host."""
     return hosts.Observation(
+        operation=request.operation.name,
+        below=reply.below,
         outcome=reply.outcome,
         reason=reply.reason,
         seconds=seconds,
--- a/mangobay/hosts.py
+++ b/mangobay/hosts.py
@@ -27,6 +27,8 @@
       threshold: what the host admits now, from its reply.
       inflight: calls it says it runs; a hint.
       limit: calls it says may run; a hint.
+      operation: what was called.
+      below: lowest level of it that the services below admit.
     """
 
     outcome: messages.Outcome
@@ -35,6 +37,8 @@
     threshold: int = 0
     inflight: int = 0
     limit: int = 0
+    operation: ids.OperationName = ids.OperationName("")
+    below: int = levels.OPEN
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -156,10 +160,25 @@
     return unknown and seen.reason not in NOT_FAILURES
 
 
+@dataclasses.dataclass(slots=True)
+class Below:
+    """What is refused below one operation, by the newest reply.
+
+    Attributes:
+      threshold: the lowest level admitted.
+      told: loop time of the reply.
+    """
+
+    threshold: int
+    told: float
+
+
 class ServiceHosts:
     """The hosts of one service that take calls.
 
     Attributes:
+      below: by operation; only where something is refused.  It is kept for
+        all hosts together, since they call the same services below.
       near: those in the own data centre, or all when that does not matter.
       far: the others.
     """
@@ -172,6 +191,27 @@
         self.near: list[Host] = []
         self.far: list[Host] = []
         self.ejection = ejection.Ejection(routing)
+        self.below: dict[ids.OperationName, Below] = {}
+
+    def observe_below(self, seen: Observation, now: float) -> None:
+        """Learns what the services below an operation admit."""
+        if seen.outcome == messages.Outcome.UNKNOWN:
+            return
+        if seen.below:
+            self.below[seen.operation] = Below(seen.below, now)
+        else:
+            self.below.pop(seen.operation, None)
+
+    def below_at(
+        self, operation: ids.OperationName, now: float, reopen_time: float
+    ) -> int:
+        """Returns the lowest level of an operation admitted below now."""
+        found = self.below.get(operation)
+        if found is None:
+            return levels.OPEN
+        return levels.fallen(
+            found.threshold, now - found.told, reopen_time, levels.TOLD
+        )
 
     def update(self, view: messages.ServiceView, now: float) -> None:
         """Takes the members of a view; keeps what was observed of them."""
--- a/mangobay/routing.py
+++ b/mangobay/routing.py
@@ -16,6 +16,7 @@
 """Share of the calls that go on although every threshold is above them."""
 SHORTEST_RETRY_AFTER = 0.05
 """Seconds."""
+ANY_OPERATION = ids.OperationName("")
 
 Observation = hosts.Observation
 
@@ -98,6 +99,7 @@
         importance: messages.Importance,
         depth: int,
         *,
+        operation: ids.OperationName = ANY_OPERATION,
         idempotent: bool = False,
         tree: str = "",
     ) -> messages.Member:
@@ -108,6 +110,7 @@
           excluding: hosts already tried for this call.
           importance: of the call tree.
           depth: hops from the first node.
+          operation: what is called.
           idempotent: the call may probe a host that failed before.
           tree: the text that the ticket's level comes from.
 
@@ -121,6 +124,9 @@
         now = asyncio.get_running_loop().time()
         level = self.level(importance, tree)
         choice = Choice(excluding, level, idempotent, now)
+        below = known.below_at(operation, now, self.reopen_time)
+        if below > level:
+            self.refuse_early(below, choice)
         return self.choose(known, choice).member
 
     def began(self, service: ids.ServiceName, host: ids.HostId) -> None:
@@ -145,6 +151,7 @@
         now = asyncio.get_running_loop().time()
         found.outstanding -= 1
         found.observe(seen, now)
+        known.observe_below(seen, now)
         if seen.reason in hosts.GONE_REASONS and not found.member.leaving:
             known.gone(found)
         self.judge(known, service, host, seen, now)
@@ -214,7 +221,7 @@
         if fallback is None:
             raise NoHostError("every host was tried or is out of use")
         if self.threshold(fallback, choice.now) > choice.level:
-            self.refuse_early(fallback, choice)
+            self.refuse_early(self.threshold(fallback, choice.now), choice)
         return fallback
 
     def has_room(self, host: hosts.Host, choice: Choice) -> bool:
@@ -226,8 +233,8 @@
         sheds = host.sheds_at(choice.now, self.reopen_time)
         return sheds < SPILL_SHEDS
 
-    def refuse_early(self, refusing: hosts.Host, choice: Choice) -> None:
-        """Refuses a call that every host would refuse, but for a few.
+    def refuse_early(self, threshold: int, choice: Choice) -> None:
+        """Refuses a call below a threshold of every host, but for a few.
 
         Those few find out that a threshold fell, so that refusals end soon
         after their cause and not only when the memory of it fades.
@@ -237,7 +244,6 @@
         """
         if not self.early_refusal or self.dice.random() < PROBE_SHARE:
             return
-        threshold = self.threshold(refusing, choice.now)
         share = (threshold - choice.level) / threshold
         wait = max(SHORTEST_RETRY_AFTER, share * self.reopen_time)
         raise EarlyRefusalError(wait * (0.5 + self.dice.random()), threshold)
--- a/mangobay/serving.py
+++ b/mangobay/serving.py
@@ -26,6 +26,7 @@
 Cut at the deadline its fate would stay unknown for ever; finished, the answer
 waits for the caller's repeat with the same key.
 """
+FIRST_SERVER_ERROR = 500
 
 Outcome = messages.Outcome
 Reason = messages.Reason
@@ -99,7 +100,7 @@
                 reply = await self.serve_started(call, execute, deadline)
         finally:
             self.entered -= 1
-        return self.finished(reply, place, grant.close())
+        return self.finished(call, reply, place, grant.close())
 
     def refuse(
         self,
@@ -108,10 +109,11 @@
         reply: messages.Reply,
     ) -> messages.Reply:
         """Returns a refusal that hands every extra try back."""
-        return self.finished(reply, place, call.tries)
+        return self.finished(call, reply, place, call.tries)
 
     def finished(
         self,
+        call: messages.Call,
         reply: messages.Reply,
         place: announcements.Served | None,
         tries_left: int,
@@ -125,6 +127,7 @@
         reply.host = self.process.host
         if place is not None:
             reply.threshold = place.admission.threshold
+            reply.below = place.admission.below(call.operation)
             reply.inflight = place.admission.running
             reply.limit = place.admission.limit
         return reply
@@ -196,6 +199,7 @@
             depth=call.depth,
             deadline=deadline,
             client=call.client,
+            operation=call.operation,
             tree=trace.trace_id,
         )
         try:
@@ -219,9 +223,10 @@
             now = asyncio.get_running_loop().time()
             permit.leave(
                 now - began,
-                ok=reply.outcome == Outcome.ANSWERED,
+                ok=is_whole(reply),
                 awaited=running.awaited_at(now),
                 shed=reply.reason == Reason.BACKEND_SHED,
+                below=running.below,
             )
         invariants.check(
             invariants.Promise.NOT_RUN_IS_TRUE,
@@ -299,6 +304,16 @@
         return self.parents.get(ids.CallId(trace.parent)) if trace else None
 
 
+def is_whole(reply: messages.Reply) -> bool:
+    """Returns whether the backend server did its work.
+
+    One whose child call was refused answers with an error early: its time is
+    no service time, and its answer no sign that the services below admit.
+    """
+    answered = reply.outcome == Outcome.ANSWERED
+    return answered and reply.status < FIRST_SERVER_ERROR
+
+
 def broken(
     error: errors.BackendError, attempt: backend.Attempt
 ) -> messages.Reply:
--- a/mangobay/waiting.py
+++ b/mangobay/waiting.py
@@ -4,6 +4,7 @@
 import collections
 import dataclasses
 
+from mangobay import ids
 from mangobay.generated import messages
 
 DEPTHS = 8
@@ -22,6 +23,7 @@
     """One waiting call.
 
     Attributes:
+      operation: what is called.
       rank: from rank_of; higher goes first.
       level: its admission level.
       since: loop time of its arrival.
@@ -30,6 +32,7 @@
       timer: ends the wait.
     """
 
+    operation: ids.OperationName
     rank: int
     level: int
     since: float
--- a/schema/messages.capnp
+++ b/schema/messages.capnp
@@ -111,6 +111,8 @@
   revision @11 :UInt64 $id("Revision");
   serviceMs @12 :UInt32;
   # Time the backend server spent, milliseconds.
+  below @13 :UInt16;
+  # Lowest level of this operation that the services below it admit.
 }
 
 struct Cancel {
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import dataclasses
 import random
 
 import decisionfakes as fakes
@@ -129,6 +130,24 @@
         answer(router, host, fakes.ANSWERED)
         assert pick(router) == host
 
+    async def test_only_the_operation_refused_below_is_refused(self):
+        """Prices need a service in trouble, stock does not.
+
+        The host admits everything itself.  Calls for prices are refused at
+        the first node; calls for stock go on.
+        """
+        router = make_router(fakes.member("a"))
+        price, stock = map(ids.OperationName, ("price", "stock"))
+        seen = dataclasses.replace(
+            fakes.ANSWERED, operation=price, below=2 * 256
+        )
+        answer(router, ids.HostId("a"), seen)
+        router.dice = random.Random(fakes.SEED)
+        with pytest.raises(routing.EarlyRefusalError) as refused:
+            pick(router, operation=price)
+        assert refused.value.threshold == 2 * 256
+        assert pick(router, operation=stock) == "a"
+
     async def test_critical_is_never_refused_early(self):
         router = make_router(fakes.member("a"))
         answer(router, ids.HostId("a"), refusing(3 * 256))
