A control host that leads hands over when it is told to stop

Cause: after SIGTERM to the leader the group stood still until the others had missed its heartbeats; a rolling restart meets that at every host. Ruled out: naming one successor, which may just be the one that is away. Only timers change; votes are asked for as ever.

--- a/mangobay/consensus.py
+++ b/mangobay/consensus.py
@@ -8,6 +8,7 @@
     compaction,
     election,
     errors,
+    handover,
     ids,
     invariants,
     logs,
@@ -180,7 +181,10 @@
             case messages.VoteRequest():
                 return await election.answer(self, body)
             case messages.AppendRequest():
-                return await replication.take_entries(self, body)
+                answer = await replication.take_entries(self, body)
+                if body.leaving and body.term == self.term:
+                    handover.leader_left(self)
+                return answer
             case messages.SnapshotPut():
                 return await replication.take_snapshot(self, body)
         raise errors.PeerProtocolError(
--- a/mangobay/control.py
+++ b/mangobay/control.py
@@ -10,6 +10,7 @@
     disk,
     doorkeeper,
     errors,
+    handover,
     ids,
     leases,
     logs,
@@ -137,6 +138,7 @@
             )
             for task in done:
                 task.result()
+            await handover.hand_over(self.group)
         finally:
             for task in (*working, stopping):
                 task.cancel()
--- a/mangobay/election.py
+++ b/mangobay/election.py
@@ -105,7 +105,11 @@
             async with group.lock:
                 await rejoin.remember_voters(group)
         elif group.now() < group.campaign_at:
-            wait = group.campaign_at - group.now()
+            # A leader that says farewell puts the campaign forward.
+            wait = min(
+                group.campaign_at - group.now(),
+                group.settings.heartbeat_interval,
+            )
             await asyncio.sleep(max(wait, SHORTEST_WAIT))
         else:
             group.put_off_campaign()
--- a/schema/messages.capnp
+++ b/schema/messages.capnp
@@ -387,6 +387,8 @@
   # Disk of the leader.
   address @7 :Text;
   # Peer address of the leader.
+  leaving @8 :Bool;
+  # The leader stops as planned and leads no more.
 }
 
 struct AppendReply {
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -5,7 +5,7 @@
 import groupfakes
 import pytest
 
-from mangobay import errors
+from mangobay import errors, handover
 from mangobay.generated import messages
 
 pytestmark = pytest.mark.looptime
@@ -50,6 +50,35 @@
             assert leader.disk.syncs - before < 10
 
 
+class TestHandover:
+    """A leader that stops as planned."""
+
+    async def test_another_leads_before_the_others_miss_it(self):
+        """The leader says farewell and stops.
+
+        The others elect one of themselves at once: before the shortest
+        election timeout has passed.  What the former leader had committed
+        is there, and a change is accepted.
+        """
+        for seed in range(1, 11):
+            async with groupfakes.Cluster(seed) as cluster:
+                former = await cluster.commit("before")
+                timeout = former.group.settings.election_timeout
+                began = former.group.now()
+                await handover.hand_over(former.group)
+                assert not former.leads
+                await cluster.until(
+                    lambda c=cluster, f=former: any(
+                        host.leads for host in c.others(f)
+                    )
+                )
+                assert cluster.hosts[0].group.now() - began < timeout
+                await former.crash()
+                leader = await cluster.commit("after")
+                versions = [version for _, version in leader.machine.sheets]
+                assert versions == ["before", "after"]
+
+
 class TestLostDisk:
     """Hosts whose disks come back empty."""
 
