A connection to a peer that nobody asks is ended after five minutes

Cause: the asking side kept a connection, and a record, for every address that it had ever asked; hosts that are replaced keep coming with new ones. Ruled out: ending them at the listener, where a request may be on its way and would break as unknown.

--- a/mangobay/connections.py
+++ b/mangobay/connections.py
@@ -34,6 +34,8 @@
       backlog_bytes: written but not taken by the peer; above it requests
         are refused unsent.
       streams: most requests of one connection that are answered at once.
+      idle_seconds: after this time without a request the asking side ends a
+        connection.
     """
 
     frame_bytes: int = wire.FRAME_BYTES
@@ -42,6 +44,7 @@
     connect_seconds: float = 1
     backlog_bytes: int = 4 * 1024 * 1024
     streams: int = 20_000
+    idle_seconds: float = 300
 
 
 def tune(writer: asyncio.StreamWriter) -> None:
@@ -73,6 +76,7 @@
       waiting: futures of the requests sent, by stream.
       serving: tasks of the requests received, by stream.
       partial_since: loop time when a frame began that has not ended, or 0.
+      asked_at: loop time of the newest request sent.
     """
 
     def __init__(
@@ -94,6 +98,7 @@
         self.frames: list[bytes] = []
         self.closed = False
         self.partial_since = 0.0
+        self.asked_at = self.loop.time()
 
     async def greet(self, mine: messages.Hello, first: bool) -> None:
         """Exchanges the Hellos; the connecting side sends first.
@@ -205,6 +210,7 @@
           TimeoutError: no answer in time.
         """
         self.check_writable()
+        self.asked_at = self.loop.time()
         self.last_stream += 1
         stream = self.last_stream
         self.send(messages.Envelope(stream=stream, body=body))
--- a/mangobay/peers.py
+++ b/mangobay/peers.py
@@ -54,6 +54,14 @@
     closed_until: float = 0.0
     reading: asyncio.Task | None = None
 
+    def is_idle(self, oldest: float) -> bool:
+        """Returns whether nobody asked or connected since a loop time."""
+        if self.connecting is not None or self.closed_until > oldest:
+            return False
+        if self.connection is None:
+            return True
+        return not self.connection.waiting and self.connection.asked_at < oldest
+
 
 class Peers:
     """Asks other processes; keeps one connection for each address."""
@@ -71,6 +79,7 @@
         self.limits = limits or Limits()
         self.random = rng or random.Random()
         self.peers: dict[options.Address, Peer] = {}
+        self.sweeping: asyncio.TimerHandle | None = None
 
     async def ask(
         self,
@@ -154,6 +163,8 @@
         peer.failures = 0
         peer.connection = connection
         peer.reading = asyncio.create_task(connection.run())
+        if self.sweeping is None:
+            self.sweep()
         return connection
 
     async def open(self, address: options.Address) -> connections.Connection:
@@ -171,8 +182,28 @@
             raise
         return connection
 
+    def sweep(self) -> None:
+        """Ends connections that nobody asks on, and forgets their peers.
+
+        Over weeks a node would otherwise keep a connection to every host it
+        ever called, until the listeners there take no more.  Only the asking
+        side ends them: it knows that no request is on its way.
+        """
+        loop = asyncio.get_running_loop()
+        oldest = loop.time() - self.limits.idle_seconds
+        for address, peer in list(self.peers.items()):
+            if peer.is_idle(oldest):
+                if peer.connection is not None:
+                    peer.connection.close("idle")
+                del self.peers[address]
+        self.sweeping = loop.call_later(
+            self.limits.idle_seconds / 2, self.sweep
+        )
+
     async def close(self) -> None:
         """Ends every connection."""
+        if self.sweeping is not None:
+            self.sweeping.cancel()
         tasks = []
         for peer in self.peers.values():
             if peer.connecting is not None:
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -65,6 +65,34 @@
             await asyncio.sleep(0.001)
 
 
+class TestIdle:
+    """Connections that nobody asks on."""
+
+    async def test_an_idle_connection_is_ended_and_made_again(
+        self, desk, listener
+    ):
+        """One peer is asked once; an answer of another comes very late.
+
+        The connection to the first is ended after a while and the next
+        request makes a new one.  The second, on which somebody waits, stays.
+        """
+        busy = peers.Listener(LOOPBACK, HELLO, desk)
+        await busy.start()
+        desk.gates["slow"] = asyncio.Event()
+        limits = peers.Limits(idle_seconds=0.1)
+        asking = peers.Peers(HELLO, limits=limits)
+        slow = asyncio.create_task(asking.ask(busy.address, call("slow"), LONG))
+        await asking.ask(listener.address, call("fast"), LONG)
+        await until(lambda: not listener.standing)
+        assert list(asking.peers) == [busy.address]
+        answer = await asking.ask(listener.address, call("again"), LONG)
+        assert answer.body == b"again"
+        desk.gates["slow"].set()
+        assert (await slow).body == b"slow"
+        await asking.close()
+        await busy.close()
+
+
 class TestAsk:
     """One connection, many streams."""
 
