Only members are told that a view has become active

Change: callers are not answered for it; held renewals stay held. Tests: leases, random leases, client, control, random at most once pass; the new test fails with the condition taken out.

--- a/mangobay/renewals.py
+++ b/mangobay/renewals.py
@@ -50,6 +50,9 @@
 ) -> list[messages.ServiceView]:
     """Returns the views that differ from what the node acts by.
 
+    Only its members are told that a view has become active, for they alone
+    act on it; each view would otherwise go to all its callers twice.
+
     Args:
       config: the replicated state.
       active: services whose newest view is active.
@@ -66,12 +69,17 @@
         if (
             ack is None
             or ack.version < view.version
-            or (is_active and not ack.active)
+            or (is_active and not ack.active and is_member(renewal, view))
         ):
             views.append(told_to(renewal, view, is_active))
     return views
 
 
+def is_member(renewal: messages.LeaseRenew, view: messages.ServiceView) -> bool:
+    """Returns whether the node's host is a member of a view."""
+    return any(member.host == renewal.host for member in view.members)
+
+
 def told_to(
     renewal: messages.LeaseRenew, view: messages.ServiceView, active: bool
 ) -> messages.ServiceView:
@@ -80,7 +88,7 @@
     Only members take slots over and ask who was a member before. To the many
     who call the service the former views would be most of every push.
     """
-    if any(member.host == renewal.host for member in view.members):
+    if is_member(renewal, view):
         return dataclasses.replace(view, active=active)
     return dataclasses.replace(
         view, active=active, formers=[], lineage_whole=False
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -256,6 +256,34 @@
         )
         assert grant.views[0].active
 
+    async def test_a_view_that_becomes_active_is_told_to_its_members_only(
+        self, table
+    ):
+        """A second host of a service joins; the first one learns of it.
+
+        With that the view is active, which its members need to know before
+        they give up on lost keys. Hundreds of callers have no use for it:
+        their held renewals stay held.
+        """
+        for host in "ab":
+            await table.renew(controlfakes.renewal(host, "quotes"))
+        caller = {"interests": ["prices", "quotes"]}
+        grant = await table.renew(controlfakes.renewal("c", "prices", **caller))
+        acks = [(view.service, view.version, True) for view in grant.views]
+        acks = [acks[0], acks[1][:2]]
+        asked = controlfakes.renewal(
+            "c", "prices", acks=acks, hold_ms=900, **caller
+        )
+        held = asyncio.create_task(table.renew(asked))
+        await asyncio.sleep(0.1)
+        grant = await table.renew(
+            controlfakes.renewal("a", "quotes", acks=[acks[1]])
+        )
+        assert [view.active for view in grant.views] == [True]
+        await asyncio.sleep(0.1)
+        assert not held.done()
+        assert not (await held).views
+
     async def test_one_dropped_two_views_ago_is_still_waited_for(
         self, table, state
     ):
