--- a/mangobay/once.py
+++ b/mangobay/once.py
@@ -8,7 +8,7 @@
     calls,
     clock,
     copies,
-    handover,
+    endings,
     ids,
     keys,
     records,
@@ -149,7 +149,7 @@
             settled = entry.state is not messages.OnceState.STARTED
             if settled and share.owns(entry.slot):
                 record = share.registry.get(entry.key)
-                self.spawn(handover.spread(share, self.sender, record))
+                self.spawn(endings.spread(share, self.sender, record))
 
     async def run(
         self, call: messages.Call, execute: Execute
@@ -310,11 +310,11 @@
         answered = reply.outcome is messages.Outcome.ANSWERED
         state = records.State.ANSWERED if answered else records.State.UNKNOWN
         record.settle(state, reply)
-        self.spawn(handover.spread(share, self.sender, record))
+        self.spawn(endings.spread(share, self.sender, record))
 
     async def handed_over(self) -> None:
         """Returns when no record here is needed by a newer owner any more."""
-        await handover.finish(self.me, self.shares, self.sender)
+        await endings.finish(self.me, self.shares, self.sender)
 
     async def close(self) -> None:
         """Ends every task of this part."""
