--- a/tests/test_report.py
+++ b/tests/test_report.py
@@ -4,7 +4,9 @@
 import json
 
 import eliot
+import nodes
 import pytest
+from aiohttp import web
 
 from mangobay import calls, cmdline, errors, ledger, report
 from mangobay.generated import messages
@@ -86,6 +88,36 @@
         assert interval.since_ms == interval.until_ms == MINUTE
 
 
+class TestNode:
+    """What a whole node counts."""
+
+    async def test_a_caller_that_hung_up_counts_as_unknown(self, tmp_path):
+        """A caller hangs up while its booking runs, and nobody answers it.
+
+        The booking may have run, so the record says unknown; a call that
+        was in no count would be missing in the disclosure.
+        """
+        release = asyncio.Event()
+
+        async def book(request):
+            await release.wait()
+            return web.Response()
+
+        async with nodes.world(tmp_path) as world:
+            one = await world.start("one", book)
+            asking = asyncio.create_task(
+                world.outside(one, "POST", "/stock/book")
+            )
+            await nodes.until(lambda: one.backend_server.requests)
+            asking.cancel()
+            await nodes.until(lambda: one.ledger.counts)
+            release.set()
+            ((kind, count),) = one.ledger.counts.items()
+        assert (kind.operation, kind.outside, count) == ("book", True, 1)
+        assert kind.outcome is messages.Outcome.UNKNOWN
+        assert kind.reason is Reason.CANCELLED
+
+
 class TestReport:
     """Facts of a period, and what is missing in it."""
 
