--- /dev/null
+++ b/tests/test_startgate.py
@@ -0,0 +1,36 @@
+"""The gate before the first byte of a keyed call."""
+
+import asyncio
+
+import once_fakes
+import pytest
+
+from mangobay.generated import messages
+
+
+@pytest.mark.looptime
+class TestView:
+    """A view that changes while the gate waits for the holder."""
+
+    async def test_the_holder_changes_while_it_acknowledges(self):
+        """The caller is told not run, and its resend runs once.
+
+        The holder's acknowledgement is on its way when a view without that
+        holder comes.  The node still owns the key, but the new holder knows
+        nothing of this call: were it started, and its node killed, the next
+        owner would run it again.
+        """
+        async with once_fakes.network() as net:
+            key = once_fakes.new_key()
+            owner, holder = net.owner(key), net.holder(key)
+            booking = asyncio.create_task(net.send(owner, key))
+            await asyncio.sleep(1.2 * once_fakes.DELAY)
+            net.publish(*(host for host in net.members if host != holder))
+            assert net.owner(key) == owner
+            reply = await booking
+            assert reply.outcome is messages.Outcome.NOT_RUN
+            assert reply.reason is messages.Reason.OWNER_CHANGED
+            assert net.runs == []
+            again = await net.send(owner, key)
+            assert again.outcome is messages.Outcome.ANSWERED
+            assert net.runs == ["run"]
