--- a/mangobay/admission.py
+++ b/mangobay/admission.py
@@ -157,6 +157,8 @@
     @property
     def threshold(self) -> int:
         """The lowest level admitted now; goes back on every reply."""
+        if not self.downstream.told:
+            return self.pressure.threshold
         now = asyncio.get_running_loop().time()
         return max(self.pressure.threshold, self.downstream.threshold(now))
 
--- a/mangobay/entry.py
+++ b/mangobay/entry.py
@@ -191,8 +191,10 @@
         self, request: calls.Request, reply: messages.Reply, made: Attempts
     ) -> float | None:
         """Returns the seconds before another attempt, None for none."""
+        if reply.outcome is Outcome.ANSWERED:
+            return None
         left = request.deadline - asyncio.get_running_loop().time()
-        if left <= 0 or reply.outcome == Outcome.ANSWERED:
+        if left <= 0:
             return None
         if is_redirect(reply) and made.redirects < MOST_REDIRECTS:
             made.redirects += 1
--- a/mangobay/httpserver.py
+++ b/mangobay/httpserver.py
@@ -191,13 +191,13 @@
     reply: messages.Reply, dice: random.Random, detail: str = ""
 ) -> web.Response:
     """Returns the HTTP answer that says what a reply says."""
-    if reply.outcome != messages.Outcome.ANSWERED:
+    if reply.outcome is not messages.Outcome.ANSWERED:
         shown = problems.problem(reply, dice, detail)
         return web.Response(
             status=shown.status, headers=shown.headers, body=shown.body
         )
     headers = multidict.CIMultiDict(
-        (header.name, header.value) for header in reply.headers
+        [(header.name, header.value) for header in reply.headers]
     )
     headers[fields.OUTCOME] = "answered"
     return web.Response(status=reply.status, headers=headers, body=reply.body)
