--- a/mangobay/admission.py
+++ b/mangobay/admission.py
@@ -64,8 +64,8 @@
       depth: hops from the first node.
       deadline: loop time.
       client: who entered the call tree.
-      tree: names the call tree, such as its trace id; when empty, the client
-        stands for it.  Trees of one importance are refused by its hash.
+      tree: names the call tree; when empty, the client stands for it.
+        Trees of one importance are refused by its hash.
     """
 
     importance: messages.Importance
