--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -161,6 +161,47 @@
         assert (await here.ask(listener.address, call("a"), LONG)).body == b"a"
 
 
+class Writer:
+    """A stream writer that keeps what is written."""
+
+    def __init__(self):
+        self.written: list[bytes] = []
+        self.transport = self
+
+    def write(self, data):
+        self.written.append(data)
+
+    def is_closing(self):
+        return False
+
+    def get_write_buffer_size(self):
+        return 0
+
+
+class TestWrites:
+    """How many writes a turn of the loop makes."""
+
+    async def test_a_lone_frame_goes_at_once_and_others_together(self):
+        writer = Writer()
+        line = connections.Connection(None, writer, peers.Limits())
+        first = asyncio.create_task(line.ask(call("one"), LONG))
+        await asyncio.sleep(0)
+        assert len(writer.written) == 1
+        rest = [
+            asyncio.create_task(line.ask(call(name), LONG))
+            for name in ("two", "three")
+        ]
+        await asyncio.sleep(0)
+        assert len(writer.written) == 1
+        await asyncio.sleep(0)
+        assert len(writer.written) == 2
+        last = wire.pack(messages.Envelope(stream=3, body=call("three")))
+        assert writer.written[1].endswith(last)
+        for number, task in enumerate((first, *rest), start=1):
+            line.settle(messages.Envelope(stream=number, body=HELLO))
+            assert await task == HELLO
+
+
 class TestListener:
     """What a stranger gets."""
 
