Test: planned stops of nodes share one deployment; control hosts start together

The two tests of a node that leaves under load were the same but for the way of telling it; one test does both in turn with the same assertions.

--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -7,7 +7,7 @@
 import processfakes
 import uuid6
 
-from bench import load
+from bench import cluster, load
 from mangobay import operatorclient
 
 
@@ -152,39 +152,25 @@
 class TestLeaving:
     """Planned stops."""
 
-    async def test_a_node_under_load_is_told_to_stop(self, tmp_path):
-        """SIGTERM to a node while callers use it and the others.
+    async def test_nodes_leave_under_load(self, tmp_path):
+        """One node gets SIGTERM, then another is drained, under load.
 
-        Nothing in flight is cut, nothing new reaches its backend server
-        after two seconds, and it ends with 0; callers that it refuses are
+        Nothing in flight is cut, nothing new reaches their backend servers
+        after two seconds, and both end with 0; callers that they refuse are
         told `not_run` and repeat elsewhere.
         """
         async with processfakes.started_world(tmp_path) as world:
-            leaver = world.layout.nodes[0]
+            stopped, drained, _ = world.layout.nodes
             async with processfakes.loaded(world, world.layout.nodes) as load_:
                 await calls_made(load_, 40)
-                code = await world.fleet.stop(leaver.name)
-                load_.targets.remove(leaver.outside)
-                await world.check_no_new_work(leaver)
-            assert code == 0
-            await world.check_nothing_lost(load_)
-
-    async def test_a_node_under_load_is_drained(self, tmp_path):
-        """An operator drains a host while callers use it and the others.
-
-        The node leaves by itself as after SIGTERM: exit 0, nothing cut, and
-        nothing new at its backend server after two seconds.
-        """
-        async with processfakes.started_world(tmp_path) as world:
-            leaver = world.layout.nodes[0]
-            async with processfakes.loaded(world, world.layout.nodes) as load_:
-                await calls_made(load_, 40)
-                await world.client.drain(leaver.name)
+                assert await world.fleet.stop(stopped.name) == 0
+                load_.targets.remove(stopped.outside)
+                await world.check_no_new_work(stopped)
+                await world.client.drain(drained.name)
                 async with asyncio.timeout(processfakes.LONG):
-                    code = await world.ended(leaver.name)
-                load_.targets.remove(leaver.outside)
-                await world.check_no_new_work(leaver)
-            assert code == 0
+                    assert await world.ended(drained.name) == 0
+                load_.targets.remove(drained.outside)
+                await world.check_no_new_work(drained)
             await world.check_nothing_lost(load_)
 
     async def test_everything_is_restarted_in_turn_under_load(self, tmp_path):
@@ -232,8 +218,9 @@
 
 async def start_controls(world):
     """Starts the control hosts and waits for a leader."""
-    for host in world.layout.controls:
-        await world.start_control(host)
+    await cluster.all_of(
+        world.start_control(host) for host in world.layout.controls
+    )
     await world.client.status()
 
 
