A node waits longer for a control host that answers late

Cause: a leader whose answers take longer than patience (0.5 s), as after everything restarted at once, was asked again for each; the work for the answer given up was lost, so no node ever got a lease. Ruled out: a longer patience always (a silent leader is then left late). Change: patience doubles with each renewal without an answer, up to eight times, and halves with each answer. Test: a leader that takes 1.5 s grants; fails without the doubling.

--- a/mangobay/controlclient.py
+++ b/mangobay/controlclient.py
@@ -23,6 +23,10 @@
 FIRST_BACKOFF = 0.02
 """Seconds; upper bound of the first pause after a failure."""
 
+MOST_DOUBLINGS = 3
+"""Of `patience`: one for each renewal without an answer in time, one less for
+each that got it."""
+
 SHORTEST_ROUND = 0.02
 """Seconds between two renewals, whatever the leader answers."""
 
@@ -86,6 +90,7 @@
         self.interests = interests.Interests()
         self.address = randomness.choice(config.hosts)
         self.failures = 0
+        self.timeouts = 0
         self.changed = asyncio.Event()
         self.answered = asyncio.Event()
         self.served: list[messages.ServedService] = []
@@ -158,6 +163,16 @@
         longest = min(longest, self.config.renew_interval)
         return self.randomness.uniform(0, longest)
 
+    def patience(self) -> float:
+        """Returns the seconds to wait for an answer that is not held.
+
+        After everything restarted at once, a leader answers each renewal too
+        late: given up and sent again, every one would cost it the work and
+        none would be granted, for ever. Waiting longer each time lets the
+        answers through; most of the lease is spent, but the next is sooner.
+        """
+        return self.config.patience * 2 ** min(self.timeouts, MOST_DOUBLINGS)
+
     async def renew_once(self) -> bool:
         """Asks one control host once.
 
@@ -168,10 +183,13 @@
         asked_at = clock.now()
         try:
             answer = await self.ask(renewal)
+            self.timeouts = max(self.timeouts - 1, 0)
             if answer is None:
                 return True
             return self.take(renewal, asked_at, answer)
-        except (errors.PeerError, TimeoutError):
+        except (errors.PeerError, TimeoutError) as error:
+            if isinstance(error, TimeoutError):
+                self.timeouts += 1
             self.try_next()
             return False
         except errors.MangobayError as error:
@@ -192,7 +210,7 @@
           errors.PeerError: no answer came.
           TimeoutError: none came in time.
         """
-        timeout = renewal.hold_ms / 1000 + self.config.patience
+        timeout = renewal.hold_ms / 1000 + self.patience()
         if not renewal.hold_ms:
             return await self.transport.ask(self.address, renewal, timeout)
         asking = asyncio.create_task(
--- a/tests/test_controlclient.py
+++ b/tests/test_controlclient.py
@@ -124,6 +124,31 @@
             await asyncio.sleep(2)
             assert client.tables.value.revision == entry.index
 
+    async def test_a_leader_slower_than_patience_still_grants(
+        self, client, group, transport, monkeypatch
+    ):
+        """Everything restarted at once; the leader takes 1.5 s an answer.
+
+        Given up after 0.5 s and sent again for ever, no renewal would be
+        answered, though the leader works without a pause. The node waits
+        longer after each silence and gets its lease and its table.
+        """
+        renew = transport.tables[FIRST].renew
+
+        async def slowly(body):
+            await asyncio.sleep(1.5)
+            return await renew(body)
+
+        monkeypatch.setattr(transport.tables[FIRST], "renew", slowly)
+        entry = group.append(
+            controlfakes.sheet("1", controlfakes.operation("sign"))
+        )
+        async with controlfakes.running(client):
+            client.serves = [messages.ServedService(name="quotes", slots=70)]
+            await asyncio.sleep(15)
+            assert client.lease.holds()
+            assert client.tables.value.revision == entry.index
+
     async def test_a_follower_names_the_leader(self, group, transport):
         follower = controlfakes.FakeGroup(machine.ConfigMachine())
         follower.leading.clear()
