Patience falls again only after answers well within it

Change: an answer within a quarter of the patience lowers it. The test asks for the table and for a lease more than half of the time; at 1.5 s an answer and a lease of 4 s counted from the asking, gaps remain. Tests: client, leases, random leases, control pass; the new one fails without the doubling.

--- a/mangobay/controlclient.py
+++ b/mangobay/controlclient.py
@@ -25,7 +25,7 @@
 
 MOST_DOUBLINGS = 3
 """Of `patience`: one for each renewal without an answer in time, one less for
-each that got it."""
+each that got it well within."""
 
 SHORTEST_ROUND = 0.02
 """Seconds between two renewals, whatever the leader answers."""
@@ -169,10 +169,15 @@
         After everything restarted at once, a leader answers each renewal too
         late: given up and sent again, every one would cost it the work and
         none would be granted, for ever. Waiting longer each time lets the
-        answers through; most of the lease is spent, but the next is sooner.
+        answers through, though part of each lease is spent when it arrives.
         """
         return self.config.patience * 2 ** min(self.timeouts, MOST_DOUBLINGS)
 
+    def note_answer(self, seconds: float) -> None:
+        """Lowers the patience again after an answer well within it."""
+        if seconds < self.patience() / 4:
+            self.timeouts = max(self.timeouts - 1, 0)
+
     async def renew_once(self) -> bool:
         """Asks one control host once.
 
@@ -183,7 +188,7 @@
         asked_at = clock.now()
         try:
             answer = await self.ask(renewal)
-            self.timeouts = max(self.timeouts - 1, 0)
+            self.note_answer(clock.now() - asked_at - renewal.hold_ms / 1000)
             if answer is None:
                 return True
             return self.take(renewal, asked_at, answer)
