--- a/tests/test_tenure.py
+++ b/tests/test_tenure.py
@@ -30,7 +30,7 @@
         """
         member = messages.Member(host="a", incarnation="1")
         me = tenure.Process("b", "1")
-        registry = records.Registry(3600, 10)
+        registry = records.Registry(3600, 10, records.Budget(1_000_000))
         place = slots.CopyPlace.OTHER_DATA_CENTRE
         share = tenure.Tenure("stock", me, registry, 1, place)
         former = messages.FormerView(version=5, members=[member])
