--- a/tests/processfakes.py
+++ b/tests/processfakes.py
@@ -101,6 +101,14 @@
             sections.setdefault(section, {}).update(keys)
         hosts.write(host.settings, sections, CONTROL_CHANGES)
 
+    async def wait_leaving(self, host: hosts.NodeHost) -> None:
+        """Returns once control knows that a host leaves."""
+        async with asyncio.timeout(LONG):
+            while host.name not in {
+                each.host for each in await self.client.hosts() if each.leaving
+            }:
+                await asyncio.sleep(POLL_SECONDS)
+
     async def versions(self) -> list[str]:
         """Returns the versions of the sheets in the history, oldest first."""
         history = await self.client.ask("GET", "/v1/history")
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -193,6 +193,29 @@
                     await world.client.status()
             await world.check_nothing_lost(load_)
 
+    async def test_a_second_signal_cuts_and_says_what(self, tmp_path):
+        """SIGTERM waits for a slow booking, and a second SIGTERM does not.
+
+        The node ends with 1 and its log names the operation that it cut.
+        The caller is never told `not_run`, since the booking runs.
+        """
+        async with processfakes.started_world(tmp_path) as world:
+            key = str(uuid6.uuid7())
+            owner = await world.owner(key)
+            await world.slow_down(processfakes.SERVICE, 200)
+            booking = asyncio.create_task(
+                world.book(world.others(owner)[0], key)
+            )
+            await world.wait_run(key)
+            await world.signal(owner.name, signal.SIGTERM)
+            await world.wait_leaving(owner)
+            await world.signal(owner.name, signal.SIGTERM)
+            async with asyncio.timeout(processfakes.LONG):
+                assert await world.ended(owner.name) == 1
+            log = owner.settings.with_suffix(".log").read_text()
+            assert '"operations_running_here":["book"]' in log
+            assert await booking == load.UNKNOWN
+
     async def test_a_node_without_control_ends_at_once(self, tmp_path):
         """Every control host is gone, then a node is told to stop.
 
