Waiting calls that the threshold shuts out are refused at once

Change: a call from another hop waits at most 4 times queue_time (16 before); a rise of the threshold refuses the waiting calls below it; a threshold of the own host falls late at first (second power, was straight); the shortest service time, by which hopeless calls are refused, is kept by operation. bench: reasons of failures, lateness of the callers.

--- a/Makefile
+++ b/Makefile
@@ -32,7 +32,7 @@
 	$(VENV)/bin/ruff check --fix .
 
 measure: $(READY)
-	$(RUN) -m bench.measure
+	$(RUN) -m bench.measure --deployment $(DEPLOYMENT) --arms all
 
 slopes: $(READY)
 	$(RUN) -m bench.slopes
--- a/bench/backend.py
+++ b/bench/backend.py
@@ -178,13 +178,14 @@
                 async with self.session.request(
                     operation.method, url, headers=headers
                 ) as response:
-                    await response.read()
+                    body = await response.read()
                     status = response.status
             except aiohttp.ClientError:
                 status = 0
+                body = b""
             if status == 200:
                 return
-        raise ChildFailedError(f"{child} gave {status}")
+        raise ChildFailedError(f"{child} gave {status} {why_of(body)}")
 
     def health(self) -> web.Response:
         """Returns health and load, or a lie."""
@@ -254,6 +255,15 @@
     await backend.session.close()
 
 
+def why_of(body: bytes) -> str:
+    """Returns the reason that the body of a failure gives, or nothing."""
+    try:
+        document = json.loads(body)
+    except ValueError:
+        return ""
+    return str(document.get("reason") or document.get("error") or "")
+
+
 def make_parser() -> argparse.ArgumentParser:
     """Returns the parser of the command line."""
     parser = argparse.ArgumentParser(description=__doc__)
--- a/bench/load.py
+++ b/bench/load.py
@@ -35,6 +35,7 @@
       whole: the answer is all there and belongs to this attempt.
       foreign: the answer belongs to another attempt.
       retry_after: seconds that the refusal asks to wait.
+      why: what the answer gives as the reason of a failure.
     """
 
     marker: str
@@ -43,6 +44,7 @@
     whole: bool = False
     foreign: bool = False
     retry_after: float = 0.0
+    why: str = ""
 
 
 @dataclasses.dataclass(slots=True)
@@ -82,6 +84,8 @@
       tries: extra tries of each caller.
       calls: every call, in the order of starting.
       rate: calls a second; may be changed while it runs.
+      lateness: seconds between when each call was due and its start; shows
+        whether the machine was too busy for a measurement.
     """
 
     def __init__(
@@ -98,6 +102,7 @@
         self.tries = tries
         self.random = random.Random(seed)
         self.calls: list[Call] = []
+        self.lateness: list[float] = []
         self.tasks: set[asyncio.Task] = set()
         self.session = sessions.open_session()
         self.works = [work for work in plan.works.values() if work.share]
@@ -113,6 +118,7 @@
             if due >= end:
                 break
             await asyncio.sleep(due - loop.time())
+            self.lateness.append(loop.time() - due)
             self.start(due)
         await asyncio.sleep(end - loop.time())
 
@@ -188,6 +194,8 @@
                 attempt.outcome = response.headers.get(backend.OUTCOME, "")
                 if attempt.status == 200:
                     judge(call, operation, body)
+                else:
+                    attempt.why = backend.why_of(body)
         except (aiohttp.ClientError, TimeoutError):
             attempt.status = NO_ANSWER
 
--- a/bench/measure.py
+++ b/bench/measure.py
@@ -113,6 +113,7 @@
         best=capacity.serve(wanted(job), slots_of(running.layout)),
         busiest=max(shares.values()),
         cores=sum(shares.values()),
+        late=sorted(callers.lateness)[len(callers.lateness) * 99 // 100],
     )
 
 
--- a/bench/outcomes.py
+++ b/bench/outcomes.py
@@ -24,6 +24,7 @@
     "p50 ms",
     "p99 ms",
     "busiest core",
+    "late ms",
 )
 
 
@@ -41,6 +42,7 @@
       after: the phase after it.
       best: what the slots could serve in the trouble.
       busiest: processor share of the busiest process in the trouble.
+      late: seconds that 99 of 100 calls started after they were due at most.
       cores: processor cores used by all processes in the trouble.
     """
 
@@ -54,6 +56,7 @@
     best: list[capacity.Demand]
     busiest: float = 0.0
     cores: float = 0.0
+    late: float = 0.0
 
     def good(self, importance: messages.Importance | None = None) -> float:
         """Returns the share of good calls in the trouble."""
@@ -129,28 +132,35 @@
             f"{histogram.get_value_at_percentile(50) / 1000:.0f}",
             f"{histogram.get_value_at_percentile(99) / 1000:.0f}",
             f"{self.busiest:.0%}",
+            f"{self.late * 1000:.0f}",
         ]
 
     def failures(self) -> list[str]:
-        """Returns how failed calls of the trouble ended, most often first."""
+        """Returns how attempts of the trouble failed, most often first."""
         counts = collections.Counter(
-            f"{call.work} {call.attempts[-1].status}"
-            f" {call.attempts[-1].outcome or 'no answer'}"
+            f"{call.work} {attempt.status} {attempt.outcome or 'no answer'}"
+            f" {attempt.why}"
             for call in self.trouble.calls(self.calls)
-            if call.attempts and not call.good
+            for attempt in call.attempts
+            if not attempt.whole
         )
         return [f"{count:5d} {name}" for name, count in counts.most_common()]
 
     def lost_seconds(self) -> list[str]:
         """Returns the slot seconds of failed attempts by operation."""
         lost = collections.Counter()
+        counts = collections.Counter()
         served = verdict.served_markers(self.calls)
         for run in self.runs:
-            if run.marker not in served:
-                lost[f"{run.work} {'whole' if run.finished else 'cut'}"] += (
-                    run.seconds
-                )
-        return [f"{lost[name]:6.1f} s {name}" for name in lost]
+            if run.marker in served:
+                continue
+            name = f"{run.work} {'whole' if run.finished else 'cut'}"
+            lost[name] += run.seconds
+            counts[name] += 1
+        return [
+            f"{lost[name]:6.1f} s in {counts[name]} runs of {name}"
+            for name in lost
+        ]
 
     def wasted(self) -> float:
         """Returns the share of slot time spent on failed attempts."""
--- a/mangobay/admission.py
+++ b/mangobay/admission.py
@@ -11,6 +11,7 @@
 """
 
 import asyncio
+import collections
 import dataclasses
 import random
 
@@ -30,7 +31,7 @@
 CALM_FACTOR = 4
 """Times queue_time that a call may wait while the queue does not stand, and a
 critical one always."""
-DEEP_FACTOR = 16
+DEEP_FACTOR = 4
 """Times queue_time that a call from another hop may wait, its deadline
 permitting."""
 STANDING_FACTOR = 2
@@ -145,6 +146,7 @@
     Attributes:
       running: calls that run now.
       limiter: finds how many may.
+      expected: service times by operation.
     """
 
     def __init__(
@@ -167,7 +169,7 @@
             self.queue_time * STANDING_FACTOR, admission.reopen_time * scale
         )
         self.downstreams = downstream.Downstreams(admission.reopen_time * scale)
-        self.expected = estimates.ServiceTime()
+        self.expected = collections.defaultdict(estimates.ServiceTime)
         self.running = 0
         self.pace = estimates.Pace()
 
@@ -227,12 +229,12 @@
         Raises:
           ShedError: the call must not run.
         """
-        self.pressure.look(not self.waiting.length, now)
+        self.look(now)
         self.pressure.arrived[level // pressure.STEP] += 1
         below = self.downstreams.threshold(ticket.operation, now)
         if level < max(self.pressure.threshold, below):
             raise self.refusal(messages.Reason.OVERLOADED, level)
-        if now + self.expected.at(now) >= ticket.deadline:
+        if now + self.expected[ticket.operation].at(now) >= ticket.deadline:
             raise self.refusal(messages.Reason.DEADLINE_EXCEEDED, level)
 
     def admit(
@@ -263,7 +265,7 @@
         if self.waiting.length >= self.settings.queue_length:
             self.make_room(level, rank)
         now = loop.time()
-        latest = ticket.deadline - self.expected.at(now)
+        latest = ticket.deadline - self.expected[ticket.operation].at(now)
         waiter = waiting.Waiter(
             ticket.operation, rank, level, now, latest, loop.create_future()
         )
@@ -287,9 +289,9 @@
     def patience(self, ticket: Ticket, now: float) -> float:
         """Returns the longest wait in seconds.
 
-        A call from another hop may wait long: giving it up wastes the work
-        done above.  That queue stays short, since the threshold rises while
-        it stands and the hops above refuse new calls by it.
+        A call from another hop may wait longer than a new one: giving it up
+        wastes the work done above.  Yet each hop above holds a slot while it
+        waits, and those slots are missed by operations that do not come here.
 
         A critical call may wait longer while the queue stands: nothing less
         important is let in before it, so it waits only for running calls.
@@ -337,7 +339,7 @@
         if late:
             reason = messages.Reason.DEADLINE_EXCEEDED
         self.refuse(waiter, reason)
-        self.pressure.look(not self.waiting.length, now)
+        self.look(now)
 
     def learn(
         self, gone: Pass, seconds: float, ok: bool, awaited: float, now: float
@@ -346,7 +348,7 @@
         if not ok:
             return
         own = max(0.0, seconds - awaited)
-        self.expected.observe(seconds, now)
+        self.expected[gone.operation].observe(seconds, now)
         self.limiter.observe(own, self.running, gone.began, now)
 
     def left(self, now: float) -> None:
@@ -370,7 +372,21 @@
             waiter.future.set_result(
                 self.admit(waiter.operation, waiter.level, now, waited)
             )
+        self.look(now)
+
+    def look(self, now: float) -> None:
+        """Adjusts the threshold; refuses waiting calls that it shuts out.
+
+        On arrival they would be refused.  Newer calls go before them, so that
+        they would wait in vain, and each hop above holds a slot meanwhile.
+        """
+        former = self.pressure.threshold
         self.pressure.look(not self.waiting.length, now)
+        if self.pressure.threshold <= former:
+            return
+        for waiter in self.waiting.below(self.pressure.threshold):
+            self.waiting.remove(waiter)
+            self.refuse(waiter, messages.Reason.OVERLOADED)
 
     def refuse(self, waiter: waiting.Waiter, reason: messages.Reason) -> None:
         """Ends the wait of a call that left the queue."""
--- a/mangobay/levels.py
+++ b/mangobay/levels.py
@@ -14,7 +14,7 @@
 """The threshold that refuses nothing."""
 HIGHEST = messages.Importance.CRITICAL * FRACTIONS
 """No threshold is higher: critical calls are refused only by the queue."""
-OWN = 1
+OWN = 2
 TOLD = 4
 TOP = (messages.Importance.CRITICAL + 1) * FRACTIONS
 
--- a/mangobay/waiting.py
+++ b/mangobay/waiting.py
@@ -92,6 +92,15 @@
         self.removed(rank)
         return waiter
 
+    def below(self, level: int) -> list[Waiter]:
+        """Returns the waiters below a level."""
+        return [
+            waiter
+            for rank in self.ranks
+            for waiter in rank
+            if waiter.level < level
+        ]
+
     def best_rank(self) -> int:
         """Returns the highest rank that waits; -1 when nobody does."""
         return self.occupied.bit_length() - 1
