--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -139,6 +139,49 @@
         assert caught.value.reason == messages.Reason.DEADLINE_EXCEEDED
         assert made.running == 0
 
+    async def test_a_risen_threshold_refuses_who_waits_below_it(self):
+        """The queue stands, and new calls go before those that wait.
+
+        The threshold rises above the normal calls. A new one would be
+        refused, so those that wait are as well, and the hops above get their
+        slots back. The important one goes on waiting.
+        """
+        made = make_admission()
+        first = await made.enter(ticket())
+        waiting = await line_up(
+            made, ticket(), ticket(CRITICAL), ticket(depth=2)
+        )
+        made.pressure.sustainable = lambda: CRITICAL * 256
+        await asyncio.sleep(0.15)
+        assert made.pressure.threshold == 0
+        made.look(asyncio.get_running_loop().time())
+        assert made.pressure.threshold > NORMAL * 256 + 255
+        await asyncio.sleep(0)
+        assert [task.done() for task in waiting] == [True, False, True]
+        for task in (waiting[0], waiting[2]):
+            with pytest.raises(admission.ShedError):
+                task.result()
+        first.leave(0.01, ok=True)
+        assert (await waiting[1]).open
+
+    async def test_one_operations_time_is_not_anothers(self):
+        """Searches take 10 ms, prices 300 ms, and 100 ms are left.
+
+        A price is refused before it runs, a search goes.
+        """
+        made = make_admission(slots=8)
+        for name, seconds in (("price", 0.3), ("search", 0.01)):
+            for _ in range(200):
+                one = ticket()
+                one.operation = ids.OperationName(name)
+                (await made.enter(one)).leave(seconds, ok=True)
+        late = ticket(patience=0.1)
+        late.operation = ids.OperationName("price")
+        with pytest.raises(admission.ShedError):
+            await made.enter(late)
+        late.operation = ids.OperationName("search")
+        assert (await made.enter(late)).open
+
     async def test_an_estimate_above_all_deadlines_fades(self):
         """The backend server was so slow that no deadline could be met.
 
