--- a/mangobay/admission.py
+++ b/mangobay/admission.py
@@ -295,12 +295,17 @@
 
         A critical call may wait longer while the queue stands: nothing less
         important is let in before it, so it waits only for running calls.
+
+        Both may wait for one service time at least.  Where that is longer
+        than the settings allow, as in a service that slowed, a call would be
+        given up before the first of the running ones can have ended.
         """
+        service_time = self.expected[ticket.operation].at(now)
         if ticket.depth and self.settings.by_depth:
-            return self.deep_time
+            return max(self.deep_time, service_time)
         critical = ticket.importance == messages.Importance.CRITICAL
         if critical and self.settings.by_importance:
-            return self.calm_time
+            return max(self.calm_time, service_time)
         if self.pressure.standing(now):
             return self.queue_time
         return self.calm_time
--- a/mangobay/waiting.py
+++ b/mangobay/waiting.py
@@ -18,6 +18,9 @@
     return (importance * 2 + light) * DEPTHS + min(depth, DEPTHS - 1)
 
 
+FIRST_CRITICAL = rank_of(messages.Importance.CRITICAL, True, 0)
+
+
 @dataclasses.dataclass(slots=True, eq=False)
 class Waiter:
     """One waiting call.
@@ -46,7 +49,9 @@
 
     Attributes:
       newest_first: within a rank, the newest goes first and the oldest is
-        shed first; otherwise the other way round.
+        shed first; otherwise the other way round.  Critical calls always go
+        oldest first: as long as they alone fit, each gets its turn, while
+        newest first keeps a few waiting until they are given up.
     """
 
     def __init__(self, newest_first: bool):
@@ -77,7 +82,8 @@
           KeyError: nobody waits.
         """
         rank = self.best_rank()
-        waiter, _ = self.ranks[rank].popitem(last=self.newest_first)
+        newest = self.newest_first and rank < FIRST_CRITICAL
+        waiter, _ = self.ranks[rank].popitem(last=newest)
         self.removed(rank)
         return waiter
 
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -86,6 +86,12 @@
         )
         assert await order_of(tasks, running) == [4, 2, 1, 3, 0]
 
+    async def test_critical_calls_go_in_the_order_of_their_arrival(self):
+        made = make_admission()
+        running = await made.enter(ticket())
+        tasks = await line_up(made, ticket(CRITICAL), ticket(CRITICAL))
+        assert await order_of(tasks, running) == [0, 1]
+
     async def test_oldest_first_by_setting(self):
         made = make_admission(order="oldest", by_depth=False)
         running = await made.enter(ticket())
@@ -124,6 +130,22 @@
         assert caught.value.retry_after > 0
         assert looptime < 0.3
 
+    async def test_a_deep_call_may_wait_for_one_service_time(self):
+        """Calls take a second since the service slowed, far above queue_time.
+
+        A call from another hop comes while the only slot is taken. Given up
+        by the settings alone, it would be refused before any call can have
+        ended, whatever its importance. It gets the slot instead.
+        """
+        made = make_admission(queue_time=0.02)
+        for _ in range(300):
+            (await made.enter(ticket())).leave(1.0, ok=True)
+        first = await made.enter(ticket())
+        (task,) = await line_up(made, ticket(depth=2))
+        await asyncio.sleep(0.5)
+        first.leave(1.0, ok=True)
+        assert (await task).open
+
     async def test_a_call_that_cannot_finish_is_not_run(self):
         """Calls take 100 ms and one arrives with 20 ms left.
 
