--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -86,6 +86,12 @@
         )
         assert await order_of(tasks, running) == [4, 2, 1, 3, 0]
 
+    async def test_critical_calls_go_in_the_order_of_their_arrival(self):
+        made = make_admission()
+        running = await made.enter(ticket())
+        tasks = await line_up(made, ticket(CRITICAL), ticket(CRITICAL))
+        assert await order_of(tasks, running) == [0, 1]
+
     async def test_oldest_first_by_setting(self):
         made = make_admission(order="oldest", by_depth=False)
         running = await made.enter(ticket())
@@ -124,6 +130,22 @@
         assert caught.value.retry_after > 0
         assert looptime < 0.3
 
+    async def test_a_deep_call_may_wait_for_one_service_time(self):
+        """Calls take a second since the service slowed, far above queue_time.
+
+        A call from another hop comes while the only slot is taken. Given up
+        by the settings alone, it would be refused before any call can have
+        ended, whatever its importance. It gets the slot instead.
+        """
+        made = make_admission(queue_time=0.02)
+        for _ in range(300):
+            (await made.enter(ticket())).leave(1.0, ok=True)
+        first = await made.enter(ticket())
+        (task,) = await line_up(made, ticket(depth=2))
+        await asyncio.sleep(0.5)
+        first.leave(1.0, ok=True)
+        assert (await task).open
+
     async def test_a_call_that_cannot_finish_is_not_run(self):
         """Calls take 100 ms and one arrives with 20 ms left.
 
@@ -139,6 +161,50 @@
         assert caught.value.reason == messages.Reason.DEADLINE_EXCEEDED
         assert made.running == 0
 
+    async def test_a_risen_threshold_refuses_who_waits_below_it(self):
+        """The queue stands, and new calls go before those that wait.
+
+        The threshold rises above the normal calls. A new one would be
+        refused, so those that wait are as well, and the hops above get their
+        slots back. The important one goes on waiting.
+        """
+        made = make_admission(queue_time=1)
+        first = await made.enter(ticket())
+        waiting = await line_up(
+            made, ticket(), ticket(CRITICAL), ticket(depth=2)
+        )
+        made.pressure.sustainable = lambda: CRITICAL * 256
+        await asyncio.sleep(2.5)
+        for _ in range(5):
+            made.look(asyncio.get_running_loop().time())
+            await asyncio.sleep(0.11)
+        assert made.pressure.threshold > HIGH * 256
+        await asyncio.sleep(0)
+        assert [task.done() for task in waiting] == [True, False, True]
+        for task in (waiting[0], waiting[2]):
+            with pytest.raises(admission.ShedError):
+                task.result()
+        first.leave(0.01, ok=True)
+        assert (await waiting[1]).open
+
+    async def test_one_operations_time_is_not_anothers(self):
+        """Searches take 10 ms, prices 300 ms, and 100 ms are left.
+
+        A price is refused before it runs, a search goes.
+        """
+        made = make_admission(slots=8)
+        for name, seconds in (("price", 0.3), ("search", 0.01)):
+            for _ in range(200):
+                one = ticket()
+                one.operation = ids.OperationName(name)
+                (await made.enter(one)).leave(seconds, ok=True)
+        late = ticket(patience=0.1)
+        late.operation = ids.OperationName("price")
+        with pytest.raises(admission.ShedError):
+            await made.enter(late)
+        late.operation = ids.OperationName("search")
+        assert (await made.enter(late)).open
+
     async def test_an_estimate_above_all_deadlines_fades(self):
         """The backend server was so slow that no deadline could be met.
 
