Only certificates made for control hosts may speak as control

Cause: any certificate of the authority could claim the role control, and with it vote, append to the log or answer renewals with leases. Ruled out: comparing IP numbers with [group] hosts (hosts are replaced, and a peer's source address is not its listening one). Change: the role in a Hello has to stand in the certificate's unit. Before: test_a_node_cannot_speak_as_control fails both ways without the check. After: passes, as do test_peers and test_control.

--- a/mangobay/connections.py
+++ b/mangobay/connections.py
@@ -119,9 +119,9 @@
                 f"protocol {theirs.protocol}, not {PROTOCOL}"
             )
         certificate = self.writer.get_extra_info("peercert")
-        if certificate and not tls.names(certificate, theirs.host):
+        if certificate and not tls.vouches(certificate, theirs):
             raise errors.PeerProtocolError(
-                f"the certificate is not that of host {theirs.host}"
+                f"the certificate is not that of {theirs.role} {theirs.host}"
             )
         self.hello = theirs
         if not first:
--- a/mangobay/control.py
+++ b/mangobay/control.py
@@ -22,7 +22,7 @@
 )
 from mangobay.generated import messages, settings
 
-ROLE = "control"
+ROLE = tls.CONTROL
 
 
 class Control:
--- a/mangobay/tls.py
+++ b/mangobay/tls.py
@@ -5,8 +5,12 @@
 import typing
 
 from mangobay import errors, ids, logs
+from mangobay.generated import messages
 
 COMMON_NAME = "commonName"
+UNIT = "organizationalUnitName"
+CONTROL = "control"
+"""The role, and the unit in a certificate that may speak in that role."""
 DNS_NAME = "DNS"
 
 Certificate = dict[str, tuple]
@@ -122,6 +126,28 @@
     return Identity(*paths)
 
 
+def vouches(certificate: Certificate, hello: messages.Hello) -> bool:
+    """Returns whether a verified certificate covers all that a Hello claims.
+
+    A node's stolen certificate could otherwise vote, append to the log, or
+    answer renewals with leases of its own.  Only certificates made for control
+    hosts carry the unit, so only they may speak in that role.
+    """
+    if hello.role == CONTROL and CONTROL not in subject(certificate, UNIT):
+        return False
+    return names(certificate, hello.host)
+
+
+def subject(certificate: Certificate, wanted: str) -> list[str]:
+    """Returns the values of one name in a certificate's subject."""
+    return [
+        value
+        for part in certificate.get("subject", ())
+        for name, value in part
+        if name == wanted
+    ]
+
+
 def names(certificate: Certificate, host: ids.HostId) -> bool:
     """Returns whether a verified certificate is that of a host.
 
@@ -132,12 +158,7 @@
       certificate: as `ssl.SSLSocket.getpeercert` gives it.
       host: that the peer says it is.
     """
-    common = [
-        value
-        for part in certificate.get("subject", ())
-        for name, value in part
-        if name == COMMON_NAME
-    ]
+    common = subject(certificate, COMMON_NAME)
     others = [
         value
         for kind, value in certificate.get("subjectAltName", ())
--- a/tests/test_tls.py
+++ b/tests/test_tls.py
@@ -20,12 +20,18 @@
 END = datetime.datetime(2120, 1, 1)
 
 
-def certify(subject: str, key, issuer: str, signer) -> x509.Certificate:
-    def name(text: str) -> x509.Name:
-        return x509.Name([x509.NameAttribute(oid.NameOID.COMMON_NAME, text)])
+def certify(
+    subject: str, key, issuer: str, signer, unit: str = ""
+) -> x509.Certificate:
+    def name(text: str, unit: str = "") -> x509.Name:
+        parts = [x509.NameAttribute(oid.NameOID.COMMON_NAME, text)]
+        if unit:
+            kind = oid.NameOID.ORGANIZATIONAL_UNIT_NAME
+            parts.append(x509.NameAttribute(kind, unit))
+        return x509.Name(parts)
 
     builder = x509.CertificateBuilder(
-        name(issuer), name(subject), key.public_key(), 1, START, END
+        name(issuer), name(subject, unit), key.public_key(), 1, START, END
     )
     constraints = x509.BasicConstraints(ca=subject == issuer, path_length=None)
     builder = builder.add_extension(constraints, critical=True)
@@ -33,7 +39,10 @@
 
 
 def write_identity(
-    folder: pathlib.Path, authority: str, host: str = HELLO.host
+    folder: pathlib.Path,
+    authority: str,
+    host: str = HELLO.host,
+    unit: str = "",
 ) -> tls.Identity:
     """Writes a new authority, and a certificate and key signed by it."""
     folder.mkdir(exist_ok=True)
@@ -41,7 +50,7 @@
     key = ec.generate_private_key(ec.SECP256R1())
     pem = serialization.Encoding.PEM
     root = certify(authority, signer, authority, signer)
-    leaf = certify(host, key, authority, signer)
+    leaf = certify(host, key, authority, signer, unit)
     (folder / "authority").write_bytes(root.public_bytes(pem))
     (folder / "certificate").write_bytes(leaf.public_bytes(pem))
     (folder / "key").write_bytes(
@@ -113,6 +122,30 @@
         """
         ours = write_identity(tmp_path / "ours", "authority")
         claimed = messages.Hello(host="another", role="node")
+        await self.expect_nothing(ours, claimed, liar)
+
+    @pytest.mark.parametrize("liar", ["asking", "answering"])
+    async def test_a_node_cannot_speak_as_control(self, tmp_path, liar):
+        """A node's certificate is used to vote, or to grant leases.
+
+        It names the host rightly but was not made for a control host, so the
+        other side ends the connection at the Hello.
+        """
+        ours = write_identity(tmp_path / "ours", "authority")
+        claimed = messages.Hello(host=HELLO.host, role=tls.CONTROL)
+        await self.expect_nothing(ours, claimed, liar)
+
+    async def test_a_control_hosts_certificate_is_answered(self, tmp_path):
+        ours = write_identity(tmp_path / "ours", "authority", unit=tls.CONTROL)
+        hello = messages.Hello(host=HELLO.host, role=tls.CONTROL)
+        there = peers.Listener(LOOPBACK, hello, answer, identity=ours)
+        await there.start()
+        try:
+            assert (await ask(there.address, ours)).body == b"yes"
+        finally:
+            await there.close()
+
+    async def expect_nothing(self, ours, claimed, liar) -> None:
         mine, theirs = HELLO, claimed
         if liar == "asking":
             mine, theirs = claimed, HELLO
