Reading requests and a node's gauges are modules of their own

Change: inbound reads what a request says; nodegauges names the numbers shown. Behaviour and tests stay.

--- a/mangobay/edges.py
+++ b/mangobay/edges.py
@@ -1,7 +1,6 @@
 """The two HTTP edges: callers outside, and the backend server on this host."""
 
 import asyncio
-import hashlib
 import logging
 import random
 import secrets
@@ -16,6 +15,7 @@
     fields,
     httpserver,
     ids,
+    inbound,
     ledger,
     logs,
     metrics,
@@ -29,7 +29,6 @@
 Reason = messages.Reason
 
 API_PREFIX = "/mangobay/"
-FINGERPRINT_BYTES = 8
 
 
 class Tables(typing.Protocol):
@@ -158,21 +157,21 @@
         """
         if self.serving.leaving:
             return calls.not_run(Reason.LEAVING)
-        service, target = split_path(request.raw_path)
+        service, target = inbound.split_path(request.raw_path)
         operation = await self.resolve(service, request.method, target)
         received = request.headers
-        deadline = deadline_of(operation, received)
-        key = key_of(received)
+        deadline = inbound.deadline_of(operation, received)
+        key = inbound.key_of(received)
         body = await self.body_of(request)
         return await self.run(
             calls.Request(
                 operation=operation,
                 revision=self.directory.tables.value.revision,
                 target=target,
-                headers=headers_of(received),
+                headers=inbound.headers_of(received),
                 body=body,
                 caller=ids.OUTSIDE,
-                client=client_of(request),
+                client=inbound.client_of(request),
                 importance=operation.importance,
                 depth=0,
                 deadline=deadline,
@@ -234,16 +233,16 @@
             received.get(fields.TRACEPARENT, ""),
         )
         caller = self.caller_of(received, parent)
-        service, target = split_path(request.raw_path)
+        service, target = inbound.split_path(request.raw_path)
         operation = await self.resolve(service, request.method, target, caller)
-        deadline = deadline_of(operation, received)
-        key = key_of(received)
+        deadline = inbound.deadline_of(operation, received)
+        key = inbound.key_of(received)
         body = await self.body_of(request)
         call = calls.Request(
             operation=operation,
             revision=self.directory.tables.value.revision,
             target=target,
-            headers=headers_of(received),
+            headers=inbound.headers_of(received),
             body=body,
             caller=caller,
             client=ids.ClientId(caller),
@@ -329,75 +328,4 @@
         return found
 
 
-def split_path(raw_path: str) -> tuple[ids.ServiceName, str]:
-    """Returns the service and the target in /SERVICE/rest?query.
-
-    Raises:
-      calls.RequestError: the request names a whole URL.
-    """
-    if not raw_path.startswith("/"):
-        raise calls.RequestError(Reason.MALFORMED, "not a path")
-    path, mark, query = raw_path.partition("?")
-    service, _, rest = path[1:].partition("/")
-    return ids.ServiceName(service), f"/{rest}{mark}{query}"
-
-
-def deadline_of(
-    operation: messages.Operation, received: fields.Fields
-) -> float:
-    """Returns the loop time by which the caller must have its answer.
-
-    Raises:
-      calls.RequestError: Request-Timeout is malformed.
-    """
-    seconds = operation.deadline_ms / 1000 or calls.DEFAULT_DEADLINE
-    given = received.get(fields.REQUEST_TIMEOUT)
-    if given is not None:
-        try:
-            seconds = min(seconds, fields.parse_timeout(given))
-        except ValueError as error:
-            raise calls.RequestError(Reason.MALFORMED, str(error)) from None
-    return asyncio.get_running_loop().time() + seconds
-
-
-def key_of(received: fields.Fields) -> ids.IdempotencyKey:
-    """Returns the idempotency key, empty where there is none.
-
-    Raises:
-      calls.RequestError: it is malformed.
-    """
-    given = received.get(fields.IDEMPOTENCY_KEY)
-    if given is None:
-        return ids.IdempotencyKey("")
-    try:
-        return fields.parse_key(given)
-    except ValueError as error:
-        raise calls.RequestError(Reason.MALFORMED, str(error)) from None
-
-
-def headers_of(received: fields.Fields) -> list[messages.Header]:
-    """Returns the fields passed on, with the tracestate of others."""
-    kept = fields.passed_on(received)
-    if fields.TRACESTATE in received:
-        _, others = fields.split_state(received[fields.TRACESTATE])
-        if others:
-            kept.append(messages.Header(name=fields.TRACESTATE, value=others))
-    return kept
-
-
-def client_of(request: web.BaseRequest) -> ids.ClientId:
-    """Returns who calls: the address and a fingerprint of its credentials.
-
-    Callers behind one address are told apart by what they sign in with; the
-    credentials themselves are never kept nor passed on in this place.
-    """
-    client = request.remote or ""
-    credentials = request.headers.get("Authorization")
-    if credentials:
-        data = credentials.encode("utf-8", "surrogateescape")
-        digest = hashlib.blake2b(data, digest_size=FINGERPRINT_BYTES)
-        client = f"{client}/{digest.hexdigest()}"
-    return ids.ClientId(client)
-
-
 logging.getLogger("aiohttp.server").setLevel(logging.CRITICAL)
--- /dev/null
+++ b/mangobay/inbound.py
@@ -0,0 +1,84 @@
+"""What a caller's HTTP request says of the call it asks for."""
+
+import asyncio
+import hashlib
+
+from aiohttp import web
+
+from mangobay import calls, fields, ids
+from mangobay.generated import messages
+
+Reason = messages.Reason
+
+FINGERPRINT_BYTES = 8
+
+
+def split_path(raw_path: str) -> tuple[ids.ServiceName, str]:
+    """Returns the service and the target in /SERVICE/rest?query.
+
+    Raises:
+      calls.RequestError: the request names a whole URL.
+    """
+    if not raw_path.startswith("/"):
+        raise calls.RequestError(Reason.MALFORMED, "not a path")
+    path, mark, query = raw_path.partition("?")
+    service, _, rest = path[1:].partition("/")
+    return ids.ServiceName(service), f"/{rest}{mark}{query}"
+
+
+def deadline_of(
+    operation: messages.Operation, received: fields.Fields
+) -> float:
+    """Returns the loop time by which the caller must have its answer.
+
+    Raises:
+      calls.RequestError: Request-Timeout is malformed.
+    """
+    seconds = operation.deadline_ms / 1000 or calls.DEFAULT_DEADLINE
+    given = received.get(fields.REQUEST_TIMEOUT)
+    if given is not None:
+        try:
+            seconds = min(seconds, fields.parse_timeout(given))
+        except ValueError as error:
+            raise calls.RequestError(Reason.MALFORMED, str(error)) from None
+    return asyncio.get_running_loop().time() + seconds
+
+
+def key_of(received: fields.Fields) -> ids.IdempotencyKey:
+    """Returns the idempotency key, empty where there is none.
+
+    Raises:
+      calls.RequestError: it is malformed.
+    """
+    given = received.get(fields.IDEMPOTENCY_KEY)
+    if given is None:
+        return ids.IdempotencyKey("")
+    try:
+        return fields.parse_key(given)
+    except ValueError as error:
+        raise calls.RequestError(Reason.MALFORMED, str(error)) from None
+
+
+def headers_of(received: fields.Fields) -> list[messages.Header]:
+    """Returns the fields passed on, with the tracestate of others."""
+    kept = fields.passed_on(received)
+    if fields.TRACESTATE in received:
+        _, others = fields.split_state(received[fields.TRACESTATE])
+        if others:
+            kept.append(messages.Header(name=fields.TRACESTATE, value=others))
+    return kept
+
+
+def client_of(request: web.BaseRequest) -> ids.ClientId:
+    """Returns who calls: the address and a fingerprint of its credentials.
+
+    Callers behind one address are told apart by what they sign in with; the
+    credentials themselves are never kept nor passed on in this place.
+    """
+    client = request.remote or ""
+    credentials = request.headers.get("Authorization")
+    if credentials:
+        data = credentials.encode("utf-8", "surrogateescape")
+        digest = hashlib.blake2b(data, digest_size=FINGERPRINT_BYTES)
+        client = f"{client}/{digest.hexdigest()}"
+    return ids.ClientId(client)
--- a/mangobay/node.py
+++ b/mangobay/node.py
@@ -21,6 +21,7 @@
     localapi,
     logs,
     metrics,
+    nodegauges,
     once,
     peers,
     ratio,
@@ -68,7 +69,7 @@
         self.make_serving()
         self.make_entry()
         self.make_edges()
-        self.make_gauges()
+        self.metrics.gauges += nodegauges.gauges_of(self)
 
     def make_peers(self) -> None:
         """Makes what speaks to other processes."""
@@ -200,44 +201,6 @@
             head_seconds=limits.header_timeout,
         )
 
-    def make_gauges(self) -> None:
-        """Names the numbers that the metrics read when asked."""
-        places = self.served.served
-        self.metrics.gauges += [
-            metrics.Gauge(
-                name="lease",
-                help="1 while this node holds a lease.",
-                read=lambda: float(self.control.lease.holds()),
-            ),
-            metrics.Gauge(
-                name="revision",
-                help="Revision of the table in force here.",
-                read=lambda: self.control.tables.value.revision,
-            ),
-            metrics.Gauge(
-                name="running",
-                help="Calls that run at the backend server here.",
-                read=lambda: len(self.serving.parents),
-            ),
-            metrics.Gauge(
-                name="limit",
-                help="Calls that may run at the backend server here.",
-                read=lambda: sum(p.admission.limit for p in places.values()),
-            ),
-            metrics.Gauge(
-                name="threshold",
-                help="Highest level below which calls are refused here.",
-                read=lambda: max(
-                    (p.admission.threshold for p in places.values()), default=0
-                ),
-            ),
-            metrics.Gauge(
-                name="leaving",
-                help="1 while this node leaves.",
-                read=lambda: float(self.serving.leaving),
-            ),
-        ]
-
     def readiness(self) -> localapi.Readiness:
         """Returns whether callers should be sent here."""
         missing = []
--- /dev/null
+++ b/mangobay/nodegauges.py
@@ -0,0 +1,47 @@
+"""The numbers that a node's metrics show of its present state."""
+
+import typing
+
+from mangobay import metrics
+
+if typing.TYPE_CHECKING:
+    from mangobay import node as node_module
+
+
+def gauges_of(node: "node_module.Node") -> list[metrics.Gauge]:
+    """Returns the numbers of a node that the metrics read when asked."""
+    places = node.served.served
+    return [
+        metrics.Gauge(
+            name="lease",
+            help="1 while this node holds a lease.",
+            read=lambda: float(node.control.lease.holds()),
+        ),
+        metrics.Gauge(
+            name="revision",
+            help="Revision of the table in force here.",
+            read=lambda: node.control.tables.value.revision,
+        ),
+        metrics.Gauge(
+            name="running",
+            help="Calls that run at the backend server here.",
+            read=lambda: len(node.serving.parents),
+        ),
+        metrics.Gauge(
+            name="limit",
+            help="Calls that may run at the backend server here.",
+            read=lambda: sum(p.admission.limit for p in places.values()),
+        ),
+        metrics.Gauge(
+            name="threshold",
+            help="Highest level below which calls are refused here.",
+            read=lambda: max(
+                (p.admission.threshold for p in places.values()), default=0
+            ),
+        ),
+        metrics.Gauge(
+            name="leaving",
+            help="1 while this node leaves.",
+            read=lambda: float(node.serving.leaving),
+        ),
+    ]
