Failed answers pay for no retries

Cause: an answer with status 500 fed the retry ratio, so that a service that only fails earned extra tries. Ruled out: leaving the answer out of the outcome (it did run, and says so). Change: only whole answers pay, by the same rule as admission's. Before: 40 attempts for 20 calls in the new test. After: 22, the burst of 2.

--- a/mangobay/entry.py
+++ b/mangobay/entry.py
@@ -141,7 +141,7 @@
                 reply = await self.run_routed(request)
         finally:
             self.entered -= 1
-        if reply.outcome == Outcome.ANSWERED:
+        if serving.is_whole(reply):
             self.tools.ratio.answered(operation.service)
         return reply
 
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -170,6 +170,26 @@
             await made.handle(make_request())
         assert len(hosts.asked) == 10 + 3
 
+    async def test_failed_answers_pay_for_no_retries(self):
+        """Every second call is refused, every other one ends in a 500.
+
+        A service that only fails must not earn the right to more attempts:
+        they would come just when it can bear them least.
+        """
+        refusals = refused()
+        turn = []
+
+        def script(host, call):
+            turn.append(host)
+            if len(turn) % 2:
+                return refusals(host, call)
+            return messages.Reply(outcome=Outcome.ANSWERED, status=500)
+
+        made, hosts = make_entry(script, burst=2, ratio=1)
+        for _ in range(20):
+            await made.handle(make_request())
+        assert len(hosts.asked) == 20 + 2
+
     @pytest.mark.parametrize(
         ("idempotent", "attempts"), [(True, 3), (False, 1)]
     )
