Test: a data centre is frozen under load and wakes

Cause: at most once and true refusals were shown for single processes only. Change: node, backend server and control host of one place stop by SIGSTOP while callers book, and wake after their lease has ended. Conclusion: a frozen data centre is no longer a gap; a cut one is, with real processes.

--- a/tests/processfakes.py
+++ b/tests/processfakes.py
@@ -126,13 +126,18 @@
         async with self.session.get(url) as response:
             return await response.json()
 
+    async def check_true_and_once(self, running: load.Load) -> None:
+        """Asserts that callers were told the truth and nothing ran twice."""
+        runs = await self.runs()
+        truth = verdict.truth_of(self.plan, running.calls, runs)
+        assert running.calls
+        assert truth == verdict.Truth([], [], [], [])
+
     async def check_nothing_lost(self, running: load.Load) -> None:
         """Asserts that all was answered in the end, true, once and uncut."""
+        await self.check_true_and_once(running)
         calls = running.calls
         runs = await self.runs()
-        truth = verdict.truth_of(self.plan, calls, runs)
-        assert calls
-        assert truth == verdict.Truth([], [], [], [])
         assert not cut_attempts(calls, {run.marker for run in runs})
         assert all(call.attempts[-1].whole for call in calls)
 
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -58,6 +58,44 @@
             assert len(await world.runs_with(key)) == 1
 
 
+class TestDataCentre:
+    """A whole data centre stands still and comes back."""
+
+    async def test_it_is_frozen_under_load_and_wakes(self, tmp_path):
+        """Node, backend server and control host of one place stop at once.
+
+        Callers of the other places are refused or left without an answer for
+        the keys that it owned, until its lease has ended; then all is served.
+        When it wakes, the requests that waited in its sockets run nothing
+        that ran meanwhile, and it joins again.
+        """
+        async with processfakes.started_world(tmp_path) as world:
+            place = world.layout.nodes[0].data_centre
+            lost = [
+                host
+                for host in (*world.layout.nodes, *world.layout.controls)
+                if host.data_centre == place
+            ]
+            names = [host.name for host in lost]
+            names.append(cluster.backend_name(world.layout.nodes[0]))
+            rest = world.layout.nodes[1:]
+            async with processfakes.loaded(world, rest) as load_:
+                await calls_made(load_, 20)
+                for name in names:
+                    await world.signal(name, signal.SIGSTOP)
+                await world.wait_gone(world.layout.nodes[0])
+                await calls_made(load_, 40)
+                outcome = await world.book_until_told(
+                    rest[0], str(uuid6.uuid7())
+                )
+                assert outcome == load.ANSWERED
+                for name in names:
+                    await world.signal(name, signal.SIGCONT)
+                await world.wait_serving({world.layout.nodes[0].name})
+                await calls_made(load_, 20)
+            await world.check_true_and_once(load_)
+
+
 class TestControl:
     """The control group, when its hosts fail."""
 
