--- a/mangobay/controlclient.py
+++ b/mangobay/controlclient.py
@@ -20,6 +20,9 @@
 )
 from mangobay.generated import messages, settings
 
+if typing.TYPE_CHECKING:
+    from mangobay import peers
+
 FIRST_BACKOFF = 0.02
 """Seconds; upper bound of the first pause after a failure."""
 
@@ -34,19 +37,6 @@
 """A new interest waits for this many times `patience`."""
 
 
-class Transport(typing.Protocol):
-    """What the client needs of `peers.Transport`."""
-
-    async def ask(
-        self,
-        address: options.Address,
-        body: messages.EnvelopeBody,
-        timeout: float,
-    ) -> messages.EnvelopeBody:
-        """Returns the answer; see `peers`."""
-        ...
-
-
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class NodeIdentity:
     """Who renews: one run of the process on one host."""
@@ -76,7 +66,7 @@
         self,
         config: settings.NodeControl,
         identity: NodeIdentity,
-        transport: Transport,
+        transport: "peers.Transport",
         randomness: random.Random,
     ):
         self.config = config
