--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -9,7 +9,7 @@
 import statistics
 import time
 
-from mangobay import admission, ids, levels, ratio, routing, tries
+from mangobay import admission, ids, levels, ratio, routing, tickets, tries
 from mangobay.generated import messages, settings
 
 ROUNDS = 7
@@ -67,9 +67,9 @@
     return router
 
 
-def ticket(number: int) -> admission.Ticket:
+def ticket(number: int) -> tickets.Ticket:
     """Returns the ticket of one of 500 clients."""
-    return admission.Ticket(
+    return tickets.Ticket(
         importance=messages.Importance(number % 4),
         depth=number % 5,
         deadline=asyncio.get_running_loop().time() + 5,
@@ -99,7 +99,7 @@
     """Enters and leaves once; a refusal counts as well."""
     try:
         entered = await made.enter(ticket(number))
-    except admission.ShedError:
+    except tickets.ShedError:
         return
     await asyncio.sleep(0)
     entered.leave(0.0001, ok=True)
--- a/mangobay/admission.py
+++ b/mangobay/admission.py
@@ -12,18 +12,17 @@
 
 import asyncio
 import collections
-import dataclasses
 import random
 
 from mangobay import (
     downstream,
-    errors,
     estimates,
     fairness,
     ids,
     levels,
     limiter,
     pressure,
+    tickets,
     waiting,
 )
 from mangobay.generated import messages, settings
@@ -42,42 +41,6 @@
 """Seconds."""
 
 
-class ShedError(errors.MangobayError):
-    """The call was refused; nothing of it ran.
-
-    Attributes:
-      reason: why.
-      retry_after: seconds, jittered, after which the caller may try again.
-    """
-
-    def __init__(self, reason: messages.Reason, retry_after: float):
-        super().__init__(f"shed: {reason.name.lower()}")
-        self.reason = reason
-        self.retry_after = retry_after
-
-
-@dataclasses.dataclass(slots=True, kw_only=True)
-class Ticket:
-    """What admission needs to know of a call.
-
-    Attributes:
-      importance: from the sheet, the same in the whole call tree.
-      depth: hops from the first node.
-      deadline: loop time.
-      client: who entered the call tree.
-      operation: what is called, among those of the service.
-      tree: names the call tree, such as its trace id; when empty, the client
-        stands for it.  Trees of one importance are refused by its hash.
-    """
-
-    importance: messages.Importance
-    depth: int
-    deadline: float
-    client: ids.ClientId
-    operation: ids.OperationName = ids.OperationName("")
-    tree: str = ""
-
-
 class Pass:
     """The right to run one call at the backend server.
 
@@ -193,11 +156,11 @@
         self.limiter.set_slots(slots)
         self.fill(asyncio.get_running_loop().time())
 
-    async def enter(self, ticket: Ticket) -> Pass:
+    async def enter(self, ticket: tickets.Ticket) -> Pass:
         """Returns the pass of an admitted call, perhaps after a short wait.
 
         Raises:
-          ShedError: the call was refused and must not run.
+          tickets.ShedError: the call was refused and must not run.
         """
         loop = asyncio.get_running_loop()
         now = loop.time()
@@ -208,7 +171,7 @@
         waiter = self.line_up(ticket, level, rank, loop)
         return await self.wait(waiter)
 
-    def place(self, ticket: Ticket, now: float) -> tuple[int, int]:
+    def place(self, ticket: tickets.Ticket, now: float) -> tuple[int, int]:
         """Counts the arrival; returns its level and its rank in the queue."""
         importance = messages.Importance.NORMAL
         if self.settings.by_importance:
@@ -223,11 +186,11 @@
         depth = ticket.depth if self.settings.by_depth else 0
         return level, waiting.rank_of(importance, heavy, depth)
 
-    def check(self, ticket: Ticket, level: int, now: float) -> None:
+    def check(self, ticket: tickets.Ticket, level: int, now: float) -> None:
         """Refuses what would be shed anyway, or could not finish in time.
 
         Raises:
-          ShedError: the call must not run.
+          tickets.ShedError: the call must not run.
         """
         self.look(now)
         self.pressure.arrived[level // pressure.STEP] += 1
@@ -250,7 +213,7 @@
 
     def line_up(
         self,
-        ticket: Ticket,
+        ticket: tickets.Ticket,
         level: int,
         rank: int,
         loop: asyncio.AbstractEventLoop,
@@ -258,7 +221,7 @@
         """Puts the call into the queue, in the place of a worse one if full.
 
         Raises:
-          ShedError: the queue is full of calls that are no worse.
+          tickets.ShedError: the queue is full of calls that are no worse.
         """
         if self.queue_time <= 0:
             raise self.refusal(messages.Reason.OVERLOADED, level)
@@ -278,7 +241,7 @@
         """Sheds the worst waiting call for a better one.
 
         Raises:
-          ShedError: the new call is the worst.
+          tickets.ShedError: the new call is the worst.
         """
         worst = self.waiting.worst_rank()
         better = rank > worst or (rank == worst and self.waiting.newest_first)
@@ -286,7 +249,7 @@
             raise self.refusal(messages.Reason.OVERLOADED, level)
         self.refuse(self.waiting.pop_worst(), messages.Reason.OVERLOADED)
 
-    def patience(self, ticket: Ticket, now: float) -> float:
+    def patience(self, ticket: tickets.Ticket, now: float) -> float:
         """Returns the longest wait in seconds.
 
         A call from another hop may wait longer than a new one: giving it up
@@ -314,7 +277,7 @@
         """Returns the pass once it is the waiter's turn.
 
         Raises:
-          ShedError: its time was up, or a better call took its place.
+          tickets.ShedError: its time was up, or a better call took its place.
         """
         try:
             return await waiter.future
@@ -399,9 +362,9 @@
         if not waiter.future.done():
             waiter.future.set_exception(self.refusal(reason, waiter.level))
 
-    def refusal(self, reason: messages.Reason, level: int) -> ShedError:
+    def refusal(self, reason: messages.Reason, level: int) -> tickets.ShedError:
         """Returns the error of a refusal, with a time to try again."""
         drain = self.waiting.length * self.pace.seconds
         seconds = drain + self.pressure.reopens_in(level)
         seconds = min(max(seconds, SHORTEST_RETRY_AFTER), LONGEST_RETRY_AFTER)
-        return ShedError(reason, seconds * (0.5 + self.dice.random()))
+        return tickets.ShedError(reason, seconds * (0.5 + self.dice.random()))
--- a/mangobay/serving.py
+++ b/mangobay/serving.py
@@ -7,7 +7,6 @@
 import typing
 
 from mangobay import (
-    admission,
     announcements,
     backend,
     calls,
@@ -16,6 +15,7 @@
     ids,
     invariants,
     logs,
+    tickets,
     tries,
 )
 from mangobay.generated import messages
@@ -195,7 +195,7 @@
         Raises:
           Exception: whatever the gate raises; no byte was sent.
         """
-        ticket = admission.Ticket(
+        ticket = tickets.Ticket(
             importance=call.importance,
             depth=call.depth,
             deadline=deadline,
@@ -205,7 +205,7 @@
         )
         try:
             permit = await place.admission.enter(ticket)
-        except admission.ShedError as shed:
+        except tickets.ShedError as shed:
             return calls.not_run(shed.reason, shed.retry_after)
         running = tries.Running(grant)
         self.parents[call.call_id] = calls.Parent(
--- a/tests/fakechain.py
+++ b/tests/fakechain.py
@@ -5,9 +5,10 @@
 import dataclasses
 import random
 
-from mangobay import admission, ids
+import decisionfakes as fakes
+
+from mangobay import admission, ids, tickets
 from mangobay.generated import messages
-from tests import decisionfakes as fakes
 
 NORMAL = messages.Importance.NORMAL
 CRITICAL = messages.Importance.CRITICAL
@@ -50,7 +51,7 @@
         self.slow = 1.0
         self.busy: collections.Counter = collections.Counter()
 
-    async def call(self, ticket: admission.Ticket) -> None:
+    async def call(self, ticket: tickets.Ticket) -> None:
         """Runs a call; raises what refuses it."""
         entered = await self.admission.enter(ticket)
         loop = asyncio.get_running_loop()
@@ -72,14 +73,14 @@
             raise
         entered.leave(loop.time() - began, ok=True, awaited=awaited)
 
-    async def call_child(self, ticket: admission.Ticket) -> None:
+    async def call_child(self, ticket: tickets.Ticket) -> None:
         """Makes the child call, if there is one."""
         if not self.child:
             return
         child = dataclasses.replace(ticket, depth=ticket.depth + 1)
         try:
             await self.child.call(child)
-        except (admission.ShedError, RefusedBelowError):
+        except (tickets.ShedError, RefusedBelowError):
             refusing = self.child.admission
             below = refusing.below(ticket.operation)
             threshold = max(refusing.threshold, below)
@@ -150,7 +151,7 @@
         number = self.dice.randrange(kind.clients)
         client = ids.ClientId(f"{kind.name}-{number}")
         tree = str(self.dice.random())
-        ticket = admission.Ticket(
+        ticket = tickets.Ticket(
             importance=kind.importance,
             depth=0,
             deadline=now + kind.patience,
@@ -165,7 +166,7 @@
             if loop.time() >= ticket.deadline:
                 return
 
-    async def attempt(self, ticket: admission.Ticket) -> bool:
+    async def attempt(self, ticket: tickets.Ticket) -> bool:
         """One attempt; returns whether it was answered in time."""
         self.attempts += 1
         spent = self.spent(ticket.tree)
@@ -178,12 +179,12 @@
         """Returns the backend server seconds that a call tree took."""
         return sum(service.busy[tree] for service in self.chain)
 
-    async def is_answered(self, ticket: admission.Ticket) -> bool:
+    async def is_answered(self, ticket: tickets.Ticket) -> bool:
         """Makes one call; counts why it was not answered."""
         try:
             async with asyncio.timeout_at(ticket.deadline):
                 await self.service.call(ticket)
-        except admission.ShedError as error:
+        except tickets.ShedError as error:
             self.refused[error.reason] += 1
             return False
         except RefusedBelowError:
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -3,11 +3,11 @@
 import asyncio
 import random
 
+import decisionfakes as fakes
 import pytest
 
-from mangobay import admission, ids
+from mangobay import admission, ids, tickets
 from mangobay.generated import messages
-from tests import decisionfakes as fakes
 
 NORMAL = messages.Importance.NORMAL
 HIGH = messages.Importance.HIGH
@@ -32,9 +32,9 @@
     depth: int = 0,
     patience: float = 5.0,
     client: str = "reader",
-) -> admission.Ticket:
+) -> tickets.Ticket:
     """Returns the ticket of a call that arrives now."""
-    return admission.Ticket(
+    return tickets.Ticket(
         importance=importance,
         depth=depth,
         deadline=asyncio.get_running_loop().time() + patience,
@@ -109,11 +109,11 @@
         oldest, _, booking = await line_up(
             made, ticket(), ticket(), ticket(CRITICAL)
         )
-        with pytest.raises(admission.ShedError) as caught:
+        with pytest.raises(tickets.ShedError) as caught:
             await oldest
         assert caught.value.reason == messages.Reason.OVERLOADED
         assert not booking.done()
-        with pytest.raises(admission.ShedError):
+        with pytest.raises(tickets.ShedError):
             await made.enter(ticket(messages.Importance.BACKGROUND))
 
 
@@ -124,7 +124,7 @@
     async def test_a_wait_is_bounded_in_time(self, looptime):
         made = make_admission(queue_time=0.05)
         await made.enter(ticket())
-        with pytest.raises(admission.ShedError) as caught:
+        with pytest.raises(tickets.ShedError) as caught:
             await made.enter(ticket())
         assert caught.value.reason == messages.Reason.QUEUE_TIMEOUT
         assert caught.value.retry_after > 0
@@ -156,7 +156,7 @@
         for _ in range(200):
             entered = await made.enter(ticket())
             entered.leave(0.1, ok=True)
-        with pytest.raises(admission.ShedError) as caught:
+        with pytest.raises(tickets.ShedError) as caught:
             await made.enter(ticket(patience=0.02))
         assert caught.value.reason == messages.Reason.DEADLINE_EXCEEDED
         assert made.running == 0
@@ -182,7 +182,7 @@
         await asyncio.sleep(0)
         assert [task.done() for task in waiting] == [True, False, True]
         for task in (waiting[0], waiting[2]):
-            with pytest.raises(admission.ShedError):
+            with pytest.raises(tickets.ShedError):
                 task.result()
         first.leave(0.01, ok=True)
         assert (await waiting[1]).open
@@ -200,7 +200,7 @@
                 (await made.enter(one)).leave(seconds, ok=True)
         late = ticket(patience=0.1)
         late.operation = ids.OperationName("price")
-        with pytest.raises(admission.ShedError):
+        with pytest.raises(tickets.ShedError):
             await made.enter(late)
         late.operation = ids.OperationName("search")
         assert (await made.enter(late)).open
@@ -215,7 +215,7 @@
         for _ in range(500):
             entered = await made.enter(ticket(patience=100))
             entered.leave(5.0, ok=True)
-        with pytest.raises(admission.ShedError):
+        with pytest.raises(tickets.ShedError):
             await made.enter(ticket(patience=1.0))
         await asyncio.sleep(4)
         await made.enter(ticket(patience=1.0))
@@ -265,7 +265,7 @@
             try:
                 async with asyncio.timeout(dice.uniform(0.01, 0.2)):
                     entered = await made.enter(ticket(importance))
-            except (TimeoutError, admission.ShedError):
+            except (TimeoutError, tickets.ShedError):
                 return
             most = max(most, made.running)
             await asyncio.sleep(dice.uniform(0, 0.05))
--- a/tests/test_cmdnode.py
+++ b/tests/test_cmdnode.py
@@ -6,10 +6,9 @@
 import subprocess
 import sys
 
+import nodes
 import pytest
 
-from tests import nodes
-
 LONG = 30
 
 
--- a/tests/test_consensus_random.py
+++ b/tests/test_consensus_random.py
@@ -6,11 +6,11 @@
 import os
 import random
 
+import groupfakes
 import pytest
 
 from mangobay import errors, invariants, transfer
 from mangobay.generated import messages
-from tests import groupfakes
 
 FOUNDING_STEPS = 10
 """A group is founded only while all hosts are up: it may come to nothing."""
--- a/tests/test_fairness.py
+++ b/tests/test_fairness.py
@@ -2,8 +2,9 @@
 
 import random
 
+import decisionfakes as fakes
+
 from mangobay import fairness, ids
-from tests import decisionfakes as fakes
 
 
 def name(number: int) -> ids.ClientId:
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -2,10 +2,9 @@
 
 import asyncio
 
+import fakechain
 import pytest
 
-from tests import fakechain
-
 CRITICAL = fakechain.CRITICAL
 NORMAL = fakechain.NORMAL
 OWN_SECONDS = [0.01, 0.01, 0.02]
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -4,11 +4,11 @@
 import subprocess
 import sys
 
+import groupfakes
 import pytest
 
 from mangobay import disk, errors, ids, storage
 from mangobay.generated import messages
-from tests import groupfakes
 
 
 def entry(index: int, term: int = 1) -> messages.LogEntry:
