A refused claim wipes out another's start: the failing test

Found by reading once.settle: a claim whose record another owner's start was merged into is forgotten when it is refused.

--- a/tests/test_once.py
+++ b/tests/test_once.py
@@ -225,6 +225,44 @@
             assert again.outcome is messages.Outcome.UNKNOWN
             assert net.runs == ["run"]
 
+    async def test_a_refused_claim_does_not_wipe_out_anothers_start(self):
+        """A claim waits for admission while its slot moves to another owner.
+
+        The new owner starts the same key and this node holds the copy.  Then
+        the claim is refused here, and the new owner dies: the copy must still
+        be there, or the key would run again.
+        """
+        async with once_fakes.network(3) as net:
+            key = once_fakes.new_key()
+            newer = net.owner(key)
+            rest = [host for host in net.members if host != newer]
+            net.publish(*rest)
+            await asyncio.sleep(1)
+            older = net.owner(key)
+            admitted = asyncio.Event()
+
+            async def wait_for_a_slot(gate):
+                await admitted.wait()
+                return await net.execute(gate)
+
+            claim = net.node(older).run(net.call(key), wait_for_a_slot)
+            claimed = asyncio.create_task(claim)
+            await asyncio.sleep(0.1)
+            net.publish(*net.members)
+            await asyncio.sleep(1)
+            assert (net.owner(key), net.holder(key)) == (newer, older)
+            started = asyncio.create_task(net.send(newer, key))
+            await asyncio.sleep(once_fakes.RUN_TIME / 2)
+            admitted.set()
+            assert (await claimed).outcome is messages.Outcome.NOT_RUN
+            net.kill(newer)
+            net.publish(*rest)
+            await asyncio.sleep(2)
+            again = await net.send(older, key)
+            assert again.outcome is messages.Outcome.UNKNOWN
+            assert net.runs == ["run"]
+            await asyncio.wait([started])
+
     async def test_views_that_change_twice_at_once_lose_nothing(self):
         """Two hosts of a data centre die; the views change one by one.
 
