A refused claim does not wipe out another's start

Cause: a claim that waits for admission here can have another owner's start merged into its record; its refusal then forgot the record, and with it the only copy of that start. Ruled out: refusing the copy while a claim stands (the newer owner would wait for a queue here). Change: only a record that this process claimed or runs is settled by its run.

--- a/mangobay/once.py
+++ b/mangobay/once.py
@@ -299,11 +299,20 @@
         record: records.Record,
         reply: messages.Reply,
     ) -> None:
-        """Settles a record that was claimed here, by its reply."""
-        mine = record.state in (records.State.CLAIMED, records.State.STARTED)
-        if not mine:
-            return
+        """Settles a record that was claimed here, by its reply.
+
+        While the claim waited, a newer owner may have started the key and
+        told this node as its holder.  Then the record is that owner's:
+        forgotten here, the key would run again once that owner is lost.
+        """
         claimed = record.state is records.State.CLAIMED
+        started = record.state is records.State.STARTED
+        runs_here = (record.runner, record.runner_incarnation) == (
+            self.me.host,
+            self.me.incarnation,
+        )
+        if not claimed and not (started and runs_here):
+            return
         if claimed or reply.outcome is messages.Outcome.NOT_RUN:
             share.registry.forget(record)
             record.reply = reply
