A dead run that a holder tells of is unknown at once

Cause: records whose runner is gone were settled when a view came, but a holder's answer may come after it; the repeat then waited for its deadline. Change: the new owner looks again after it took the answers in.

--- a/mangobay/once.py
+++ b/mangobay/once.py
@@ -108,21 +108,12 @@
             share = self.share(service)
             if view.version >= share.view.version:
                 share.adopt(view)
-                self.settle_orphans(share)
+                share.settle_orphans()
 
     def concerns_me(self, view: messages.ServiceView) -> bool:
         """Whether this host is a member of the view."""
         return any(member.host == self.me.host for member in view.members)
 
-    def settle_orphans(self, share: tenure.Tenure) -> None:
-        """Settles records whose runner is gone: their fate stays unknown."""
-        alive = {tenure.process_of(m) for m in share.view.members} | {self.me}
-        for record in list(share.registry.by_key.values()):
-            runner = tenure.Process(record.runner, record.runner_incarnation)
-            if record.state is records.State.STARTED and runner not in alive:
-                reason = messages.Reason.OWNER_CHANGED
-                record.settle(records.State.UNKNOWN, calls.unknown(reason))
-
     async def expire(self) -> None:
         """Drops old records for ever, until cancelled."""
         while True:
--- a/mangobay/takeover.py
+++ b/mangobay/takeover.py
@@ -109,6 +109,7 @@
         for known in lists:
             if known is not None:
                 self.take_in(known, answers, now)
+        share.settle_orphans()
 
     def witnesses(self) -> list[messages.Member]:
         """Returns the other members of this and of the former views."""
--- a/mangobay/tenure.py
+++ b/mangobay/tenure.py
@@ -8,7 +8,7 @@
 import collections.abc
 import dataclasses
 
-from mangobay import ids, invariants, records, slots
+from mangobay import calls, ids, invariants, records, slots
 from mangobay.generated import messages
 
 
@@ -89,6 +89,19 @@
         self.fence(view.version)
         self.changed()
 
+    def settle_orphans(self) -> None:
+        """Settles records whose runner is gone: their fate stays unknown.
+
+        Nobody would ever settle them, and a repeat would wait for its whole
+        deadline to be told the same.
+        """
+        alive = {process_of(m) for m in self.view.members} | {self.me}
+        for record in self.registry.by_key.values():
+            runner = Process(record.runner, record.runner_incarnation)
+            if record.state is records.State.STARTED and runner not in alive:
+                reason = messages.Reason.OWNER_CHANGED
+                record.settle(records.State.UNKNOWN, calls.unknown(reason))
+
     def fence(self, version: ids.ViewVersion) -> None:
         """Promises to start and acknowledge nothing under an older view."""
         self.seen = max(self.seen, version)
--- a/tests/test_once.py
+++ b/tests/test_once.py
@@ -164,9 +164,37 @@
             await self.lose_owner(net, key)
             again = await net.send(net.owner(key), key)
             assert again.outcome is messages.Outcome.UNKNOWN
+            assert again.reason is messages.Reason.OWNER_CHANGED
             assert net.runs == ["run"]
             await asyncio.wait([task])
 
+    async def test_killed_while_it_runs_and_the_copy_is_elsewhere(self):
+        """The new owner learns of the dead run from a holder's answer.
+
+        The holder has not heard of the view without the dead owner, so it
+        says that the run goes on.  The repeat is told at once all the same
+        that its fate is unknown, and does not wait for its deadline.
+        """
+        async with once_fakes.network() as net:
+            key = once_fakes.new_key()
+            while self.next_owner(net, key) == net.holder(key):
+                key = once_fakes.new_key()
+            task = asyncio.create_task(net.send(net.owner(key), key))
+            await asyncio.sleep(once_fakes.RUN_TIME / 2)
+            owner, heir = net.owner(key), self.next_owner(net, key)
+            net.kill(owner)
+            net.publish(*(h for h in net.members if h != owner), to=[heir])
+            await asyncio.sleep(2)
+            again = await net.send(heir, key)
+            assert again.outcome is messages.Outcome.UNKNOWN
+            assert again.reason is messages.Reason.OWNER_CHANGED
+            assert net.runs == ["run"]
+            await asyncio.wait([task])
+
+    def next_owner(self, net: once_fakes.Network, key: str) -> str:
+        """Returns who owns the key when its owner is gone."""
+        return slots.ranked(net.view.members, slots.slot_of(key))[1].host
+
     async def test_killed_before_started(self):
         """The owner dies before it told anybody: the repeat simply runs."""
         async with once_fakes.network() as net:
