--- a/tests/test_once_random.py
+++ b/tests/test_once_random.py
@@ -20,6 +20,8 @@
 TTL = 2.0
 MARGIN = 0.5
 TICK = 0.2
+QUEUED = st.sampled_from([0.01, 1.5])
+"""Seconds that a claim waits for admission."""
 
 
 class ClockLease:
@@ -122,12 +124,12 @@
         self.bodies = collections.defaultdict(set)
         self.arrivals = 0
 
-    async def arrive(self, host: str, key: str) -> None:
+    async def arrive(self, host: str, key: str, queued: float) -> None:
         self.arrivals += 1
         arrival = self.arrivals
 
         async def execute(gate):
-            await asyncio.sleep(0.01)
+            await asyncio.sleep(queued)
             await gate()
             self.runs[key].append(arrival)
             await asyncio.sleep(1.0)
@@ -145,16 +147,20 @@
             case messages.Outcome.ANSWERED:
                 self.bodies[key].add(reply.body)
 
-    @stateful.rule(host=st.integers(0, HOSTS - 1), key=st.integers(0, KEYS - 1))
-    def send(self, host, key):
-        work = self.arrive(f"h{host}", self.keys[key])
+    @stateful.rule(
+        host=st.integers(0, HOSTS - 1),
+        key=st.integers(0, KEYS - 1),
+        queued=QUEUED,
+    )
+    def send(self, host, key, queued):
+        work = self.arrive(f"h{host}", self.keys[key], queued)
         self.tasks.append(self.loop.create_task(work))
 
-    @stateful.rule(key=st.integers(0, KEYS - 1))
-    def send_to_the_owner(self, key):
+    @stateful.rule(key=st.integers(0, KEYS - 1), queued=QUEUED)
+    def send_to_the_owner(self, key, queued):
         if self.net.view.members:
             host = self.net.owner(self.keys[key])
-            work = self.arrive(host, self.keys[key])
+            work = self.arrive(host, self.keys[key], queued)
             self.tasks.append(self.loop.create_task(work))
 
     @stateful.rule(host=st.integers(0, HOSTS - 1))
