Random leases: a run goes on until it has checked enough; seed 240 stays

Cause: in the soak of 294 seeds seed 240 failed: not the promise, but the guard against runs that test nothing (482 checks in 45 s, more than 500 asked). Ruled out: lowering the guard, or a smaller number of seeds. Before: 482 checks, failed. Conclusion: no seed broke the promise itself.

--- a/tests/test_leases_random.py
+++ b/tests/test_leases_random.py
@@ -11,9 +11,13 @@
 
 pytestmark = pytest.mark.looptime
 
-CI_SEEDS = range(6)
-SOAK_SEEDS = range(6, 300)
+ENOUGH = 500
+"""Checks of a run; one that made no more has shown little."""
 SECONDS = 45
+LONGEST = 4 * SECONDS
+CI_SEEDS = (*range(6), 240)
+"""Seed 240 made 482 checks in the first 45 seconds."""
+SOAK_SEEDS = range(6, 300)
 HOSTS = ("a", "b", "c", "d")
 SERVICES = ("quotes", "prices")
 CONTROL = tuple(options.Address("127.0.0.1", port) for port in (1, 2))
@@ -127,6 +131,10 @@
                     ack = node.client.ack(view)
                     assert not ack.member or view.version >= max(active)
 
+    def goes_on(self, now):
+        """Whether the run is too short, or has not checked enough yet."""
+        return now < SECONDS or (self.checks <= ENOUGH and now < LONGEST)
+
     async def run(self):
         """Runs the control hosts, the nodes and the faults."""
         running = [
@@ -136,7 +144,7 @@
             self.start(host)
         next_fault, term = 5.0, 1
         try:
-            while clock.now() < SECONDS:
+            while self.goes_on(clock.now()):
                 await asyncio.sleep(0.04)
                 self.check()
                 if clock.now() > next_fault:
@@ -171,4 +179,4 @@
         await world.run()
         print(f"seed {seed}: {world.faults} faults, {world.checks} checks")
         assert world.faults > 20
-        assert world.checks > 500
+        assert world.checks > ENOUGH
