At most once: one way to ask a member, one name for a record's runner

Cause: CopySender.put and fetch held the same address and error handling, and the process behind a record was put together in two places. Change: both call CopySender.ask; tenure.runner_of stands for the pair.

--- a/mangobay/copies.py
+++ b/mangobay/copies.py
@@ -30,11 +30,7 @@
         self, member: messages.Member, message: messages.CopyPut
     ) -> messages.CopyAck | None:
         """Sends records once; None when no acknowledgement came."""
-        address = options.parse_address(member.peer_address)
-        try:
-            ack = await self.transport.ask(address, message, self.timeout)
-        except (errors.PeerError, TimeoutError):
-            return None
+        ack = await self.ask(member, message)
         return ack if isinstance(ack, messages.CopyAck) else None
 
     async def put_all(
@@ -51,12 +47,20 @@
         self, member: messages.Member, message: messages.CopyFetch
     ) -> messages.CopyList | None:
         """Asks a member what it knows; None when it does not answer."""
+        known = await self.ask(member, message)
+        return known if isinstance(known, messages.CopyList) else None
+
+    async def ask(
+        self,
+        member: messages.Member,
+        message: messages.CopyPut | messages.CopyFetch,
+    ) -> messages.EnvelopeBody | None:
+        """Returns a member's answer; None when none came in time."""
         address = options.parse_address(member.peer_address)
         try:
-            known = await self.transport.ask(address, message, self.timeout)
+            return await self.transport.ask(address, message, self.timeout)
         except (errors.PeerError, TimeoutError):
             return None
-        return known if isinstance(known, messages.CopyList) else None
 
 
 def keep(
--- a/mangobay/once.py
+++ b/mangobay/once.py
@@ -298,10 +298,7 @@
         """
         claimed = record.state is records.State.CLAIMED
         started = record.state is records.State.STARTED
-        runs_here = (record.runner, record.runner_incarnation) == (
-            self.me.host,
-            self.me.incarnation,
-        )
+        runs_here = tenure.runner_of(record) == self.me
         if not claimed and not (started and runs_here):
             return
         if claimed or reply.outcome is messages.Outcome.NOT_RUN:
--- a/mangobay/tenure.py
+++ b/mangobay/tenure.py
@@ -25,6 +25,11 @@
     return Process(member.host, member.incarnation)
 
 
+def runner_of(record: records.Record) -> Process:
+    """Returns the process that runs or ran a record's call."""
+    return Process(record.runner, record.runner_incarnation)
+
+
 class Tenure:
     """One service at one node.
 
@@ -97,8 +102,8 @@
         """
         alive = {process_of(m) for m in self.view.members} | {self.me}
         for record in self.registry.by_key.values():
-            runner = Process(record.runner, record.runner_incarnation)
-            if record.state is records.State.STARTED and runner not in alive:
+            started = record.state is records.State.STARTED
+            if started and runner_of(record) not in alive:
                 reason = messages.Reason.OWNER_CHANGED
                 record.settle(records.State.UNKNOWN, calls.unknown(reason))
 
