--- a/mangobay/metrics.py
+++ b/mangobay/metrics.py
@@ -19,6 +19,9 @@
 KEPT_BITS = 8
 """Leading bits of a time that two digits need."""
 QUANTILES = (0.5, 0.9, 0.99, 0.999)
+BUCKETS = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0)
+"""Upper bounds in seconds: the usual ones of the text format, which other
+systems sum over hosts; quantiles cannot be summed."""
 
 
 class OperationKey(typing.NamedTuple):
@@ -112,6 +115,7 @@
         """Yields every family; called by the registry."""
         yield self.calls_family()
         yield self.latency_family()
+        yield self.histogram_family()
         yield from self.promise_families()
         for gauge in self.gauges:
             name = f"mangobay_{gauge.name}"
@@ -148,6 +152,18 @@
                 family.add_metric((*key, str(quantile)), value / 1e6)
         return family
 
+    def histogram_family(self) -> core.HistogramMetricFamily:
+        """Returns the answered calls' time as buckets."""
+        family = core.HistogramMetricFamily(
+            "mangobay_answer_time_seconds",
+            "Time of answered calls since the start.",
+            labels=("service", "operation"),
+        )
+        for key, ends in self.ends.items():
+            buckets, total = buckets_of(ends.latency)
+            family.add_metric(key, buckets, total)
+        return family
+
     def promise_families(self):
         """Yields how often promises were checked, and found broken."""
         shown = (
@@ -162,3 +178,22 @@
                 label = promise.name.lower()
                 family.add_metric((label,), counts[promise])
             yield family
+
+
+def buckets_of(
+    latency: histogram.HdrHistogram,
+) -> tuple[list[tuple[str, int]], float]:
+    """Returns the count at or below each bound, and the sum in seconds."""
+    counts = [0] * len(BUCKETS)
+    total = 0.0
+    for item in latency.get_recorded_iterator():
+        seconds = item.value_iterated_to / 1e6
+        total += seconds * item.count_at_value_iterated_to
+        for place, bound in enumerate(BUCKETS):
+            if seconds <= bound:
+                counts[place] += item.count_at_value_iterated_to
+    shown = [
+        (str(bound), count)
+        for bound, count in zip(BUCKETS, counts, strict=True)
+    ]
+    return [*shown, ("+Inf", latency.get_total_count())], total
