Callers beside a backend server that fails or is late go elsewhere

Cause: a call that enters on the host of a backend server of its service went to that one whenever it had room; the router, which passes over hosts where calls fail or come late, was never asked.

Ruled out: ejection (it takes only broken connections and silence).

Change: only an own host that fails under one in twenty is preferred.

--- a/mangobay/entry.py
+++ b/mangobay/entry.py
@@ -186,7 +186,7 @@
     ) -> messages.Member | messages.Reply:
         """Returns the host to try, or the refusal where there is none."""
         service = request.operation.service
-        if self.prefers_own(service, excluded):
+        if self.prefers_own(request.operation, excluded):
             return messages.Member(host=self.tools.process.host)
         try:
             return self.tools.router.pick(
@@ -206,11 +206,16 @@
             return calls.not_run(Reason.NO_BACKEND)
 
     def prefers_own(
-        self, service: ids.ServiceName, excluded: set[ids.HostId]
+        self, operation: messages.Operation, excluded: set[ids.HostId]
     ) -> bool:
-        """Whether the backend server here has room: that saves a hop."""
+        """Whether the backend server here serves well: that saves a hop.
+
+        One that fails calls, or answers them late, would else keep all those
+        that enter here: up to a third of a service's callers are beside its
+        backend servers, and the router never got to choose for them.
+        """
         here = self.tools.serving
-        place = here.served.find(service)
+        place = here.served.find(operation.service)
         host = self.tools.process.host
         if place is None or here.leaving or host in excluded:
             return False
@@ -218,10 +223,14 @@
             return False
         if place.admission.running >= place.admission.limit:
             return False
-        known = self.tools.router.services.get(service)
+        known = self.tools.router.services.get(operation.service)
         found = known.known.get(host) if known else None
+        if found is None:
+            return True
         now = asyncio.get_running_loop().time()
-        return found is None or known.usable(found, excluded, now)
+        if found.failing(operation.name, now) >= routing.FAILING_MARGIN:
+            return False
+        return known.usable(found, excluded, now)
 
     def wait_before_next(
         self, request: calls.Request, reply: messages.Reply, made: Attempts
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -2,12 +2,14 @@
 
 import asyncio
 import random
+import types
 
 import pytest
 
 from mangobay import (
     announcements,
     calls,
+    crossings,
     entry,
     errors,
     fields,
@@ -35,7 +37,8 @@
 
 
 def address(host: str) -> options.Address:
-    return options.Address("127.0.0.1", 1000 + HOSTS.index(host))
+    places = [*HOSTS, ME.host]
+    return options.Address("127.0.0.1", 1000 + places.index(host))
 
 
 class Hosts:
@@ -145,6 +148,57 @@
     return messages.Reply(outcome=Outcome.ANSWERED, tries_left=call.tries)
 
 
+class OwnServing:
+    """A backend server on this host, with room, that fails some calls."""
+
+    def __init__(self, failing):
+        self.served = self
+        self.leaving = False
+        self.crossings = crossings.Crossings()
+        self.failing = failing
+        self.asked = 0
+
+    def find(self, service):
+        del service
+        return types.SimpleNamespace(
+            said=types.SimpleNamespace(healthy=True),
+            admission=types.SimpleNamespace(threshold=0, running=0, limit=9),
+        )
+
+    async def serve(self, call):
+        self.asked += 1
+        failed = self.failing and self.asked % self.failing == 0
+        return messages.Reply(
+            outcome=Outcome.ANSWERED,
+            status=500 if failed else 200,
+            tries_left=call.tries,
+            inflight=1,
+            limit=9,
+        )
+
+
+@pytest.mark.looptime
+class TestOwnHost:
+    """Calls that enter beside a backend server of their service."""
+
+    @pytest.mark.parametrize(
+        ("failing", "fewest", "most"), [(0, 200, 200), (4, 5, 80)]
+    )
+    async def test_its_callers_leave_it_where_calls_fail(
+        self, failing, fewest, most
+    ):
+        """Callers on one host get errors, all others nearly none.
+
+        The backend server beside them fails one call in four; others of the
+        service are well.  It has room, and so it was never passed over.
+        """
+        made, _ = make_entry(answered, names=[*HOSTS[:5], ME.host], hop_tries=0)
+        own = made.tools.serving = OwnServing(failing)
+        for _ in range(200):
+            await made.handle(make_request(granted=0))
+        assert fewest <= own.asked <= most
+
+
 @pytest.mark.looptime
 class TestRetries:
     """Extra tries, bounded and only where nothing can run twice."""
