--- a/mangobay/entry.py
+++ b/mangobay/entry.py
@@ -16,6 +16,7 @@
     options,
     peers,
     ratio,
+    retrying,
     routing,
     serving,
     slots,
@@ -33,37 +34,12 @@
 going on to another one multiplies nothing; the bound keeps stale views from
 sending a call around for long.
 """
-REDIRECTS = frozenset(
-    {
-        Reason.LEAVING,
-        Reason.NOT_OWNER,
-        Reason.NO_BACKEND,
-        Reason.CONNECTION_FAILED,
-    }
-)
-RETRIED_REFUSALS = frozenset(
-    {
-        Reason.OVERLOADED,
-        Reason.QUEUE_TIMEOUT,
-        Reason.BACKEND_SHED,
-        Reason.NO_BACKEND,
-        Reason.CONNECTION_FAILED,
-    }
-)
-RETRIED_UNKNOWNS = frozenset(
-    {Reason.CONNECTION_BROKEN, Reason.INCOMPLETE_ANSWER, Reason.INTERNAL}
-)
-"""Only for idempotent calls."""
 OWNER_WAIT = 0.05
 """Seconds before the owner of a key is looked up again; tripled each time."""
 WAIT_SHARE = 0.5
 """Of an operation's target latency that a call may wait for a slot: a call in
 the middle of a chain that is refused wastes the work of all above it, and one
 that waits longer than this comes too late as well."""
-FAILED = 500
-"""Status of an answer that another backend server may not give."""
-QUICK_SHARE = 0.3
-"""Of the target latency: a try that begins later seldom ends within it."""
 REPLY_GRACE = 0.05
 """Seconds after the deadline in which a reply that says why is awaited."""
 
@@ -238,15 +214,17 @@
         """Returns the seconds before another attempt, None for none."""
         now = asyncio.get_running_loop().time()
         failed = reply.outcome is Outcome.ANSWERED
-        if failed and not is_quick_failure(request, reply, now - made.began):
+        if failed and not retrying.is_quick_failure(
+            request, reply, now - made.began
+        ):
             return None
         left = request.deadline - now
         if left <= 0:
             return None
-        if is_redirect(reply) and made.redirects < MOST_REDIRECTS:
+        if retrying.is_redirect(reply) and made.redirects < MOST_REDIRECTS:
             made.redirects += 1
             return 0.0
-        if not failed and not may_retry(request, reply):
+        if not failed and not retrying.may_retry(request, reply):
             return None
         if made.retries >= self.retries.hop_tries:
             return None
@@ -283,7 +261,7 @@
                 reply = calls.not_run(Reason.NO_BACKEND)
             else:
                 reply = await self.attempt(request, owner)
-            if not is_redirect(reply) or redirect == MOST_REDIRECTS:
+            if not retrying.is_redirect(reply) or redirect == MOST_REDIRECTS:
                 return reply
             left = request.deadline - asyncio.get_running_loop().time()
             wait = OWNER_WAIT * 3**redirect * self.tools.dice.uniform(0.5, 1)
@@ -396,38 +374,6 @@
         return reply
 
 
-def is_redirect(reply: messages.Reply) -> bool:
-    """Returns whether the host cannot have touched the call."""
-    return reply.outcome is Outcome.NOT_RUN and reply.reason in REDIRECTS
-
-
-def is_quick_failure(
-    request: calls.Request, reply: messages.Reply, seconds: float
-) -> bool:
-    """Returns whether a failed answer is worth another try.
-
-    A backend server that fails part of its requests does so at once, and
-    another one can still answer in time.  One that fails late has made calls
-    of its own, which another try would make again.
-    """
-    operation = request.operation
-    if reply.status != FAILED or not operation.idempotent:
-        return False
-    return seconds < QUICK_SHARE * operation.target_ms / 1000
-
-
-def may_retry(request: calls.Request, reply: messages.Reply) -> bool:
-    """Returns whether an extra try may go to another host.
-
-    What is refused for the services below is refused at every host: a host
-    that has not learned it yet would run the call in vain.
-    """
-    if reply.outcome == Outcome.NOT_RUN:
-        refused_below = reply.below > reply.threshold
-        return reply.reason in RETRIED_REFUSALS and not refused_below
-    return request.operation.idempotent and reply.reason in RETRIED_UNKNOWNS
-
-
 def seen(
     request: calls.Request, reply: messages.Reply, seconds: float
 ) -> hosts.Observation:
--- /dev/null
+++ b/mangobay/retrying.py
@@ -0,0 +1,65 @@
+"""Which attempts of a call may be followed by another one, at another host."""
+
+from mangobay import calls
+from mangobay.generated import messages
+
+Outcome = messages.Outcome
+Reason = messages.Reason
+
+REDIRECTS = frozenset(
+    {
+        Reason.LEAVING,
+        Reason.NOT_OWNER,
+        Reason.NO_BACKEND,
+        Reason.CONNECTION_FAILED,
+    }
+)
+RETRIED_REFUSALS = frozenset(
+    {
+        Reason.OVERLOADED,
+        Reason.QUEUE_TIMEOUT,
+        Reason.BACKEND_SHED,
+        Reason.NO_BACKEND,
+        Reason.CONNECTION_FAILED,
+    }
+)
+RETRIED_UNKNOWNS = frozenset(
+    {Reason.CONNECTION_BROKEN, Reason.INCOMPLETE_ANSWER, Reason.INTERNAL}
+)
+"""Only for idempotent calls."""
+FAILED = 500
+"""Status of an answer that another backend server may not give."""
+QUICK_SHARE = 0.3
+"""Of the target latency: a try that begins later seldom ends within it."""
+
+
+def is_redirect(reply: messages.Reply) -> bool:
+    """Returns whether the host cannot have touched the call."""
+    return reply.outcome is Outcome.NOT_RUN and reply.reason in REDIRECTS
+
+
+def is_quick_failure(
+    request: calls.Request, reply: messages.Reply, seconds: float
+) -> bool:
+    """Returns whether a failed answer is worth another try.
+
+    A backend server that fails part of its requests does so at once, and
+    another one can still answer in time.  One that fails late has made calls
+    of its own, which another try would make again.
+    """
+    operation = request.operation
+    if reply.status != FAILED or not operation.idempotent:
+        return False
+    return seconds < QUICK_SHARE * operation.target_ms / 1000
+
+
+def may_retry(request: calls.Request, reply: messages.Reply) -> bool:
+    """Returns whether an extra try may go to another host.
+
+    What is refused for the services below is refused at every host: a host
+    that has not learned it yet would run the call in vain.
+    """
+    if reply.outcome == Outcome.NOT_RUN:
+        refused_below = reply.below > reply.threshold
+        return reply.reason in RETRIED_REFUSALS and not refused_below
+    return request.operation.idempotent and reply.reason in RETRIED_UNKNOWNS
