A leaving node takes requests for half of its grace at most

Cause: the time for which it takes them stands in the settings (3 s); where a platform gives less than 4 s of grace, the last requests were cut and the node said that calls were in flight though none was.

With a grace of 6 s nothing changes. The new test fails before.

--- a/mangobay/routednode.py
+++ b/mangobay/routednode.py
@@ -27,6 +27,9 @@
 that is still closing at the end is killed, and answers that it was writing are
 cut; on a busy host closing takes some tenths of a second."""
 
+LINGER_SHARE = 0.5
+"""Of the grace, the longest time for which a leaving node takes requests: the
+other half is left for those that it took last."""
 TOLD_BEFORE = 0.7
 """Seconds before it takes no more calls that a leaving node has the others told:
 a renewal, an entry of the log and the renewals of the others, with room for a
@@ -190,12 +193,13 @@
         self.outside_listener.leaving = True
         now = asyncio.get_running_loop().time()
         ends_at = now + config.grace - LEAVE_MARGIN
+        linger = min(config.linger, config.grace * LINGER_SHARE)
         self.serving.ends_at = ends_at
         try:
             async with asyncio.timeout_at(ends_at):
-                await asyncio.sleep(max(config.linger - TOLD_BEFORE, 0))
+                await asyncio.sleep(max(linger - TOLD_BEFORE, 0))
                 self.control.leaving = True
-                await asyncio.sleep(min(config.linger, TOLD_BEFORE))
+                await asyncio.sleep(min(linger, TOLD_BEFORE))
                 self.serving.leaving = True
                 while self.busy():
                     await asyncio.sleep(node.IDLE_POLL)
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -145,6 +145,22 @@
             assert loop.time() - began < 2
             await flying
 
+    async def test_a_short_grace_leaves_time_for_the_last_ones(self, tmp_path):
+        """Requests are cut where the platform gives a stopped node little time.
+
+        The node goes on taking requests for as long as its settings say,
+        which is longer than its grace: those that it took last are cut.
+        """
+        async with platformfakes.Fleet(tmp_path, seeds=1, voters=1) as fleet:
+            fleet.control(1)
+            await fleet.node(11, "a", grace="3s", linger="4s")
+            await platformfakes.until(accepted(fleet, 1, 1, ["a"], "0"))
+            await platformfakes.until(served(fleet, 11, "a", iter(range(999))))
+            assert await fleet.stop("n11") == 0
+            log = (tmp_path / "n11.log").read_text()
+            assert "node: left" in log
+            assert "stopping at once" not in log
+
     async def test_a_lost_host_is_replaced_by_one_elsewhere(self, tmp_path):
         """A configuration is accepted after two hosts in turn were lost.
 
