The retry ratio comes from the platform's bounds

Cause: 0.18 stood in the settings, nine tenths of the bound of today's two deployments; where another bounds retries lower, its bound would be broken.

Here nothing changes (0.9 x 0.2). Open, in PROMISES: the tries that many nodes save up are more together than what may come on top of the ratio.

--- a/mangobay/ratio.py
+++ b/mangobay/ratio.py
@@ -17,7 +17,7 @@
     """
 
     def __init__(self, retries: settings.NodeRetries):
-        self.ratio = retries.ratio
+        self.ratio = retries.ratio * retries.spent
         self.burst = float(retries.burst)
         self.tokens: dict[ids.ServiceName, float] = {}
 
--- a/tests/test_ratio.py
+++ b/tests/test_ratio.py
@@ -26,6 +26,21 @@
         taken = sum(kept.take(decisionfakes.QUOTES) for _ in range(100))
         assert taken == 1
 
+    def test_a_share_of_the_ratio_is_left_unspent(self):
+        """A bound over all nodes is broken though each one keeps to it.
+
+        Whoever counts looks at windows that begin at other moments.
+        """
+        kept = ratio.RetryRatio(
+            decisionfakes.section("retries", ratio=0.2, spent=0.9, burst=50)
+        )
+        while kept.take(decisionfakes.QUOTES):
+            pass
+        for _ in range(101):
+            kept.answered(decisionfakes.QUOTES)
+        taken = sum(kept.take(decisionfakes.QUOTES) for _ in range(100))
+        assert taken == 18
+
 
 class TestBackoff:
     """The wait before another try."""
