--- a/mangobay/takeover.py
+++ b/mangobay/takeover.py
@@ -75,10 +75,11 @@
           Whether everybody asked has answered under this view.
         """
         share = self.share
+        by_runner = share.started_elsewhere()
         for member in share.view.members:
             runner = tenure.process_of(member)
-            started = share.started_by(runner)
-            if not started or runner == share.me:
+            started = by_runner.get(runner)
+            if started is None:
                 continue
             message = messages.CopyFetch(
                 service=share.service,
@@ -100,10 +101,13 @@
     ) -> None:
         """Drops the calls that their runner knows nothing of."""
         running = {entry.key for entry in known.entries}
+        registry = self.share.registry
         for record in started:
-            still = record.state is records.State.STARTED
+            # It may have ended, or left the window, while others were asked.
+            kept = registry.get(record.key) is record
+            still = kept and record.state is records.State.STARTED
             if still and record.key not in running:
-                self.share.registry.withdraw(record)
+                registry.withdraw(record)
 
     async def sync(self, version: ids.ViewVersion) -> bool:
         """Gives the holders what they lack; true when they have all."""
