--- a/mangobay/gateway.py
+++ b/mangobay/gateway.py
@@ -109,7 +109,13 @@
         signed = fields.find(answer.headers, self.vocabulary.backend.signature)
         if answer.status < FIRST_REDIRECT and not signed:
             return calls.unknown(Reason.INCOMPLETE_ANSWER)
-        return serving.answered(answer)
+        return messages.Reply(
+            outcome=Outcome.ANSWERED,
+            status=answer.status,
+            headers=answer.headers,
+            body=answer.body,
+            service_ms=int(answer.seconds * 1000),
+        )
 
 
 class Gateway:
--- a/mangobay/serving.py
+++ b/mangobay/serving.py
@@ -311,7 +311,13 @@
         # A backend server may pass the refusal of a deeper service on as its
         # own. After child calls some of its work was done, so its word that
         # nothing ran does not count, and the answer is its answer.
-        return answered(answer)
+        return messages.Reply(
+            outcome=Outcome.ANSWERED,
+            status=answer.status,
+            headers=answer.headers,
+            body=answer.body,
+            service_ms=int(answer.seconds * 1000),
+        )
 
     def headers(
         self, call: messages.Call, place: announcements.Served
@@ -342,17 +348,6 @@
         return self.parents.get(ids.CallId(trace.parent)) if trace else None
 
 
-def answered(answer: backend.Answer) -> messages.Reply:
-    """Returns the reply that passes an answer on."""
-    return messages.Reply(
-        outcome=Outcome.ANSWERED,
-        status=answer.status,
-        headers=answer.headers,
-        body=answer.body,
-        service_ms=int(answer.seconds * 1000),
-    )
-
-
 def is_whole(reply: messages.Reply) -> bool:
     """Returns whether the backend server did its work.
 
--- a/mangobay/takeover.py
+++ b/mangobay/takeover.py
@@ -75,11 +75,10 @@
           Whether everybody asked has answered under this view.
         """
         share = self.share
-        by_runner = share.started_elsewhere()
         for member in share.view.members:
             runner = tenure.process_of(member)
-            started = by_runner.get(runner)
-            if started is None:
+            started = share.started_by(runner)
+            if not started or runner == share.me:
                 continue
             message = messages.CopyFetch(
                 service=share.service,
@@ -101,13 +100,10 @@
     ) -> None:
         """Drops the calls that their runner knows nothing of."""
         running = {entry.key for entry in known.entries}
-        registry = self.share.registry
         for record in started:
-            # It may have ended, or left the window, while others were asked.
-            kept = registry.get(record.key) is record
-            still = kept and record.state is records.State.STARTED
+            still = record.state is records.State.STARTED
             if still and record.key not in running:
-                registry.withdraw(record)
+                self.share.registry.withdraw(record)
 
     async def sync(self, version: ids.ViewVersion) -> bool:
         """Gives the holders what they lack; true when they have all."""
--- a/mangobay/tenure.py
+++ b/mangobay/tenure.py
@@ -119,21 +119,15 @@
             return
         self.registry.merge(entry, now)
 
-    def started_elsewhere(self) -> dict[Process, list[records.Record]]:
-        """Returns the calls of this node's slots that others are to run.
-
-        One pass over the records for all runners: a service may have
-        thousands of members and as many records.
-        """
-        found: dict[Process, list[records.Record]] = {}
-        for record in self.registry.by_key.values():
-            if record.state is not records.State.STARTED:
-                continue
-            runner = runner_of(record)
-            owned = self.is_me(self.placement.owner(record.slot))
-            if owned and runner != self.me:
-                found.setdefault(runner, []).append(record)
-        return found
+    def started_by(self, runner: Process) -> list[records.Record]:
+        """Returns the calls of this node's slots that a process is to run."""
+        return [
+            record
+            for record in self.registry.by_key.values()
+            if record.state is records.State.STARTED
+            and runner_of(record) == runner
+            and self.is_me(self.placement.owner(record.slot))
+        ]
 
     def fence(self, version: ids.ViewVersion) -> None:
         """Promises to start and acknowledge nothing under an older view."""
