--- a/mangobay/cmdcontrol.py
+++ b/mangobay/cmdcontrol.py
@@ -4,7 +4,7 @@
 import signal
 import sys
 
-from mangobay import control, program
+from mangobay import control, disk, errors, logs, program
 from mangobay.generated import settings
 
 
@@ -30,12 +30,31 @@
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, stop.set)
-        host = self.make(config)
-        await host.start()
-        await host.run(stop)
+        while not stop.is_set():
+            host = self.make(config)
+            try:
+                await host.start()
+                await host.run(stop)
+            except errors.DiskFullError as error:
+                host.disk.close()
+                logs.say(logs.Part.CONTROL, "waits for room", why=str(error))
+                await wait_for_room(host.disk, stop)
         return program.Exit.OK
 
 
+async def wait_for_room(full: disk.Disk, stop: asyncio.Event) -> None:
+    """Returns once the disk takes writes, or the program is told to stop.
+
+    A control host whose disk is full can promise nothing: it must neither vote
+    nor take entries.  Were its process to end, it would be started again and
+    again until there is room.  What it held in memory is dropped, and read
+    anew from the disk, as after a restart: how much of the refused write
+    arrived there is not known.
+    """
+    while not (stop.is_set() or await full.offload(full.has_room)):
+        await asyncio.sleep(disk.ROOM_POLL)
+
+
 main = ControlProgram().main
 
 if __name__ == "__main__":
--- a/mangobay/disk.py
+++ b/mangobay/disk.py
@@ -1,6 +1,7 @@
 """The few operations on files that the control group's storage needs."""
 
 import asyncio
+import errno
 import fcntl
 import os
 import pathlib
@@ -9,6 +10,13 @@
 from mangobay import errors
 
 LOCK_NAME = "lock"
+FULL = frozenset({errno.ENOSPC, errno.EDQUOT})
+"""Error numbers of a disk that takes no more bytes, but is sound."""
+PROBE_NAME = "probe"
+PROBE_BYTES = 64 * 1024
+"""Room for some hundred log entries."""
+ROOM_POLL = 0.25
+"""Seconds between two looks at a full disk."""
 Result = typing.TypeVar("Result")
 
 
@@ -89,6 +97,19 @@
         finally:
             os.close(number)
 
+    def has_room(self) -> bool:
+        """Returns whether the disk takes writes."""
+        try:
+            self.write(PROBE_NAME, bytes(PROBE_BYTES))
+            self.sync(PROBE_NAME)
+        except OSError as error:
+            if error.errno in FULL:
+                return False
+            raise
+        finally:
+            (self.folder / PROBE_NAME).unlink(missing_ok=True)
+        return True
+
     async def offload(self, work: typing.Callable[[], Result]) -> Result:
         """Runs blocking work off the loop."""
         # A sync takes milliseconds, at times seconds; on the loop it would
--- a/mangobay/errors.py
+++ b/mangobay/errors.py
@@ -98,6 +98,10 @@
     """The data folder cannot be read or written."""
 
 
+class DiskFullError(StorageError):
+    """The disk takes no writes until there is room again; nothing is broken."""
+
+
 class DamagedLogError(StorageError):
     """A record before the last one fails its checksum: refused, never cut."""
 
--- a/mangobay/storage.py
+++ b/mangobay/storage.py
@@ -44,6 +44,7 @@
       first: index of the first of them.
       synced: newest index that is durable.
       failure: why the storage refuses to write, empty while it works.
+      full: that is since the disk is full.
     """
 
     def __init__(self, disk: disk_module.Disk):
@@ -55,20 +56,22 @@
         self.first = 1
         self.synced = 0
         self.failure = ""
+        self.full = False
 
     def open(self) -> None:
         """Reads the folder, or makes a new identity in an empty one.
 
         Raises:
           errors.DamagedLogError: a file fails its checksum.
+          errors.DiskFullError: the folder takes no writes for now.
           errors.StorageError: the folder cannot be read or written.
         """
         try:
             self.disk.open()
             self.load()
         except OSError as error:
-            why = error.strerror or error
-            raise errors.StorageError(f"{self.disk}: {why}") from error
+            self.fail(error, f"{self.disk}: {error.strerror or error}")
+            raise self.error() from error
 
     def load(self) -> None:
         """Takes in what the folder holds."""
@@ -348,10 +351,22 @@
         """Refuses to go on after a failure.
 
         Raises:
-          errors.StorageError: with the first failure.
+          errors.DiskFullError: the first failure, of a full disk.
+          errors.StorageError: the first failure, of any other kind.
         """
         if self.failure:
-            raise errors.StorageError(self.failure)
+            raise self.error()
+
+    def error(self) -> errors.StorageError:
+        """Returns the error that tells of the first failure."""
+        kind = errors.DiskFullError if self.full else errors.StorageError
+        return kind(self.failure)
+
+    def fail(self, error: OSError, why: str) -> None:
+        """Refuses every later write."""
+        self.failure = why
+        self.full = error.errno in disk_module.FULL
+        logs.say(logs.Part.STORAGE, "disk failed", why=str(error))
 
     async def run(self, work: typing.Callable[[], typing.Any]) -> typing.Any:
         """Runs disk work off the loop; after a failure nothing more is run."""
@@ -361,6 +376,5 @@
         except OSError as error:
             # A sync that failed may have dropped the pages it could not
             # write; a later one would report success without them.
-            self.failure = f"{self.disk}: {error}"
-            logs.say(logs.Part.STORAGE, "disk failed", why=str(error))
-            raise errors.StorageError(self.failure) from error
+            self.fail(error, f"{self.disk}: {error}")
+            raise self.error() from error
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -2,16 +2,23 @@
 
 import asyncio
 import contextlib
+import errno
+import os
 import random
+import signal
 import socket
 import sys
 
 import aiohttp
 import decisionfakes
+import pytest
 
 from mangobay import (
+    cmdcontrol,
     control,
     controlclient,
+    disk,
+    errors,
     ids,
     options,
     peers,
@@ -179,6 +186,99 @@
             await one.stop()
 
 
+class FillingDisk(disk.Disk):
+    """A disk that refuses every write while it is full."""
+
+    full = False
+
+    def check(self):
+        if FillingDisk.full:
+            raise OSError(errno.ENOSPC, "No space left on device")
+
+    def write(self, name, data):
+        self.check()
+        super().write(name, data)
+
+    def append(self, name, data):
+        self.check()
+        super().append(name, data)
+
+    def cut(self, name, size):
+        self.check()
+        super().cut(name, size)
+
+
+class TestFullDisk:
+    """The disk of a control host takes no writes for a while."""
+
+    @pytest.fixture
+    def program(self, monkeypatch):
+        """A program whose disk fills, run in this process."""
+        monkeypatch.setattr(disk, "Disk", FillingDisk)
+        monkeypatch.setattr(FillingDisk, "full", False)
+        made = cmdcontrol.ControlProgram()
+        made.hosts = []
+        make = made.make
+
+        def remember(config):
+            made.hosts.append(make(config))
+            return made.hosts[-1]
+
+        monkeypatch.setattr(made, "make", remember)
+        return made
+
+    def config(self, tmp_path):
+        path = write_settings(tmp_path, 0, free_addresses(1))
+        return settings.load(
+            path, generated.CONTROL_SECTIONS, generated.Control
+        )
+
+    def leads(self, program):
+        host = program.hosts[-1]
+        return hasattr(host, "group") and host.group.leading.is_set()
+
+    async def test_it_is_back_when_there_is_room(self, tmp_path, program):
+        """The disk fills under a leader; later something makes room.
+
+        The change sent meanwhile is not acknowledged.  The process stays, so
+        that nobody has to start it, and leads again with all that it had
+        acknowledged once the disk takes writes.
+        """
+        running = asyncio.create_task(program.run(self.config(tmp_path)))
+        await until(lambda: program.hosts and self.leads(program))
+        change = messages.SheetChange(version="1", operator="ana")
+        first = program.hosts[-1]
+        await first.group.propose(change)
+        FillingDisk.full = True
+        with pytest.raises(errors.UncertainError):
+            await first.group.propose(messages.SheetChange(version="2"))
+        await asyncio.sleep(3 * disk.ROOM_POLL)
+        assert not running.done()
+        FillingDisk.full = False
+        await until(
+            lambda: program.hosts[-1] is not first and self.leads(program)
+        )
+        await program.hosts[-1].group.propose(
+            messages.SheetChange(version="3", operator="ana")
+        )
+        assert program.hosts[-1].machine.history[0].version == "1"
+        os.kill(os.getpid(), signal.SIGTERM)
+        assert await running == 0
+
+    async def test_it_waits_for_room_at_its_start(self, tmp_path, program):
+        """The disk is full when the process starts, with nothing on it yet.
+
+        A process that ended would be started again and again; this one waits
+        and can still be told to stop.
+        """
+        FillingDisk.full = True
+        running = asyncio.create_task(program.run(self.config(tmp_path)))
+        await asyncio.sleep(3 * disk.ROOM_POLL)
+        assert not running.done()
+        os.kill(os.getpid(), signal.SIGTERM)
+        assert await running == 0
+
+
 class TestProgram:
     """`mangobay-control` as a process."""
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -80,6 +80,10 @@
         assert [p.service for p in second.parts] == ["b"]
         assert routes.check(read) == []
 
+    def test_uploads_may_not_be_repeated(self):
+        read = documents.document_of(with_cell("route_type", "upload"))
+        assert read.routes[0].kind is routes.Kind.UNSAFE
+
     @pytest.mark.parametrize(
         ("broken", "where"),
         [
@@ -103,6 +107,7 @@
         ("column", "value"),
         [
             ("route_type", "odd"),
+            ("route_type", ["safe"]),
             ("timeout", 1000),
             ("timeout", None),
             ("max_attempts", True),
