Retries are paid by requests, kept for critical calls first, and count those made below

Hypothesis: tries paid by answers dry up just when another attempt serves a caller most; and a repeated run makes its calls again, which a bound over all nodes counts too.

Change: each request pays for its share of a try; a call of a repeated run takes one; a run that failed after calls of its own is not tried again; while critical calls want tries, half of the saved ones are kept for them.

--- a/mangobay/calls.py
+++ b/mangobay/calls.py
@@ -66,6 +66,7 @@
       trace: where the call stands in its trace.
       tree: names the call tree to admission and routing.
       parent: the operation of whose run here it is a part, empty for none.
+      repeat: it is made by a run that is itself another attempt.
     """
 
     operation: messages.Operation
@@ -83,6 +84,7 @@
     trace: fields.Trace
     tree: ids.TreeId = ids.TreeId("")
     parent: ids.OperationName = ids.OperationName("")
+    repeat: bool = False
 
     def follow(self, run: messages.Call) -> None:
         """Takes the rank of the run that the call is made for."""
@@ -90,6 +92,7 @@
         self.depth = run.depth + 1
         self.tree = run.tree
         self.parent = run.operation
+        self.repeat = run.repeat
 
     @property
     def owned(self) -> bool:
--- a/mangobay/entry.py
+++ b/mangobay/entry.py
@@ -126,6 +126,7 @@
         if not operation.idempotent and not self.tools.lease.holds():
             return calls.not_run(Reason.NO_LEASE)
         self.entered += 1
+        self.tools.ratio.asked(operation.service, request.repeat)
         try:
             if request.owned:
                 reply = await self.run_owned(request)
@@ -133,8 +134,6 @@
                 reply = await self.run_routed(request)
         finally:
             self.entered -= 1
-        if serving.is_whole(reply):
-            self.tools.ratio.answered(operation.service)
         return reply
 
     async def run_routed(self, request: calls.Request) -> messages.Reply:
@@ -234,11 +233,14 @@
         if wait is None:
             return None
         service = request.operation.service
-        if request.grant.left < 1 or not self.tools.ratio.take(service):
+        if request.grant.left < 1:
+            return None
+        if not self.tools.ratio.take(service, request.importance, now):
             return None
         request.grant.take()
         made.retries += 1
         made.paid = True
+        request.repeat = request.repeat or retrying.reached_backend(reply)
         return wait
 
     def put_back(self, request: calls.Request) -> None:
@@ -349,6 +351,7 @@
             client=request.client,
             tree=request.tree,
             patience_ms=int(operation.target_ms * WAIT_SHARE),
+            repeat=request.repeat,
         )
 
     async def deliver(
--- a/mangobay/ratio.py
+++ b/mangobay/ratio.py
@@ -1,35 +1,68 @@
 """Retry ratio of each service, and the wait before another try."""
 
+import math
 import random
 
 from mangobay import ids
-from mangobay.generated import settings
+from mangobay.generated import messages, settings
 
 LONGEST_BACKOFF = 1.0
 """Seconds; doubling stops here."""
+KEPT_SHARE = 0.5
+"""Share of the burst that is kept for critical calls."""
+KEPT_SECONDS = 1.0
+"""For this time after a critical call wanted a try."""
 
 
 class RetryRatio:
-    """A token bucket for each service, filled by answers.
+    """A token bucket for each service, filled by requests.
 
-    When a service stops answering, retries stop after `burst`: without this
-    every caller would multiply the load of the service that just slowed.
+    However a service fails, it gets no more attempts than its callers made
+    requests, times one and `ratio`, besides `burst`: without this every caller
+    would multiply the load of the service that just slowed.  Requests pay and
+    not answers, since another attempt serves a caller most just when many
+    fail, and a bound on the load does not need to know how they end.
+
+    The calls of a run that is another attempt are made once more as well.
+    Each takes a token, so that the services below keep to the bound too; it
+    may be one that is yet to be paid, since such a call is not to be refused.
+
+    Where many calls fail, critical ones come first: a request of theirs often
+    needs several calls in a row, and with a fair share of the tries nearly all
+    of them would lose one of these.
     """
 
     def __init__(self, retries: settings.NodeRetries):
         self.ratio = retries.ratio * retries.spent
         self.burst = float(retries.burst)
         self.tokens: dict[ids.ServiceName, float] = {}
+        self.wanted_at: dict[ids.ServiceName, float] = {}
+
+    def asked(self, service: ids.ServiceName, repeat: bool = False) -> None:
+        """Counts a request, which pays for `ratio` tries.
 
-    def answered(self, service: ids.ServiceName) -> None:
-        """Counts an answer, which pays for `ratio` tries."""
+        Args:
+          service: who is asked.
+          repeat: the request is itself made once more, and costs a try.
+        """
         saved = self.tokens.get(service, self.burst)
-        self.tokens[service] = min(self.burst, saved + self.ratio)
+        change = -1.0 if repeat else self.ratio
+        self.tokens[service] = min(self.burst, saved + change)
 
-    def take(self, service: ids.ServiceName) -> bool:
+    def take(
+        self,
+        service: ids.ServiceName,
+        importance: messages.Importance = messages.Importance.NORMAL,
+        now: float = 0.0,
+    ) -> bool:
         """Returns whether one more try may go to the service."""
         saved = self.tokens.get(service, self.burst)
-        if saved < 1:
+        kept = 0.0
+        if importance is messages.Importance.CRITICAL:
+            self.wanted_at[service] = now
+        elif now - self.wanted_at.get(service, -math.inf) < KEPT_SECONDS:
+            kept = KEPT_SHARE * self.burst
+        if saved < 1 + kept:
             return False
         self.tokens[service] = saved - 1
         return True
--- a/mangobay/retrying.py
+++ b/mangobay/retrying.py
@@ -38,18 +38,27 @@
     return reply.outcome is Outcome.NOT_RUN and reply.reason in REDIRECTS
 
 
+def reached_backend(reply: messages.Reply) -> bool:
+    """Returns whether a backend server may have seen the call."""
+    refused = reply.outcome is Outcome.NOT_RUN
+    return not refused or reply.reason is Reason.BACKEND_SHED
+
+
 def is_quick_failure(
     request: calls.Request, reply: messages.Reply, seconds: float
 ) -> bool:
     """Returns whether a failed answer is worth another try.
 
     A backend server that fails part of its requests does so at once, and
-    another one can still answer in time.  One that fails late has made calls
-    of its own, which another try would make again.
+    another one can still answer in time.  One that fails after calls of its
+    own mostly fails for one of these: another try would make all of them
+    again, of a service that has just failed one.
     """
     operation = request.operation
     if reply.status != FAILED or not operation.idempotent:
         return False
+    if reply.called_below:
+        return False
     return seconds < QUICK_SHARE * operation.target_ms / 1000
 
 
--- a/mangobay/serving.py
+++ b/mangobay/serving.py
@@ -263,6 +263,7 @@
                 shed=reply.reason == Reason.BACKEND_SHED,
                 below=running.below,
             )
+        reply.called_below = running.awaited > 0
         invariants.check(
             invariants.Promise.NOT_RUN_IS_TRUE,
             reply.outcome != Outcome.NOT_RUN
--- a/schema/messages.capnp
+++ b/schema/messages.capnp
@@ -96,6 +96,8 @@
   # Made by the first node: a caller that chose it would choose who is shed.
   patienceMs @19 :UInt32;
   # Longest useful wait for a slot, milliseconds; 0 leaves it to admission.
+  repeat @20 :Bool;
+  # A backend server may have seen the call before; its calls are made again.
 }
 
 struct Reply {
@@ -119,6 +121,8 @@
   # Lowest level of this operation that the services below it admit.
   crossing @14 :UInt32;
   # Bytes that the calls of one run here carry to other data centres.
+  calledBelow @15 :Bool;
+  # The run made calls of its own; another attempt would make them again.
 }
 
 struct Cancel {
