A model of whole deployments on virtual time; a run's time without its calls

The gateway now tells a run how long it waited for its calls. Without that, the limit of a backend server fell when the services below it slowed.

--- /dev/null
+++ b/bench/fleet/play.py
@@ -0,0 +1,127 @@
+"""Plays days of the model and prints what callers got."""
+
+import argparse
+import collections
+import concurrent.futures
+import dataclasses
+import statistics
+
+from bench.fleet import callers, days, deployments, earnings, virtual, world
+
+WHOLE, WORST, KIND, SERVED, AGAIN = 0.6, 0.12, 0.08, 0.2, 0.3
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Played:
+    """One day that was played.
+
+    Attributes:
+      reasons: why requests and calls were not answered, by kind and reason.
+      runs: begun at backend servers, by kind.
+      arrivals: requests that reached a backend server, by kind.
+      asked: requests and calls that were made, by kind.
+      crossed: bytes carried between data centres.
+    """
+
+    name: str
+    seed: int
+    earned: earnings.Earnings
+    reasons: collections.Counter
+    runs: collections.Counter
+    arrivals: collections.Counter
+    asked: collections.Counter
+    crossed: int
+
+    @property
+    def worth(self) -> float:
+        """Returns one figure for the day, from its parts."""
+        earned = self.earned
+        return (
+            WHOLE * earned.total.share
+            + WORST * earned.worst
+            + KIND * earned.worst_kind
+            + SERVED * earned.served
+            - AGAIN * earned.refused_again
+        )
+
+
+def play(name: str, seed: int, changes: dict | None = None) -> Played:
+    """Plays a day of the table, with changes of the nodes' settings."""
+    return play_day(days.DAYS[name], seed, changes)
+
+
+def play_day(
+    day: deployments.Day, seed: int, changes: dict | None = None
+) -> Played:
+    """Plays a day."""
+
+    async def run():
+        nodes = world.World(day, seed, world.Changes(changes or {}))
+        load = callers.Callers(day, nodes, seed)
+        nodes.start()
+        await load.run()
+        return Played(
+            name=day.name,
+            seed=seed,
+            earned=load.earnings,
+            reasons=nodes.reasons,
+            runs=nodes.runs,
+            arrivals=nodes.arrivals,
+            asked=nodes.asked,
+            crossed=nodes.network.crossed,
+        )
+
+    return virtual.run(run())
+
+
+def show(played: Played, details: bool) -> None:
+    """Prints a day."""
+    earned = played.earned
+    kinds = " ".join(
+        f"{name} {each.share:.3f}"
+        for name, each in sorted(earned.kinds.items())
+    )
+    print(
+        f"{played.name:14} {played.seed:3} worth {played.worth:.3f}"
+        f" whole {earned.total.share:.3f} worst {earned.worst:.3f}"
+        f" served {earned.served:.3f} again {earned.refused_again:.3f}"
+        f" crossed {played.crossed / 1e6:.0f} MB | {kinds}"
+    )
+    if not details:
+        return
+    shares = [f"{e.share:.2f}" for _, e in sorted(earned.windows.items())]
+    print("  by two seconds:", *shares)
+    print("  failed:", dict(sorted(earned.failures.items())))
+    for key, count in sorted(played.reasons.items()):
+        print(f"  {key[0]:14} {key[1]:20} {count}")
+    print("  runs:", dict(played.runs))
+
+
+def parser() -> argparse.ArgumentParser:
+    """Returns the parser of the command line."""
+    made = argparse.ArgumentParser(prog="bench.fleet.play", description=__doc__)
+    made.add_argument("days", nargs="*", default=list(days.DAYS))
+    made.add_argument("--seeds", type=int, default=2)
+    made.add_argument("--jobs", type=int, default=4)
+    made.add_argument("--details", action="store_true")
+    return made
+
+
+def main() -> None:
+    """Plays the days that the command line names."""
+    arguments = parser().parse_args()
+    wanted = [
+        (name, seed)
+        for name in arguments.days
+        for seed in range(arguments.seeds)
+    ]
+    results = []
+    with concurrent.futures.ProcessPoolExecutor(arguments.jobs) as pool:
+        for played in pool.map(play, *zip(*wanted, strict=True)):
+            show(played, arguments.details)
+            results.append(played.worth)
+    print(f"mean worth {statistics.mean(results):.3f}")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/fleet/world.py
@@ -0,0 +1,304 @@
+"""The nodes of the model, with the parts that decide in a real node."""
+
+import asyncio
+import collections
+import random
+
+from bench.fleet import backends, deployments, network
+from mangobay import (
+    admission,
+    announcements,
+    calls,
+    decisions,
+    entry,
+    gateway,
+    ids,
+    leanclient,
+    leanhttp,
+    lease,
+    metrics,
+    options,
+    ratio,
+    routes,
+    routing,
+    traces,
+)
+from mangobay.generated import messages, settings
+
+DEADLINE = "Deadline"
+VOCABULARY = gateway.Vocabulary(
+    backend=leanclient.Names(
+        attempt=backends.ATTEMPT,
+        deadline=DEADLINE,
+        signature="Signature",
+        not_run="Not-Run",
+        private=frozenset(),
+    ),
+    caller="Caller",
+    target="Target",
+    parent_of=backends.parent_of,
+)
+FOREVER = 1e9
+GET = "GET"
+
+
+def section(name: str, **changes):
+    """Returns one section of the node's settings: defaults and changes."""
+    made, known = settings.NODE_SECTIONS[name]
+    values = {
+        option.name: option.parse(option.default)
+        for option in known
+        if option.default is not None
+    }
+    return made(**(values | changes))
+
+
+class Reasons(decisions.DecisionLog):
+    """Counts in place of writing lines."""
+
+    def __init__(self, counted: collections.Counter):
+        super().__init__()
+        self.counted = counted
+
+    def ended(self, attempt, call, reply, seconds) -> None:
+        """Counts a request that got no answer, or a failure."""
+        del attempt, seconds
+        why = reply.reason.name.lower()
+        if reply.outcome is messages.Outcome.ANSWERED:
+            why = str(reply.status)
+        self.counted[call.operation.name, why] += 1
+
+    def refused_unread(self, attempt, error, table) -> None:
+        """Counts a request that became no call."""
+        del attempt, table
+        self.counted["", error.reason.name.lower()] += 1
+
+
+class Changes(dict):
+    """Settings that differ from the defaults: by section, then by name."""
+
+    def section(self, name: str):
+        """Returns a section with its changes."""
+        return section(name, **self.get(name, {}))
+
+
+class Node:
+    """One host: its node, and the backend server beside it."""
+
+    def __init__(
+        self,
+        day: deployments.Day,
+        service: deployments.Service,
+        place: int,
+        number: int,
+        world: "World",
+    ):
+        self.service = ids.ServiceName(service.name)
+        self.home = ids.DataCentre(f"dc{place % day.data_centres}")
+        host = ids.HostId(f"{service.name}-{place}")
+        self.dice = random.Random(f"{world.seed} {host}")
+        self.process = calls.Process(host, self.home, ids.Incarnation("1"))
+        self.member = messages.Member(
+            host=host,
+            incarnation=self.process.incarnation,
+            data_centre=self.home,
+            peer_address=f"10.0.{number // 250}.{number % 250 + 1}:1",
+            slots=service.slots,
+        )
+        self.server = backends.Server(day, service, place, self.dice)
+        self.server.call = self.call
+        self.served = announcements.Announcements(
+            FOREVER, self.new_admission(world.changes), lambda told: None
+        )
+        self.serving = gateway.RoutedServing(
+            VOCABULARY, self.process, self.served, self.server, None
+        )
+        self.gateway = self.make_gateway(world)
+        self.asked = world.asked
+
+    def new_admission(self, changes: Changes):
+        """Returns what makes the admission of the backend server here."""
+        return lambda: admission.Admission(
+            changes.section("admission"),
+            changes.section("retries"),
+            changes.section("recovery"),
+            self.dice,
+        )
+
+    def make_gateway(self, world: "World") -> gateway.Gateway:
+        """Returns where requests enter."""
+        changes = world.changes
+        self.router = routing.Router(
+            changes.section("routing"),
+            changes.section("admission"),
+            self.home,
+            self.dice,
+        )
+        retries = changes.section("retries")
+        entry_side = entry.Entry(
+            retries,
+            entry.Tools(
+                process=self.process,
+                router=self.router,
+                ratio=ratio.RetryRatio(retries),
+                transport=network.Link(world.network, self.home),
+                serving=self.serving,
+                lease=lease.Unneeded(),
+                views=world,
+                tracer=traces.Tracer(),
+                dice=self.dice,
+            ),
+        )
+        made = gateway.Gateway(
+            VOCABULARY,
+            self.service,
+            self.serving.run_of,
+            entry_side,
+            metrics.Metrics(),
+            Reasons(world.reasons),
+        )
+        made.table = world.table
+        return made
+
+    def announce(self) -> None:
+        """Says that the backend server is there."""
+        self.served.announce(
+            announcements.Announcement(
+                service=self.service,
+                address=options.Address("127.0.0.1", 1),
+                slots=self.server.service.slots,
+            )
+        )
+
+    async def call(
+        self, kind: deployments.Kind, attempt: str, deadline: float
+    ) -> int:
+        """Makes a call of the backend server here; returns the status."""
+        left = deadline - asyncio.get_running_loop().time()
+        answer = await self.ask(kind, attempt, min(left, kind.deadline))
+        return answer.status
+
+    async def ask(
+        self, kind: deployments.Kind, attempt: str, left: float
+    ) -> leanhttp.Response:
+        """Answers a request that enters here."""
+        self.asked[kind.name] += 1
+        fields = {
+            "Host": "fleet.example",
+            VOCABULARY.backend.attempt: attempt,
+            VOCABULARY.backend.deadline: str(int(left * 1000)),
+        }
+        request = leanhttp.Request(
+            method=GET,
+            target=f"/{kind.name}/",
+            fields=fields,
+            raw=[
+                (name.encode(), value.encode())
+                for name, value in fields.items()
+            ],
+        )
+        return await self.gateway.handle(request, self)
+
+    remote = "10.0.0.1"
+
+
+class World:
+    """All nodes of a day; also the views that they go by.
+
+    Attributes:
+      value: the views, by service.
+      reasons: why requests and calls were not answered, by kind.
+      asked: requests and calls that were made, by kind.
+    """
+
+    def __init__(
+        self, day: deployments.Day, seed: int, changes: Changes | None = None
+    ):
+        self.day = day
+        self.seed = seed
+        self.changes = changes or Changes()
+        retries = self.changes.setdefault("retries", {})
+        retries.setdefault("ratio", day.retry_ratio)
+        retries.setdefault("spent", 0.9)
+        retries.setdefault("burst", 4)
+        retries.setdefault("client_share", 0)
+        self.network = network.Network()
+        self.reasons: collections.Counter = collections.Counter()
+        self.asked: collections.Counter = collections.Counter()
+        self.table = routes.Table(document_of(day))
+        self.nodes: list[Node] = []
+        for service in day.services:
+            for place in range(len(service.speeds)):
+                number = len(self.nodes)
+                node = Node(day, service, place, number, self)
+                self.nodes.append(node)
+        self.value = self.views()
+        for node in self.nodes:
+            self.network.nodes[node.member.peer_address] = (
+                node.home,
+                node.serving.serve,
+            )
+
+    def views(self) -> dict[ids.ServiceName, messages.ServiceView]:
+        """Returns the members of every service."""
+        return {
+            ids.ServiceName(service.name): messages.ServiceView(
+                service=ids.ServiceName(service.name),
+                version=ids.ViewVersion(1),
+                members=[
+                    node.member
+                    for node in self.nodes
+                    if node.service == service.name
+                ],
+                active=True,
+            )
+            for service in self.day.services
+        }
+
+    def start(self) -> None:
+        """Lets every node know the others; the load starts now."""
+        now = asyncio.get_running_loop().time()
+        for node in self.nodes:
+            node.announce()
+            node.router.update(self.value)
+            node.server.began = now
+
+    @property
+    def arrivals(self) -> collections.Counter:
+        """Returns the requests that reached a backend server, by kind."""
+        found = (node.server.arrivals for node in self.nodes)
+        return sum(found, collections.Counter())
+
+    @property
+    def runs(self) -> collections.Counter:
+        """Returns the runs begun at backend servers, by kind."""
+        return sum((n.server.runs for n in self.nodes), collections.Counter())
+
+
+def document_of(day: deployments.Day) -> routes.Document:
+    """Returns the routes of a day."""
+    return routes.Document(
+        version=1,
+        routes=tuple(
+            routes.Route(
+                name=kind.name,
+                hostname="fleet.example",
+                prefix=f"/{kind.name}/",
+                kind=(
+                    routes.Kind.SAFE if kind.idempotent else routes.Kind.UNSAFE
+                ),
+                timeout=kind.timeout,
+                target_latency=kind.target,
+                priority=kind.priority,
+                parts=(
+                    routes.Part(
+                        service=ids.ServiceName(kind.service), weight=1.0
+                    ),
+                ),
+                most_attempts=kind.attempts,
+            )
+            for kind in day.kinds
+        ),
+        services=(),
+        limits=None,
+    )
--- a/mangobay/gateway.py
+++ b/mangobay/gateway.py
@@ -31,6 +31,8 @@
 """Statuses by which callers take a request for one that never ran."""
 FIRST_REDIRECT = 300
 
+FindRun = typing.Callable[[ids.AttemptId], calls.Parent | None]
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Vocabulary:
@@ -63,23 +65,28 @@
 
     Attributes:
       vocabulary: the fields it uses.
-      runs: calls that wait or run here, by the attempt that they are of.
+      attempts: calls that wait or run here, by the attempt that they are of.
     """
 
     def __init__(self, vocabulary: Vocabulary, *parts):
         super().__init__(*parts)
         self.vocabulary = vocabulary
-        self.runs: dict[ids.AttemptId, messages.Call] = {}
+        self.attempts: dict[ids.AttemptId, ids.CallId] = {}
+
+    def run_of(self, attempt: ids.AttemptId) -> calls.Parent | None:
+        """Returns the run of an attempt at the backend server here."""
+        call_id = self.attempts.get(attempt)
+        return self.parents.get(call_id) if call_id is not None else None
 
     async def execute(self, call: messages.Call, *rest) -> messages.Reply:
         """Admits a call and runs it at the backend server."""
         named = fields.find(call.headers, self.vocabulary.backend.attempt)
         attempt = ids.AttemptId(named)
-        self.runs[attempt] = call
+        self.attempts[attempt] = call.call_id
         try:
             return await super().execute(call, *rest)
         finally:
-            self.runs.pop(attempt, None)
+            self.attempts.pop(attempt, None)
 
     def headers(
         self, call: messages.Call, place: announcements.Served
@@ -124,14 +131,14 @@
     Attributes:
       table: the routes in force; None before the first document.
       caller: the service on this host.
-      runs: calls that wait or run at the backend server here, by attempt.
+      run_of: finds what runs at the backend server here, by attempt.
     """
 
     def __init__(
         self,
         vocabulary: Vocabulary,
         caller: ids.ServiceName,
-        runs: typing.Mapping[ids.AttemptId, messages.Call],
+        run_of: FindRun,
         entry_side: entry.Entry,
         counts: metrics.Metrics,
         log: decisions.DecisionLog,
@@ -139,7 +146,7 @@
         self.vocabulary = vocabulary
         self.replaced = vocabulary.replaced
         self.caller = ids.CallerName(caller)
-        self.runs = runs
+        self.run_of = run_of
         self.entry = entry_side
         self.metrics = counts
         self.log = log
@@ -157,11 +164,18 @@
             return refusals.response(reply)
         loop = asyncio.get_running_loop()
         began = loop.time()
+        parent = self.parent_of(request)
+        if parent is not None:
+            call.follow(parent.call)
+            parent.running.child_began(began)
         reply = calls.unknown(Reason.CANCELLED)
         try:
             reply = await self.entry.handle(call)
         finally:
-            seconds = loop.time() - began
+            now = loop.time()
+            if parent is not None:
+                parent.running.child_ended(now)
+            seconds = now - began
             self.metrics.ended(call.operation, reply, seconds)
             if not serving.is_whole(reply):
                 attempt = self.attempt_of(request)
@@ -190,15 +204,14 @@
         found = self.table.find(request.fields.get("Host", ""), request.path)
         if found is None:
             raise calls.RequestError(Reason.NO_SUCH_OPERATION, "no route")
-        attempt = self.attempt_of(request)
-        if not attempt:
+        if not self.attempt_of(request):
             raise calls.RequestError(Reason.MALFORMED, "no attempt is named")
         told = self.seconds_left(request)
         left = min(told, found.route.timeout)
         operation = found.next_operation(request.method)
         if operation is None:
             raise calls.RequestError(Reason.NO_BACKEND, "no part has weight")
-        call = calls.Request(
+        return calls.Request(
             operation=operation,
             revision=ids.Revision(self.table.document.version),
             target=request.target,
@@ -214,22 +227,18 @@
             trace=UNTRACED,
             tree=fields.new_tree(),
         )
-        self.follow_parent(call, attempt)
-        return call
-
-    def follow_parent(
-        self, call: calls.Request, attempt: ids.AttemptId
-    ) -> None:
-        """Gives a call the rank of the run that it is made for.
-
-        By its own route, a call for an urgent request waits behind others, or
-        is refused in place of them, and the urgent request fails with all
-        that was done for it.  What an id names decides only the order: a
-        wrong guess makes no call run twice, nor where it must not.
+
+    def parent_of(self, request: leanhttp.Request) -> calls.Parent | None:
+        """Returns the run that a request is made for, None for no run here.
+
+        The call gets its rank: by its own route, a call for an urgent request
+        waits behind others, or is refused in place of them, and the urgent
+        request fails with all that was done for it.  And the run's time
+        without its calls becomes known.  A wrong guess by what an id names
+        makes no call run twice, nor where it must not.
         """
-        parent = self.runs.get(self.vocabulary.parent_of(attempt))
-        if parent is not None:
-            call.follow(parent)
+        attempt = self.attempt_of(request)
+        return self.run_of(self.vocabulary.parent_of(attempt))
 
     def seconds_left(self, request: leanhttp.Request) -> float:
         """Returns how long the caller waits; without its word, for ever.
--- a/mangobay/routednode.py
+++ b/mangobay/routednode.py
@@ -98,7 +98,7 @@
         self.gateway = gateway.Gateway(
             self.dialect.vocabulary,
             ids.ServiceName(config.backend.service),
-            self.serving.runs,
+            self.serving.run_of,
             self.entry,
             self.metrics,
             decisions.DecisionLog(),
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -18,6 +18,7 @@
     metrics,
     routes,
     tickets,
+    tries,
 )
 from mangobay.generated import messages
 
@@ -71,7 +72,7 @@
         self.gateway = gateway.Gateway(
             words.VOCABULARY,
             ids.ServiceName("front"),
-            self.runs,
+            self.runs.get,
             self.entry,
             metrics.Metrics(),
             decisions.DecisionLog(),
@@ -107,8 +108,10 @@
 
     async def run(self, attempt, importance):
         """Runs a request that needs some calls; returns whether all came."""
-        self.runs[attempt] = messages.Call(
-            importance=importance, tree=f"tree-{attempt}"
+        self.runs[attempt] = calls.Parent(
+            call=messages.Call(importance=importance, tree=f"tree-{attempt}"),
+            deadline=0.0,
+            running=tries.Running(tries.Grant(0)),
         )
         try:
             for number in range(INNER_CALLS):
@@ -130,6 +133,20 @@
         assert {each.tree for each in world.entry.seen} == {"tree-a1"}
         assert {each.depth for each in world.entry.seen} == {1}
 
+    async def test_a_run_does_not_work_while_it_waits_for_its_calls(self):
+        """A backend server seems to slow down as the services below do.
+
+        Its runs last longer, and taken for its own time that would lower the
+        number of runs that it is given, though its slots are only held.
+        """
+        world = World()
+        running = asyncio.create_task(world.run("a1", CRITICAL))
+        await asyncio.sleep(0.5 * INNER_SECONDS)
+        parent = world.runs["a1"]
+        await running
+        awaited = parent.running.awaited
+        assert awaited == pytest.approx(INNER_CALLS * INNER_SECONDS, rel=0.1)
+
     async def test_an_id_that_names_nothing_here_leaves_the_routes_rank(self):
         world = World()
         assert await world.call("unknown.7") == 200
