Slots that slow the others down are left empty

Hypothesis: a backend server that slows when nearly full answers fewer calls with all its slots in use. The limit that existed looks for a doubling and misses it.

--- a/mangobay/admission.py
+++ b/mangobay/admission.py
@@ -19,6 +19,7 @@
     estimates,
     fairness,
     ids,
+    knee,
     levels,
     limiter,
     pressure,
@@ -46,11 +47,13 @@
 
     Attributes:
       waited: seconds in the queue.
+      beside: calls that ran when it was given, its own included.
     """
 
     __slots__ = (
         "admission",
         "began",
+        "beside",
         "level",
         "open",
         "operation",
@@ -70,6 +73,7 @@
         self.level = level
         self.began = began
         self.waited = waited
+        self.beside = admission.running
         self.open = True
 
     def leave(
@@ -109,6 +113,7 @@
     Attributes:
       running: calls that run now.
       limiter: finds how many may.
+      knee: finds how many pay.
       expected: service times by operation.
     """
 
@@ -126,6 +131,7 @@
         self.deep_time = self.queue_time * DEEP_FACTOR
         self.dice = dice
         self.limiter = limiter.make(admission.policy)
+        self.knee = knee.Knee()
         self.waiting = waiting.Waiting(admission.order == "newest")
         self.fairness = fairness.Fairness(retries.client_share)
         self.pressure = pressure.Pressure(
@@ -154,11 +160,12 @@
     @property
     def limit(self) -> int:
         """Calls that may run at once."""
-        return self.limiter.limit
+        return min(self.limiter.limit, self.knee.limit)
 
     def set_slots(self, slots: int) -> None:
         """Takes the slots announced by the backend server."""
         self.limiter.set_slots(slots)
+        self.knee.set_slots(slots)
         self.fill(asyncio.get_running_loop().time())
 
     async def enter(self, ticket: tickets.Ticket) -> Pass:
@@ -171,7 +178,7 @@
         now = loop.time()
         level, rank = self.place(ticket, now)
         self.check(ticket, level, now)
-        if not self.waiting.length and self.running < self.limiter.limit:
+        if not self.waiting.length and self.running < self.limit:
             return self.admit(ticket.operation, level, now, 0.0)
         waiter = self.line_up(ticket, level, rank, loop)
         return await self.wait(waiter)
@@ -327,6 +334,8 @@
         own = max(0.0, seconds - awaited)
         self.expected[gone.operation].observe(seconds, now)
         self.limiter.observe(own, self.running, gone.began, now)
+        if self.settings.policy == "adaptive":
+            self.knee.observe(gone.operation, own, gone.beside, now)
 
     def left(self, now: float) -> None:
         """Takes a slot back and gives it to the best waiting call."""
@@ -337,7 +346,7 @@
 
     def fill(self, now: float) -> None:
         """Admits waiting calls while slots are free."""
-        while self.waiting.length and self.running < self.limiter.limit:
+        while self.waiting.length and self.running < self.limit:
             waiter = self.waiting.pop_best()
             waiter.timer.cancel()
             if waiter.future.done():
--- /dev/null
+++ b/mangobay/knee.py
@@ -0,0 +1,153 @@
+"""Where a backend server that is nearly full begins to slow down.
+
+Some backend servers slow down when their last slots are in use.  Calls in
+those slots then take away more than they add: with a few slots left empty,
+more calls are answered, and each of them sooner.  The slots that a backend
+server announces do not tell; how long calls take that began beside few or many
+others does.
+"""
+
+import dataclasses
+
+from mangobay import ids
+
+CALM = 0.85
+"""Share of the slots in use up to which a call counts as undisturbed."""
+BANDS = (0.95, 0.9, CALM)
+"""Shares of the slots in use above which calls are looked at together: few
+enough that some seconds of full load give each of them its answers."""
+SLOWER = 1.15
+"""Times the undisturbed seconds from which on a band does not pay: above what
+the fifteen hundredths of the slots of all bands could add."""
+OTHER_CAUSE = 2.0
+"""Times the undisturbed seconds above which it is not the last slots that slow
+the calls: with fewer of them, fewer calls would be answered."""
+BATCH = 96
+"""Answers that are looked at together; their mean is right to a twentieth."""
+CONFIRMED = 2
+"""Batches in a row that must agree: a backend server that turns slow while one
+is collected looks for once as if only its last slots were slower."""
+HOLD = 20.0
+"""Seconds for which a band is left out before it is tried again; doubled each
+time.  It costs about a second of slower calls."""
+LONGEST_HOLD = 160.0
+UNLIMITED = 1_000_000
+"""Calls; the limit where every slot pays."""
+
+
+@dataclasses.dataclass(slots=True)
+class Batch:
+    """Values that are looked at together.
+
+    Attributes:
+      slow: batches in a row that were slower than they should be.
+    """
+
+    total: float = 0.0
+    count: int = 0
+    slow: int = 0
+
+    def add(self, value: float) -> float | None:
+        """Takes in a value; returns the mean of a batch that is full."""
+        self.total += value
+        self.count += 1
+        if self.count < BATCH:
+            return None
+        mean = self.total / self.count
+        self.total = 0.0
+        self.count = 0
+        return mean
+
+
+@dataclasses.dataclass(slots=True)
+class Calm:
+    """Undisturbed calls of one operation.
+
+    Attributes:
+      seconds: mean of the last full batch, 0 before the first.
+    """
+
+    seconds: float = 0.0
+    batch: Batch = dataclasses.field(default_factory=Batch)
+
+
+class Knee:
+    """Finds how many of the slots of one backend server pay.
+
+    Attributes:
+      limit: calls at once above which nothing is gained.
+      slots: as announced; 0 when none were.
+      calm: undisturbed calls, by operation.
+      bands: how many times longer the others took, by band.
+    """
+
+    def __init__(self):
+        self.slots = 0
+        self.calm: dict[ids.OperationName, Calm] = {}
+        self.hold = HOLD
+        self.held_until = 0.0
+        self.start_over()
+
+    def start_over(self) -> None:
+        """Uses every slot, and looks at new answers only."""
+        self.limit = UNLIMITED
+        self.bands = [Batch() for _ in BANDS]
+
+    def set_slots(self, slots: int) -> None:
+        """Takes the slots announced; of another number nothing is known."""
+        if slots != self.slots:
+            self.slots = slots
+            self.start_over()
+
+    def observe(
+        self,
+        operation: ids.OperationName,
+        seconds: float,
+        running: int,
+        now: float,
+    ) -> None:
+        """Learns from one answer.
+
+        Args:
+          operation: what was called.
+          seconds: the backend server's own time, without its child calls.
+          running: calls that ran when it began, itself included.
+          now: loop time.
+        """
+        if not self.slots:
+            return
+        if self.limit != UNLIMITED and now >= self.held_until:
+            self.hold = min(self.hold * 2, LONGEST_HOLD)
+            self.start_over()
+        used = running / self.slots
+        calm = self.calm.setdefault(operation, Calm())
+        if used <= CALM:
+            self.note_calm(calm, seconds)
+        elif calm.seconds:
+            self.note_busy(used, seconds / calm.seconds, now)
+
+    def note_calm(self, calm: Calm, seconds: float) -> None:
+        """Takes in an undisturbed call."""
+        mean = calm.batch.add(seconds)
+        if mean is None:
+            return
+        former, calm.seconds = calm.seconds, mean
+        if former and not 1 / SLOWER < mean / former < SLOWER:
+            # It works at another speed now: what was seen of the last slots
+            # was measured by the former one.
+            self.bands = [Batch() for _ in BANDS]
+
+    def note_busy(self, used: float, longer: float, now: float) -> None:
+        """Takes in how much longer a call took beside many others."""
+        place = next(n for n, share in enumerate(BANDS) if used > share)
+        band = self.bands[place]
+        mean = band.add(longer)
+        if mean is None:
+            return
+        slower = SLOWER < mean < OTHER_CAUSE
+        band.slow = band.slow + 1 if slower else 0
+        if band.slow < CONFIRMED:
+            return
+        self.limit = min(self.limit, max(1, int(BANDS[place] * self.slots)))
+        self.held_until = now + self.hold
+        self.bands[place] = Batch()
--- /dev/null
+++ b/tests/test_knee.py
@@ -0,0 +1,125 @@
+"""Backend servers that slow down when nearly full."""
+
+import asyncio
+import random
+
+import decisionfakes
+import pytest
+
+from mangobay import admission, ids, knee, tickets
+from mangobay.generated import messages
+
+READ = ids.OperationName("read")
+REPORT = ids.OperationName("report")
+SLOTS = 23
+SECONDS = {READ: 0.022, REPORT: 0.36}
+
+
+class Backend:
+    """Feeds a knee with answers at any number of calls at once."""
+
+    def __init__(self, seconds):
+        self.knee = knee.Knee()
+        self.knee.set_slots(SLOTS)
+        self.seconds = seconds
+        self.dice = random.Random(4)
+        self.now = 100.0
+
+    def run(self, running, answers):
+        for _ in range(answers):
+            for operation, usual in SECONDS.items():
+                took = usual * self.seconds(running)
+                took *= self.dice.uniform(0.4, 1.6)
+                self.now += took / running
+                self.knee.observe(operation, took, running, self.now)
+
+
+class TestKnee:
+    """How many slots pay."""
+
+    def test_the_last_slots_of_one_that_slows_are_left_empty(self):
+        backend = Backend(lambda running: 1.3 if running > 21 else 1.0)
+        backend.run(10, 300)
+        backend.run(SLOTS, 300)
+        assert backend.knee.limit == 21
+
+    def test_they_are_tried_again(self):
+        backend = Backend(lambda running: 1.3 if running > 21 else 1.0)
+        backend.run(10, 300)
+        backend.run(SLOTS, 300)
+        assert backend.knee.limit == 21
+        backend.seconds = lambda running: 1.0
+        backend.now += knee.HOLD
+        backend.run(21, 200)
+        backend.run(SLOTS, 200)
+        assert backend.knee.limit == knee.UNLIMITED
+
+    @pytest.mark.parametrize("longer", [1.0, 1.08, 12.0])
+    def test_where_it_is_not_the_last_slots_all_are_used(self, longer):
+        """A backend server turns slow, however few calls it runs.
+
+        It is full soon, and its calls take many times what they took before:
+        with fewer of them at once it would only answer fewer.
+        """
+        backend = Backend(lambda running: 1.0)
+        backend.run(10, 300)
+        backend.seconds = lambda running: longer
+        backend.run(SLOTS, 400)
+        assert backend.knee.limit == knee.UNLIMITED
+
+    def test_without_undisturbed_calls_nothing_is_known(self):
+        backend = Backend(lambda running: 1.3)
+        backend.run(SLOTS, 400)
+        assert backend.knee.limit == knee.UNLIMITED
+
+
+@pytest.mark.looptime
+class TestLoad:
+    """Callers of a backend server that slows when its last slots are used."""
+
+    async def test_more_of_them_are_served(self):
+        """Callers come a little faster than the backend server can answer.
+
+        With all slots in use it slows by a third and answers fewer than it
+        could: a queue stands, and callers are refused.
+        """
+        made = admission.Admission(
+            decisionfakes.section("admission"),
+            decisionfakes.section("retries", client_share=0),
+            decisionfakes.section("recovery"),
+            random.Random(3),
+        )
+        made.set_slots(SLOTS)
+        dice = random.Random(5)
+        served = []
+
+        async def call(since):
+            loop = asyncio.get_running_loop()
+            ticket = tickets.Ticket(
+                importance=messages.Importance.NORMAL,
+                depth=0,
+                deadline=loop.time() + 1,
+                client=ids.ClientId("c"),
+                operation=READ,
+                tree=str(dice.random()),
+            )
+            try:
+                permit = await made.enter(ticket)
+            except tickets.ShedError:
+                return
+            took = 0.05 * dice.uniform(0.6, 1.4)
+            if made.running > 0.95 * SLOTS:
+                took *= 1.5
+            await asyncio.sleep(took)
+            permit.leave(took, ok=True)
+            served.append(since)
+
+        async with asyncio.TaskGroup() as group:
+            for rate, seconds in ((200, 3), (420, 10)):
+                for _ in range(rate * seconds):
+                    await asyncio.sleep(dice.expovariate(rate))
+                    now = asyncio.get_running_loop().time()
+                    group.create_task(call((rate, now)))
+        late = [when for rate, when in served if rate == 420]
+        could = 21 / 0.05 * 10
+        assert len(late) >= 0.93 * could
