The node beside a backend server tells which share of its runs is lost

Hypothesis: a caller needs seconds to tell a backend server that loses part of its answers from bad luck, with a few calls a second to each; the node beside it sees all of them.

--- a/bench/fleet/days.py
+++ b/bench/fleet/days.py
@@ -211,6 +211,7 @@
             event(Trouble.BURST, 0.3, 20.0, 1.6),
             event(Trouble.SHED, 8.0, 8.5, 0.55, service="allotments"),
         ),
+        crews("crews-flood", 1.36, event(Trouble.BURST, 2.0, 10.0, 2.8)),
         crews(
             "crews-slow",
             1.0,
--- a/mangobay/entry.py
+++ b/mangobay/entry.py
@@ -393,6 +393,7 @@
         status=reply.status,
         size=len(reply.body),
         crossing=reply.crossing,
+        lost=reply.lost / 1000,
         late=0 < request.operation.target_ms < seconds * 1000,
     )
 
