Many nodes save up fewer tries each

Found by reading. Each node now saves its share of the platform's slack, by the number of hosts in the views, one at least. tests/test_ratio.py::TestRetryRatio:: test_many_nodes_save_less_each. What may remain above the bound with more than a hundred nodes is one try each.

--- a/bench/fleet/deployments.py
+++ b/bench/fleet/deployments.py
@@ -105,6 +105,7 @@
       seconds: how long the load lasts.
       load: times the rates of the kinds.
       retry_ratio: retries that the deployment bears for each request.
+      retry_slack: further ones that it bears at once.
       data_centres: over which backend servers are spread.
     """
 
@@ -115,6 +116,7 @@
     seconds: float = 24.0
     load: float = 1.0
     retry_ratio: float = 0.2
+    retry_slack: float = 50.0
     data_centres: int = 3
 
     def active(self, kind: Trouble, now: float) -> list[Event]:
--- a/bench/fleet/world.py
+++ b/bench/fleet/world.py
@@ -221,6 +221,7 @@
         retries.setdefault("ratio", day.retry_ratio)
         retries.setdefault("spent", 0.9)
         retries.setdefault("burst", 4)
+        retries.setdefault("slack", day.retry_slack)
         retries.setdefault("client_share", 0)
         self.network = network.Network()
         self.reasons: collections.Counter = collections.Counter()
@@ -261,6 +262,7 @@
         for node in self.nodes:
             node.announce()
             node.router.update(self.value)
+            node.gateway.entry.tools.ratio.share_slack(len(self.nodes))
             node.server.began = now
 
     @property
--- a/mangobay/ratio.py
+++ b/mangobay/ratio.py
@@ -10,6 +10,11 @@
 """Seconds; doubling stops here."""
 KEPT_SHARE = 0.5
 """Share of the burst that is kept for critical calls."""
+SLACK_SHARE = 0.8
+"""Of the slack, what the nodes share: they do not count each other at the same
+moment."""
+LEAST_BURST = 1.0
+"""Below it nothing could ever be tried again."""
 KEPT_SECONDS = 1.0
 """For this time after a critical call wanted a try."""
 
@@ -34,10 +39,22 @@
 
     def __init__(self, retries: settings.NodeRetries):
         self.ratio = retries.ratio * retries.spent
-        self.burst = float(retries.burst)
+        self.most = float(retries.burst)
+        self.slack = retries.slack
+        self.burst = self.most
         self.tokens: dict[ids.ServiceName, float] = {}
         self.wanted_at: dict[ids.ServiceName, float] = {}
 
+    def share_slack(self, nodes: int) -> None:
+        """Takes the number of nodes that save up tries.
+
+        Each with a few of them, many nodes would spend hundreds at the moment
+        when a service begins to fail.
+        """
+        if self.slack:
+            share = SLACK_SHARE * self.slack / max(nodes, 1)
+            self.burst = max(LEAST_BURST, min(self.most, share))
+
     def asked(self, service: ids.ServiceName, repeat: bool = False) -> None:
         """Counts a request, which pays for `ratio` tries.
 
@@ -61,7 +78,7 @@
         if importance is messages.Importance.CRITICAL:
             self.wanted_at[service] = now
         elif now - self.wanted_at.get(service, -math.inf) < KEPT_SECONDS:
-            kept = KEPT_SHARE * self.burst
+            kept = min(KEPT_SHARE * self.burst, self.burst - LEAST_BURST)
         if saved < 1 + kept:
             return False
         self.tokens[service] = saved - 1
--- a/mangobay/routednode.py
+++ b/mangobay/routednode.py
@@ -145,6 +145,7 @@
         for listener in self.listeners:
             await listener.start()
         self.control.views.subscribe(self.router.update)
+        self.control.views.subscribe(self.share_slack)
         self.control.routes.subscribe(self.take_routes)
         self.control.draining.subscribe(self.drained)
         loop = asyncio.get_running_loop()
@@ -153,6 +154,13 @@
             self.tasks.append(asyncio.create_task(work))
         logs.say(logs.Part.NODE, "started", host=self.process.host)
 
+    def share_slack(
+        self, views: dict[ids.ServiceName, messages.ServiceView]
+    ) -> None:
+        """Takes the number of nodes from the views."""
+        nodes = sum(len(view.members) for view in views.values())
+        self.entry.tools.ratio.share_slack(nodes)
+
     def reload(self) -> None:
         """Says that settings are only read at the start.
 
--- a/tests/test_ratio.py
+++ b/tests/test_ratio.py
@@ -3,6 +3,7 @@
 import random
 
 import decisionfakes
+import pytest
 
 from mangobay import ratio
 from mangobay.generated import messages
@@ -63,6 +64,22 @@
         assert taken[messages.Importance.CRITICAL] == 125
         assert taken[messages.Importance.NORMAL] > 50
 
+    @pytest.mark.parametrize(("nodes", "taken"), [(5, 4), (58, 1), (9999, 1)])
+    def test_many_nodes_save_less_each(self, nodes, taken):
+        """A service begins to fail, and every node has tries saved up.
+
+        Together they may spend a hundred; with four at each of 58 nodes, 232
+        attempts came at the service at once.
+        """
+        kept = ratio.RetryRatio(
+            decisionfakes.section("retries", burst=4, slack=100)
+        )
+        kept.share_slack(nodes)
+        for _ in range(100):
+            kept.asked(decisionfakes.QUOTES)
+        tries = [kept.take(decisionfakes.QUOTES) for _ in range(10)]
+        assert sum(tries) == taken
+
     def test_nothing_is_kept_where_no_critical_call_fails(self):
         kept = ratio.RetryRatio(decisionfakes.section("retries", burst=4))
         for _ in range(4):
