--- a/mangobay/crossings.py
+++ b/mangobay/crossings.py
@@ -18,7 +18,7 @@
 crossings of some runs."""
 CALL_BYTES = 800
 """Of one call besides the body of its answer: both messages, their fields, and
-the heads of their packets; measured for answers of 600 bytes."""
+the heads of their packets."""
 WORTH_IT = 1.5
 """Times what the run itself would carry that its calls must carry for it to go
 elsewhere: two figures that are about equal change places at random."""
--- a/mangobay/decisions.py
+++ b/mangobay/decisions.py
@@ -12,8 +12,7 @@
 from mangobay.generated import messages
 
 LINES_A_SECOND = 50.0
-"""A line takes 37 us (3,000 of them into a pipe that is read), so that this is
-at most 0.2% of a core."""
+"""Keeps the lines far below a hundredth of a core."""
 BURST = 200.0
 """Lines that a sudden trouble may write before the rate counts."""
 
--- a/mangobay/hosts.py
+++ b/mangobay/hosts.py
@@ -77,8 +77,8 @@
 
         A backend server that turned slow fails nothing, and with few calls
         it is never full: by its load alone it keeps its callers, and answers
-        all of them late (200 of 200 in `tests/test_routing.py`, with this
-        under 60).  Towards other data centres it seldom outweighs the bytes.
+        all of them late.  Towards other data centres it seldom outweighs the
+        bytes.
         """
         if self.outcome is messages.Outcome.UNKNOWN:
             return 0.0 if self.reason in NOT_FAILURES else 1.0
--- a/mangobay/leanhttp.py
+++ b/mangobay/leanhttp.py
@@ -1,9 +1,8 @@
 """HTTP/1.1 messages as the lean edges hold them.
 
 The parsers are aiohttp's own, driven from plain protocols: a request and its
-answer through `aiohttp.web` and `ClientSession` take about four times the
-processor time (253 us against 58 us for both ends, one request at a time on
-loopback, answers of 1.5 kB).
+answer through `aiohttp.web` and `ClientSession` take several times the
+processor time.
 """
 
 import dataclasses
--- a/mangobay/records.py
+++ b/mangobay/records.py
@@ -39,7 +39,7 @@
 
 
 RECORD_BYTES = 1600
-"""Memory of a record besides its answer; measured by `make slopes`."""
+"""Memory of a record besides its answer; `make slopes` tells it."""
 HEADER_BYTES = 200
 """Memory of a header besides its characters."""
 
--- a/mangobay/routing.py
+++ b/mangobay/routing.py
@@ -15,9 +15,8 @@
 """Share of sheds from which on a call tries the other data centres."""
 SPILL_LOAD = 0.8
 """Share of its limit in use from which on a near host may be passed over: a
-little before its calls begin to wait.  With waits by target latency, the worst
-served data centre of three earned 0.92 of its worth in place of 0.76 (one calm
-day played before and after)."""
+little before its calls begin to wait, or callers of the worst served data centre
+wait while other hosts stand idle."""
 FAR_MARGIN = 0.2
 """A far host must be less loaded by this much: the way there takes longer."""
 FAR_MARGIN_A_KB = 0.1
@@ -260,9 +259,8 @@
     ) -> hosts.Host:
         """Returns a far host where the calls of the run stay near, or `near`.
 
-        Where the only host of a data centre for a service went, 5 MB crossed
-        in 12 s in place of 9 (16 nodes and their backend servers at the load
-        of a calm day, played with and without).
+        Where the only host of a data centre for a service went, every call of
+        a run crosses; the run itself crosses once.
         """
         now, operation = choice.now, choice.operation
         carried = near.crossing(operation, now)
