--- a/mangobay/entry.py
+++ b/mangobay/entry.py
@@ -393,7 +393,6 @@
         status=reply.status,
         size=len(reply.body),
         crossing=reply.crossing,
-        lost=reply.lost / 1000,
         late=0 < request.operation.target_ms < seconds * 1000,
     )
 
--- a/mangobay/hosts.py
+++ b/mangobay/hosts.py
@@ -54,7 +54,6 @@
       size: bytes of its body.
       crossing: bytes that the calls of such a run carry to other data centres.
       late: the answer came after the operation's target latency.
-      lost: share of its runs that are of no use, by the host's own word.
     """
 
     outcome: messages.Outcome
@@ -69,7 +68,6 @@
     size: int = 0
     crossing: int = 0
     late: bool = False
-    lost: float = 0.0
 
     @property
     def loss(self) -> float:
@@ -135,8 +133,6 @@
       sheds: share of the last replies that were refusals.
       failures: of each operation that failed there.
       carried: what the calls of a run let cross, of each operation that does.
-      lost: share of the runs that are lost, by the host's word, of each
-        operation that had some.
     """
 
     member: messages.Member
@@ -154,25 +150,15 @@
         default_factory=dict
     )
 
-    lost: dict[ids.OperationName, Failures] = dataclasses.field(
-        default_factory=dict
-    )
-
     def crossing(self, operation: ids.OperationName, now: float) -> float:
         """Returns the bytes that the calls of a run here let cross."""
         found = self.carried.get(operation)
         return found.at(now) if found else 0.0
 
     def failing(self, operation: ids.OperationName, now: float) -> float:
-        """Returns the share of an operation's calls that fail here.
-
-        What this node has seen itself counts, and what the host says: it sees
-        many more runs, but not those whose reply was lost on its way.
-        """
+        """Returns the share of an operation's calls that fail here."""
         found = self.failures.get(operation)
-        told = self.lost.get(operation)
-        seen = found.at(now) if found else 0.0
-        return max(seen, told.at(now)) if told else seen
+        return found.at(now) if found else 0.0
 
     def note_failure(self, seen: Observation, now: float) -> None:
         """Learns whether calls of an operation fail here."""
@@ -185,13 +171,6 @@
             found = self.failures[seen.operation] = Failures(told=now)
         found.note(seen.loss, now)
 
-    def note_told(self, seen: Observation, now: float) -> None:
-        """Takes what the host says of an operation's runs."""
-        silent = seen.outcome is messages.Outcome.UNKNOWN and not seen.lost
-        if silent or not (seen.lost or seen.operation in self.lost):
-            return
-        self.lost[seen.operation] = Failures(seen.lost, now)
-
     def threshold_at(self, now: float, reopen_time: float) -> int:
         """Returns the threshold, fallen since it was told.
 
@@ -249,7 +228,6 @@
     def observe(self, seen: Observation, now: float) -> None:
         """Learns from one reply."""
         self.note_failure(seen, now)
-        self.note_told(seen, now)
         shed = seen.reason in SHED_REASONS
         self.sheds += ((1.0 if shed else 0.0) - self.sheds) * SHED_PART
         if seen.outcome == messages.Outcome.UNKNOWN:
--- a/mangobay/serving.py
+++ b/mangobay/serving.py
@@ -17,7 +17,6 @@
     ids,
     invariants,
     logs,
-    losses,
     options,
     tickets,
     tries,
@@ -73,7 +72,6 @@
       started: tasks of non-idempotent calls without a key.
       entered: calls that have not been replied to.
       crossings: what the calls of runs here carry to other data centres.
-      losses: how many runs here are of no use to their callers.
     """
 
     def __init__(
@@ -93,7 +91,6 @@
         self.started: set[asyncio.Task] = set()
         self.entered = 0
         self.crossings = crossings.Crossings()
-        self.losses = losses.Losses()
 
     @property
     def idle(self) -> bool:
@@ -159,7 +156,6 @@
             reply.limit = place.admission.limit
             now = asyncio.get_running_loop().time()
             reply.crossing = self.crossings.per_run(call.operation, now)
-            reply.lost = int(1000 * self.losses.share(call.operation, now))
         return reply
 
     async def serve_started(
@@ -268,7 +264,6 @@
                 below=running.below,
             )
         reply.called_below = running.awaited > 0
-        self.losses.ended(call.operation, is_lost(reply), now)
         invariants.check(
             invariants.Promise.NOT_RUN_IS_TRUE,
             reply.outcome != Outcome.NOT_RUN
@@ -364,17 +359,6 @@
     return answered and reply.status < FIRST_SERVER_ERROR
 
 
-def is_lost(reply: messages.Reply) -> bool:
-    """Returns whether a run was of no use, by a fault of this host.
-
-    What fails after calls of its own mostly fails for one of those, and would
-    fail at any other host.
-    """
-    if reply.outcome is Outcome.ANSWERED:
-        return not is_whole(reply) and not reply.called_below
-    return reply.outcome is Outcome.UNKNOWN and reply.reason != Reason.CANCELLED
-
-
 def broken(
     error: errors.BackendError, attempt: backend.Attempt
 ) -> messages.Reply:
--- a/schema/messages.capnp
+++ b/schema/messages.capnp
@@ -123,8 +123,6 @@
   # Bytes that the calls of one run here carry to other data centres.
   calledBelow @15 :Bool;
   # The run made calls of its own; another attempt would make them again.
-  lost @16 :UInt16;
-  # Share of the runs of this operation here that are lost, in thousandths.
 }
 
 struct Cancel {
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -100,21 +100,6 @@
         await asyncio.sleep(10)
         assert {pick(router) for _ in range(50)} == {"a"}
 
-    async def test_the_near_host_says_that_it_fails_part_of_them(self):
-        """The answers of a backend server are lost, two in five.
-
-        Each of many callers has few of them, and would need seconds to tell;
-        the node beside it has seen all.  One reply is enough.
-        """
-        router = self.make()
-        seen = loaded(2, 200)
-        seen.lost = 0.4
-        answer(router, ids.HostId("a"), seen)
-        assert {pick(router) for _ in range(50)} == {"b"}
-        seen.lost = 0.0
-        answer(router, ids.HostId("a"), seen)
-        assert {pick(router) for _ in range(50)} == {"a"}
-
     async def test_not_where_every_host_fails(self):
         router = self.make()
         for host in ("a", "b") * 40:
