--- a/bench/fleet/backends.py
+++ b/bench/fleet/backends.py
@@ -12,7 +12,10 @@
 
 Trouble = deployments.Trouble
 ATTEMPT = "Attempt"
+"""Field that names a request."""
 COLD_FACTOR = 2.0
+"""Times that work takes at a backend server that has just started."""
+ANSWER_BYTES = 400
 
 Call = typing.Callable[[deployments.Kind, str, float], typing.Awaitable[int]]
 """Makes a call: kind, attempt id, loop time of its deadline; the status."""
@@ -48,14 +51,18 @@
         self.arrivals: collections.Counter = collections.Counter()
         self.runs: collections.Counter = collections.Counter()
 
+    def concerns(self, event: deployments.Event) -> bool:
+        """Returns whether a trouble is about this backend server."""
+        of_service = event.service in ("", self.service.name)
+        return of_service and (not event.hosts or self.place < event.hosts)
+
     def troubles(self, kind: Trouble) -> list[deployments.Event]:
         """Returns the troubles of a kind that are on here."""
         now = asyncio.get_running_loop().time() - self.began
         return [
             event
             for event in self.day.active(kind, now)
-            if event.service in ("", self.service.name)
-            and (not event.hosts or self.place < event.hosts)
+            if self.concerns(event)
         ]
 
     def is_struck(self, kind: Trouble) -> bool:
@@ -153,16 +160,18 @@
         """Yields what work is slowed by."""
         for event in self.troubles(Trouble.SLOW):
             yield event.strength
+        if self.is_cold():
+            yield COLD_FACTOR
+
+    def is_cold(self) -> bool:
+        """Returns whether it was down a short time ago."""
         now = asyncio.get_running_loop().time() - self.began
-        for event in self.day.events:
-            if event.kind is not Trouble.DOWN or not (
-                event.service in ("", self.service.name)
-                and (not event.hosts or self.place < event.hosts)
-            ):
-                continue
-            end = event.at + event.seconds
-            if end <= now < end + self.service.cold_seconds:
-                yield COLD_FACTOR
+        ends = [
+            event.at + event.seconds
+            for event in self.day.events
+            if event.kind is Trouble.DOWN and self.concerns(event)
+        ]
+        return any(0 <= now - end < self.service.cold_seconds for end in ends)
 
     def answer(
         self, status: int, began: float, shed: bool = False
@@ -172,7 +181,7 @@
         return backend.Answer(
             status=status,
             headers=[] if shed else [signature],
-            body=b"" if shed else bytes(400),
+            body=b"" if shed else bytes(ANSWER_BYTES),
             seconds=asyncio.get_running_loop().time() - began,
             shed=shed,
         )
--- a/bench/fleet/play.py
+++ b/bench/fleet/play.py
@@ -8,7 +8,11 @@
 
 from bench.fleet import callers, days, deployments, earnings, virtual, world
 
-WHOLE, WORST, KIND, SERVED, AGAIN = 0.6, 0.12, 0.08, 0.2, 0.3
+WHOLE, WORST, KIND, SERVED = 0.6, 0.12, 0.08, 0.2
+"""Weights of what a day earns: of all, in the worst times, of the worst kind,
+and the share of requests that is served at all."""
+AGAIN = 0.3
+"""Taken off for each request that is refused twice, in parts of its worth."""
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
--- a/bench/fleet/world.py
+++ b/bench/fleet/world.py
@@ -42,17 +42,6 @@
 GET = "GET"
 
 
-def section(name: str, **changes):
-    """Returns one section of the node's settings: defaults and changes."""
-    made, known = settings.NODE_SECTIONS[name]
-    values = {
-        option.name: option.parse(option.default)
-        for option in known
-        if option.default is not None
-    }
-    return made(**(values | changes))
-
-
 class Reasons(decisions.DecisionLog):
     """Counts in place of writing lines."""
 
@@ -78,12 +67,24 @@
     """Settings that differ from the defaults: by section, then by name."""
 
     def section(self, name: str):
-        """Returns a section with its changes."""
-        return section(name, **self.get(name, {}))
+        """Returns a section: the defaults, and what differs."""
+        made, known = settings.NODE_SECTIONS[name]
+        defaults = {
+            option.name: option.parse(option.default)
+            for option in known
+            if option.default is not None
+        }
+        return made(**(defaults | self.get(name, {})))
 
 
 class Node:
-    """One host: its node, and the backend server beside it."""
+    """One host: its node, and the backend server beside it.
+
+    Attributes:
+      remote: IP number of its callers, as the gateway asks for it.
+    """
+
+    remote = "10.0.0.1"
 
     def __init__(
         self,
@@ -199,8 +200,6 @@
         )
         return await self.gateway.handle(request, self)
 
-    remote = "10.0.0.1"
-
 
 class World:
     """All nodes of a day; also the views that they go by.
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -1,5 +1,8 @@
 """Whole deployments on virtual time: what callers get under load."""
 
+import asyncio
+import dataclasses
+
 import pytest
 
 from bench.fleet import days, deployments, play, virtual, world
@@ -23,7 +26,7 @@
 
     def test_a_clock_that_nothing_moves_is_an_error(self):
         async def wait():
-            await virtual.asyncio.Event().wait()
+            await asyncio.Event().wait()
 
         with pytest.raises(RuntimeError, match="waits"):
             virtual.run(wait())
@@ -81,7 +84,7 @@
     """Returns the first seconds of a day."""
 
     def make(name, seconds):
-        return deployments.dataclasses.replace(days.DAYS[name], seconds=seconds)
+        return dataclasses.replace(days.DAYS[name], seconds=seconds)
 
     return make
 
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -300,3 +300,31 @@
         )
         await asyncio.sleep(0.01)
         assert made.idle
+
+
+@pytest.mark.looptime
+class TestCallsBelow:
+    """What a reply says of the calls that its run made."""
+
+    @pytest.mark.parametrize("calls_made", [0, 2])
+    async def test_a_run_that_made_calls_says_so(self, calls_made):
+        """A run fails; whether another attempt may help depends on why.
+
+        One that made calls of its own mostly failed for one of those.
+        """
+
+        async def act(attempt):
+            attempt.sent = True
+            loop = asyncio.get_running_loop()
+            (parent,) = made.parents.values()
+            for _ in range(calls_made):
+                parent.running.child_began(loop.time())
+                await asyncio.sleep(0.01)
+                parent.running.child_ended(loop.time())
+            return backend.Answer(
+                status=500, headers=[], body=b"", seconds=0.1, shed=False
+            )
+
+        made = make_serving(act)
+        reply = await made.serve(call())
+        assert reply.called_below is bool(calls_made)
