--- a/mangobay/ratio.py
+++ b/mangobay/ratio.py
@@ -53,7 +53,7 @@
         """
         if self.slack:
             share = SLACK_SHARE * self.slack / max(nodes, 1)
-            self.burst = max(LEAST_BURST, min(self.most, share))
+            self.burst = min(self.most, max(LEAST_BURST, share))
 
     def asked(self, service: ids.ServiceName, repeat: bool = False) -> None:
         """Counts a request, which pays for `ratio` tries.
@@ -78,7 +78,8 @@
         if importance is messages.Importance.CRITICAL:
             self.wanted_at[service] = now
         elif now - self.wanted_at.get(service, -math.inf) < KEPT_SECONDS:
-            kept = min(KEPT_SHARE * self.burst, self.burst - LEAST_BURST)
+            room = max(self.burst - LEAST_BURST, 0.0)
+            kept = min(KEPT_SHARE * self.burst, room)
         if saved < 1 + kept:
             return False
         self.tokens[service] = saved - 1
--- a/tests/test_ratio.py
+++ b/tests/test_ratio.py
@@ -80,6 +80,21 @@
         tries = [kept.take(decisionfakes.QUOTES) for _ in range(10)]
         assert sum(tries) == taken
 
+    @pytest.mark.parametrize("slack", [0, 100])
+    def test_without_a_burst_nothing_is_tried_again(self, slack):
+        """An operator switches extra tries off, and critical calls fail.
+
+        What is kept for those must not let one of the others through.
+        """
+        kept = ratio.RetryRatio(
+            decisionfakes.section("retries", burst=0, slack=slack)
+        )
+        kept.share_slack(10)
+        critical = messages.Importance.CRITICAL
+        for importance in (critical, messages.Importance.NORMAL) * 3:
+            kept.asked(decisionfakes.QUOTES)
+            assert not kept.take(decisionfakes.QUOTES, importance, 5.0)
+
     def test_nothing_is_kept_where_no_critical_call_fails(self):
         kept = ratio.RetryRatio(decisionfakes.section("retries", burst=4))
         for _ in range(4):
