--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -9,8 +9,9 @@
 import statistics
 import time
 
+from bench import nodesettings
 from mangobay import admission, ids, levels, ratio, routing, tickets, tries
-from mangobay.generated import messages, settings
+from mangobay.generated import messages
 
 ROUNDS = 7
 CALLS = 5000
@@ -23,20 +24,12 @@
 )
 
 
-def section(name: str):
-    """Returns one section of the node's settings with its defaults."""
-    made, options = settings.NODE_SECTIONS[name]
-    return made(
-        **{option.name: option.parse(option.default) for option in options}
-    )
-
-
 def make_admission() -> admission.Admission:
     """Returns an admission with 70 slots."""
     made = admission.Admission(
-        section("admission"),
-        section("retries"),
-        section("recovery"),
+        nodesettings.section("admission"),
+        nodesettings.section("retries"),
+        nodesettings.section("recovery"),
         random.Random(1),
     )
     made.set_slots(70)
@@ -46,8 +39,8 @@
 def make_router() -> routing.Router:
     """Returns a router that knows one service."""
     router = routing.Router(
-        section("routing"),
-        section("admission"),
+        nodesettings.section("routing"),
+        nodesettings.section("admission"),
         ids.DataCentre("a"),
         random.Random(1),
     )
@@ -119,7 +112,7 @@
 async def count_tries() -> None:
     """One call with one child call."""
     grants = tries.Grants()
-    kept = ratio.RetryRatio(section("retries"))
+    kept = ratio.RetryRatio(nodesettings.section("retries"))
     for number in range(CALLS):
         name = ids.CallId(str(number))
         running = grants.open(name, tries.Grant(3))
--- a/bench/fleet/backends.py
+++ b/bench/fleet/backends.py
@@ -83,14 +83,15 @@
         if self.troubles(Trouble.DOWN):
             raise errors.BackendUnreachableError("down")
         attempt.sent = True
-        self.arrivals[request.target.strip("/")] += 1
+        kind = self.kinds[request.target.strip("/")]
+        self.arrivals[kind.name] += 1
         began = loop.time()
         full = len(self.waiting) >= self.service.queue
         if full or self.is_struck(Trouble.SHED):
             return self.answer(503, began, shed=True)
         try:
             async with asyncio.timeout_at(request.deadline):
-                status = await self.admitted(request)
+                status = await self.admitted(kind, request)
         except TimeoutError:
             status = 504
         if self.troubles(Trouble.DOWN):
@@ -99,7 +100,9 @@
             raise errors.BackendBrokenError("the answer was lost")
         return self.answer(status, began)
 
-    async def admitted(self, request: backend.Request) -> int:
+    async def admitted(
+        self, kind: deployments.Kind, request: backend.Request
+    ) -> int:
         """Waits for a slot and runs; returns the status."""
         if self.running >= self.service.slots:
             waiter = asyncio.get_running_loop().create_future()
@@ -115,7 +118,7 @@
         else:
             self.running += 1
         try:
-            return await self.run(request)
+            return await self.run(kind, request)
         finally:
             self.hand_on()
 
@@ -128,9 +131,10 @@
                 return
         self.running -= 1
 
-    async def run(self, request: backend.Request) -> int:
+    async def run(
+        self, kind: deployments.Kind, request: backend.Request
+    ) -> int:
         """Works, and makes the calls; returns the status."""
-        kind = self.kinds[request.target.strip("/")]
         self.runs[kind.name] += 1
         work = self.work(kind)
         await asyncio.sleep(work / 2)
--- a/bench/fleet/callers.py
+++ b/bench/fleet/callers.py
@@ -52,10 +52,8 @@
         sent = loop.time()
         end = sent + kind.deadline
         node = self.dice.choice(self.world.nodes)
-        status = 0
         for number in range(1 + kind.retries):
             self.number += 1
-            answer = None
             try:
                 async with asyncio.timeout_at(end):
                     await asyncio.sleep(CLIENT_DELAY)
--- a/bench/fleet/network.py
+++ b/bench/fleet/network.py
@@ -3,7 +3,7 @@
 import asyncio
 import typing
 
-from mangobay import ids, options
+from mangobay import crossings, ids, options
 from mangobay.generated import messages
 
 IN_DATA_CENTRE = 0.0003
@@ -43,5 +43,6 @@
             reply = await serve(call)
             await asyncio.sleep(delay)
         if place != self.home:
-            self.network.crossed += 300 + len(call.body) + len(reply.body)
+            bodies = len(call.body) + len(reply.body)
+            self.network.crossed += crossings.CALL_BYTES + bodies
         return reply
--- a/bench/fleet/play.py
+++ b/bench/fleet/play.py
@@ -49,18 +49,18 @@
         )
 
 
-def play(name: str, seed: int, changes: dict | None = None) -> Played:
+def play(name: str, seed: int, changes: world.Changes | None = None) -> Played:
     """Plays a day of the table, with changes of the nodes' settings."""
     return play_day(days.DAYS[name], seed, changes)
 
 
 def play_day(
-    day: deployments.Day, seed: int, changes: dict | None = None
+    day: deployments.Day, seed: int, changes: world.Changes | None = None
 ) -> Played:
     """Plays a day."""
 
     async def run():
-        nodes = world.World(day, seed, world.Changes(changes or {}))
+        nodes = world.World(day, seed, changes)
         load = callers.Callers(day, nodes, seed)
         nodes.start()
         await load.run()
--- a/bench/fleet/world.py
+++ b/bench/fleet/world.py
@@ -3,7 +3,9 @@
 import asyncio
 import collections
 import random
+import typing
 
+from bench import nodesettings
 from bench.fleet import backends, deployments, network
 from mangobay import (
     admission,
@@ -23,7 +25,7 @@
     routing,
     traces,
 )
-from mangobay.generated import messages, settings
+from mangobay.generated import messages
 
 DEADLINE = "Deadline"
 VOCABULARY = gateway.Vocabulary(
@@ -38,6 +40,8 @@
     target="Target",
     parent_of=backends.parent_of,
 )
+RETRIES = {"spent": 0.9, "burst": 4, "client_share": 0}
+"""Settings of retries, as nodes on the platform have them."""
 FOREVER = 1e9
 GET = "GET"
 
@@ -63,20 +67,6 @@
         self.counted["", error.reason.name.lower()] += 1
 
 
-class Changes(dict):
-    """Settings that differ from the defaults: by section, then by name."""
-
-    def section(self, name: str):
-        """Returns a section: the defaults, and what differs."""
-        made, known = settings.NODE_SECTIONS[name]
-        defaults = {
-            option.name: option.parse(option.default)
-            for option in known
-            if option.default is not None
-        }
-        return made(**(defaults | self.get(name, {})))
-
-
 class Node:
     """One host: its node, and the backend server beside it.
 
@@ -109,7 +99,7 @@
         self.server = backends.Server(day, service, place, self.dice)
         self.server.call = self.call
         self.served = announcements.Announcements(
-            FOREVER, self.new_admission(world.changes), lambda told: None
+            FOREVER, self.new_admission(world), lambda told: None
         )
         self.serving = gateway.RoutedServing(
             VOCABULARY, self.process, self.served, self.server, None
@@ -117,25 +107,24 @@
         self.gateway = self.make_gateway(world)
         self.asked = world.asked
 
-    def new_admission(self, changes: Changes):
+    def new_admission(self, world: "World"):
         """Returns what makes the admission of the backend server here."""
         return lambda: admission.Admission(
-            changes.section("admission"),
-            changes.section("retries"),
-            changes.section("recovery"),
+            world.section("admission"),
+            world.section("retries"),
+            world.section("recovery"),
             self.dice,
         )
 
     def make_gateway(self, world: "World") -> gateway.Gateway:
         """Returns where requests enter."""
-        changes = world.changes
         self.router = routing.Router(
-            changes.section("routing"),
-            changes.section("admission"),
+            world.section("routing"),
+            world.section("admission"),
             self.home,
             self.dice,
         )
-        retries = changes.section("retries")
+        retries = world.section("retries")
         entry_side = entry.Entry(
             retries,
             entry.Tools(
@@ -201,10 +190,15 @@
         return await self.gateway.handle(request, self)
 
 
+Changes = typing.Mapping[str, typing.Mapping[str, typing.Any]]
+"""Settings that differ, by section and name."""
+
+
 class World:
     """All nodes of a day; also the views that they go by.
 
     Attributes:
+      changes: settings that differ from those of the platform.
       value: the views, by service.
       reasons: why requests and calls were not answered, by kind.
       asked: requests and calls that were made, by kind.
@@ -215,13 +209,7 @@
     ):
         self.day = day
         self.seed = seed
-        self.changes = changes or Changes()
-        retries = self.changes.setdefault("retries", {})
-        retries.setdefault("ratio", day.retry_ratio)
-        retries.setdefault("spent", 0.9)
-        retries.setdefault("burst", 4)
-        retries.setdefault("slack", day.retry_slack)
-        retries.setdefault("client_share", 0)
+        self.changes = changes or {}
         self.network = network.Network()
         self.reasons: collections.Counter = collections.Counter()
         self.asked: collections.Counter = collections.Counter()
@@ -239,6 +227,15 @@
                 node.serving.serve,
             )
 
+    def section(self, name: str):
+        """Returns one section of every node's settings."""
+        values = dict(self.changes.get(name, {}))
+        if name == "retries":
+            bounds = {"ratio": self.day.retry_ratio}
+            bounds["slack"] = self.day.retry_slack
+            values = RETRIES | bounds | values
+        return nodesettings.section(name, **values)
+
     def views(self) -> dict[ids.ServiceName, messages.ServiceView]:
         """Returns the members of every service."""
         return {
--- a/bench/nodeslopes.py
+++ b/bench/nodeslopes.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 
-from bench import decisions, series, stock
+from bench import nodesettings, series, stock
 from mangobay import (
     controlclient,
     ids,
@@ -40,8 +40,8 @@
             for view in stock.over_the_wire(grant).views:
                 views[view.service] = view
         router = routing.Router(
-            decisions.section("routing"),
-            decisions.section("admission"),
+            nodesettings.section("routing"),
+            nodesettings.section("admission"),
             ids.DataCentre("centre-01"),
             random.Random(1),
         )
--- a/mangobay/entry.py
+++ b/mangobay/entry.py
@@ -129,12 +129,10 @@
         self.tools.ratio.asked(operation.service, request.repeat)
         try:
             if request.owned:
-                reply = await self.run_owned(request)
-            else:
-                reply = await self.run_routed(request)
+                return await self.run_owned(request)
+            return await self.run_routed(request)
         finally:
             self.entered -= 1
-        return reply
 
     async def run_routed(self, request: calls.Request) -> messages.Reply:
         """Tries hosts that the router picks."""
--- a/mangobay/gateway.py
+++ b/mangobay/gateway.py
@@ -156,15 +156,16 @@
         self, request: leanhttp.Request, client: leanserver.Client
     ) -> leanhttp.Response:
         """Answers one request."""
+        attempt = self.attempt_of(request)
         try:
-            call = self.call_of(request, client)
+            call = self.call_of(request, attempt, client)
         except calls.RequestError as error:
             reply = calls.not_run(error.reason)
-            self.log.refused_unread(self.attempt_of(request), error, self.table)
+            self.log.refused_unread(attempt, error, self.table)
             return refusals.response(reply)
         loop = asyncio.get_running_loop()
         began = loop.time()
-        parent = self.parent_of(request)
+        parent = self.parent_of(attempt)
         if parent is not None:
             call.follow(parent.call)
             parent.running.child_began(began)
@@ -178,7 +179,6 @@
             seconds = now - began
             self.metrics.ended(call.operation, reply, seconds)
             if not serving.is_whole(reply):
-                attempt = self.attempt_of(request)
                 self.log.ended(attempt, call, reply, seconds)
         if reply.outcome is Outcome.ANSWERED:
             return leanhttp.Response(
@@ -192,7 +192,10 @@
         return ids.AttemptId(named)
 
     def call_of(
-        self, request: leanhttp.Request, client: leanserver.Client
+        self,
+        request: leanhttp.Request,
+        attempt: ids.AttemptId,
+        client: leanserver.Client,
     ) -> calls.Request:
         """Returns the call that a request asks for.
 
@@ -204,7 +207,7 @@
         found = self.table.find(request.fields.get("Host", ""), request.path)
         if found is None:
             raise calls.RequestError(Reason.NO_SUCH_OPERATION, "no route")
-        if not self.attempt_of(request):
+        if not attempt:
             raise calls.RequestError(Reason.MALFORMED, "no attempt is named")
         told = self.seconds_left(request)
         left = min(told, found.route.timeout)
@@ -228,8 +231,8 @@
             tree=fields.new_tree(),
         )
 
-    def parent_of(self, request: leanhttp.Request) -> calls.Parent | None:
-        """Returns the run that a request is made for, None for no run here.
+    def parent_of(self, attempt: ids.AttemptId) -> calls.Parent | None:
+        """Returns the run that an attempt is made for, None for no run here.
 
         The call gets its rank: by its own route, a call for an urgent request
         waits behind others, or is refused in place of them, and the urgent
@@ -237,7 +240,6 @@
         without its calls becomes known.  A wrong guess by what an id names
         makes no call run twice, nor where it must not.
         """
-        attempt = self.attempt_of(request)
         return self.run_of(self.vocabulary.parent_of(attempt))
 
     def seconds_left(self, request: leanhttp.Request) -> float:
--- a/tests/decisionfakes.py
+++ b/tests/decisionfakes.py
@@ -1,23 +1,15 @@
 """Settings and views for the tests of the decisions."""
 
+from bench import nodesettings
 from mangobay import ids, routing
-from mangobay.generated import messages, settings
+from mangobay.generated import messages
 
 QUOTES = ids.ServiceName("quotes")
 HOME = ids.DataCentre("lima")
 AWAY = ids.DataCentre("trujillo")
 SEED = 11
 
-
-def section(name: str, **changes):
-    """Returns one section of the node's settings: defaults and changes."""
-    made, options = settings.NODE_SECTIONS[name]
-    values = {
-        option.name: option.parse(option.default)
-        for option in options
-        if option.default is not None
-    }
-    return made(**(values | changes))
+section = nodesettings.section
 
 
 def member(
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -94,7 +94,7 @@
 
     def test_changes_reach_every_node(self):
         async def made():
-            changes = world.Changes(admission={"policy": "fixed"})
+            changes = {"admission": {"policy": "fixed"}}
             return world.World(days.DAYS["crews-calm"], 1, changes)
 
         nodes = virtual.run(made()).nodes
