A program loads only what its role uses

Cause: platform/adapter/programs.py imported both programs, and the lean node inherited from a module that brings the product's own HTTP edges (aiohttp.web, the client's backend, OpenTelemetry, the Prometheus exporter).

The programs are loaded by role; BaseNode holds what every node has, Node the product's edges; the exporter and the file tracer are loaded when they are first asked for, which no request waits for.

tests/test_loading.py names the modules that a node must not load; before, importing adapter.programs loaded every one of them.

--- a/bench/callcost.py
+++ b/bench/callcost.py
@@ -19,7 +19,16 @@
 import multidict
 
 from bench import deployment, hosts, latency
-from mangobay import announcements, backend, edges, ids, node, options, settings
+from mangobay import (
+    announcements,
+    backend,
+    basenode,
+    edges,
+    ids,
+    node,
+    options,
+    settings,
+)
 from mangobay.generated import settings as generated
 
 ROUNDS = 60
@@ -100,7 +109,7 @@
     with tempfile.TemporaryDirectory() as folder:
         made = make_node(plan, pathlib.Path(folder))
         edge = made.outside_listener.server.handle.__self__
-        node.calm_collector()
+        basenode.calm_collector()
         await call_often(edge, received)
         if profiled:
             profile = cProfile.Profile()
--- /dev/null
+++ b/mangobay/basenode.py
@@ -0,0 +1,360 @@
+"""What every kind of node is made of: its parts, its run and its end."""
+
+import asyncio
+import collections.abc
+import gc
+import math
+import random
+import secrets
+import signal
+import typing
+
+from mangobay import (
+    admission,
+    announcements,
+    calls,
+    controlclient,
+    entry,
+    errors,
+    ids,
+    joining,
+    lease,
+    ledger,
+    logs,
+    metrics,
+    nodegauges,
+    once,
+    peers,
+    ratio,
+    routing,
+    tenure,
+    tls,
+    traces,
+)
+from mangobay.generated import messages, settings
+
+ROLE = "node"
+IDLE_POLL = 0.02
+"""Seconds between two looks whether everything in flight has ended."""
+INCARNATION_BYTES = 8
+ALLOCATIONS_BETWEEN_COLLECTIONS = 50_000
+"""Calls make few reference cycles; a collection stops every call."""
+
+
+class Listener(typing.Protocol):
+    """What a node needs of the listeners on which calls come in.
+
+    Attributes:
+      busy: a caller waits for an answer, or has not taken one.
+    """
+
+    busy: bool
+
+    async def close(self, seconds: float = 0.0) -> int:
+        """Ends every connection; returns how many answers that cuts."""
+        ...
+
+
+class BaseNode:
+    """One node; subclasses make its edges and say how it starts and leaves.
+
+    Attributes:
+      listeners: for callers, the backend server and readiness.
+      told_at: loop time at which the node was told to leave.
+      ended: set once the node has left or was told to stop at once.
+      cut: what was in flight when it was told to stop at once.
+    """
+
+    listeners: collections.abc.Sequence[Listener]
+
+    def __init__(self, config: settings.Node):
+        self.config = config
+        self.process = calls.Process(
+            ids.HostId(config.host.name),
+            ids.DataCentre(config.host.data_centre),
+            ids.Incarnation(secrets.token_hex(INCARNATION_BYTES)),
+        )
+        self.dice = random.Random()
+        self.metrics = metrics.Metrics()
+        self.ledger = ledger.Ledger(self.process.host)
+        self.tasks: list[asyncio.Task] = []
+        self.leaving: asyncio.Task | None = None
+        self.told_at = math.inf
+        self.ended = asyncio.Event()
+        self.cut = 0
+        self.make_peers()
+        self.make_serving()
+        self.make_entry()
+        self.make_edges()
+        self.metrics.gauges += nodegauges.gauges_of(self)
+
+    def make_peers(self) -> None:
+        """Makes what speaks to other processes."""
+        config = self.config
+        hello = messages.Hello(
+            host=self.process.host,
+            data_centre=self.process.data_centre,
+            incarnation=self.process.incarnation,
+            role=ROLE,
+        )
+        limits = peers.Limits(
+            frame_bytes=config.limits.frame_bytes,
+            connections=config.limits.connections,
+            frame_seconds=config.limits.header_timeout,
+        )
+        identity = tls.identity(config.tls)
+        self.peers = peers.Peers(hello, identity=identity, limits=limits)
+        self.peer_listener = peers.Listener(
+            config.listen.peer,
+            hello,
+            self.answer,
+            identity=identity,
+            limits=limits,
+        )
+        self.control = controlclient.ControlClient(
+            joining.known_hosts(config.control, config.listen.peer),
+            controlclient.NodeIdentity(
+                host=self.process.host,
+                incarnation=self.process.incarnation,
+                data_centre=self.process.data_centre,
+                peer_address=config.listen.peer,
+            ),
+            self.peers,
+            self.dice,
+        )
+
+    def make_serving(self) -> None:
+        """Makes what runs calls at the backend server here."""
+        config = self.config
+        self.once = once.Once(
+            config.once,
+            tenure.Process(self.process.host, self.process.incarnation),
+            self.peers,
+            self.control.lease,
+        )
+        self.served = announcements.Announcements(
+            config.backend.silence, self.new_admission, self.serves
+        )
+        self.make_backend()
+
+    def make_backend(self) -> None:
+        """Makes the connections to the backend server here."""
+        raise NotImplementedError
+
+    def make_edges(self) -> None:
+        """Makes the listeners."""
+        raise NotImplementedError
+
+    def caller_listeners(self) -> list[Listener]:
+        """Returns the listeners on which calls come in."""
+        raise NotImplementedError
+
+    async def start(self) -> None:
+        """Opens the listeners and starts the parts.
+
+        Raises:
+          errors.StartError: an address cannot be used.
+        """
+        raise NotImplementedError
+
+    async def leave(self) -> None:
+        """Takes no new work, finishes what is in flight, and ends."""
+        raise NotImplementedError
+
+    async def close(self) -> None:
+        """Closes listeners, tasks and connections."""
+        raise NotImplementedError
+
+    def new_admission(self) -> admission.Admission:
+        """Returns the admission of a service announced here."""
+        config = self.config
+        return admission.Admission(
+            config.admission, config.retries, config.recovery, self.dice
+        )
+
+    def serves(self, served: list[messages.ServedService]) -> None:
+        """Tells control what the backend server here serves."""
+        self.control.serves = served
+
+    def make_entry(self) -> None:
+        """Makes what brings calls to hosts."""
+        config = self.config
+        self.router = routing.Router(
+            config.routing,
+            config.admission,
+            self.process.data_centre,
+            self.dice,
+        )
+        self.tracer = traces.Tracer()
+        if config.trace.file:
+            try:
+                self.tracer = traces.to_file(config.trace.file, self.process)
+            except OSError as error:
+                raise errors.StartError(f"trace file: {error}") from None
+        self.entry = entry.Entry(
+            config.retries,
+            entry.Tools(
+                process=self.process,
+                router=self.router,
+                ratio=ratio.RetryRatio(config.retries),
+                transport=self.peers,
+                serving=self.serving,
+                lease=self.entry_lease(),
+                views=self.control.views,
+                tracer=self.tracer,
+                dice=self.dice,
+            ),
+        )
+
+    def entry_lease(self) -> entry.Lease:
+        """Returns what entry asks before a non-idempotent call."""
+        if self.config.control.cut_off == "serve":
+            return lease.Unneeded()
+        return self.control.lease
+
+    async def answer(
+        self, hello: messages.Hello, body: messages.EnvelopeBody
+    ) -> messages.EnvelopeBody:
+        """Answers another process of the system.
+
+        Raises:
+          errors.PeerProtocolError: a node does not answer such a request.
+        """
+        match body:
+            case messages.Call():
+                reply = await self.serving.serve(body)
+                reply.revision = self.control.tables.value.revision
+                return reply
+            case messages.CopyPut() | messages.CopyFetch():
+                return await self.once.handle(body)
+        raise errors.PeerProtocolError(
+            f"a node does not answer {type(body).__name__} of {hello.host}"
+        )
+
+    async def run(self) -> int:
+        """Runs until the node has left; returns the exit code."""
+        reactions = {
+            signal.SIGTERM: self.stop,
+            signal.SIGINT: self.interrupt,
+            signal.SIGHUP: self.reload,
+        }
+        loop = asyncio.get_running_loop()
+        for number, react in reactions.items():
+            loop.add_signal_handler(number, react)
+        try:
+            await self.start()
+            calm_collector()
+            await self.ended.wait()
+        finally:
+            await self.close()
+        return 1 if self.cut else 0
+
+    def reload(self) -> None:
+        """Says that settings are only read at the start.
+
+        All that changes while a node runs, it learns from the control group.
+        """
+        logs.say(logs.Part.NODE, "settings are read at the next start")
+
+    def drained(self, draining: bool) -> None:
+        """Leaves when an operator asked for it."""
+        if draining and self.leaving is None:
+            self.stop()
+
+    def stop(self) -> None:
+        """Leaves in good order; told again, goes on leaving.
+
+        Service managers send SIGTERM to a node that was drained, and some
+        send it twice.
+        """
+        if self.leaving is not None:
+            logs.say(logs.Part.NODE, "told to stop again, goes on leaving")
+            return
+        self.told_at = asyncio.get_running_loop().time()
+        self.leaving = asyncio.create_task(self.leave())
+
+    def interrupt(self) -> None:
+        """Leaves in good order; interrupted while it leaves, ends at once."""
+        if self.leaving is None:
+            self.stop()
+            return
+        self.end("interrupted")
+
+    def busy(self) -> bool:
+        """Returns whether a call or a request is in flight."""
+        return bool(
+            self.entry.in_flight.open
+            or not self.serving.idle
+            or any(each.busy for each in self.caller_listeners())
+        )
+
+    def end(self, why: str) -> None:
+        """Stops at once and says what that cuts."""
+        if self.ended.is_set():
+            return
+        running = [
+            parent.call.operation for parent in self.serving.parents.values()
+        ]
+        now = asyncio.get_running_loop().time()
+        entered_at = [each.entered_at for each in self.entry.in_flight.open]
+        self.cut = len(entered_at) + len(running)
+        logs.say(
+            logs.Part.NODE,
+            "stopping at once",
+            why=why,
+            calls_entered_here=len(entered_at),
+            entered_while_leaving=sum(at > self.told_at for at in entered_at),
+            oldest_s=round(now - min(entered_at, default=now), 3),
+            newest_s=round(now - max(entered_at, default=now), 3),
+            operations_running_here=running,
+        )
+        self.ended.set()
+
+    async def give_up(self) -> None:
+        """Answers whatever is still in flight: the node ends now."""
+        self.serving.leaving = True
+        for place in self.served.served.values():
+            place.admission.shut()
+        await self.entry.in_flight.give_up()
+
+    def seconds_to_write(self) -> float:
+        """Returns how long answers still have to leave this process."""
+        now = asyncio.get_running_loop().time()
+        return self.serving.departure.seconds_to_write(now)
+
+    async def close_listeners(self) -> None:
+        """Closes the HTTP listeners; answers that are cut count as calls."""
+        seconds = self.seconds_to_write()
+        cut = sum(
+            await asyncio.gather(
+                *(each.close(seconds) for each in self.listeners)
+            )
+        )
+        if cut:
+            logs.say(logs.Part.NODE, "answers not taken", answers=cut)
+        self.cut += cut
+
+    async def end_tasks(self) -> None:
+        """Ends whatever this node does by itself."""
+        if self.leaving is not None:
+            self.tasks.append(self.leaving)
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
+    async def close_connections(self) -> None:
+        """Closes what this node has opened to others."""
+        await self.once.close()
+        await self.peers.close()
+        await self.backend.close()
+
+
+def calm_collector() -> None:
+    """Keeps the garbage collector from what lives as long as the process.
+
+    A collection stops every call; one that walks the modules and tables of
+    the start takes milliseconds and finds nothing.
+    """
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(ALLOCATIONS_BETWEEN_COLLECTIONS, 10, 10)
--- /dev/null
+++ b/mangobay/filetracer.py
@@ -0,0 +1,118 @@
+"""Spans written to a file with OpenTelemetry."""
+
+import asyncio
+import json
+import time
+
+from opentelemetry import trace
+from opentelemetry.sdk import resources
+from opentelemetry.sdk import trace as sdk
+from opentelemetry.sdk.trace import export, id_generator
+
+from mangobay import calls, traces
+
+NANOSECONDS = 1_000_000_000
+
+
+class CallIds(id_generator.RandomIdGenerator):
+    """Gives a span the id of its call, so that no second id travels.
+
+    Attributes:
+      next_span: of the span that is made next.
+    """
+
+    next_span = 0
+
+    def generate_span_id(self) -> int:
+        """Returns the id of the call whose span is being made."""
+        return self.next_span
+
+
+class LineExporter(export.SpanExporter):
+    """Writes spans to a file, one JSON object a line."""
+
+    def __init__(self, path: str):
+        self.file = open(path, "a", encoding="utf-8")  # noqa: SIM115
+
+    def export(self, spans) -> export.SpanExportResult:
+        """Writes the spans; called from the exporter's own thread."""
+        try:
+            for span in spans:
+                self.file.write(json.dumps(json.loads(span.to_json())) + "\n")
+            self.file.flush()
+        except OSError:
+            return export.SpanExportResult.FAILURE
+        return export.SpanExportResult.SUCCESS
+
+    def shutdown(self) -> None:
+        """Closes the file."""
+        self.file.close()
+
+
+class FileTracer(traces.Tracer):
+    """Records spans with OpenTelemetry into a file."""
+
+    def __init__(self, path: str, process: calls.Process):
+        self.process = process
+        self.ids = CallIds()
+        resource = resources.Resource(
+            {
+                "service.name": "mangobay-node",
+                "host.name": process.host,
+                "mangobay.data_centre": process.data_centre,
+            }
+        )
+        self.provider = sdk.TracerProvider(
+            id_generator=self.ids, resource=resource, shutdown_on_exit=False
+        )
+        exporter = LineExporter(path)
+        self.provider.add_span_processor(export.BatchSpanProcessor(exporter))
+        self.tracer = self.provider.get_tracer("mangobay")
+
+    def record(self, attempt: traces.Attempt) -> None:
+        """Records one attempt that has ended."""
+        call, reply = attempt.call, attempt.reply
+        end = time.time_ns()
+        seconds = asyncio.get_running_loop().time() - attempt.began
+        self.ids.next_span = int(call.call_id, 16)
+        span = self.tracer.start_span(
+            f"{call.service} {call.operation}",
+            context=parent_context(attempt.request),
+            kind=trace.SpanKind.CLIENT,
+            attributes={
+                "mangobay.service": call.service,
+                "mangobay.operation": call.operation,
+                "mangobay.caller": call.caller,
+                "mangobay.host": attempt.member.host,
+                "mangobay.data_centre": attempt.member.data_centre
+                or self.process.data_centre,
+                "mangobay.outcome": reply.outcome.name.lower(),
+                "mangobay.reason": reply.reason.name.lower(),
+                "mangobay.tries_given": call.tries,
+                "mangobay.tries_left": reply.tries_left,
+                "mangobay.depth": call.depth,
+                "mangobay.status": reply.status,
+            },
+            start_time=end - int(seconds * NANOSECONDS),
+        )
+        span.end(end)
+
+    def close(self) -> None:
+        """Writes what is still unwritten."""
+        self.provider.shutdown()
+
+
+def parent_context(request: calls.Request):
+    """Returns the context that names the caller's span and the trace.
+
+    A first hop without a caller's span is the root: a parent id must not be
+    zero, so its own trace id is given with a span that nobody recorded.
+    """
+    parent = int(request.trace.parent or "1", 16)
+    span_context = trace.SpanContext(
+        trace_id=int(request.trace.trace_id, 16),
+        span_id=parent,
+        is_remote=True,
+        trace_flags=trace.TraceFlags(trace.TraceFlags.SAMPLED),
+    )
+    return trace.set_span_in_context(trace.NonRecordingSpan(span_context))
--- a/mangobay/localapi.py
+++ b/mangobay/localapi.py
@@ -6,7 +6,14 @@
 
 from aiohttp import web
 
-from mangobay import announcements, calls, edges, httpserver, metrics
+from mangobay import (
+    announcements,
+    calls,
+    edges,
+    httpserver,
+    metrics,
+    metricstext,
+)
 from mangobay.generated import messages
 
 Reason = messages.Reason
@@ -117,7 +124,7 @@
         del request
         return web.Response(
             body=self.metrics.render(),
-            headers={"Content-Type": metrics.CONTENT_TYPE},
+            headers={"Content-Type": metricstext.CONTENT_TYPE},
         )
 
 
--- a/mangobay/nodegauges.py
+++ b/mangobay/nodegauges.py
@@ -5,10 +5,10 @@
 from mangobay import metrics
 
 if typing.TYPE_CHECKING:
-    from mangobay import node as node_module
+    from mangobay import basenode
 
 
-def gauges_of(node: "node_module.Node") -> list[metrics.Gauge]:
+def gauges_of(node: "basenode.BaseNode") -> list[metrics.Gauge]:
     """Returns the numbers of a node that the metrics read when asked."""
     places = node.served.served
     return [
--- a/mangobay/routednode.py
+++ b/mangobay/routednode.py
@@ -5,6 +5,7 @@
 import typing
 
 from mangobay import (
+    basenode,
     decisions,
     errors,
     gateway,
@@ -14,7 +15,6 @@
     leanserver,
     logs,
     metricspage,
-    node,
     options,
     publishing,
     refusals,
@@ -45,8 +45,8 @@
     ready_api: typing.Callable[[typing.Callable[[], bool]], leanserver.Handle]
 
 
-class RoutedNode(node.Node):
-    """One node; attributes as in `node.Node`.
+class RoutedNode(basenode.BaseNode):
+    """One node; attributes as in `basenode.BaseNode`.
 
     Attributes:
       dialect: how others are spoken with.
@@ -197,7 +197,7 @@
                 await asyncio.sleep(min(linger, TOLD_BEFORE))
                 self.serving.leaving = True
                 while self.busy():
-                    await asyncio.sleep(node.IDLE_POLL)
+                    await asyncio.sleep(basenode.IDLE_POLL)
         except TimeoutError:
             self.end(f"still in flight after {config.grace:g} s")
             return
--- a/mangobay/serving.py
+++ b/mangobay/serving.py
@@ -50,7 +50,7 @@
 
 
 class Sender(typing.Protocol):
-    """What is needed of `backend.Backend`."""
+    """What is needed of the connections to a backend server."""
 
     async def send(
         self,
--- a/tests/test_backend.py
+++ b/tests/test_backend.py
@@ -5,7 +5,14 @@
 
 import pytest
 
-from mangobay import backend, errors, fields, invariants, options
+from mangobay import (
+    aiohttpbackend,
+    backend,
+    errors,
+    fields,
+    invariants,
+    options,
+)
 from mangobay.generated import messages
 
 LONG = 20.0
@@ -48,7 +55,7 @@
     server = Server(scripts)
     listening = await asyncio.start_server(server.serve, "127.0.0.1", 0)
     port = listening.sockets[0].getsockname()[1]
-    calling = backend.Backend(100, 2.0, 100)
+    calling = aiohttpbackend.Backend(100, 2.0, 100)
     try:
         yield server, calling, options.Address("127.0.0.1", port)
     finally:
--- /dev/null
+++ b/tests/test_loading.py
@@ -0,0 +1,46 @@
+"""What each program loads before it can serve."""
+
+import json
+import pathlib
+import subprocess
+import sys
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+PLATFORM = ROOT / "platform"
+LIST_MODULES = """
+import json, sys
+sys.path[:0] = json.loads(sys.argv[2])
+from adapter import programs
+programs.load(sys.argv[1])
+print(json.dumps(sorted(sys.modules)))
+"""
+
+
+def modules_of(role):
+    """Returns the names of all modules that a program loads."""
+    paths = json.dumps([str(ROOT), str(PLATFORM)])
+    done = subprocess.run(
+        [sys.executable, "-c", LIST_MODULES, role, paths],
+        capture_output=True,
+        check=True,
+        text=True,
+    )
+    return set(json.loads(done.stdout))
+
+
+class TestNode:
+    """A node of a large fleet is restarted hundreds of times a day."""
+
+    def test_a_node_loads_nothing_that_only_others_use(self):
+        """Guards against starts that take twice the processor time needed."""
+        unused = {
+            "aiohttp.web",
+            "mangobay.aiohttpbackend",
+            "mangobay.consensus",
+            "mangobay.control",
+            "mangobay.edges",
+            "mangobay.httpserver",
+            "opentelemetry",
+            "prometheus_client",
+        }
+        assert not unused & modules_of("node")
--- a/tests/test_spantree.py
+++ b/tests/test_spantree.py
@@ -8,7 +8,7 @@
 
 
 def span_line(span: str, parent: str, name: str, second: int) -> str:
-    """Returns a line as `traces.LineExporter` writes it."""
+    """Returns a line as `filetracer.LineExporter` writes it."""
     return json.dumps(
         {
             "name": name,
--- a/tests/test_traces.py
+++ b/tests/test_traces.py
@@ -3,7 +3,7 @@
 import asyncio
 import json
 
-from mangobay import calls, fields, traces, tries
+from mangobay import calls, fields, filetracer, traces, tries
 from mangobay.generated import messages
 
 ME = calls.Process("me", "lima", "run-1")
@@ -14,7 +14,7 @@
 
     async def test_a_span_names_hop_outcome_and_tries(self, tmp_path):
         path = tmp_path / "spans"
-        tracer = traces.FileTracer(str(path), ME)
+        tracer = filetracer.FileTracer(str(path), ME)
         trace = fields.Trace("ab" * 16, "cd" * 8, True)
         operation = messages.Operation(service="stock", name="price")
         request = calls.Request(
