Nodes are told the steps of a view, together, in place of whole views

Cause: each change of a view was answered to each node at once with all members (90), and to each member with eight former views too: bytes and work at the leader were nodes times members times changes.

The leader keeps the newest steps of each view (one member each, bounded by the members) and tells the way from the version that a node acts by; whole views go to who holds none, or takes former views over. News wait for further news for the time that keeps the leader within a number of answers a second (0.25 s at 200 nodes, 0.5 s at most). A node that owns no keys says so: it is told neither former views nor which view is active.

--- a/mangobay/activity.py
+++ b/mangobay/activity.py
@@ -2,7 +2,7 @@
 
 import typing
 
-from mangobay import ids, machine
+from mangobay import ids, views
 from mangobay.generated import messages
 
 
@@ -51,7 +51,7 @@
             return
         self.versions[view.service] = view.version
         self.active.discard(view.service)
-        for member in machine.former_members(view):
+        for member in views.former_members(view):
             owner = owner_of(member)
             if owner in living:
                 self.wait_for(view.service, owner, view.version)
--- a/mangobay/controlclient.py
+++ b/mangobay/controlclient.py
@@ -17,6 +17,7 @@
     logs,
     options,
     table,
+    views,
 )
 from mangobay.generated import messages, settings
 
@@ -62,6 +63,7 @@
       routes: the newest routes document; version 0 before the first.
       hosts: control hosts that are asked in turn, the voters as last told.
       every_service: the views of all services are followed.
+      keyless: no keys are owned here, so that former views are not needed.
       interests: services whose rows and view this node follows.
     """
 
@@ -83,6 +85,7 @@
         self.routes = subject.BehaviorSubject(messages.RoutesChange())
         self.hosts = list(config.hosts)
         self.every_service = False
+        self.keyless = False
         self.held = False
         self.interests = interests.Interests()
         self.address = randomness.choice(config.hosts)
@@ -269,6 +272,7 @@
             views=[self.ack(view) for view in self.views.value.values()],
             routes=self.routes.value.version,
             every_service=self.every_service,
+            keyless=self.keyless,
         )
 
     def drop(self, services: set[ids.ServiceName]) -> None:
@@ -324,7 +328,7 @@
             self.try_next()
             return False
         self.take_table(grant.table)
-        self.take_views(grant.views)
+        self.take_views(grant.views, grant.view_steps)
         self.take_interests(renewal, grant)
         self.take_routes(grant.routes)
         self.take_hosts(grant.control_addresses)
@@ -375,23 +379,44 @@
         known = [host for host in self.config.hosts if host not in told]
         self.hosts = [*told, *known]
 
-    def take_views(self, views: list[messages.ServiceView]) -> None:
+    def take_views(
+        self,
+        whole: list[messages.ServiceView],
+        steps: list[messages.ViewSteps],
+    ) -> None:
         """Swaps the views for newer ones; none goes back to an older."""
         merged = dict(self.views.value)
-        for view in views:
+        for view in whole:
             old = merged.get(view.service)
             # A new leader does not know yet what is active; this node does.
             if old is None or is_newer(view, old):
                 merged[view.service] = view
+        for change in steps:
+            old = merged.get(change.service)
+            # Steps from another view than this one's answer an older renewal.
+            if old is not None and old.version == change.base:
+                merged[change.service] = self.stepped(old, change)
         if merged != self.views.value:
             self.views.on_next(merged)
 
+    def stepped(
+        self, view: messages.ServiceView, change: messages.ViewSteps
+    ) -> messages.ServiceView:
+        """Returns the view that follows on an older one by some steps."""
+        keeps_formers = not self.keyless and self.ack(view).member
+        for step in change.steps:
+            view = views.after(view, step)
+            if not keeps_formers:
+                view = views.without_formers(view)
+        return dataclasses.replace(view, active=change.active)
+
     def take_interests(
         self, renewal: messages.LeaseRenew, grant: messages.LeaseGrant
     ) -> None:
         """Notes which services control told of; answers who waits for it."""
         told = {row.service for row in grant.table.changed}
         told.update(view.service for view in grant.views)
+        told.update(steps.service for steps in grant.view_steps)
         told.update(item.name for item in renewal.serves)
         self.interests.settle(
             [ids.ServiceName(name) for name in renewal.new_interests],
--- /dev/null
+++ b/mangobay/gathering.py
@@ -0,0 +1,21 @@
+"""How long news wait at the leader for further news.
+
+The load that this answers: hundreds of nodes join, leave or restart within
+seconds.  Told at once, each change would be an answer and a new renewal of
+every node, and the leader would spend the product of nodes and changes.
+"""
+
+MOST_ANSWERS = 800
+"""Answers with news in a second that one leader gives."""
+
+LONGEST = 0.5
+"""Seconds; below what a node may act by former routes or views."""
+
+
+def seconds(nodes: int) -> float:
+    """Returns how long news wait for further news.
+
+    Args:
+      nodes: whose renewals are held.
+    """
+    return min(nodes / MOST_ANSWERS, LONGEST)
--- a/mangobay/leases.py
+++ b/mangobay/leases.py
@@ -9,6 +9,7 @@
     clock,
     errors,
     flapping,
+    gathering,
     ids,
     inforce,
     logs,
@@ -16,6 +17,7 @@
     news,
     renewals,
     silence,
+    views,
 )
 from mangobay.generated import messages
 
@@ -140,18 +142,18 @@
         The former leader may have granted leases until this term began, so
         nobody is gone before ttl and margin have passed from now.
         """
-        views = self.machine.views.values()
+        newest = self.machine.views.values()
         owners = {activity.UNSEEN}
         for record in self.machine.members.values():
             owners.add(activity.owner_of(record.member))
-        for view in views:
+        for view in newest:
             owners.update(
-                activity.owner_of(m) for m in machine.former_members(view)
+                activity.owner_of(m) for m in views.former_members(view)
             )
         self.silence.restart(sorted(owners), clock.now())
         self.reports.revisions.clear()
         self.activity = activity.ViewActivity()
-        for view in views:
+        for view in newest:
             self.follow_view(view)
 
     def follow_view(self, view: messages.ServiceView) -> None:
@@ -233,6 +235,7 @@
                 if renewals.has_news(
                     self.machine, self.activity.active, renewal
                 ):
+                    await self.gather(until)
                     return
                 event.clear()
                 try:
@@ -241,17 +244,27 @@
                 except TimeoutError:
                     return
 
+    async def gather(self, until: float) -> None:
+        """Waits for further news, so that nodes are told together.
+
+        Args:
+          until: loop time at which the answer is due in any case.
+        """
+        now = clock.now()
+        pause = gathering.seconds(len(self.news.hosts))
+        await asyncio.sleep(max(min(pause, until - now), 0))
+
     def grant(self, renewal: messages.LeaseRenew) -> messages.LeaseGrant:
         """Returns a lease with what the node lacks."""
+        told = renewals.view_news(self.machine, self.activity.active, renewal)
         return messages.LeaseGrant(
             granted=True,
             ttl_ms=int(self.ttl * 1000),
             leader=self.group.leader,
             leader_address=self.group.leader_address,
             table=renewals.table_update(self.machine, renewal),
-            views=renewals.new_views(
-                self.machine, self.activity.active, renewal
-            ),
+            views=told.whole,
+            view_steps=told.steps,
             drain=renewals.is_drained(self.machine, renewal),
             routes=renewals.newer_routes(self.machine, renewal),
             control_addresses=self.group.voter_addresses(),
--- a/mangobay/machine.py
+++ b/mangobay/machine.py
@@ -8,7 +8,7 @@
 import dataclasses
 import typing
 
-from mangobay import ids, spent
+from mangobay import ids, spent, views
 from mangobay.generated import messages
 
 NO_REVISION = ids.Revision(0)
@@ -52,32 +52,6 @@
 MOST_REMOVED = 10_000
 """Removed operations remembered, so that nodes learn of them row by row."""
 
-MOST_FORMERS = 8
-"""Former views kept with a view.
-
-A new owner of a slot must find a witness of each view since the last owner
-that knew everything; with more changes than this in between it gives up and
-answers `unknown` to older keys.
-"""
-
-
-def lineage_of(old: messages.ServiceView) -> list[messages.FormerView]:
-    """Returns the views that a view following on the old one comes after.
-
-    When every member of a service died, the next ones still have to know that
-    keys may have run before them: without a former view they would run a
-    repeated booking again.  A view without members adds nothing to that.
-    """
-    if not old.members:
-        return old.formers
-    newest = messages.FormerView(version=old.version, members=old.members)
-    return [newest, *old.formers]
-
-
-def former_members(view: messages.ServiceView) -> list[messages.Member]:
-    """Returns who was a member before the view."""
-    return view.formers[0].members if view.formers else []
-
 
 class ConfigMachine:
     """Applies committed entries; implements `consensus.Machine`.
@@ -96,6 +70,7 @@
       cut: how many sheets the history no longer names.
       members: every host that is not gone.
       views: the newest view of each service that ever had a member.
+      steps: the newest steps to each of them; a restart forgets them.
       draining: hosts that an operator asked to leave.
       routes: the newest routes document; version 0 before the first.
       accepted_routes: fingerprint of every accepted one, by version.
@@ -115,6 +90,7 @@
         self.cut = 0
         self.members: dict[ids.HostId, messages.MemberRecord] = {}
         self.views: dict[ids.ServiceName, messages.ServiceView] = {}
+        self.steps = views.Steps()
         self.draining: set[ids.HostId] = set()
         self.routes = messages.RoutesChange()
         self.accepted_routes: dict[ids.RoutesVersion, bytes] = {}
@@ -285,21 +261,19 @@
           whether that makes a new view.
         """
         old = self.views.get(service, messages.ServiceView(service=service))
-        members = [item for item in old.members if item.host != member.host]
-        if slots is not None:
-            members.append(dataclasses.replace(member, slots=slots))
-        members.sort(key=lambda item: item.host)
-        if members == old.members:
-            return False
-        lineage = lineage_of(old)
-        self.views[service] = messages.ServiceView(
-            service=service,
+        gone = slots is None
+        step = messages.ViewStep(
             version=ids.ViewVersion(index),
-            members=members,
-            formers=lineage[:MOST_FORMERS],
-            lineage_whole=len(lineage) <= MOST_FORMERS
-            and (old.lineage_whole or not old.version),
+            member=messages.Member(host=member.host)
+            if gone
+            else dataclasses.replace(member, slots=slots),
+            gone=gone,
         )
+        view = views.after(old, step)
+        if view.members == old.members:
+            return False
+        self.views[service] = view
+        self.steps.add(service, step, len(view.members))
         return True
 
     def apply_drain(self, change: messages.DrainChange) -> Changed:
@@ -361,6 +335,7 @@
             self.put_row(operation)
         self.members = {item.member.host: item for item in snapshot.members}
         self.views = {view.service: view for view in snapshot.views}
+        self.steps.restart(self.views)
         self.draining = {ids.HostId(host) for host in snapshot.draining}
         self.routes = snapshot.routes
         self.accepted_routes = {
--- a/mangobay/renewals.py
+++ b/mangobay/renewals.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from mangobay import clock, ids, machine
+from mangobay import clock, ids, machine, views
 from mangobay.generated import messages
 
 
@@ -65,12 +65,28 @@
     )
 
 
-def new_views(
+@dataclasses.dataclass(slots=True)
+class ViewNews:
+    """What a node is told of views.
+
+    Attributes:
+      whole: views in place of those that it acts by.
+      steps: the way to others from those that it acts by.
+    """
+
+    whole: list[messages.ServiceView] = dataclasses.field(default_factory=list)
+    steps: list[messages.ViewSteps] = dataclasses.field(default_factory=list)
+
+    def __bool__(self) -> bool:
+        return bool(self.whole or self.steps)
+
+
+def view_news(
     config: machine.ConfigMachine,
     active: set[ids.ServiceName],
     renewal: messages.LeaseRenew,
-) -> list[messages.ServiceView]:
-    """Returns the views that differ from what the node acts by.
+) -> ViewNews:
+    """Returns what has changed in the views that a node acts by.
 
     Only its members are told that a view has become active, for they alone
     act on it; each view would otherwise go to all its callers twice.
@@ -81,24 +97,57 @@
       renewal: of the node.
     """
     acks = {ack.service: ack for ack in renewal.views}
-    views = []
+    news = ViewNews()
     for service in sorted(services_of(config, renewal)):
         view = config.views.get(service)
         if view is None:
             continue
-        is_active = service in active
         ack = acks.get(service)
-        if (
-            ack is None
-            or ack.version < view.version
-            or (is_active and not ack.active and is_member(renewal, view))
-        ):
-            views.append(told_to(renewal, view, is_active))
-    return views
-
-
-def is_member(renewal: messages.LeaseRenew, view: messages.ServiceView) -> bool:
-    """Returns whether the node's host is a member of a view."""
+        is_active = service in active
+        if ack is None or ack.version < view.version:
+            steps = steps_to(config, renewal, view, ack)
+            if steps is None:
+                news.whole.append(told_to(renewal, view, is_active))
+            else:
+                news.steps.append(
+                    messages.ViewSteps(
+                        service=service,
+                        base=ack.version,
+                        steps=steps,
+                        active=is_active,
+                    )
+                )
+        elif is_active and not ack.active and owns_by(renewal, view):
+            news.whole.append(told_to(renewal, view, is_active))
+    return news
+
+
+def steps_to(
+    config: machine.ConfigMachine,
+    renewal: messages.LeaseRenew,
+    view: messages.ServiceView,
+    ack: messages.ViewAck | None,
+) -> list[messages.ViewStep] | None:
+    """Returns the steps from a node's view to the newest.
+
+    Returns:
+      None where they are not known, lead to former views that the node does
+      not hold, or are no shorter than the whole view.
+    """
+    if ack is None or (owns_by(renewal, view) and not ack.member):
+        return None
+    steps = config.steps.since(view.service, ack.version)
+    if steps is None:
+        return None
+    if renewal.keyless:
+        steps = views.newest_by_host(steps)
+    return steps if len(steps) <= len(view.members) else None
+
+
+def owns_by(renewal: messages.LeaseRenew, view: messages.ServiceView) -> bool:
+    """Returns whether the node may own keys by a view."""
+    if renewal.keyless:
+        return False
     return any(member.host == renewal.host for member in view.members)
 
 
@@ -110,11 +159,9 @@
     Only members take slots over and ask who was a member before. To the many
     who call the service the former views would be most of every push.
     """
-    if is_member(renewal, view):
-        return dataclasses.replace(view, active=active)
-    return dataclasses.replace(
-        view, active=active, formers=[], lineage_whole=False
-    )
+    if not owns_by(renewal, view):
+        view = views.without_formers(view)
+    return dataclasses.replace(view, active=active)
 
 
 def newer_routes(
@@ -145,7 +192,7 @@
         return True
     if newer_routes(config, renewal).version:
         return True
-    if new_views(config, active, renewal):
+    if view_news(config, active, renewal):
         return True
     update = table_update(config, renewal)
     return bool(update.changed or update.removed)
--- a/mangobay/routednode.py
+++ b/mangobay/routednode.py
@@ -61,6 +61,7 @@
         """Makes what speaks to other processes."""
         super().make_peers()
         self.control.every_service = self.config.control.follow == "all"
+        self.control.keyless = True
 
     def make_backend(self) -> None:
         """Makes the connections to the backend server here."""
--- a/schema/messages.capnp
+++ b/schema/messages.capnp
@@ -246,6 +246,22 @@
   members @1 :List(Member);
 }
 
+struct ViewStep {
+  # What one log entry changed in a view.
+  version @0 :UInt64 $id("ViewVersion");
+  member @1 :Member;
+  # Who joined or changed; of one that is gone only the host.
+  gone @2 :Bool;
+}
+
+struct ViewSteps {
+  # Make the newest view of a service out of the one that the node acts by.
+  service @0 :Text $id("ServiceName");
+  base @1 :UInt64 $id("ViewVersion");
+  steps @2 :List(ViewStep);
+  active @3 :Bool;
+}
+
 struct ViewAck {
   service @0 :Text $id("ServiceName");
   version @1 :UInt64 $id("ViewVersion");
@@ -275,6 +291,9 @@
   # Routes in force at the node.
   everyService @12 :Bool;
   # The node follows the views of all services, not only of its interests.
+  keyless @13 :Bool;
+  # The node owns no keys: it needs neither former views nor to know which
+  # view is active.
 }
 
 struct LeaseGrant {
@@ -293,6 +312,8 @@
   # The newest ones where the node has older ones; else without version.
   controlAddresses @8 :List(Text);
   # Peer addresses of the voters, to ask when the leader does not answer.
+  viewSteps @9 :List(ViewSteps);
+  # In place of a whole view, where the steps from the node's own are known.
 }
 
 # ---- configuration ----
--- a/tests/test_controlclient.py
+++ b/tests/test_controlclient.py
@@ -324,3 +324,62 @@
             transport.tables.clear()
             with pytest.raises(errors.ControlUnavailableError):
                 await client.interest("quotes")
+
+
+class TestViewSteps:
+    """Views that a node is told of as differences."""
+
+    @pytest.mark.parametrize("keyless", [True, False])
+    async def test_a_node_that_is_told_steps_holds_the_newest_views(
+        self, client, group, transport, keyless
+    ):
+        """Guards against a view that drifts from that of the control group."""
+        dice = random.Random(11)
+        client.keyless = keyless
+        told = []
+        renew = transport.tables[FIRST].renew
+
+        async def listen(renewal):
+            grant = await renew(renewal)
+            told.append(grant)
+            return grant
+
+        transport.tables[FIRST].renew = listen
+        async with controlfakes.running(client):
+            client.serves = [messages.ServedService(name="quotes", slots=70)]
+            await asyncio.sleep(1)
+            for turn in range(200):
+                host = f"h{dice.randrange(20)}"
+                member = controlfakes.joins(host, "quotes", run=str(turn))
+                if dice.random() < 0.3 and host in group.machine.members:
+                    record = group.machine.members[host]
+                    member = messages.MemberChange(
+                        member=record.member, gone=True
+                    )
+                group.append(member)
+                await asyncio.sleep(dice.choice((0.0, 0.0, 0.01, 0.3)))
+            await asyncio.sleep(1)
+            held = client.views.value["quotes"]
+            newest = group.machine.views["quotes"]
+            assert held.version == newest.version
+            assert held.members == newest.members
+            formers = [] if keyless else newest.formers
+            assert held.formers == formers
+            assert held.lineage_whole == (newest.lineage_whole and not keyless)
+            steps = [item for grant in told for item in grant.view_steps]
+            assert len(steps) > 20
+
+    async def test_steps_from_another_view_are_left_alone(self, client, group):
+        """Guards against steps on top of the wrong view by a late answer."""
+        async with controlfakes.running(client):
+            client.serves = [messages.ServedService(name="quotes", slots=70)]
+            await asyncio.sleep(1)
+            before = client.views.value["quotes"]
+            step = messages.ViewStep(
+                version=99, member=messages.Member(host="z")
+            )
+            late = messages.ViewSteps(
+                service="quotes", base=before.version + 1, steps=[step]
+            )
+            client.take_views([], [late])
+            assert client.views.value["quotes"] == before
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -1,11 +1,20 @@
 """The leader's side of leases."""
 
 import asyncio
+import contextlib
 
 import controlfakes
 import pytest
 
-from mangobay import clock, flapping, ids, leases, machine
+from mangobay import (
+    clock,
+    flapping,
+    gathering,
+    ids,
+    leases,
+    machine,
+    views,
+)
 from mangobay.generated import messages
 
 TTL = 4.0
@@ -252,7 +261,7 @@
                 await asyncio.sleep(0.5)
             assert versions == sorted(set(versions))
             view = state.views["quotes"]
-            assert machine.former_members(view)[0].incarnation == "7"
+            assert views.former_members(view)[0].incarnation == "7"
             assert "quotes" not in table.activity.active
             await keep(
                 table,
@@ -395,3 +404,111 @@
             controlfakes.renewal("b", "quotes", revision=entry.index)
         )
         assert not table.reports.reached(entry.index).stragglers
+
+
+class Fleet:
+    """Nodes that keep a renewal at the leader and take what they are told.
+
+    Attributes:
+      bytes_told: of all grants that told of views.
+      answers: grants that told of views.
+    """
+
+    def __init__(self, table, nodes):
+        self.table = table
+        self.nodes = nodes
+        self.bytes_told = 0
+        self.answers = 0
+
+    async def follow(self, host):
+        """Renews for one node for ever."""
+        held = {}
+        while True:
+            ask = controlfakes.renewal(
+                host,
+                "quotes",
+                hold_ms=900,
+                acks=held.items(),
+                every_service=True,
+                keyless=True,
+            )
+            grant = await self.table.renew(ask)
+            held.update((view.service, view.version) for view in grant.views)
+            for told in grant.view_steps:
+                held[told.service] = told.steps[-1].version
+            if grant.views or grant.view_steps:
+                self.answers += 1
+                envelope = messages.Envelope(body=grant)
+                self.bytes_told += len(messages.encode_envelope(envelope))
+
+    @contextlib.asynccontextmanager
+    async def running(self):
+        """Runs every node; all of them hold the newest view on entry."""
+        following = [
+            asyncio.create_task(self.follow(f"h{number:04}"))
+            for number in range(self.nodes)
+        ]
+        await asyncio.sleep(3)
+        self.bytes_told = self.answers = 0
+        try:
+            yield
+        finally:
+            for task in following:
+                task.cancel()
+
+
+class TestLargeFleet:
+    """What a change of a view costs the leader and the network."""
+
+    @pytest.mark.parametrize("nodes", [20, 200, 1000])
+    async def test_a_change_costs_a_node_the_same_in_a_fleet_of_any_size(
+        self, table, group, nodes
+    ):
+        """Guards against bytes that grow with nodes times members."""
+        fleet = Fleet(table, nodes)
+        async with fleet.running():
+            group.append(controlfakes.joins("h0001", "quotes", slots=71))
+            await asyncio.sleep(0.8)
+            assert fleet.answers >= nodes - 1
+            assert fleet.bytes_told / fleet.answers < 600
+
+    async def test_changes_of_a_short_time_are_told_together(
+        self, table, group
+    ):
+        """Guards against an answer to every node for each of many changes."""
+        fleet = Fleet(table, 200)
+        async with fleet.running():
+            for number in range(100):
+                group.append(
+                    controlfakes.joins(f"h{number:04}", "quotes", slots=71)
+                )
+                await asyncio.sleep(0.02)
+            await asyncio.sleep(0.8)
+            assert fleet.answers <= gathering.MOST_ANSWERS * 2.8
+            assert fleet.answers <= 200 * 12
+
+    async def test_a_keyless_node_is_not_told_that_a_view_is_active(
+        self, table, group
+    ):
+        """Guards against a second answer to every member for each change."""
+        await table.renew(controlfakes.renewal("a", "quotes"))
+        await table.renew(controlfakes.renewal("b", "quotes"))
+        version = group.machine.views["quotes"].version
+        ask = controlfakes.renewal(
+            "b",
+            "quotes",
+            acks=[("quotes", version)],
+            hold_ms=900,
+            keyless=True,
+        )
+        held = asyncio.create_task(table.renew(ask))
+        await asyncio.sleep(0.1)
+        await table.renew(
+            controlfakes.renewal("a", "quotes", acks=[("quotes", version)])
+        )
+        assert "quotes" in table.activity.active
+        await asyncio.sleep(0.1)
+        assert not held.done()
+        grant = await held
+        assert not grant.views
+        assert not grant.view_steps
--- a/tests/test_machine.py
+++ b/tests/test_machine.py
@@ -2,7 +2,7 @@
 
 import controlfakes
 
-from mangobay import machine
+from mangobay import machine, views
 from mangobay.generated import messages
 
 
@@ -115,7 +115,7 @@
         view = state.views["quotes"]
         assert (view.version, view.formers[0].version) == (second, first)
         assert named(view.members) == [("a", "1"), ("b", "1")]
-        assert named(machine.former_members(view)) == [("a", "1")]
+        assert named(views.former_members(view)) == [("a", "1")]
 
     def test_a_service_whose_members_all_died_still_has_a_former_view(self):
         """Both nodes of a service die; later they come back.
@@ -137,7 +137,7 @@
         assert named(view.members) == [("a", "2")]
         assert view.formers[0].version == indices[2]
         assert view.lineage_whole
-        assert named(machine.former_members(view)) == [("b", "1")]
+        assert named(views.former_members(view)) == [("b", "1")]
 
     def test_the_end_of_an_old_run_leaves_the_new_one_in(self):
         """A host restarts just before the leader declares its old run gone.
@@ -154,7 +154,7 @@
         )
         view = state.views["quotes"]
         assert named(view.members) == [("a", "2")]
-        assert named(machine.former_members(view)) == [("a", "1")]
+        assert named(views.former_members(view)) == [("a", "1")]
 
     def test_a_host_returns_under_its_address_with_another_service(self):
         """A host is given another backend server and comes back.
@@ -180,7 +180,7 @@
             controlfakes.joins("a", "quotes", leaving=True),
         )
         assert state.views["quotes"].members[0].leaving
-        assert not machine.former_members(state.views["quotes"])[0].leaving
+        assert not views.former_members(state.views["quotes"])[0].leaving
 
     def test_a_drain_ends_with_the_run_that_it_asked_to_leave(self):
         state = machine.ConfigMachine()
