--- a/tools/generate.py
+++ b/tools/generate.py
@@ -38,7 +38,12 @@
 
 
 class Field:
-    """One field of a message: its Python type, default, writer and reader."""
+    """One field of a message: its Python type, default, writer and reader.
+
+    Attributes:
+      factory: expression of a default that each message has its own of; empty
+        where all share `default`.
+    """
 
     def __init__(self, field, names: dict[int, str]):
         self.wire = field.name
@@ -48,13 +53,14 @@
             (a.value.text for a in field.annotations if a.id == ID_ANNOTATION),
             "",
         )
+        self.factory = ""
         slot = field.slot.type
         which = str(slot.which())
         self.kind = Kind.PLAIN
         if any(a.id == PACKED_ANNOTATION for a in field.annotations):
             self.kind = Kind.PACKED
             self.type = "list[Header]"
-            self.default = "dataclasses.field(default_factory=list)"
+            self.factory = "[]"
         elif which == "enum":
             self.kind = Kind.ENUM
             self.type = names[slot.enum.typeId]
@@ -62,9 +68,7 @@
         elif which == "struct":
             self.kind = Kind.STRUCT
             self.type = names[slot.struct.typeId]
-            self.default = (
-                f"dataclasses.field(default_factory=lambda: {self.type}())"
-            )
+            self.factory = f"{self.type}()"
         elif which == "list":
             self._take_list(slot.list.elementType, names)
         else:
@@ -72,7 +76,7 @@
 
     def _take_list(self, element, names: dict[int, str]) -> None:
         which = str(element.which())
-        self.default = "dataclasses.field(default_factory=list)"
+        self.factory = "[]"
         if which == "struct":
             self.kind = Kind.STRUCT_LIST
             self.item = names[element.struct.typeId]
@@ -93,6 +97,19 @@
         self.type = f"ids.{self.new_type}" if self.new_type else base
         self.default = f"{self.type}({literal})" if self.new_type else literal
 
+    def parameter(self) -> str:
+        """Returns the parameter of the constructor."""
+        if self.factory:
+            return f"{self.name}: {self.type} | None = None"
+        return f"{self.name}: {self.type} = {self.default}"
+
+    def assignment(self) -> str:
+        """Returns the statement of the constructor."""
+        value = self.name
+        if self.factory:
+            value = f"{self.factory} if {value} is None else {value}"
+        return f"self.{self.name} = {value}"
+
     def write_lines(self) -> list[str]:
         """Returns the statements that put the field into a builder."""
         mine = f"message.{self.name}"
@@ -168,23 +185,65 @@
     return lines
 
 
+BASE = """
+
+class Message:
+    \"\"\"A message; those with equal fields are equal.\"\"\"
+
+    __slots__ = ()
+    _values = staticmethod(lambda message: ())
+
+    def __eq__(self, other):
+        if other.__class__ is not self.__class__:
+            return NotImplemented
+        return self._values(self) == self._values(other)
+
+    def __repr__(self):
+        parts = [f"{name}={getattr(self, name)!r}" for name in self.__slots__]
+        return f"{type(self).__name__}({', '.join(parts)})"
+"""
+
+
+def class_lines(name: str, plain: list[Field], has_body: bool) -> list[str]:
+    """Returns the data class of a message.
+
+    Its constructor and comparison are written out: data classes that make them
+    take most of the time in which the module is loaded.
+    """
+    names = [field.name for field in plain] + ["body"] * has_body
+    annotations = [f"    {field.name}: {field.type}" for field in plain]
+    parameters = [field.parameter() for field in plain]
+    statements = [f"        {field.assignment()}" for field in plain]
+    if has_body:
+        annotations.append(f"    body: {name}Body")
+        parameters.append(f"body: {name}Body | None = None")
+        statements.append("        self.body = body")
+    lines = [
+        *["", ""],
+        "@dataclasses.dataclass(init=False, repr=False, eq=False)",
+        f"class {name}(Message):",
+        f'    """Message {name} of schema/messages.capnp."""',
+        "",
+        f"    __slots__ = {tuple(names)!r}",
+        *annotations,
+    ]
+    if not names:
+        return lines
+    quoted = ", ".join(repr(each) for each in names)
+    return [
+        *lines,
+        f"    _values = operator.attrgetter({quoted})",
+        "",
+        f"    def __init__(self, *, {', '.join(parameters)}) -> None:",
+        *statements,
+    ]
+
+
 def struct_lines(name: str, fields: list[Field]) -> list[str]:
     """Returns the data class of a message with its writer and reader."""
     plain = [field for field in fields if not field.in_union]
     union = [field for field in fields if field.in_union]
-    lines = ["", "", "@dataclasses.dataclass(slots=True, kw_only=True)"]
-    lines += [
-        f"class {name}:",
-        f'    """Message {name} of schema/messages.capnp."""',
-    ]
-    lines.append("")
-    lines += [
-        f"    {field.name}: {field.type} = {field.default}" for field in plain
-    ]
-    if union:
-        lines.append(f"    body: {name}Body = None  # type: ignore[assignment]")
-    if not fields:
-        lines.pop()
+    lines = class_lines(name, plain, has_body=bool(union))
     lines += ["", "", f"def _put_{snake(name)}(builder, message) -> None:"]
     lines += [line for field in plain for line in field.write_lines()]
     if union:
@@ -250,13 +309,15 @@
     names = {number: name for name, number in nodes}
     lines = [f'"""Messages between the processes.  {NOTICE}"""', ""]
     lines += ["from __future__ import annotations", ""]
-    lines += ["import dataclasses", "import enum", "import pathlib", ""]
+    lines += ["import dataclasses", "import enum", "import operator"]
+    lines += ["import pathlib", ""]
     lines += ["import capnp", "", "from mangobay import ids", ""]
     lines.append(
         '_schema = capnp.load(str(pathlib.Path(__file__).with_name("messages.capnp")))'
     )
     lines.append("TRAVERSAL_LIMIT_WORDS = 1 << 27")
     lines += PACKING.splitlines()
+    lines += BASE.splitlines()
     unions: list[str] = []
     for name, _ in nodes:
         if name[0].islower():
