--- a/tools/generate.py
+++ b/tools/generate.py
@@ -339,24 +339,68 @@
     return "\n".join(lines) + "\n"
 
 
+SETTINGS_BASE = """
+
+class Settings:
+    \"\"\"Settings, which do not change once they are read.\"\"\"
+
+    __slots__ = ()
+    _values = staticmethod(lambda settings: ())
+
+    def __setattr__(self, name, value):
+        raise dataclasses.FrozenInstanceError(f"cannot assign to {name!r}")
+
+    def __delattr__(self, name):
+        raise dataclasses.FrozenInstanceError(f"cannot delete {name!r}")
+
+    def __eq__(self, other):
+        if other.__class__ is not self.__class__:
+            return NotImplemented
+        return self._values(self) == self._values(other)
+
+    def __hash__(self):
+        return hash(self._values(self))
+"""
+
+
+def settings_class(name: str, about: str, types: dict[str, str]) -> list[str]:
+    """Returns the data class of some settings, by the type of each."""
+    quoted = ", ".join(repr(each) for each in types)
+    parameters = ", ".join(f"{each}: {kind}" for each, kind in types.items())
+    return [
+        *["", ""],
+        "@dataclasses.dataclass(init=False, eq=False)",
+        f"class {name}(Settings):",
+        f'    """{about}"""',
+        "",
+        f"    __slots__ = {tuple(types)!r}",
+        *(f"    {each}: {kind}" for each, kind in types.items()),
+        f"    _values = operator.attrgetter({quoted})",
+        "",
+        f"    def __init__(self, *, {parameters}) -> None:",
+        "        put = object.__setattr__",
+        *(f'        put(self, "{each}", {each})' for each in types),
+    ]
+
+
 def settings_module() -> str:
     """Returns the text of mangobay/generated/settings.py."""
     document = tomllib.loads((SCHEMA / "settings.toml").read_text())
     lines = [f'"""Settings of the programs.  {NOTICE}"""', ""]
-    lines += ["import dataclasses", "", "from mangobay import options", ""]
+    lines += ["import dataclasses", "import operator", ""]
+    lines += ["from mangobay import options", ""]
+    lines += SETTINGS_BASE.splitlines()
     for program, sections in document.items():
         for section, keys in sections.items():
             lines += _section_lines(program, section, keys)
-        lines += [
-            "",
-            "",
-            "@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)",
-        ]
-        lines.append(f"class {program.title()}:")
-        lines.append(f'    """Every setting of mangobay-{program}."""')
-        lines.append("")
-        for section in sections:
-            lines.append(f"    {section}: {_section_class(program, section)}")
+        lines += settings_class(
+            program.title(),
+            f"Every setting of mangobay-{program}.",
+            {
+                section: _section_class(program, section)
+                for section in sections
+            },
+        )
         lines += ["", "", f"{program.upper()}_SECTIONS = {{"]
         for section in sections:
             name = _section_class(program, section)
@@ -389,18 +433,11 @@
 
 
 def _section_lines(program: str, section: str, keys: dict) -> list[str]:
-    lines = [
-        "",
-        "",
-        "@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)",
-    ]
-    lines.append(f"class {_section_class(program, section)}:")
-    lines.append(
-        f'    """Section [{section}] of the settings of mangobay-{program}."""'
+    lines = settings_class(
+        _section_class(program, section),
+        f"Section [{section}] of the settings of mangobay-{program}.",
+        {key: PYTHON_TYPES[about["type"]] for key, about in keys.items()},
     )
-    lines.append("")
-    for key, about in keys.items():
-        lines.append(f"    {key}: {PYTHON_TYPES[about['type']]}")
     lines += ["", "", f"{_constant(program, section)} = ("]
     for key, about in keys.items():
         arguments = [
