--- a/mangobay/httpserver.py
+++ b/mangobay/httpserver.py
@@ -10,6 +10,7 @@
 from mangobay import (
     calls,
     fields,
+    httpparse,
     leanhttp,
     listening,
     logs,
@@ -114,7 +115,7 @@
             lingering_time=LINGERING_SECONDS,
             max_line_size=leanhttp.LONGEST_LINE,
             max_field_size=leanhttp.LONGEST_LINE,
-            max_headers=leanhttp.MOST_HEADERS,
+            max_headers=httpparse.MOST_HEADERS,
         )
 
     async def mark(self, request: web.BaseRequest) -> web.StreamResponse:
--- a/tools/generate.py
+++ b/tools/generate.py
@@ -396,10 +396,7 @@
         lines += settings_class(
             program.title(),
             f"Every setting of mangobay-{program}.",
-            {
-                section: _section_class(program, section)
-                for section in sections
-            },
+            {section: _section_class(program, section) for section in sections},
         )
         lines += ["", "", f"{program.upper()}_SECTIONS = {{"]
         for section in sections:
