Peers read frames from the transport, and write each at once

Cause: each frame between nodes took two turns of the loop beyond its work: a stream woke a reading task, which woke whoever waits; and a frame waited for the end of the turn to be written with others, which in a fleet where every node speaks with every other are hardly ever there.

Connection is a protocol now; Frames takes bytes, and joins those of a long frame once.

--- a/mangobay/connections.py
+++ b/mangobay/connections.py
@@ -61,7 +61,7 @@
     idle_seconds: float = 300
 
 
-def tune(writer: asyncio.StreamWriter) -> None:
+def tune(transport: asyncio.Transport) -> None:
     """Sets the socket so that a silent partition ends the connection.
 
     A peer behind a cut that drops packets neither closes nor answers: calls
@@ -69,7 +69,7 @@
     time without an acknowledgement ends the connection; a peer that is
     merely slow still acknowledges and is left alone.
     """
-    sock = writer.get_extra_info("socket")
+    sock = transport.get_extra_info("socket")
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     for name, value in (
@@ -82,11 +82,13 @@
             sock.setsockopt(socket.IPPROTO_TCP, getattr(socket, name), value)
 
 
-class Connection:
-    """Requests and answers in both directions; one task reads.
+class Connection(asyncio.Protocol):
+    """Requests and answers in both directions.
 
     Attributes:
       hello: who the peer says it is, once it has said so.
+      greeted: done once it has.
+      ended: done once the connection has ended.
       waiting: futures of the requests sent, by stream.
       serving: tasks of the requests received, by stream.
       partial_since: loop time when a frame began that has not ended, or 0.
@@ -100,22 +102,22 @@
 
     def __init__(
         self,
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
+        mine: messages.Hello,
         limits: Limits,
         handler: Handler | None = None,
     ):
         self.loop = asyncio.get_running_loop()
-        self.reader = reader
-        self.writer = writer
+        self.mine = mine
         self.limits = limits
         self.handler = handler
+        self.transport: asyncio.Transport | None = None
         self.hello = messages.Hello()
-        self.incoming = wire.Frames(reader, limits.frame_bytes)
+        self.greeted = self.loop.create_future()
+        self.ended = self.loop.create_future()
+        self.incoming = wire.Frames(limits.frame_bytes)
         self.waiting: dict[int, asyncio.Future] = {}
         self.serving: dict[int, asyncio.Task] = {}
         self.last_stream = 0
-        self.frames: list[bytes] = []
         self.closed = False
         self.partial_since = 0.0
         self.asked_at = self.loop.time()
@@ -126,64 +128,89 @@
         self.pinged = False
         self.watching: asyncio.TimerHandle | None = None
 
-    async def greet(self, mine: messages.Hello, first: bool) -> None:
-        """Exchanges the Hellos; the connecting side sends first.
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        """Takes the connection; the connecting side greets first."""
+        self.transport = transport
+        tune(transport)
+        if self.handler is None:
+            self.greet()
+
+    def greet(self) -> None:
+        """Sends this process's Hello."""
+        mine = dataclasses.replace(self.mine, protocol=PROTOCOL)
+        self.send(messages.Envelope(body=mine))
+
+    def take_hello(self, theirs: messages.EnvelopeBody) -> None:
+        """Takes the peer's first message.
 
         Raises:
-          errors.PeerError: the peer is none of the system's processes.
+          errors.PeerProtocolError: the peer is none of the system's processes.
         """
-        greeting = messages.Envelope(
-            body=dataclasses.replace(mine, protocol=PROTOCOL)
-        )
-        if first:
-            self.send(greeting)
-        theirs = (await wire.read(self.reader, self.limits.frame_bytes)).body
         if not isinstance(theirs, messages.Hello):
             raise errors.PeerProtocolError("the first message is no Hello")
         if theirs.protocol != PROTOCOL:
             raise errors.PeerProtocolError(
                 f"protocol {theirs.protocol}, not {PROTOCOL}"
             )
-        certificate = self.writer.get_extra_info("peercert")
+        certificate = self.transport.get_extra_info("peercert")
         if certificate and not tls.vouches(certificate, theirs):
             raise errors.PeerProtocolError(
                 f"the certificate is not that of {theirs.role} {theirs.host}"
             )
         self.hello = theirs
-        if not first:
-            self.send(greeting)
+        if self.handler is not None:
+            self.greet()
+        if not self.greeted.done():
+            self.greeted.set_result(None)
 
-    async def run(self) -> None:
-        """Reads until the connection ends; then nothing waits on it."""
-        why = "closed"
+    def data_received(self, data: bytes) -> None:
+        """Hands on what has come to whom it is for."""
+        if self.closed:
+            return
+        self.heard()
+        self.incoming.feed(data)
         try:
-            while True:
-                await self.read_some()
-        except errors.PeerClosedError:
-            pass
+            while not self.closed:
+                envelope = self.incoming.take()
+                if envelope is None:
+                    break
+                self.partial_since = 0.0
+                self.dispatch(envelope)
         except errors.PeerProtocolError as error:
-            why = str(error)
-            logs.say(logs.Part.PEER, "not understood", why=why)
-        except OSError as error:
-            why = str(error)
-        finally:
-            self.close(why)
-
-    async def read_some(self) -> None:
-        """Reads what has come and hands it to whom it is for."""
-        envelope = self.incoming.take()
-        if envelope is None:
-            if self.incoming.partial and not self.partial_since:
-                self.partial_since = self.loop.time()
-            await self.incoming.more()
-            self.heard()
+            if self.greeted.done():
+                logs.say(logs.Part.PEER, "not understood", why=str(error))
+            self.refuse(error)
             return
-        self.partial_since = 0.0
-        self.dispatch(envelope)
+        if self.incoming.partial and not self.partial_since:
+            self.partial_since = self.loop.time()
+
+    def refuse(self, error: errors.PeerProtocolError) -> None:
+        """Ends the connection of a peer that is not understood."""
+        if not self.greeted.done():
+            self.greeted.set_exception(error)
+        self.close(str(error))
+
+    def eof_received(self) -> bool:
+        """Ends the connection: a peer that sends no more asks nothing."""
+        if self.greeted.done() and self.incoming.partial:
+            why = "the stream ended in a frame"
+            logs.say(logs.Part.PEER, "not understood", why=why)
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Breaks what waits for an answer."""
+        why = str(exc) if exc else "closed"
+        if not self.greeted.done():
+            self.greeted.set_exception(errors.PeerClosedError(why))
+        self.close(why)
+        if not self.ended.done():
+            self.ended.set_result(None)
 
     def dispatch(self, envelope: messages.Envelope) -> None:
         """Hands one message to whom it is for."""
         match envelope.body:
+            case first if not self.greeted.done():
+                self.take_hello(first)
             case messages.Hello():
                 raise errors.PeerProtocolError("a second Hello")
             case messages.Cancel():
@@ -339,8 +366,7 @@
     @property
     def unsent(self) -> bool:
         """Whether something sent is not yet with the kernel."""
-        waiting = self.writer.transport.get_write_buffer_size()
-        return bool(self.frames) or waiting > 0
+        return self.transport.get_write_buffer_size() > 0
 
     def check_writable(self) -> None:
         """Refuses a request that would only wait in this process.
@@ -352,38 +378,25 @@
         Raises:
           errors.PeerUnreachableError: closed, or too much is unsent.
         """
-        if self.closed or self.writer.transport.is_closing():
+        if self.closed or self.transport.is_closing():
             raise errors.PeerUnreachableError("the connection is closed")
-        backlog = self.writer.transport.get_write_buffer_size()
+        backlog = self.transport.get_write_buffer_size()
         if backlog > self.limits.backlog_bytes:
             raise errors.PeerUnreachableError("the peer does not read")
 
     def send(self, envelope: messages.Envelope) -> None:
-        """Writes a frame; under load, those of one turn in one write.
-
-        A frame that waits for the end of the turn saves a system call where
-        others join it, and costs a turn of the loop where none does.
+        """Writes a frame.
 
         Raises:
-          errors.FrameTooLargeError: nothing was written or queued.
+          errors.FrameTooLargeError: nothing was written.
         """
         if self.closed:
             return
         frame = wire.pack(envelope, self.limits.frame_bytes)
-        self.frames.append(frame)
-        if len(self.frames) > 1:
+        if self.transport.is_closing():
             return
-        if self.waiting or self.serving:
-            self.loop.call_soon(self.flush)
-        else:
-            self.flush()
-
-    def flush(self) -> None:
-        """Writes what is queued."""
-        frames, self.frames = self.frames, []
-        if frames and not self.writer.transport.is_closing():
-            self.writer.write(b"".join(frames))
-        backlog = self.writer.transport.get_write_buffer_size()
+        self.transport.write(frame)
+        backlog = self.transport.get_write_buffer_size()
         if self.handler and backlog > 4 * self.limits.backlog_bytes:
             # Answers that a peer asks for and never reads would fill the
             # memory of this process; without the connection they go nowhere.
@@ -393,12 +406,13 @@
         """Ends the connection: requests sent break, tasks are cancelled."""
         if self.closed:
             return
-        self.flush_last()
         self.closed = True
         if self.watching is not None:
             self.watching.cancel()
-        transport = self.writer.transport
-        if transport.get_write_buffer_size() > self.limits.backlog_bytes:
+        transport = self.transport
+        if transport is None:
+            pass
+        elif transport.get_write_buffer_size() > self.limits.backlog_bytes:
             # A plain close would wait for a peer that does not read.
             transport.abort()
         else:
@@ -409,12 +423,6 @@
         for task in list(self.serving.values()):
             task.cancel()
 
-    def flush_last(self) -> None:
-        """Writes what is queued before the connection ends."""
-        if self.frames and not self.writer.transport.is_closing():
-            self.writer.write(b"".join(self.frames))
-        self.frames = []
-
 
 def expire(future: asyncio.Future) -> None:
     """Fails a request whose time has passed."""
--- a/mangobay/peers.py
+++ b/mangobay/peers.py
@@ -46,14 +46,12 @@
       connecting: the task that makes one.
       failures: failed connects in a row.
       closed_until: loop time before which no connect is tried.
-      reading: the task that reads the connection.
     """
 
     connection: connections.Connection | None = None
     connecting: asyncio.Task | None = None
     failures: int = 0
     closed_until: float = 0.0
-    reading: asyncio.Task | None = None
 
     def is_idle(self, oldest: float) -> bool:
         """Returns whether nobody asked or connected since a loop time."""
@@ -80,7 +78,6 @@
         self.limits = limits or Limits()
         self.random = rng or random.Random()
         self.peers: dict[options.Address, Peer] = {}
-        self.former: set[asyncio.Task] = set()
         self.sweeping: asyncio.TimerHandle | None = None
 
     async def ask(
@@ -164,31 +161,23 @@
             peer.connecting = None
         peer.failures = 0
         peer.connection = connection
-        self.keep_reading(peer)
-        peer.reading = asyncio.create_task(connection.run())
         if self.sweeping is None:
             self.sweep()
         return connection
 
-    def keep_reading(self, peer: Peer) -> None:
-        """Keeps the task of a silent connection: answers may still come."""
-        former = peer.reading
-        if former is not None and not former.done():
-            self.former.add(former)
-            former.add_done_callback(self.former.discard)
-
     async def open(self, address: options.Address) -> connections.Connection:
         """Returns a connection on which the Hellos were exchanged."""
         context = self.identity.client() if self.identity else None
-        reader, writer = await asyncio.open_connection(
-            address.ip, address.port, ssl=context
+        _, connection = await asyncio.get_running_loop().create_connection(
+            lambda: connections.Connection(self.hello, self.limits),
+            address.ip,
+            address.port,
+            ssl=context,
         )
         try:
-            connections.tune(writer)
-            connection = connections.Connection(reader, writer, self.limits)
-            await connection.greet(self.hello, first=True)
+            await connection.greeted
         except BaseException:
-            writer.close()
+            connection.close()
             raise
         return connection
 
@@ -214,19 +203,64 @@
         """Ends every connection."""
         if self.sweeping is not None:
             self.sweeping.cancel()
-        tasks = []
+        ending: list[asyncio.Future] = []
         for peer in self.peers.values():
             if peer.connecting is not None:
                 peer.connecting.cancel()
-                tasks.append(peer.connecting)
+                ending.append(peer.connecting)
             if peer.connection is not None:
                 peer.connection.close()
-                peer.reading.cancel()
-                tasks.append(peer.reading)
-        await asyncio.gather(*tasks, return_exceptions=True)
+                ending.append(peer.connection.ended)
+        if ending:
+            await asyncio.wait(ending, timeout=CLOSE_SECONDS)
         self.peers.clear()
 
 
+class Accepted(connections.Connection):
+    """A connection that another process made.
+
+    Attributes:
+      listener: that took it.
+    """
+
+    def __init__(self, listener: "Listener"):
+        super().__init__(listener.hello, listener.limits, listener.handler)
+        self.listener = listener
+        self.patience: asyncio.TimerHandle | None = None
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        """Counts the connection; one too many is closed."""
+        super().connection_made(transport)
+        listener = self.listener
+        listener.accepted += 1
+        if listener.accepted > listener.limits.connections:
+            self.close("too many connections")
+            return
+        self.patience = self.loop.call_later(
+            listener.limits.frame_seconds, self.close, "no Hello came"
+        )
+
+    def take_hello(self, theirs: messages.EnvelopeBody) -> None:
+        """Takes the peer's first message.
+
+        Raises:
+          errors.PeerProtocolError: the peer is none of the system's processes.
+        """
+        super().take_hello(theirs)
+        self.patience.cancel()
+        self.listener.standing.add(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Breaks what waits for an answer."""
+        super().connection_lost(exc)
+        if self.patience is not None:
+            self.patience.cancel()
+        # Nobody waits for a Hello that did not come.
+        self.greeted.exception()
+        self.listener.accepted -= 1
+        self.listener.standing.discard(self)
+
+
 class Listener:
     """Answers other processes.
 
@@ -249,7 +283,7 @@
         self.identity = identity
         self.limits = limits or Limits()
         self.server: asyncio.Server | None = None
-        self.standing: dict[connections.Connection, asyncio.Task] = {}
+        self.standing: set[connections.Connection] = set()
         self.accepted = 0
         self.sweeping: asyncio.TimerHandle | None = None
 
@@ -261,7 +295,7 @@
         """
         self.server = await listening.open_server(
             self.address,
-            asyncio.start_server(
+            asyncio.get_running_loop().create_server(
                 self.accept,
                 self.address.ip,
                 self.address.port,
@@ -274,38 +308,9 @@
         self.address = listening.bound_to(self.address, self.server)
         self.sweep()
 
-    async def accept(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        """Serves one connection until it ends."""
-        if self.accepted >= self.limits.connections:
-            writer.close()
-            return
-        self.accepted += 1
-        try:
-            await self.converse(reader, writer)
-        finally:
-            self.accepted -= 1
-
-    async def converse(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        """Greets, then answers requests."""
-        connection = connections.Connection(
-            reader, writer, self.limits, self.handler
-        )
-        try:
-            connections.tune(writer)
-            async with asyncio.timeout(self.limits.frame_seconds):
-                await connection.greet(self.hello, first=False)
-        except (OSError, errors.PeerError):
-            writer.close()
-            return
-        self.standing[connection] = asyncio.current_task()
-        try:
-            await connection.run()
-        finally:
-            del self.standing[connection]
+    def accept(self) -> connections.Connection:
+        """Returns the protocol of a connection that is being made."""
+        return Accepted(self)
 
     def sweep(self) -> None:
         """Ends connections that began a frame and do not end it.
@@ -343,8 +348,8 @@
         ]
         if running and grace:
             await asyncio.wait(running, timeout=grace)
-        tasks = list(self.standing.values())
+        ending = [connection.ended for connection in self.standing]
         for connection in list(self.standing):
             connection.close("leaving")
-        if tasks:
-            await asyncio.wait(tasks, timeout=CLOSE_SECONDS)
+        if ending:
+            await asyncio.wait(ending, timeout=CLOSE_SECONDS)
--- a/mangobay/wire.py
+++ b/mangobay/wire.py
@@ -1,6 +1,5 @@
 """Frames: a length of four bytes, then one Cap'n Proto envelope."""
 
-import asyncio
 import struct
 
 import capnp
@@ -9,8 +8,6 @@
 from mangobay.generated import messages
 
 LENGTH = struct.Struct(">I")
-READ_BYTES = 256 * 1024
-"""Taken from a stream at once; asyncio itself reads as much."""
 FRAME_BYTES = 16 * 1024 * 1024
 """Longest frame where the settings name no other limit."""
 
@@ -44,37 +41,30 @@
 
 
 class Frames:
-    """Reads the envelopes of a stream, several of them at one wake-up.
+    """The envelopes in the bytes of a connection.
 
     Attributes:
-      partial: a frame has begun that has not ended.
+      limit: longest frame, bytes.
+      size: bytes that came and belong to no envelope taken so far.
     """
 
-    def __init__(self, reader: asyncio.StreamReader, limit: int):
-        self.reader = reader
+    def __init__(self, limit: int = FRAME_BYTES):
         self.limit = limit
+        self.size = 0
+        self.parts: list[bytes] = []
         self.data = b""
         self.offset = 0
+        self.needed = LENGTH.size
 
     @property
     def partial(self) -> bool:
         """Whether a frame has begun that has not ended."""
-        return self.offset < len(self.data)
+        return self.size > 0
 
-    async def more(self) -> None:
-        """Waits for further bytes.
-
-        Raises:
-          errors.PeerClosedError: the stream ended between two frames.
-          errors.PeerProtocolError: the stream ended inside a frame.
-        """
-        data = await self.reader.read(READ_BYTES)
-        if not data:
-            if self.partial:
-                raise errors.PeerProtocolError("the stream ended in a frame")
-            raise errors.PeerClosedError("the peer closed")
-        self.data = self.data[self.offset :] + data
-        self.offset = 0
+    def feed(self, data: bytes) -> None:
+        """Takes further bytes."""
+        self.parts.append(data)
+        self.size += len(data)
 
     def take(self) -> messages.Envelope | None:
         """Returns the next envelope, None where it has not come whole.
@@ -82,15 +72,29 @@
         Raises:
           errors.PeerProtocolError: the frame is too long, or holds none.
         """
-        start = self.offset + LENGTH.size
-        if start > len(self.data):
+        if self.size < self.needed:
             return None
+        if self.parts:
+            self.join()
+        start = self.offset + LENGTH.size
         length = length_of(self.data[self.offset : start], self.limit)
-        if start + length > len(self.data):
+        self.needed = LENGTH.size + length
+        if self.size < self.needed:
             return None
         self.offset = start + length
+        self.size -= self.needed
+        self.needed = LENGTH.size
         return decode(self.data[start : self.offset])
 
+    def join(self) -> None:
+        """Puts the bytes together; not for each part of a long frame."""
+        if self.offset < len(self.data):
+            self.parts.insert(0, self.data[self.offset :])
+        whole = len(self.parts) == 1
+        self.data = self.parts[0] if whole else b"".join(self.parts)
+        self.parts.clear()
+        self.offset = 0
+
 
 def decode(data: bytes) -> messages.Envelope:
     """Returns the envelope in a frame's bytes.
@@ -103,25 +107,3 @@
     except (capnp.KjException, ValueError) as error:
         text = str(error).partition("\n")[0]
         raise errors.PeerProtocolError(f"not an envelope: {text}") from None
-
-
-async def read(
-    reader: asyncio.StreamReader, limit: int = FRAME_BYTES
-) -> messages.Envelope:
-    """Returns the next envelope of the stream.
-
-    Raises:
-      errors.PeerClosedError: the stream ended between two frames.
-      errors.PeerProtocolError: the stream holds no frame of the system.
-    """
-    try:
-        head = await reader.readexactly(LENGTH.size)
-    except asyncio.IncompleteReadError as error:
-        if not error.partial:
-            raise errors.PeerClosedError("the peer closed") from None
-        raise errors.PeerProtocolError("the stream ended in a length") from None
-    try:
-        data = await reader.readexactly(length_of(head, limit))
-    except asyncio.IncompleteReadError:
-        raise errors.PeerProtocolError("the stream ended in a frame") from None
-    return decode(data)
