The first step of a request's task runs at once

A task ran its first step a turn of the loop after it was made; most requests need little more than that step until they wait for another process.

A request's own state says whether its body is awaited, since its task may have ended before it is noted.

--- a/mangobay/connections.py
+++ b/mangobay/connections.py
@@ -5,7 +5,7 @@
 import dataclasses
 import socket
 
-from mangobay import errors, logs, tls, wire
+from mangobay import eager, errors, logs, tls, wire
 from mangobay.generated import messages
 
 PROTOCOL = 1
@@ -237,9 +237,9 @@
         stream = envelope.stream
         if stream in self.serving or len(self.serving) >= self.limits.streams:
             raise errors.PeerProtocolError("too many requests, or one twice")
-        self.serving[stream] = asyncio.create_task(
-            self.answer(stream, envelope.body)
-        )
+        task = eager.start(self.loop, self.answer(stream, envelope.body))
+        if not task.done():
+            self.serving[stream] = task
 
     async def answer(self, stream: int, body: messages.EnvelopeBody) -> None:
         """Answers one request; its task is cancelled by the peer's Cancel."""
--- a/mangobay/leanserver.py
+++ b/mangobay/leanserver.py
@@ -5,7 +5,7 @@
 import collections.abc
 import dataclasses
 
-from mangobay import httpparse, leanhttp, listening, logs, options
+from mangobay import eager, httpparse, leanhttp, listening, logs, options
 
 Handle = collections.abc.Callable[
     [leanhttp.Request, "Client"], collections.abc.Awaitable[leanhttp.Response]
@@ -158,7 +158,7 @@
         if not self.exchanges:
             return False
         last = self.exchanges[-1]
-        return last.task is None and not last.answer
+        return not last.answer and not last.message.whole
 
     def begin(self, message: httpparse.Message) -> None:
         """Takes a request head; answers once the body has come."""
@@ -185,7 +185,7 @@
         )
         if len(self.exchanges) > MOST_PIPELINED and self.transport is not None:
             self.transport.pause_reading()
-        exchange.task = self.loop.create_task(self.answer(exchange, request))
+        exchange.task = eager.start(self.loop, self.answer(exchange, request))
 
     def look_at_size(self) -> None:
         """Refuses a body that is too long before all of it has come."""
@@ -230,7 +230,7 @@
             leanhttp.Response(status=error.status), True, False
         )
         # A request whose body broke off is answered in its own place.
-        if self.exchanges and self.exchanges[-1].task is None:
+        if self.awaits_body():
             self.exchanges.pop()
         refused = Exchange(None, answer=answer, close=True)
         self.exchanges.append(refused)
