--- a/tools/generate.py
+++ b/tools/generate.py
@@ -146,7 +146,8 @@
         theirs = f'get("{self.wire}")'
         match self.kind:
             case Kind.PLAIN:
-                return f"{self.type}({theirs})" if self.new_type else theirs
+                # Any value may stand for a NewType; to say so costs a call.
+                return theirs
             case Kind.ENUM:
                 return f"{self.type}({theirs}.raw)"
             case Kind.STRUCT:
