Settings refuse seeds named twice, and a growing group without any

What operators saw: a control host whose seeds were empty, though its group was to grow to five voters, founded a group of its own without a word; the same host named thrice passed for three. Each is one error now that names the field and its line.

tests/test_settings.py. The stand-in library of tests/test_program.py was aiohttp, which a node no longer loads, so that the test waited for ever; it is capnp now, which both programs load, and checks the same.

--- a/mangobay/settings.py
+++ b/mangobay/settings.py
@@ -72,9 +72,21 @@
 CONTROL_LISTENERS = addresses_of("listen", "peer", "operator")
 TLS_FILES = addresses_of("tls", "certificate", "key", "authority")
 GROUP_HOSTS = Place("group", "hosts")
+GROUP_SEEDS = Place("group", "seeds")
+GROUP_VOTERS = Place("group", "voters")
 ELECTION = Place("group", "election_timeout")
 HEARTBEAT = Place("group", "heartbeat_interval")
 
+
+def names_each_once(place: Place) -> Check:
+    """Returns the check that a list of hosts names none of them twice."""
+    return Check(
+        place=place,
+        holds=lambda values: len(set(values[place])) == len(values[place]),
+        message="names a host twice",
+    )
+
+
 TLS_CHECK = Check(
     place=TLS_FILES[0],
     needs=TLS_FILES[1:],
@@ -101,6 +113,8 @@
             holds=lambda values: len(values[Place("control", "hosts")]) > 0,
             message="name at least one control host",
         ),
+        names_each_once(Place("control", "hosts")),
+        names_each_once(Place("control", "seeds")),
         TLS_CHECK,
     ),
     generated.Control: (
@@ -116,12 +130,16 @@
             message="must be an odd number of hosts, so that two halves of"
             " a cut group can never both have a majority",
         ),
+        names_each_once(GROUP_HOSTS),
+        names_each_once(GROUP_SEEDS),
         Check(
-            place=GROUP_HOSTS,
+            place=GROUP_SEEDS,
+            needs=(GROUP_VOTERS,),
             holds=lambda values: (
-                len(set(values[GROUP_HOSTS])) == len(values[GROUP_HOSTS])
+                values[GROUP_VOTERS] == 0 or len(values[GROUP_SEEDS]) > 0
             ),
-            message="names a host twice",
+            message="must name control hosts, since the group grows to"
+            " [group] voters: alone, this host would found one of its own",
         ),
         Check(
             place=GROUP_HOSTS,
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -91,7 +91,7 @@
     ):
         """The stand-in for a library waits while it is imported."""
         standin = STANDIN.format(pipe=str(pipe), code=STANDIN_EXIT)
-        (tmp_path / "aiohttp.py").write_text(standin)
+        (tmp_path / "capnp.py").write_text(standin)
         process = started(
             [sys.executable, ROOT / "platform" / "run.py", program],
             PYTHONPATH=str(tmp_path),
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -113,6 +113,13 @@
             ("local = 127.0.0.1", "local = 10.0.0.1", "[listen] local"),
             (":7003", ":7001", "[listen] outside"),
             ("[host]", "[tls]\nkey = k\n[host]", "[tls] certificate"),
+            ("127.0.0.1:6002,", "127.0.0.1:6001,", "[control] hosts"),
+            (
+                "[control]",
+                "[control]\nseeds = 10.0.0.1:1 10.0.0.1:1 10.0.0.1:1",
+                "[control] seeds",
+            ),
+            ("[control]", "[control]\nseeds = muc", "[control] seeds"),
         ],
     )
     def test_node_rules(self, findings_of, old, new, place):
@@ -126,6 +133,10 @@
             ("6002 127.0.0.1:6003", "6002 127.0.0.1:6002", "twice"),
             ("peer = 127.0.0.1:6001", "peer = 127.0.0.1:6009", "own"),
             ("[host]", "[group]\nelection_timeout = 0.2\n[host]", "three"),
+            ("data =", "seeds = 10.0.0.1:1 10.0.0.1:1\ndata =", "twice"),
+            ("data =", "seeds = muc\ndata =", "[group] seeds: 'muc'"),
+            ("data =", "voters = 5\ndata =", "must name control hosts"),
+            ("data =", "voters = 5\nseeds =\ndata =", "must name"),
         ],
     )
     def test_control_rules(self, findings_of, old, new, word):
