One timer looks for silent peers, and one at idle callers

What it cost: every connection on which a call was awaited had a timer of its own, which woke the process 0.3 s later even where the call had long ended. In a fleet where each node speaks with ninety others, nearly every call waits on a connection alone: one wake and more for each, beside the four of a request that goes through two nodes. Each listener woke once a second, with callers or without.

Evidence: tests/test_peers.py::TestWatch counts the timers of 20 peers that are called at once: one now, 20 before, and none once the calls have ended, where 20 went off. What silence means, and when it is noticed, is as before.

Announcements are looked through when the first may have fallen silent, not four times within that time.

--- a/mangobay/announcements.py
+++ b/mangobay/announcements.py
@@ -167,5 +167,14 @@
     async def run(self) -> None:
         """Looks for silent ones until cancelled."""
         while True:
-            await asyncio.sleep(self.silence / EXPIRIES_IN_SILENCE)
+            await asyncio.sleep(self.next_look())
             self.expire()
+
+    def next_look(self) -> float:
+        """Returns the seconds until one of them may have fallen silent."""
+        now = asyncio.get_running_loop().time()
+        first = min(
+            (each.renewed for each in self.served.values()), default=now
+        )
+        shortest = self.silence / EXPIRIES_IN_SILENCE
+        return max(first + self.silence - now, shortest)
--- a/mangobay/connections.py
+++ b/mangobay/connections.py
@@ -5,7 +5,7 @@
 import dataclasses
 import socket
 
-from mangobay import eager, errors, logs, tls, wire
+from mangobay import eager, errors, logs, rounds, tls, wire
 from mangobay.generated import messages
 
 PROTOCOL = 2
@@ -98,6 +98,8 @@
       quiet_since: loop time of the last byte, or of the request that has been
         awaited longest.
       silent: the peer does not answer, though the connection stands.
+      watched: connections on which silence is looked for, this one among
+        them while calls wait.
     """
 
     def __init__(
@@ -105,6 +107,7 @@
         mine: messages.Hello,
         limits: Limits,
         handler: Handler | None = None,
+        watched: "rounds.Rounds[Connection] | None" = None,
     ):
         self.loop = asyncio.get_running_loop()
         self.mine = mine
@@ -126,7 +129,7 @@
         self.quiet_since = self.asked_at
         self.silent = False
         self.pinged = False
-        self.watching: asyncio.TimerHandle | None = None
+        self.watched = watched or rounds.Rounds(PING_AFTER, Connection.watch)
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Takes the connection; the connecting side greets first."""
@@ -292,8 +295,7 @@
         finally:
             timer.cancel()
             del self.waiting[stream]
-            self.calls.discard(stream)
-            self.lasting.discard(stream)
+            self.forget(stream)
             if self.silent and not self.waiting:
                 self.close(SILENT)
         if isinstance(answer, messages.Failure):
@@ -311,8 +313,14 @@
         self.calls.add(stream)
         if not call.idempotent:
             self.lasting.add(stream)
-        if self.watching is None:
-            self.watching = self.loop.call_later(PING_AFTER, self.watch)
+        self.watched.add(self)
+
+    def forget(self, stream: int) -> None:
+        """Notes that a call has ended."""
+        self.calls.discard(stream)
+        self.lasting.discard(stream)
+        if not self.calls:
+            self.watched.discard(self)
 
     def heard(self) -> None:
         """Notes that the peer is there."""
@@ -326,8 +334,8 @@
         that stands still, or where a device between forgot it.  Requests on it
         would wait until their deadlines, each new one again.
         """
-        self.watching = None
-        if self.closed or self.silent or not self.calls:
+        if self.closed or self.silent:
+            self.watched.discard(self)
             return
         quiet = self.loop.time() - self.quiet_since
         if quiet >= SILENT_AFTER:
@@ -337,7 +345,6 @@
             self.pinged = True
             ping = messages.Envelope(stream=PING_STREAM, body=messages.Ping())
             self.send(ping)
-        self.watching = self.loop.call_later(PING_AFTER, self.watch)
 
     def fall_silent(self) -> None:
         """Gives up what may be sent again; the rest goes on waiting.
@@ -407,8 +414,7 @@
         if self.closed:
             return
         self.closed = True
-        if self.watching is not None:
-            self.watching.cancel()
+        self.watched.discard(self)
         transport = self.transport
         if transport is None:
             pass
--- a/mangobay/leanserver.py
+++ b/mangobay/leanserver.py
@@ -5,7 +5,15 @@
 import collections.abc
 import dataclasses
 
-from mangobay import eager, httpparse, leanhttp, listening, logs, options
+from mangobay import (
+    eager,
+    httpparse,
+    leanhttp,
+    listening,
+    logs,
+    options,
+    rounds,
+)
 
 Handle = collections.abc.Callable[
     [leanhttp.Request, "Client"], collections.abc.Awaitable[leanhttp.Response]
@@ -103,7 +111,7 @@
         super().connection_made(transport)
         peer = transport.get_extra_info("peername")
         self.remote = peer[0] if peer else ""
-        self.listener.clients.add(self)
+        self.listener.rounds.add(self)
         if len(self.listener.clients) > self.listener.limits.connections:
             transport.close()
 
@@ -112,7 +120,7 @@
         super().connection_lost(exc)
         if self.discarding is not None:
             self.discarding.cancel()
-        self.listener.clients.discard(self)
+        self.listener.rounds.discard(self)
         for exchange in self.exchanges:
             if exchange.task is not None:
                 exchange.task.cancel()
@@ -317,7 +325,7 @@
 
     Attributes:
       address: where it listens; with port 0, the port taken once started.
-      clients: its connections.
+      rounds: looks at its connections.
       leaving: every answer closes its connection.
       oversized: the answer to a body above the limit.
     """
@@ -328,11 +336,12 @@
         self.address = address
         self.handle = handle
         self.limits = limits
-        self.clients: set[Client] = set()
+        self.rounds: rounds.Rounds[Client] = rounds.Rounds(
+            SWEEP_SECONDS, self.look
+        )
         self.leaving = False
         self.oversized = TOO_LARGE
         self.server: asyncio.Server | None = None
-        self.sweeping: asyncio.TimerHandle | None = None
 
     async def start(self) -> None:
         """Opens the socket.
@@ -350,19 +359,19 @@
         )
         self.server = await listening.open_server(self.address, opening)
         self.address = listening.bound_to(self.address, self.server)
-        self.sweeping = loop.call_later(SWEEP_SECONDS, self.sweep)
 
-    def sweep(self) -> None:
-        """Closes connections that were idle for too long."""
-        loop = asyncio.get_running_loop()
-        oldest = loop.time() - self.limits.idle_seconds
-        slowest = loop.time() - self.limits.head_seconds
-        for client in list(self.clients):
-            if client.is_slow(slowest):
-                client.time_out()
-            elif client.is_idle(oldest):
-                client.end()
-        self.sweeping = loop.call_later(SWEEP_SECONDS, self.sweep)
+    @property
+    def clients(self) -> set[Client]:
+        """Its connections."""
+        return self.rounds.items
+
+    def look(self, client: Client) -> None:
+        """Closes a connection that was idle, or sends, for too long."""
+        now = asyncio.get_running_loop().time()
+        if client.is_slow(now - self.limits.head_seconds):
+            client.time_out()
+        elif client.is_idle(now - self.limits.idle_seconds):
+            client.end()
 
     @property
     def busy(self) -> bool:
@@ -381,8 +390,6 @@
         if self.server is None:
             return 0
         self.server.close()
-        if self.sweeping is not None:
-            self.sweeping.cancel()
         self.leaving = True
         loop = asyncio.get_running_loop()
         patience = loop.time() + seconds
--- a/mangobay/peers.py
+++ b/mangobay/peers.py
@@ -5,7 +5,15 @@
 import random
 import typing
 
-from mangobay import connections, errors, listening, logs, options, tls
+from mangobay import (
+    connections,
+    errors,
+    listening,
+    logs,
+    options,
+    rounds,
+    tls,
+)
 from mangobay.generated import messages
 
 BACKOFF_FIRST = 0.05
@@ -79,6 +87,9 @@
         self.random = rng or random.Random()
         self.peers: dict[options.Address, Peer] = {}
         self.sweeping: asyncio.TimerHandle | None = None
+        self.watched: rounds.Rounds[connections.Connection] = rounds.Rounds(
+            connections.PING_AFTER, connections.Connection.watch
+        )
 
     async def ask(
         self,
@@ -169,7 +180,9 @@
         """Returns a connection on which the Hellos were exchanged."""
         context = self.identity.client() if self.identity else None
         _, connection = await asyncio.get_running_loop().create_connection(
-            lambda: connections.Connection(self.hello, self.limits),
+            lambda: connections.Connection(
+                self.hello, self.limits, watched=self.watched
+            ),
             address.ip,
             address.port,
             ssl=context,
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -183,6 +183,29 @@
         assert (await asking).body == b"slow"
 
 
+class TestWatch:
+    """What looking for silence costs."""
+
+    async def test_calls_to_many_peers_share_a_timer(self, desk, here):
+        """Guards against a wake for each call in a fleet of any size."""
+        listeners = [peers.Listener(LOOPBACK, HELLO, desk) for _ in range(20)]
+        desk.gates["slow"] = asyncio.Event()
+        for each in listeners:
+            await each.start()
+        asking = [
+            asyncio.create_task(here.ask(each.address, call("slow"), LONG))
+            for each in listeners
+        ]
+        await until(lambda: len(here.watched.items) == len(listeners))
+        lines = {peer.connection for peer in here.peers.values()}
+        assert here.watched.items == lines
+        desk.gates["slow"].set()
+        await asyncio.gather(*asking)
+        assert here.watched.timer is None
+        for each in listeners:
+            await each.close()
+
+
 class TestIdle:
     """Connections that nobody asks on."""
 
