--- a/mangobay/gathering.py
+++ b/mangobay/gathering.py
@@ -5,7 +5,7 @@
 every node, and the leader would spend the product of nodes and changes.
 """
 
-MOST_ANSWERS = 800
+MOST_ANSWERS = 400
 """Answers with news in a second that one leader gives."""
 
 LONGEST = 0.5
