--- a/mangobay/connections.py
+++ b/mangobay/connections.py
@@ -3,21 +3,16 @@
 import asyncio
 import collections.abc
 import dataclasses
-import socket
 
-from mangobay import eager, errors, logs, rounds, tls, wire
+from mangobay import eager, errors, logs, rounds, sockets, tls, wire
 from mangobay.generated import messages
 
 PROTOCOL = 2
 """Spoken version; another one is refused at the Hello."""
-UNACKNOWLEDGED_MS = 5000
-"""Bytes that the peer's kernel does not acknowledge end the connection."""
 CONNECT_SECONDS = 0.3
 """A first packet that is lost, or sent to a host that is just starting, is sent
 again by the kernel after a second only; a new connection asks sooner.  Above the
 two round trips of a connection and its Hello between far regions (0.22 s)."""
-KEEPALIVE_SECONDS = 2
-KEEPALIVE_PROBES = 3
 PING_AFTER = 0.3
 """Seconds without a byte, while answers are awaited, until a Ping is sent; far
 above a round trip between data centres."""
@@ -61,27 +56,6 @@
     idle_seconds: float = 300
 
 
-def tune(transport: asyncio.Transport) -> None:
-    """Sets the socket so that a silent partition ends the connection.
-
-    A peer behind a cut that drops packets neither closes nor answers: calls
-    would wait on it until their deadlines, again and again.  Bounding the
-    time without an acknowledgement ends the connection; a peer that is
-    merely slow still acknowledges and is left alone.
-    """
-    sock = transport.get_extra_info("socket")
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    for name, value in (
-        ("TCP_USER_TIMEOUT", UNACKNOWLEDGED_MS),
-        ("TCP_KEEPIDLE", KEEPALIVE_SECONDS),
-        ("TCP_KEEPINTVL", KEEPALIVE_SECONDS),
-        ("TCP_KEEPCNT", KEEPALIVE_PROBES),
-    ):
-        if hasattr(socket, name):
-            sock.setsockopt(socket.IPPROTO_TCP, getattr(socket, name), value)
-
-
 class Connection(asyncio.Protocol):
     """Requests and answers in both directions.
 
@@ -134,7 +108,7 @@
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Takes the connection; the connecting side greets first."""
         self.transport = transport
-        tune(transport)
+        sockets.tune(transport)
         if self.handler is None:
             self.greet()
 
--- a/tools/generate.py
+++ b/tools/generate.py
@@ -186,31 +186,8 @@
     return lines
 
 
-BASE = """
-
-class Message:
-    \"\"\"A message; those with equal fields are equal.\"\"\"
-
-    __slots__ = ()
-    _values = staticmethod(lambda message: ())
-
-    def __eq__(self, other):
-        if other.__class__ is not self.__class__:
-            return NotImplemented
-        return self._values(self) == self._values(other)
-
-    def __repr__(self):
-        parts = [f"{name}={getattr(self, name)!r}" for name in self.__slots__]
-        return f"{type(self).__name__}({', '.join(parts)})"
-"""
-
-
 def class_lines(name: str, plain: list[Field], has_body: bool) -> list[str]:
-    """Returns the data class of a message.
-
-    Its constructor and comparison are written out: data classes that make them
-    take most of the time in which the module is loaded.
-    """
+    """Returns the data class of a message, with its constructor."""
     names = [field.name for field in plain] + ["body"] * has_body
     annotations = [f"    {field.name}: {field.type}" for field in plain]
     parameters = [field.parameter() for field in plain]
@@ -222,7 +199,7 @@
     lines = [
         *["", ""],
         "@dataclasses.dataclass(init=False, repr=False, eq=False)",
-        f"class {name}(Message):",
+        f"class {name}(valueobjects.Value):",
         f'    """Message {name} of schema/messages.capnp."""',
         "",
         f"    __slots__ = {tuple(names)!r}",
@@ -233,7 +210,7 @@
     quoted = ", ".join(repr(each) for each in names)
     return [
         *lines,
-        f"    _values = operator.attrgetter({quoted})",
+        f"    fields_of = operator.attrgetter({quoted})",
         "",
         f"    def __init__(self, *, {', '.join(parameters)}) -> None:",
         *statements,
@@ -312,13 +289,12 @@
     lines += ["from __future__ import annotations", ""]
     lines += ["import dataclasses", "import enum", "import operator"]
     lines += ["import pathlib", ""]
-    lines += ["import capnp", "", "from mangobay import ids", ""]
+    lines += ["import capnp", "", "from mangobay import ids, valueobjects", ""]
     lines.append(
         '_schema = capnp.load(str(pathlib.Path(__file__).with_name("messages.capnp")))'
     )
     lines.append("TRAVERSAL_LIMIT_WORDS = 1 << 27")
     lines += PACKING.splitlines()
-    lines += BASE.splitlines()
     unions: list[str] = []
     for name, _ in nodes:
         if name[0].islower():
@@ -340,43 +316,19 @@
     return "\n".join(lines) + "\n"
 
 
-SETTINGS_BASE = """
-
-class Settings:
-    \"\"\"Settings, which do not change once they are read.\"\"\"
-
-    __slots__ = ()
-    _values = staticmethod(lambda settings: ())
-
-    def __setattr__(self, name, value):
-        raise dataclasses.FrozenInstanceError(f"cannot assign to {name!r}")
-
-    def __delattr__(self, name):
-        raise dataclasses.FrozenInstanceError(f"cannot delete {name!r}")
-
-    def __eq__(self, other):
-        if other.__class__ is not self.__class__:
-            return NotImplemented
-        return self._values(self) == self._values(other)
-
-    def __hash__(self):
-        return hash(self._values(self))
-"""
-
-
 def settings_class(name: str, about: str, types: dict[str, str]) -> list[str]:
     """Returns the data class of some settings, by the type of each."""
     quoted = ", ".join(repr(each) for each in types)
     parameters = ", ".join(f"{each}: {kind}" for each, kind in types.items())
     return [
         *["", ""],
-        "@dataclasses.dataclass(init=False, eq=False)",
-        f"class {name}(Settings):",
+        "@dataclasses.dataclass(init=False, repr=False, eq=False)",
+        f"class {name}(valueobjects.FrozenValue):",
         f'    """{about}"""',
         "",
         f"    __slots__ = {tuple(types)!r}",
         *(f"    {each}: {kind}" for each, kind in types.items()),
-        f"    _values = operator.attrgetter({quoted})",
+        f"    fields_of = operator.attrgetter({quoted})",
         "",
         f"    def __init__(self, *, {parameters}) -> None:",
         "        put = object.__setattr__",
@@ -389,8 +341,7 @@
     document = tomllib.loads((SCHEMA / "settings.toml").read_text())
     lines = [f'"""Settings of the programs.  {NOTICE}"""', ""]
     lines += ["import dataclasses", "import operator", ""]
-    lines += ["from mangobay import options", ""]
-    lines += SETTINGS_BASE.splitlines()
+    lines += ["from mangobay import options, valueobjects", ""]
     for program, sections in document.items():
         for section, keys in sections.items():
             lines += _section_lines(program, section, keys)
