--- a/mangobay/controlclient.py
+++ b/mangobay/controlclient.py
@@ -385,31 +385,12 @@
         steps: list[messages.ViewSteps],
     ) -> None:
         """Swaps the views for newer ones; none goes back to an older."""
-        merged = dict(self.views.value)
-        for view in whole:
-            old = merged.get(view.service)
-            # A new leader does not know yet what is active; this node does.
-            if old is None or is_newer(view, old):
-                merged[view.service] = view
-        for change in steps:
-            old = merged.get(change.service)
-            # Steps from another view than this one's answer an older renewal.
-            if old is not None and old.version == change.base:
-                merged[change.service] = self.stepped(old, change)
+        merged = views.merged(
+            self.views.value, whole, steps, lambda view: self.ack(view).member
+        )
         if merged != self.views.value:
             self.views.on_next(merged)
 
-    def stepped(
-        self, view: messages.ServiceView, change: messages.ViewSteps
-    ) -> messages.ServiceView:
-        """Returns the view that follows on an older one by some steps."""
-        keeps_formers = self.ack(view).member
-        for step in change.steps:
-            view = views.after(view, step)
-            if not keeps_formers:
-                view = views.without_formers(view)
-        return dataclasses.replace(view, active=change.active)
-
     def take_interests(
         self, renewal: messages.LeaseRenew, grant: messages.LeaseGrant
     ) -> None:
@@ -443,10 +424,3 @@
         hosts = self.hosts
         position = hosts.index(self.address) if self.address in hosts else -1
         self.address = hosts[(position + 1) % len(hosts)]
-
-
-def is_newer(view: messages.ServiceView, old: messages.ServiceView) -> bool:
-    """Returns whether the view tells more than the old one."""
-    if view.version == old.version:
-        return view.active and not old.active
-    return view.version > old.version
--- a/mangobay/views.py
+++ b/mangobay/views.py
@@ -1,6 +1,7 @@
 """How views of a service follow on each other, and the newest steps."""
 
 import collections
+import collections.abc
 import dataclasses
 
 from mangobay import ids
@@ -77,6 +78,53 @@
     return list({step.member.host: step for step in steps}.values())
 
 
+def is_newer(view: messages.ServiceView, old: messages.ServiceView) -> bool:
+    """Returns whether the view tells more than the old one."""
+    if view.version == old.version:
+        return view.active and not old.active
+    return view.version > old.version
+
+
+def stepped(
+    view: messages.ServiceView, change: messages.ViewSteps, keeps_formers: bool
+) -> messages.ServiceView:
+    """Returns the view that follows on an older one by some steps."""
+    for step in change.steps:
+        view = after(view, step)
+        if not keeps_formers:
+            view = without_formers(view)
+    return dataclasses.replace(view, active=change.active)
+
+
+def merged(
+    held: dict[ids.ServiceName, messages.ServiceView],
+    whole: list[messages.ServiceView],
+    steps: list[messages.ViewSteps],
+    owns_by: collections.abc.Callable[[messages.ServiceView], bool],
+) -> dict[ids.ServiceName, messages.ServiceView]:
+    """Returns the views that a node holds after it was told of some.
+
+    Args:
+      held: before.
+      whole: in place of older ones.
+      steps: from the views held to others.
+      owns_by: whether the node may own slots by a view, and so holds the
+        former ones too.
+    """
+    result = dict(held)
+    for view in whole:
+        old = result.get(view.service)
+        # A new leader does not know yet what is active; the node does.
+        if old is None or is_newer(view, old):
+            result[view.service] = view
+    for change in steps:
+        old = result.get(change.service)
+        # Steps from another view than this one answer an older renewal.
+        if old is not None and old.version == change.base:
+            result[change.service] = stepped(old, change, owns_by(old))
+    return result
+
+
 class Steps:
     """The newest steps of each service's view.
 
