Work whose connection ends in its first step is cancelled

Since the first step of a request's task runs at once, the task was not yet noted where that step closed its connection, so that nothing cancelled it. Found by reading; tests/test_peers.py::TestFirstStep failed before.

--- a/mangobay/connections.py
+++ b/mangobay/connections.py
@@ -215,8 +215,12 @@
         if stream in self.serving or len(self.serving) >= self.limits.streams:
             raise errors.PeerProtocolError("too many requests, or one twice")
         task = eager.start(self.loop, self.answer(stream, envelope.body))
-        if not task.done():
-            self.serving[stream] = task
+        if task.done():
+            return
+        self.serving[stream] = task
+        if self.closed:
+            # It ended within the first step, which no one could cancel.
+            task.cancel()
 
     async def answer(self, stream: int, body: messages.EnvelopeBody) -> None:
         """Answers one request; its task is cancelled by the peer's Cancel."""
@@ -383,20 +387,21 @@
             # memory of this process; without the connection they go nowhere.
             self.close("the peer does not read its answers")
 
+    def end(self, transport: asyncio.Transport) -> None:
+        """Ends the transport, at once where its peer does not read."""
+        if transport.get_write_buffer_size() > self.limits.backlog_bytes:
+            transport.abort()
+        else:
+            transport.close()
+
     def close(self, why: str = "closed") -> None:
         """Ends the connection: requests sent break, tasks are cancelled."""
         if self.closed:
             return
         self.closed = True
         self.watched.discard(self)
-        transport = self.transport
-        if transport is None:
-            pass
-        elif transport.get_write_buffer_size() > self.limits.backlog_bytes:
-            # A plain close would wait for a peer that does not read.
-            transport.abort()
-        else:
-            transport.close()
+        if self.transport is not None:
+            self.end(self.transport)
         for future in self.waiting.values():
             if not future.done():
                 future.set_exception(errors.PeerBrokenError(why))
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -330,6 +330,31 @@
         assert (await here.ask(listener.address, call("a"), LONG)).body == b"a"
 
 
+class TestFirstStep:
+    """Work that starts in the moment in which its request is read."""
+
+    async def test_it_is_cancelled_where_it_ends_its_connection(self, here):
+        """Guards against work that goes on though nobody can stop it."""
+        cancelled = asyncio.Event()
+
+        async def close_and_wait(hello, body):
+            del hello, body
+            (line,) = there.standing
+            line.close()
+            try:
+                await asyncio.Event().wait()
+            except asyncio.CancelledError:
+                cancelled.set()
+                raise
+
+        there = peers.Listener(LOOPBACK, HELLO, close_and_wait)
+        await there.start()
+        with pytest.raises(errors.PeerBrokenError):
+            await here.ask(there.address, call("any"), LONG)
+        await asyncio.wait_for(cancelled.wait(), LONG)
+        await there.close()
+
+
 class FakeTransport(asyncio.Transport):
     """A transport that keeps what is written."""
 
