A connection that ended leaves no cycle behind

The native parser refers back to its owner, so that each connection of a caller stayed in memory until the collector ran. tests/test_leanserver.py:: TestLeaving::test_a_connection_that_ended_leaves_no_cycle failed before. An error of another kind inside the parser's callbacks is raised as it is.

--- a/mangobay/httpparse.py
+++ b/mangobay/httpparse.py
@@ -109,13 +109,19 @@
             # What follows would be in another protocol, which is not spoken.
             self.error = ParseError(400, "no upgrade is spoken")
         except httptools.HttpParserCallbackError as error:
-            self.error = typing.cast(ParseError, error.__context__)
+            if not isinstance(error.__context__, ParseError):
+                raise
+            self.error = error.__context__
         except httptools.HttpParserError as error:
             self.error = ParseError(400, str(error))
         else:
             self.bound_last_line(data)
         return self.begun
 
+    def end(self) -> None:
+        """Lets go of the parser proper, which refers back to this one."""
+        self.native = None
+
     def bound_last_line(self, data: bytes) -> None:
         """Refuses a head whose last line is too long before it ends."""
         end = data.rfind(b"\n") + 1
--- a/mangobay/leanclient.py
+++ b/mangobay/leanclient.py
@@ -186,6 +186,7 @@
     def connection_lost(self, exc) -> None:
         """Ends the answer that is on its way, whole or not."""
         super().connection_lost(exc)
+        self.parser.end()
         self.reusable = False
         if self.sending is None:
             return
--- a/mangobay/leanserver.py
+++ b/mangobay/leanserver.py
@@ -118,6 +118,7 @@
     def connection_lost(self, exc) -> None:
         """Gives up what the caller no longer waits for."""
         super().connection_lost(exc)
+        self.parser.end()
         if self.discarding is not None:
             self.discarding.cancel()
         self.listener.rounds.discard(self)
--- a/tests/test_leanserver.py
+++ b/tests/test_leanserver.py
@@ -1,11 +1,12 @@
 """The lean HTTP listener, by what callers see on their sockets."""
 
 import asyncio
+import gc
 import socket
 
 import pytest
 
-from mangobay import leanhttp, leanserver, options
+from mangobay import httpparse, leanhttp, leanserver, options
 
 LOOPBACK = options.Address("127.0.0.1", 0)
 
@@ -286,6 +287,27 @@
 class TestLeaving:
     """Callers that go, and listeners that close."""
 
+    async def test_a_connection_that_ended_leaves_no_cycle(self, listener):
+        """Guards against memory that only the collector gives back."""
+        gc.collect()
+        gc.disable()
+        try:
+            for _ in range(20):
+                reader, writer = await connect(listener)
+                writer.write(get("/1"))
+                await answer_of(reader)
+                writer.close()
+                await writer.wait_closed()
+            await asyncio.sleep(0.05)
+            parsers = [
+                item
+                for item in gc.get_objects()
+                if isinstance(item, httpparse.Parser)
+            ]
+            assert len(parsers) <= 1
+        finally:
+            gc.enable()
+
     async def test_a_caller_that_goes_is_given_up(self, listener, answers):
         answers.holds["/1"] = asyncio.Event()
         _, writer = await connect(listener)
