Steps told by host end with the newest version

Found by reading. Where a host had two steps among those that a node lacked, its newest one kept the place of its first, so that the last step could be an older one than the view it led to. The node then acted by the right members under too old a version, and was told once more at once.

tests/test_views.py::TestSteps::test_steps_by_host_end_with_the_newest_version failed before ([6, 5] where [5, 6] is asked).

--- a/mangobay/views.py
+++ b/mangobay/views.py
@@ -75,7 +75,8 @@
     steps: list[messages.ViewStep],
 ) -> list[messages.ViewStep]:
     """Returns the steps that lead to the same members by the shortest way."""
-    return list({step.member.host: step for step in steps}.values())
+    newest = {step.member.host: step for step in steps}
+    return sorted(newest.values(), key=lambda step: step.version)
 
 
 def is_newer(view: messages.ServiceView, old: messages.ServiceView) -> bool:
--- a/tests/test_views.py
+++ b/tests/test_views.py
@@ -73,3 +73,14 @@
         )
         (step,) = views.newest_by_host(state.steps.since("quotes", 3))
         assert step.member.incarnation == "2"
+
+    def test_steps_by_host_end_with_the_newest_version(self, state):
+        """Guards against nodes that are told the same steps twice."""
+        apply(
+            state,
+            controlfakes.joins("a", "quotes", run="2"),
+            controlfakes.joins("b", "quotes", run="2"),
+            controlfakes.joins("a", "quotes", run="3"),
+        )
+        steps = views.newest_by_host(state.steps.since("quotes", 3))
+        assert [step.version for step in steps] == [5, 6]
