Whether a node has to be told of views is found without making what it is told

Each waiting renewal that a change woke had its steps made twice, once to see that there is something to tell and once to tell it. Former views are dropped once behind the last step, not behind each.

--- a/mangobay/renewals.py
+++ b/mangobay/renewals.py
@@ -1,6 +1,7 @@
 """What a renewal says of its node, and what the node lacks."""
 
 import dataclasses
+import typing
 
 from mangobay import clock, ids, machine, views
 from mangobay.generated import messages
@@ -77,9 +78,6 @@
     whole: list[messages.ServiceView] = dataclasses.field(default_factory=list)
     steps: list[messages.ViewSteps] = dataclasses.field(default_factory=list)
 
-    def __bool__(self) -> bool:
-        return bool(self.whole or self.steps)
-
 
 def view_news(
     config: machine.ConfigMachine,
@@ -96,30 +94,40 @@
       active: services whose newest view is active.
       renewal: of the node.
     """
-    acks = {ack.service: ack for ack in renewal.views}
     news = ViewNews()
+    for view, ack in views_behind(config, active, renewal):
+        is_active = view.service in active
+        steps = steps_to(config, renewal, view, ack)
+        if steps is None:
+            news.whole.append(told_to(renewal, view, is_active))
+        else:
+            news.steps.append(
+                messages.ViewSteps(
+                    service=view.service,
+                    base=ack.version,
+                    steps=steps,
+                    active=is_active,
+                )
+            )
+    return news
+
+
+def views_behind(
+    config: machine.ConfigMachine,
+    active: set[ids.ServiceName],
+    renewal: messages.LeaseRenew,
+) -> typing.Iterator[tuple[messages.ServiceView, messages.ViewAck | None]]:
+    """Yields the views that a node has to be told of, and what it acts by."""
+    acks = {ack.service: ack for ack in renewal.views}
     for service in sorted(services_of(config, renewal)):
         view = config.views.get(service)
         if view is None:
             continue
         ack = acks.get(service)
-        is_active = service in active
         if ack is None or ack.version < view.version:
-            steps = steps_to(config, renewal, view, ack)
-            if steps is None:
-                news.whole.append(told_to(renewal, view, is_active))
-            else:
-                news.steps.append(
-                    messages.ViewSteps(
-                        service=service,
-                        base=ack.version,
-                        steps=steps,
-                        active=is_active,
-                    )
-                )
-        elif is_active and not ack.active and owns_by(renewal, view):
-            news.whole.append(told_to(renewal, view, is_active))
-    return news
+            yield view, ack
+        elif service in active and not ack.active and owns_by(renewal, view):
+            yield view, ack
 
 
 def steps_to(
@@ -131,10 +139,12 @@
     """Returns the steps from a node's view to the newest.
 
     Returns:
-      None where they are not known, lead to former views that the node does
-      not hold, or are no shorter than the whole view.
+      None where there are none, they are not known, lead to former views that
+      the node does not hold, or are no shorter than the whole view.
     """
-    if ack is None or (owns_by(renewal, view) and not ack.member):
+    if ack is None or ack.version == view.version:
+        return None
+    if owns_by(renewal, view) and not ack.member:
         return None
     steps = config.steps.since(view.service, ack.version)
     if steps is None:
@@ -192,7 +202,7 @@
         return True
     if newer_routes(config, renewal).version:
         return True
-    if view_news(config, active, renewal):
+    if any(views_behind(config, active, renewal)):
         return True
     update = table_update(config, renewal)
     return bool(update.changed or update.removed)
--- a/mangobay/views.py
+++ b/mangobay/views.py
@@ -92,8 +92,8 @@
     """Returns the view that follows on an older one by some steps."""
     for step in change.steps:
         view = after(view, step)
-        if not keeps_formers:
-            view = without_formers(view)
+    if not keeps_formers:
+        view = without_formers(view)
     return dataclasses.replace(view, active=change.active)
 
 
@@ -140,7 +140,9 @@
         ] = {}
         self.floors: dict[ids.ServiceName, ids.ViewVersion] = {}
 
-    def restart(self, views: dict[ids.ServiceName, messages.ServiceView]):
+    def restart(
+        self, views: dict[ids.ServiceName, messages.ServiceView]
+    ) -> None:
         """Forgets all steps: the views were replaced by others."""
         self.kept = {service: collections.deque() for service in views}
         self.floors = {name: view.version for name, view in views.items()}
