--- a/mangobay/renewals.py
+++ b/mangobay/renewals.py
@@ -124,9 +124,13 @@
         if view is None:
             continue
         ack = acks.get(service)
-        if ack is None or ack.version < view.version:
-            yield view, ack
-        elif service in active and not ack.active and owns_by(renewal, view):
+        if (
+            ack is None
+            or ack.version < view.version
+            or service in active
+            and not ack.active
+            and owns_by(renewal, view)
+        ):
             yield view, ack
 
 
