--- a/mangobay/renewals.py
+++ b/mangobay/renewals.py
@@ -124,13 +124,9 @@
         if view is None:
             continue
         ack = acks.get(service)
-        if (
-            ack is None
-            or ack.version < view.version
-            or service in active
-            and not ack.active
-            and owns_by(renewal, view)
-        ):
+        is_old = ack is None or ack.version < view.version
+        became_active = not is_old and service in active and not ack.active
+        if is_old or (became_active and owns_by(renewal, view)):
             yield view, ack
 
 
