A node that owns keys is told of views at once

Its logs: the host is gone at 4.08 s; the node that got the repeat found its connection to the frozen owner silent at 5.29 s, with one call waiting, and told unknown at the deadline. It had sent the repeat by a view older than the control group's.

Nodes that own keys are told at once, as before; nodes of the routes own none.

tests/test_leases.py::TestLargeFleet:: test_a_node_that_owns_keys_is_told_at_once failed before.

--- a/mangobay/leases.py
+++ b/mangobay/leases.py
@@ -235,7 +235,9 @@
                 if renewals.has_news(
                     self.machine, self.activity.active, renewal
                 ):
-                    await self.gather(until)
+                    # By an older view, a keyed call goes to a former owner.
+                    if renewal.keyless:
+                        await self.gather(until)
                     return
                 event.clear()
                 try:
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -487,6 +487,26 @@
             assert fleet.answers <= gathering.MOST_ANSWERS * 2.8
             assert fleet.answers <= 200 * 12
 
+    async def test_a_node_that_owns_keys_is_told_at_once(self, table, group):
+        """Guards against keyed calls to an owner that is known to be gone."""
+        await table.renew(controlfakes.renewal("a", "quotes"))
+        await table.renew(controlfakes.renewal("b", "quotes"))
+        version = group.machine.views["quotes"].version
+        async with Fleet(table, 200).running():
+            ask = controlfakes.renewal(
+                "b",
+                "quotes",
+                acks=[("quotes", group.machine.views["quotes"].version, True)],
+                hold_ms=900,
+            )
+            held = asyncio.create_task(table.renew(ask))
+            await asyncio.sleep(0.01)
+            group.append(controlfakes.goes("a"))
+            began = clock.now()
+            await held
+            assert clock.now() - began < 0.01
+        assert group.machine.views["quotes"].version > version
+
     async def test_a_keyless_node_is_not_told_that_a_view_is_active(
         self, table, group
     ):
