A keyed call at a frozen owner goes on to its successor

Ruled out: the lease (the frozen owner runs nothing once it wakes, as the test shows) and the view (it reached the node well before the deadline).

While no reply has come, the view is looked at four times a second, and a new owner is asked as well. It takes over the slot's history first, so the key still runs at most once, as for a repeat by the caller. The first answer wins; `not_run` of one owner isn't told while another may have run.

Failed before: TestKeyedCalls::test_call_at_a_frozen_owner_goes_to_its_successor (unknown after 10 s), test_not_run_of_one_owner_is_not_told_for_both[replies1].

--- a/mangobay/dispatch.py
+++ b/mangobay/dispatch.py
@@ -16,6 +16,7 @@
     inflight,
     keyslots,
     options,
+    ownerattempts,
     peers,
     remotetraffic,
     retrybudget,
@@ -286,15 +287,18 @@
         A refusal by the owner is final: the same host is not tried again, and
         no other host may run a call with this key.
         """
-        service = request.operation.service
-        slot = keyslots.slot_of(request.key)
+        find_owner = functools.partial(self.find_owner, request)
         for redirect in range(MAX_REDIRECTS + 1):
-            view = self.dependencies.views.value.get(service)
-            owner = keyslots.owner(view, slot) if view else None
+            owner = find_owner()
             if owner is None:
                 reply = calls.not_run_reply(Reason.NO_BACKEND)
             else:
-                reply = await self.attempt(request, owner)
+                attempts = ownerattempts.OwnerAttempts(
+                    functools.partial(self.attempt, request),
+                    find_owner,
+                    MAX_REDIRECTS,
+                )
+                reply = await attempts.run(owner)
             if not retrypolicy.is_redirect(reply) or redirect == MAX_REDIRECTS:
                 return reply
             seconds_left = request.deadline - asyncio.get_running_loop().time()
@@ -307,6 +311,12 @@
                 return reply
         return reply
 
+    def find_owner(self, request: calls.Request) -> messages.Member | None:
+        """Returns the owner of the call's key by the newest view, or None."""
+        view = self.dependencies.views.value.get(request.operation.service)
+        slot = keyslots.slot_of(request.key)
+        return keyslots.owner(view, slot) if view else None
+
     async def attempt(
         self, request: calls.Request, member: messages.Member
     ) -> messages.Reply:
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -428,6 +428,59 @@
         assert reply.reason == Reason.NOT_OWNER
         assert len(transport.asked_hosts) == 1 + dispatch.MAX_REDIRECTS
 
+    @pytest.mark.looptime
+    async def test_call_at_a_frozen_owner_goes_to_its_successor(self):
+        """The caller is told `unknown` at its deadline, and nothing ran."""
+        dispatcher, transport = make_dispatcher(respond, names=("a", "b"))
+        view = dispatcher.dependencies.views.value["stock"]
+        owner = keyslots.owner(view, keyslots.slot_of("k")).host
+        transport.script = lambda host, call: (
+            None if host == owner else respond(host, call)
+        )
+        call = asyncio.create_task(
+            dispatcher.handle(make_request(idempotent=False, key="k"))
+        )
+        await asyncio.sleep(1)
+        dispatcher.dependencies.views.value = FakeViews(
+            [OTHER_HOST[owner]]
+        ).value
+        assert (await call).outcome == Outcome.ANSWERED
+        assert transport.asked_hosts == [owner, OTHER_HOST[owner]]
+        assert asyncio.get_running_loop().time() < 2
+
+    @pytest.mark.looptime
+    @pytest.mark.parametrize(
+        "replies",
+        [
+            (Outcome.UNKNOWN, Outcome.NOT_RUN),
+            (Outcome.NOT_RUN, Outcome.UNKNOWN),
+        ],
+    )
+    async def test_not_run_of_one_owner_is_not_told_for_both(self, replies):
+        """A caller repeats with a new key what one of two owners has run."""
+        dispatcher, transport = make_dispatcher(None, names=("a", "b"))
+        view = dispatcher.dependencies.views.value["stock"]
+        owner = keyslots.owner(view, keyslots.slot_of("k")).host
+        outcomes = dict(zip((owner, OTHER_HOST[owner]), replies))
+        request_made = transport.send_request
+
+        async def send_slowly(where, body, timeout):
+            await asyncio.sleep(1)
+            return await request_made(where, body, timeout)
+
+        transport.send_request = send_slowly
+        transport.script = lambda host, call: messages.Reply(
+            outcome=outcomes[host], reason=Reason.KEY_REUSED
+        )
+        call = asyncio.create_task(
+            dispatcher.handle(make_request(idempotent=False, key="k"))
+        )
+        await asyncio.sleep(0.5)
+        dispatcher.dependencies.views.value = FakeViews(
+            [OTHER_HOST[owner]]
+        ).value
+        assert (await call).outcome == Outcome.UNKNOWN
+
     async def test_non_idempotent_call_is_not_sent_without_a_lease(self):
         dispatcher, transport = make_dispatcher(respond)
         dispatcher.dependencies.lease.held = False
