--- a/bench/fleet/world.py
+++ b/bench/fleet/world.py
@@ -8,6 +8,7 @@
 from bench import nodesettings
 from bench.fleet import backends, deployments, network
 from mangobay import (
+    accesscontrol,
     admission,
     calls,
     dispatch,
@@ -19,6 +20,7 @@
     localservices,
     metrics,
     options,
+    outcomelog,
     requestlog,
     retrybudget,
     routes,
@@ -37,6 +39,7 @@
         private=frozenset(),
     ),
     caller_service="Caller",
+    workspace="Workspace",
     target_instance="Target",
     parent_attempt_of=backends.parent_attempt_of,
 )
@@ -147,6 +150,8 @@
             metrics.Metrics(),
             Reasons(world.reasons),
             self.executor.shutdown,
+            accesscontrol.AccessControl(lease.UnlimitedLease(), None),
+            outcomelog.OutcomeLog(self.process.host),
         )
         made.table = world.table
         return made
--- a/mangobay/calls.py
+++ b/mangobay/calls.py
@@ -22,12 +22,20 @@
     Attributes:
       reason: Reason of the refusal.
       retry_after: Seconds after which the caller may retry, 0 if unknown.
+      workspace: Workspace of the request, empty if none is known.
     """
 
-    def __init__(self, reason: Reason, detail: str, retry_after: float = 0.0):
+    def __init__(
+        self,
+        reason: Reason,
+        detail: str,
+        retry_after: float = 0.0,
+        workspace: ids.WorkspaceName = ids.NO_WORKSPACE,
+    ):
         super().__init__(detail)
         self.reason = reason
         self.retry_after = retry_after
+        self.workspace = workspace
 
 
 THRESHOLD_REFUSALS = frozenset({Reason.OVERLOADED, Reason.QUEUE_TIMEOUT})
@@ -72,6 +80,7 @@
         this call, or empty.
       repeat: Whether the call or one of its ancestors is a retry of a call that
         may have reached a backend server.
+      workspace: Workspace of the client at the root of the call tree, or empty.
     """
 
     operation: messages.Operation
@@ -90,9 +99,11 @@
     tree: ids.TreeId = ids.TreeId("")
     parent_operation: ids.OperationName = ids.OperationName("")
     repeat: bool = False
+    workspace: ids.WorkspaceName = ids.NO_WORKSPACE
 
     def inherit_from(self, parent_call: messages.Call) -> None:
         """Inherits importance, depth and call tree from the parent call."""
+        self.workspace = parent_call.workspace
         self.importance = parent_call.importance
         self.depth = parent_call.depth + 1
         self.tree = parent_call.tree
--- a/mangobay/cmdline.py
+++ b/mangobay/cmdline.py
@@ -15,6 +15,7 @@
     filecommands,
     operatorclient,
     options,
+    workspacecommand,
 )
 
 CONTROL_VARIABLE = "MANGOBAY_CONTROL"
@@ -60,7 +61,11 @@
     )
     shtab.add_argument_to(parser, ["--print-completion"])
     subparsers = parser.add_subparsers(required=True, metavar="COMMAND")
-    for command in (*commands.COMMANDS, *filecommands.COMMANDS):
+    for command in (
+        *commands.COMMANDS,
+        *filecommands.COMMANDS,
+        *workspacecommand.COMMANDS,
+    ):
         command().add_parser(subparsers)
     return parser
 
--- a/mangobay/commands.py
+++ b/mangobay/commands.py
@@ -13,6 +13,7 @@
     findings,
     ids,
     operatorclient,
+    options,
     settings,
     sheet,
 )
@@ -69,6 +70,18 @@
     return round(parsed.timestamp() * 1000)
 
 
+def parse_address(text: str) -> options.Address:
+    """Parses an address.
+
+    Raises:
+      argparse.ArgumentTypeError: it is not of the form IP:PORT.
+    """
+    try:
+        return options.parse_address(text)
+    except ValueError as error:
+        raise argparse.ArgumentTypeError(str(error)) from None
+
+
 def read_sheet(path: str) -> bytes:
     """Returns the bytes of a sheet file.
 
--- a/mangobay/consensus.py
+++ b/mangobay/consensus.py
@@ -413,6 +413,21 @@
             self.commit_and_apply(int(index))
         self.resolve_confirmations()
 
+    def quorum_confirmed_at(self) -> float:
+        """Returns when requests were sent that a quorum has answered.
+
+        Until then no other host can have been elected. -inf if this host does
+        not lead, or does not know of every committed entry yet.
+        """
+        if (
+            self.role is not election.Role.LEADER
+            or self.commit_index < self.term_start_index
+        ):
+            return float("-inf")
+        return self.quorum_value(
+            progress.Measure.LAST_CONTACT, own_value=self.now()
+        )
+
     def resolve_confirmations(self) -> None:
         """Resumes the callers whose round a quorum has confirmed."""
         # Until an entry of its own term is committed, a new leader may not
--- a/mangobay/controlclient.py
+++ b/mangobay/controlclient.py
@@ -67,6 +67,7 @@
       transport: sends the renewals.
       rng: chooses the first control host and the jitter of delays.
       lease: allows this node to act as the owner of idempotency keys.
+      document_lease: how long the routes document may be used.
       tables: subject of the newest `operationtable.OperationTable`.
       views: subject of the newest `ServiceView` of each service, by name.
       draining: subject of whether an operator has requested to drain this
@@ -102,6 +103,7 @@
         self.transport = transport
         self.rng = rng
         self.lease = lease.Lease()
+        self.document_lease = lease.DocumentLease(config.max_staleness)
         self.tables = subject.BehaviorSubject(operationtable.OperationTable())
         self.views = subject.BehaviorSubject({})
         self.draining = subject.BehaviorSubject(False)
@@ -234,6 +236,7 @@
         """
         renewal = self.make_renewal()
         sent_at = clock.now()
+        sent_boot_time = self.document_lease.read_boot_time()
         try:
             reply = await self.send_renewal(renewal)
             self.record_reply_time(
@@ -241,7 +244,10 @@
             )
             if reply is None:
                 return True
-            return self.process_reply(renewal, sent_at, reply)
+            if not self.process_reply(renewal, sent_at, reply):
+                return False
+            self.document_lease.confirm(sent_boot_time + reply.held_ms / 1000)
+            return True
         except (errors.PeerError, TimeoutError) as error:
             if isinstance(error, TimeoutError):
                 self.timeout_doublings += 1
--- a/mangobay/controlmetrics.py
+++ b/mangobay/controlmetrics.py
@@ -1,10 +1,11 @@
 """Metrics of a control host, read when they are scraped."""
 
+import dataclasses
 import typing
 
 from prometheus_client import metrics_core, registry
 
-from mangobay import invariants, leases, statemachine
+from mangobay import invariants, leases, quota, statemachine
 
 if typing.TYPE_CHECKING:
     from mangobay import operatorapi
@@ -89,3 +90,45 @@
         for invariant in invariants.Invariant:
             metric.add_metric([invariant.value], counts[invariant])
         return metric
+
+
+class QuotaCollector(registry.Collector):
+    """Collects the quotas of workspaces and what was decided by them.
+
+    Attributes:
+      quotas: the quotas of this control host.
+    """
+
+    def __init__(self, quotas: quota.QuotaAuthority):
+        self.quotas = quotas
+
+    def collect(self) -> typing.Iterator[metrics_core.Metric]:
+        """Yields every metric."""
+        rate = metrics_core.GaugeMetricFamily(
+            METRIC_PREFIX + "quota_rate",
+            "Requests per second that the quota of a workspace allows.",
+            labels=["workspace"],
+        )
+        burst = metrics_core.GaugeMetricFamily(
+            METRIC_PREFIX + "quota_burst",
+            "Requests that it allows at once.",
+            labels=["workspace"],
+        )
+        for name, limits in self.quotas.quotas.items():
+            rate.add_metric([name], limits.rate)
+            burst.add_metric([name], limits.burst)
+        yield from (rate, burst, self.tokens_family())
+
+    def tokens_family(self) -> metrics_core.Metric:
+        """Returns the counter of decisions by workspace."""
+        family = metrics_core.CounterMetricFamily(
+            METRIC_PREFIX + "quota_tokens",
+            "Tokens granted by the leader or from the reserve, given back"
+            " unused, and denied, by workspace.",
+            labels=["workspace", "decision"],
+        )
+        for name, counts in self.quotas.counts.items():
+            for field in dataclasses.fields(counts):
+                value = getattr(counts, field.name)
+                family.add_metric([name, field.name], value)
+        return family
--- a/mangobay/disk.py
+++ b/mangobay/disk.py
@@ -10,6 +10,9 @@
 from mangobay import errors
 
 LOCK_NAME = "lock"
+DIRECTORY_MODE = 0o700
+FILE_MODE = 0o600
+"""Only this user reads the files: they hold the keys of workspaces."""
 FULL_ERRNOS = frozenset({errno.ENOSPC, errno.EDQUOT})
 """Error numbers of a disk that is full but works."""
 PROBE_NAME = "probe"
@@ -20,6 +23,11 @@
 Result = typing.TypeVar("Result")
 
 
+def open_private(path: str, flags: int) -> int:
+    """Opens a file; creates it so that only this user may read it."""
+    return os.open(path, flags, FILE_MODE)
+
+
 class Disk:
     """Files of one data directory; changes are durable once synced.
 
@@ -46,8 +54,10 @@
         # Two processes in one directory could each vote with the same
         # identity, so that a term could have two leaders. The operating system
         # releases the lock when the process ends.
-        self.directory.mkdir(parents=True, exist_ok=True)
-        self.lock = open(self.directory / LOCK_NAME, "wb")  # noqa: SIM115
+        self.directory.mkdir(DIRECTORY_MODE, parents=True, exist_ok=True)
+        self.lock = open(  # noqa: SIM115
+            self.directory / LOCK_NAME, "wb", opener=open_private
+        )
         try:
             fcntl.flock(self.lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
         except BlockingIOError:
@@ -71,11 +81,12 @@
 
     def write(self, name: str, data: bytes) -> None:
         """Creates or overwrites a file."""
-        (self.directory / name).write_bytes(data)
+        with open(self.directory / name, "wb", opener=open_private) as file:
+            file.write(data)
 
     def append(self, name: str, data: bytes) -> None:
         """Appends to a file."""
-        with open(self.directory / name, "ab") as file:
+        with open(self.directory / name, "ab", opener=open_private) as file:
             file.write(data)
 
     def truncate(self, name: str, size: int) -> None:
--- a/mangobay/dispatch.py
+++ b/mangobay/dispatch.py
@@ -414,6 +414,7 @@
             tree=request.tree,
             patience_ms=int(operation.target_ms * QUEUE_WAIT_SHARE),
             repeat=request.repeat,
+            workspace=request.workspace,
         )
 
     async def deliver(
--- a/mangobay/errors.py
+++ b/mangobay/errors.py
@@ -220,6 +220,13 @@
         super().__init__(f"no control host answered: {details}")
 
 
+class MetricsUnavailableError(MangobayError):
+    """A process given to `mangobay workspaces` serves no metrics."""
+
+    def __init__(self, address: str, reason: str):
+        super().__init__(f"{address} serves no metrics: {reason}")
+
+
 class LogFileError(MangobayError):
     """A file given to `mangobay report` or `mangobay trace` cannot be read."""
 
--- a/mangobay/filecommands.py
+++ b/mangobay/filecommands.py
@@ -80,6 +80,16 @@
             }
             for group, total in sorted(summary.totals.items())
         ],
+        "workspaces": [
+            {
+                "workspace": name,
+                "outcomes": dict(total.outcomes),
+                "reasons": dict(total.reasons),
+                "first_ms": total.first_ms,
+                "last_ms": total.last_ms,
+            }
+            for name, total in sorted(summary.workspaces.items())
+        ],
         "gaps": [dataclasses.asdict(gap) for gap in summary.gaps],
         "unreadable": summary.unreadable_lines,
     }
@@ -103,9 +113,44 @@
         }
         if totals:
             lines += ["", title, *format_totals(totals)]
+    if summary.workspaces:
+        lines += ["", *format_workspaces(summary.workspaces)]
     return [*lines, "", *format_gaps(summary)]
 
 
+def format_workspaces(workspaces: dict[str, report.GroupTotal]) -> list[str]:
+    """Returns a table of the workspaces with unanswered calls."""
+    affected = {
+        name: total
+        for name, total in sorted(workspaces.items())
+        if total.reasons
+    }
+    if not affected:
+        return [f"all calls of {len(workspaces)} workspaces were answered"]
+    rows = [
+        (
+            name,
+            total.outcomes[report.ANSWERED],
+            total.outcomes[report.NOT_RUN],
+            total.outcomes[report.UNKNOWN],
+            format_optional_time(total.first_ms),
+            format_optional_time(total.last_ms),
+            ", ".join(
+                f"{reason} {count}"
+                for reason, count in sorted(total.reasons.items())
+            ),
+        )
+        for name, total in affected.items()
+    ]
+    titles = ("workspace", "answered", "not run", "unknown")
+    titles += ("not run or unknown from", "to", "reasons")
+    return [
+        f"workspaces with calls that were not answered, {len(affected)} of"
+        f" {len(workspaces)}",
+        *display.format_table(titles, rows),
+    ]
+
+
 def format_totals(
     totals: dict[report.CallGroup, report.GroupTotal],
 ) -> list[str]:
--- a/mangobay/gateway.py
+++ b/mangobay/gateway.py
@@ -5,6 +5,7 @@
 import typing
 
 from mangobay import (
+    accesscontrol,
     backend,
     calls,
     dispatch,
@@ -16,11 +17,14 @@
     leanserver,
     localservices,
     metrics,
+    outcomelog,
+    quotaclient,
     refusals,
     requestlog,
     retryallowance,
     routes,
     shutdown,
+    workspacedirectory,
 )
 from mangobay.generated import messages
 
@@ -31,6 +35,7 @@
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 """Statuses from which callers conclude that a request was not run."""
 FIRST_REDIRECT_STATUS = 300
+AUTHORIZATION = b"authorization"
 
 FindParent = typing.Callable[[ids.AttemptId], calls.Parent | None]
 """Returns the running call of an attempt id, None if it does not run here."""
@@ -43,6 +48,7 @@
     Attributes:
       backend: headers exchanged with backend servers.
       caller_service: the service on whose host a request entered.
+      workspace: the workspace of the client that caused a request.
       target_instance: the only incarnation that may run a request.
       parent_attempt_of: returns the id of the parent attempt that is part of
         the attempt id of a child call, empty if there is none.
@@ -50,6 +56,7 @@
 
     backend: leanclient.BackendHeaderNames
     caller_service: str
+    workspace: str
     target_instance: str
     parent_attempt_of: typing.Callable[[ids.AttemptId], ids.AttemptId]
 
@@ -60,6 +67,7 @@
             name.lower()
             for name in (
                 self.caller_service,
+                self.workspace,
                 self.target_instance,
                 self.backend.deadline,
             )
@@ -102,6 +110,10 @@
         """Returns the headers of the request to the backend server."""
         names = self.header_names
         added = [messages.Header(name=names.caller_service, value=call.caller)]
+        if call.workspace:
+            added.append(
+                messages.Header(name=names.workspace, value=call.workspace)
+            )
         if local_service.announcement.instance:
             # By now another service or another incarnation may run at the
             # address. It reports the mismatch and does not run the request.
@@ -140,6 +152,23 @@
         )
 
 
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Entry:
+    """A request that may enter.
+
+    Attributes:
+      call: the call for it.
+      route: its route.
+      workspace: the workspace of its key; None if it needs none.
+      token: what the quota of the workspace allowed; None if it has no quota.
+    """
+
+    call: calls.Request
+    route: routes.Route
+    workspace: workspacedirectory.Workspace | None
+    token: quotaclient.Decision | None = None
+
+
 class Gateway:
     """Accepts requests of clients and of the backend server on this host.
 
@@ -148,6 +177,8 @@
       caller: the service on this host.
       find_parent: returns the running call of an attempt.
       shutdown: tells when the node stops accepting requests.
+      access: checks keys and quotas.
+      outcome_log: counts how requests ended, for reports.
     """
 
     def __init__(
@@ -159,9 +190,16 @@
         call_metrics: metrics.Metrics,
         log: requestlog.RequestLog,
         schedule: shutdown.ShutdownSchedule,
+        access: accesscontrol.AccessControl,
+        outcome_log: outcomelog.OutcomeLog,
     ):
+        self.access = access
+        self.outcome_log = outcome_log
         self.header_names = header_names
         self.system_header_names = header_names.system_header_names
+        self.private_header_names = self.system_header_names | {
+            AUTHORIZATION.decode()
+        }
         self.caller = ids.CallerName(caller)
         self.find_parent = find_parent
         self.dispatcher = dispatcher
@@ -176,13 +214,59 @@
         """Handles a request; returns its response."""
         attempt_id = self.attempt_id_of(request)
         parent = self.parent_of(attempt_id)
+        entry = None
         try:
             self.check_accepting(parent)
-            call = self.build_call(request, attempt_id, connection)
+            entry = self.make_entry(request, attempt_id, connection)
+            if entry.workspace is not None and not entry.route.public:
+                entry.token = await self.access.acquire_token(
+                    entry.workspace, entry.route
+                )
         except calls.RequestError as error:
             reply = calls.not_run_reply(error.reason, error.retry_after)
+            self.metrics.record_refusal(error.reason)
+            if entry is not None:
+                self.record_outcome(entry, parent, reply)
             self.log.log_refused(attempt_id, error, self.table)
             return refusals.from_reply(reply)
+        reply = await self.dispatch(entry, attempt_id, parent)
+        self.record_outcome(entry, parent, reply)
+        if entry.token is not None and reply.outcome is Outcome.NOT_RUN:
+            self.access.give_back(entry.workspace, entry.token)
+        if reply.outcome is Outcome.ANSWERED:
+            return leanhttp.Response(
+                status=reply.status, headers=reply.headers, body=reply.body
+            )
+        return refusals.from_reply(reply)
+
+    def record_outcome(
+        self,
+        entry: Entry,
+        parent: calls.Parent | None,
+        reply: messages.Reply,
+    ) -> None:
+        """Counts how a request ended."""
+        call = entry.call
+        self.outcome_log.record_call(
+            call.operation,
+            call.importance,
+            parent is None,
+            reply,
+            call.workspace,
+        )
+        if entry.workspace is not None:
+            self.metrics.record_workspace(
+                entry.workspace.name, workspace_result(reply)
+            )
+
+    async def dispatch(
+        self,
+        entry: Entry,
+        attempt_id: ids.AttemptId,
+        parent: calls.Parent | None,
+    ) -> messages.Reply:
+        """Dispatches the call of a request; returns and records its reply."""
+        call = entry.call
         loop = asyncio.get_running_loop()
         started_at = loop.time()
         if parent is not None:
@@ -202,11 +286,7 @@
             self.metrics.record_call(call.operation, reply, seconds)
             if not execution.is_success(reply):
                 self.log.log_unanswered(attempt_id, call, reply, seconds)
-        if reply.outcome is Outcome.ANSWERED:
-            return leanhttp.Response(
-                status=reply.status, headers=reply.headers, body=reply.body
-            )
-        return refusals.from_reply(reply)
+        return reply
 
     def check_accepting(self, parent: calls.Parent | None) -> None:
         """Checks that the node still accepts requests.
@@ -231,16 +311,17 @@
         )
         return ids.AttemptId(header_value)
 
-    def build_call(
+    def make_entry(
         self,
         request: leanhttp.Request,
         attempt_id: ids.AttemptId,
         connection: leanserver.Connection,
-    ) -> calls.Request:
-        """Returns the call for a request.
+    ) -> Entry:
+        """Returns the call for a request, with its route and workspace.
 
         Raises:
-          calls.RequestError: the request is invalid or cannot be routed.
+          calls.RequestError: the request is invalid, cannot be routed, or has
+            no valid key.
         """
         if self.table is None:
             raise calls.RequestError(
@@ -253,6 +334,11 @@
             raise calls.RequestError(
                 Reason.NO_SUCH_OPERATION, "no route matches host and path"
             )
+        workspace = self.access.authenticate(
+            self.table,
+            destination.route,
+            leanhttp.header_values(request, AUTHORIZATION),
+        )
         if not attempt_id:
             raise calls.RequestError(
                 Reason.MALFORMED, "attempt id header is missing"
@@ -264,24 +350,36 @@
             raise calls.RequestError(
                 Reason.NO_BACKEND, "no service of the route has weight"
             )
-        return calls.Request(
+        call = calls.Request(
             operation=operation,
             revision=ids.Revision(self.table.document.version),
             target=request.target,
             headers=leanhttp.end_to_end_headers(
-                request, self.system_header_names
+                request, self.removed_header_names()
             ),
             body=request.body,
             caller=self.caller,
             client=ids.ClientId(connection.remote),
-            importance=operation.importance,
+            importance=self.table.ranking.find(workspace, destination.route),
             depth=int(destination.has_waited_before(caller_timeout)),
             deadline=asyncio.get_running_loop().time() + timeout,
             allowance=retryallowance.RetryAllowance(operation.tries),
             key=ids.IdempotencyKey(""),
             trace=UNTRACED,
             tree=httpheaders.new_tree_id(),
+            workspace=workspace.name if workspace else ids.NO_WORKSPACE,
         )
+        return Entry(call=call, route=destination.route, workspace=workspace)
+
+    def removed_header_names(self) -> frozenset[str]:
+        """Returns the lower-case names of the headers that are not forwarded.
+
+        The key of a workspace is a secret that backend servers do not need.
+        Without workspaces, the header may be meant for a backend server.
+        """
+        if self.table.directory is None:
+            return self.system_header_names
+        return self.private_header_names
 
     def parent_of(self, attempt_id: ids.AttemptId) -> calls.Parent | None:
         """Returns the running call that makes an attempt, None if not here.
@@ -314,6 +412,17 @@
         return milliseconds / 1000
 
 
+def workspace_result(reply: messages.Reply) -> metrics.WorkspaceResult:
+    """Returns how a reply counts for the workspace of its request."""
+    if reply.reason is Reason.QUOTA_EXCEEDED:
+        return metrics.WorkspaceResult.OVER_QUOTA
+    if reply.outcome is Outcome.NOT_RUN:
+        return metrics.WorkspaceResult.REFUSED
+    if execution.is_success(reply):
+        return metrics.WorkspaceResult.ANSWERED
+    return metrics.WorkspaceResult.FAILED
+
+
 class RoutesDecoder(typing.Protocol):
     """Parses a routes document in the operator's format."""
 
--- a/mangobay/ids.py
+++ b/mangobay/ids.py
@@ -18,6 +18,9 @@
 """A call tree; assigned by the node that received its first call."""
 CallId = typing.NewType("CallId", str)
 """One attempt of one call."""
+WorkspaceName = typing.NewType("WorkspaceName", str)
+KeyDigest = typing.NewType("KeyDigest", str)
+"""Digest of a workspace's key; the key itself is a secret."""
 IdempotencyKey = typing.NewType("IdempotencyKey", str)
 Slot = typing.NewType("Slot", int)
 """Partition of a service's idempotency keys; each slot has one owner."""
@@ -37,3 +40,5 @@
 """Caller of requests from clients outside the system."""
 ANY_CALLER = "*"
 """Value of the callers column that permits every service."""
+NO_WORKSPACE = WorkspaceName("")
+"""Workspace of requests that need no key."""
--- a/mangobay/leanhttp.py
+++ b/mangobay/leanhttp.py
@@ -109,6 +109,15 @@
     )
 
 
+def header_values(message: ParsedMessage, lower_name: bytes) -> list[str]:
+    """Returns the values of all headers of a name, which is in lower case."""
+    return [
+        value.decode("utf-8", "surrogateescape")
+        for name, value in message.raw_headers
+        if name.lower() == lower_name
+    ]
+
+
 def end_to_end_headers(
     message: ParsedMessage, excluded: frozenset[str]
 ) -> list[messages.Header]:
--- a/mangobay/lease.py
+++ b/mangobay/lease.py
@@ -1,5 +1,6 @@
-"""The lease of a node, measured on the node's own clock."""
+"""The leases of a node, measured on the node's own clocks."""
 
+import collections.abc
 import math
 
 from mangobay import clock
@@ -40,3 +41,44 @@
     def is_valid(self) -> bool:
         """Returns whether the lease has not ended."""
         return clock.now() < self.expires_at
+
+
+CLOCK_MARGIN_SECONDS = 0.05
+"""Time by which a lease on the routes document ends early: a request that has
+just been checked is still on its way."""
+
+
+class DocumentLease:
+    """The time until which the routes document in use is new enough.
+
+    A key that was taken away must not be accepted for long, also by a node that
+    cannot learn of it. It counts in boot time, since loop time does not pass
+    while the host is suspended, and a key may be taken away meanwhile.
+
+    Attributes:
+      max_staleness: seconds since the last confirmation; 0: no limit.
+      read_boot_time: returns the boot time in seconds.
+      confirmed_at: boot time at which the document was the newest one.
+    """
+
+    def __init__(
+        self,
+        max_staleness: float,
+        read_boot_time: collections.abc.Callable[[], float] = clock.boot_time,
+    ):
+        self.max_staleness = max_staleness
+        self.read_boot_time = read_boot_time
+        self.confirmed_at = -math.inf
+
+    def confirm(self, confirmed_at: float) -> None:
+        """Records that the document was the newest one at a boot time."""
+        self.confirmed_at = max(self.confirmed_at, confirmed_at)
+
+    def is_valid(self) -> bool:
+        """Returns whether the document may be used for requests with keys."""
+        if not self.max_staleness:
+            return True
+        expires_at = (
+            self.confirmed_at + self.max_staleness - CLOCK_MARGIN_SECONDS
+        )
+        return self.read_boot_time() < expires_at
--- a/mangobay/leases.py
+++ b/mangobay/leases.py
@@ -116,9 +116,11 @@
         if viewactivity.process_id_of(renewal) in self.replaced_processes:
             return self.make_refusal()
         term = self.term
+        arrived_at = clock.now()
         try:
             await self.record_renewal(renewal)
             await self.wait_for_update(renewal)
+            held_seconds = clock.now() - arrived_at
             # A leader in a network partition may not know that another was
             # elected. Its grants would let a node act beside the owner that
             # the new leader appoints. A quorum that confirms this leader after
@@ -136,7 +138,9 @@
         self.lease_expiry.record_grant(
             viewactivity.process_id_of(renewal), clock.now()
         )
-        return self.make_grant(renewal)
+        grant = self.make_grant(renewal)
+        grant.held_ms = int(held_seconds * 1000)
+        return grant
 
     def check_leadership(self) -> bool:
         """Resets the state in a new term; returns whether this host leads."""
--- a/mangobay/metrics.py
+++ b/mangobay/metrics.py
@@ -3,6 +3,7 @@
 import collections
 import collections.abc
 import dataclasses
+import enum
 import importlib
 import typing
 
@@ -65,6 +66,16 @@
         return self.recorded_latencies
 
 
+class WorkspaceResult(enum.Enum):
+    """How a request of a workspace ended."""
+
+    ANSWERED = "answered"
+    OVER_QUOTA = "over_quota"
+    REFUSED = "refused"
+    """It did not run, for another reason than its quota."""
+    FAILED = "failed"
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Gauge:
     """A gauge whose value is read when the metrics are scraped.
@@ -85,13 +96,47 @@
 
     Attributes:
       by_operation: counters and latencies by operation.
+      refusals: requests refused before they became a call, by reason.
+      by_workspace: requests with a key by workspace and result.
       gauges: the gauges.
     """
 
     def __init__(self):
         self.by_operation: dict[OperationKey, OperationMetrics] = {}
+        self.refusals: collections.Counter[messages.Reason] = (
+            collections.Counter()
+        )
+        self.by_workspace: dict[
+            ids.WorkspaceName, collections.Counter[WorkspaceResult]
+        ] = {}
         self.gauges: list[Gauge] = []
 
+    def record_refusal(self, reason: messages.Reason) -> None:
+        """Counts one request that was refused before it became a call."""
+        self.refusals[reason] += 1
+
+    def record_workspace(
+        self, workspace: ids.WorkspaceName, result: WorkspaceResult
+    ) -> None:
+        """Counts one request of a workspace."""
+        counts = self.by_workspace.get(workspace)
+        if counts is None:
+            counts = self.by_workspace[workspace] = collections.Counter()
+        counts[result] += 1
+
+    def retain_workspaces(
+        self, names: collections.abc.Container[ids.WorkspaceName]
+    ) -> None:
+        """Drops the counts of workspaces that are no longer in force.
+
+        Otherwise the number of labels would grow with every change.
+        """
+        self.by_workspace = {
+            name: counts
+            for name, counts in self.by_workspace.items()
+            if name in names
+        }
+
     def record_call(
         self,
         operation: messages.Operation,
--- a/mangobay/metricstext.py
+++ b/mangobay/metricstext.py
@@ -38,6 +38,8 @@
     def collect(self):
         """Yields every metric family; called by the registry."""
         yield self.calls_family()
+        yield self.refusals_family()
+        yield self.workspaces_family()
         yield self.quantile_family()
         yield self.histogram_family()
         yield from self.invariant_families()
@@ -62,6 +64,29 @@
                 family.add_metric((*key, outcome, reason), count)
         return family
 
+    def refusals_family(self) -> core.CounterMetricFamily:
+        """Returns the counter of requests that did not become a call."""
+        family = core.CounterMetricFamily(
+            "mangobay_requests_refused",
+            "Requests refused at this node before they became a call.",
+            labels=("reason",),
+        )
+        for reason, count in self.metrics.refusals.items():
+            family.add_metric((reason.name.lower(),), count)
+        return family
+
+    def workspaces_family(self) -> core.CounterMetricFamily:
+        """Returns the counter of requests with a key."""
+        family = core.CounterMetricFamily(
+            "mangobay_workspace_requests",
+            "Requests with a key that entered at this node, by how they ended.",
+            labels=("workspace", "result"),
+        )
+        for workspace, counts in self.metrics.by_workspace.items():
+            for result, count in counts.items():
+                family.add_metric((workspace, result.value), count)
+        return family
+
     def quantile_family(self) -> core.GaugeMetricFamily:
         """Returns the latency quantiles of answered calls, by operation."""
         family = core.GaugeMetricFamily(
--- a/mangobay/outcomelog.py
+++ b/mangobay/outcomelog.py
@@ -25,6 +25,7 @@
 
     Attributes:
       outside: whether a caller outside sent the calls, not a backend server.
+      workspace: workspace of the caller outside; empty without one.
     """
 
     service: ids.ServiceName
@@ -33,6 +34,7 @@
     outside: bool
     outcome: messages.Outcome
     reason: messages.Reason
+    workspace: ids.WorkspaceName
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -46,6 +48,7 @@
     outcome: str
     reason: str
     count: int
+    workspace: str = ""
 
 
 def make_call_count(kind: CallKind, count: int) -> CallCount:
@@ -58,6 +61,7 @@
         outcome=kind.outcome.name.lower(),
         reason=kind.reason.name.lower(),
         count=count,
+        workspace=kind.workspace,
     )
 
 
@@ -87,6 +91,7 @@
         importance: messages.Importance,
         outside: bool,
         reply: messages.Reply,
+        workspace: ids.WorkspaceName = ids.NO_WORKSPACE,
     ) -> None:
         """Counts one call that ended."""
         kind = CallKind(
@@ -96,6 +101,7 @@
             outside,
             reply.outcome,
             reply.reason,
+            workspace,
         )
         self.counts[kind] += 1
 
--- a/mangobay/refusals.py
+++ b/mangobay/refusals.py
@@ -11,6 +11,7 @@
 Reason = messages.Reason
 
 NOT_RUN_STATUS = 503
+UNAUTHENTICATED_STATUS = 401
 UNKNOWN_STATUS = 502
 DEADLINE_EXCEEDED_STATUS = 504
 STATUS_BY_REASON = {
@@ -18,8 +19,11 @@
     Reason.MALFORMED: 400,
     Reason.TOO_LARGE: 413,
     Reason.CALLER_THROTTLED: 429,
+    Reason.QUOTA_EXCEEDED: 429,
+    Reason.UNAUTHENTICATED: UNAUTHENTICATED_STATUS,
 }
 """Statuses of calls that did not run, where not NOT_RUN_STATUS."""
+AUTHENTICATE_HEADER = messages.Header(name="WWW-Authenticate", value="Bearer")
 DEFAULT_RETRY_AFTER_SECONDS = 0.25
 """Retry-After, in seconds, if the reply names no time.
 
@@ -32,21 +36,36 @@
     """Returns the response for a reply other than `answered`."""
     if reply.outcome is Outcome.NOT_RUN:
         status = STATUS_BY_REASON.get(reply.reason, NOT_RUN_STATUS)
-        if status != NOT_RUN_STATUS:
-            return leanhttp.Response(status=status)
-        return retry_later_response(reply.retry_after_ms / 1000)
+        return leanhttp.Response(
+            status=status, headers=refusal_headers(status, reply)
+        )
     late = reply.reason is Reason.DEADLINE_EXCEEDED
     return leanhttp.Response(
         status=DEADLINE_EXCEEDED_STATUS if late else UNKNOWN_STATUS
     )
 
 
-def retry_later_response(seconds: float = 0.0) -> leanhttp.Response:
-    """Returns a response for a call that did not run, with Retry-After.
+def refusal_headers(
+    status: int, reply: messages.Reply
+) -> list[messages.Header]:
+    """Returns the headers of a response to a call that did not run."""
+    if status == NOT_RUN_STATUS or reply.retry_after_ms:
+        return [retry_after_header(reply.retry_after_ms / 1000)]
+    return [AUTHENTICATE_HEADER] if status == UNAUTHENTICATED_STATUS else []
+
+
+def retry_after_header(seconds: float) -> messages.Header:
+    """Returns a Retry-After header.
 
     Args:
-      seconds: Seconds for Retry-After, or 0 for the default.
+      seconds: the time in it, or 0 for the default.
     """
     seconds = seconds or DEFAULT_RETRY_AFTER_SECONDS
-    header = messages.Header(name="Retry-After", value=f"{seconds:.3f}")
-    return leanhttp.Response(status=NOT_RUN_STATUS, headers=[header])
+    return messages.Header(name="Retry-After", value=f"{seconds:.3f}")
+
+
+def retry_later_response() -> leanhttp.Response:
+    """Returns a response for a call that did not run, with Retry-After."""
+    return leanhttp.Response(
+        status=NOT_RUN_STATUS, headers=[retry_after_header(0.0)]
+    )
--- a/mangobay/renewals.py
+++ b/mangobay/renewals.py
@@ -184,10 +184,13 @@
 def newer_routes(
     machine: statemachine.ConfigStateMachine, renewal: messages.LeaseRenew
 ) -> messages.RoutesChange:
-    """Returns the routes document, an empty one if the node has it."""
+    """Returns the routes document, an empty one if the node has it.
+
+    Nodes check requests by digests of the keys, and get no keys.
+    """
     if renewal.routes >= machine.routes.version:
         return messages.RoutesChange()
-    return machine.routes
+    return dataclasses.replace(machine.routes, credentials=b"", quotas=[])
 
 
 def is_drain_requested(
--- a/mangobay/report.py
+++ b/mangobay/report.py
@@ -109,6 +109,7 @@
       until_ms: end of the last counted interval.
       hosts: the hosts that have a record.
       totals: totals by group of calls.
+      workspaces: totals of callers outside, by their workspace.
       gaps: times that a host did not record.
       unreadable_lines: number of lines that could not be parsed.
     """
@@ -117,6 +118,7 @@
     until_ms: int
     hosts: list[str]
     totals: dict[CallGroup, GroupTotal]
+    workspaces: dict[str, GroupTotal]
     gaps: list[Gap]
     unreadable_lines: int
 
@@ -184,6 +186,7 @@
     if not selected:
         raise errors.NoRecordsError
     totals: dict[CallGroup, GroupTotal] = collections.defaultdict(GroupTotal)
+    workspaces: dict[str, GroupTotal] = collections.defaultdict(GroupTotal)
     for interval in selected:
         for call_count in interval.calls:
             group = CallGroup(
@@ -193,6 +196,8 @@
                 call_count.importance,
             )
             totals[group].add(call_count, interval)
+            if call_count.outside and call_count.workspace:
+                workspaces[call_count.workspace].add(call_count, interval)
     start_ms = min(interval.since_ms for interval in selected)
     end_ms = max(interval.until_ms for interval in selected)
     return Report(
@@ -200,6 +205,7 @@
         until_ms=end_ms,
         hosts=sorted({interval.host for interval in selected}),
         totals=dict(totals),
+        workspaces=dict(workspaces),
         gaps=find_gaps(distinct, start_ms, end_ms),
         unreadable_lines=parsed_logs.unreadable_lines,
     )
--- a/mangobay/requestlog.py
+++ b/mangobay/requestlog.py
@@ -48,6 +48,7 @@
             route=call.operation.name,
             service=call.operation.service,
             client=call.client,
+            workspace=call.workspace,
             routes_version=call.revision,
             outcome=reply.outcome.name.lower(),
             reason=reply.reason.name.lower(),
@@ -76,6 +77,8 @@
             attempt=attempt,
             reason=error.reason.name.lower(),
             why=str(error),
+            workspace=error.workspace,
+            retry_after_ms=int(error.retry_after * 1000),
             routes_version=table.document.version if table else 0,
             dropped=self.reset_dropped(),
         )
--- a/mangobay/routedcontrol.py
+++ b/mangobay/routedcontrol.py
@@ -5,6 +5,7 @@
 import prometheus_client
 
 from mangobay import (
+    clock,
     control,
     controlmetrics,
     drainmanager,
@@ -12,7 +13,9 @@
     leanhttp,
     leanserver,
     metricspage,
+    quota,
     routespublisher,
+    statemachine,
 )
 from mangobay.generated import messages, settings
 
@@ -86,12 +89,55 @@
 
     Attributes:
       make_handler: returns the handler of operators' calls.
+      quotas: grants the tokens of workspaces.
     """
 
     def __init__(self, config: settings.Control, make_handler: HandlerFactory):
         super().__init__(config)
         self.make_handler = make_handler
 
+    async def start(self) -> None:
+        """Reads the data directory and opens the sockets.
+
+        Raises:
+          errors.StartError: a port is in use, or a file cannot be used.
+          errors.StorageError: the data directory cannot be read or written.
+        """
+        await super().start()
+        group = self.config.group
+        quota_config = self.config.quota
+        self.quotas = quota.QuotaAuthority(
+            self.group,
+            quota.Bounds(
+                window=quota_config.window,
+                overage=quota_config.overage,
+                slack=quota_config.slack,
+                holders=max(group.voters, len(self.group.settings.hosts)),
+            ),
+            clock.SuspensionDetector(),
+            clock.now(),
+        )
+        self.machine.change_listeners.append(self.update_quotas)
+        self.update_quotas(statemachine.StateChange(restored=True))
+
+    def update_quotas(self, change: statemachine.StateChange) -> None:
+        """Applies the quotas of a new routes document."""
+        if change.routes or change.restored:
+            self.quotas.update_quotas(self.machine.routes.quotas, clock.now())
+
+    async def handle_request(
+        self, hello: messages.Hello, body: messages.EnvelopeBody
+    ) -> messages.EnvelopeBody:
+        """Handles a request of a node or a control host.
+
+        Raises:
+          errors.PeerProtocolError: the peer may not send this request.
+        """
+        match body:
+            case messages.TokenRequest():
+                return self.quotas.handle(body, clock.now())
+        return await super().handle_request(hello, body)
+
     def make_operator_listener(self) -> ListenerGroup:
         """Returns the listeners for operators and for metrics."""
         config = self.config
@@ -122,4 +168,5 @@
                 self.group, self.machine, self.leases
             )
         )
+        registry.register(controlmetrics.QuotaCollector(self.quotas))
         return prometheus_client.generate_latest(registry)
--- a/mangobay/routednode.py
+++ b/mangobay/routednode.py
@@ -5,6 +5,7 @@
 import typing
 
 from mangobay import (
+    accesscontrol,
     basenode,
     errors,
     gateway,
@@ -15,6 +16,7 @@
     logs,
     metricspage,
     options,
+    quotaclient,
     refusals,
     requestlog,
     routes,
@@ -100,6 +102,13 @@
             self.metrics,
             requestlog.RequestLog(),
             self.executor.shutdown,
+            accesscontrol.AccessControl(
+                self.control.document_lease,
+                quotaclient.QuotaClient(
+                    self.control, self.peer_client, self.rng
+                ),
+            ),
+            self.outcome_log,
         )
         limits = leanserver.Limits(
             max_body_bytes=config.limits.body_bytes,
@@ -135,8 +144,15 @@
         ]
 
     def is_ready(self) -> bool:
-        """Returns whether the node is ready for callers."""
-        return self.gateway.table is not None and self.leave_task is None
+        """Returns whether the node is ready for callers.
+
+        A node that may accept no key refuses nearly every caller, and others
+        may be able to serve them.
+        """
+        table = self.gateway.table
+        if table is None or self.leave_task is not None:
+            return False
+        return table.directory is None or self.control.document_lease.is_valid()
 
     async def start(self) -> None:
         """Opens the listeners and starts the background tasks.
@@ -151,7 +167,11 @@
         self.control.views.subscribe(self.set_node_count)
         self.control.routes.subscribe(self.apply_routes)
         self.control.draining.subscribe(self.leave_if_draining)
-        for coroutine in (self.control.run(), self.local_services.run_expiry()):
+        for coroutine in (
+            self.control.run(),
+            self.local_services.run_expiry(),
+            self.outcome_log.run(),
+        ):
             self.tasks.append(asyncio.create_task(coroutine))
         logs.log_event(logs.Component.NODE, "started", host=self.process.host)
 
@@ -170,6 +190,9 @@
             routespublisher.decompress_document(change)
         )
         self.gateway.table = routes.RouteTable(document)
+        self.metrics.retain_workspaces(
+            {workspace.name for workspace in document.workspaces or ()}
+        )
         self.outside_listener.too_large_response = leanserver.TOO_LARGE_RESPONSE
         limits = self.outside_listener.limits
         limits.max_line_bytes = document.limits.max_header_bytes
@@ -226,6 +249,7 @@
         """Closes listeners, tasks and connections."""
         await self.abort_in_flight()
         await asyncio.gather(self.close_listeners(), self.close_peers())
+        self.outcome_log.log_interval(is_final=True)
         logs.log_event(logs.Component.NODE, "stopped", host=self.process.host)
 
     async def close_peers(self) -> None:
--- a/mangobay/routes.py
+++ b/mangobay/routes.py
@@ -11,7 +11,7 @@
 import math
 import typing
 
-from mangobay import findings, ids
+from mangobay import findings, ids, workspacedirectory
 from mangobay.generated import messages
 
 MAX_TIMEOUT_SECONDS = 600.0
@@ -54,6 +54,7 @@
       priority: priority of the requests; 0 is the most important.
       weighted_services: the services that get the requests.
       max_attempts: most backend servers that one request is sent to.
+      public: whether its requests need no key, although there are workspaces.
     """
 
     name: str
@@ -65,6 +66,7 @@
     priority: int
     weighted_services: tuple[WeightedService, ...]
     max_attempts: int
+    public: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -101,12 +103,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Document:
-    """One version of the routes document."""
+    """One version of the routes document.
+
+    Attributes:
+      workspaces: who may send requests; None if anybody may.
+    """
 
     version: ids.RoutesVersion
     routes: tuple[Route, ...]
     services: tuple[Service, ...]
     limits: Limits
+    workspaces: tuple[workspacedirectory.Workspace, ...] | None = None
 
 
 def validate(document: Document) -> list[findings.Finding]:
@@ -119,7 +126,23 @@
             findings.Finding(location, text)
             for text in route_errors(route, known_services)
         ]
-    return problems
+    return problems + validate_workspaces(document.workspaces or ())
+
+
+def validate_workspaces(
+    found: collections.abc.Sequence[workspacedirectory.Workspace],
+) -> list[findings.Finding]:
+    """Returns the errors of the workspaces; no text contains a key."""
+    texts = [
+        (workspace, text)
+        for workspace in found
+        for text in workspacedirectory.workspace_errors(workspace)
+    ]
+    texts += workspacedirectory.shared_by(found)
+    return [
+        findings.Finding(f"workspace {workspace.name}", text)
+        for workspace, text in texts
+    ]
 
 
 def route_errors(
@@ -158,6 +181,55 @@
 """Operations cached for one route."""
 
 
+def importance_of(priority: int) -> messages.Importance:
+    """Returns the importance of a priority on its own."""
+    last = len(IMPORTANCE_BY_PRIORITY) - 1
+    return IMPORTANCE_BY_PRIORITY[min(max(priority, 0), last)]
+
+
+class ImportanceRanking:
+    """Importance of requests that have a workspace and a route.
+
+    The priority of the workspace takes precedence; among workspaces of the
+    same priority, that of the route decides. The pairs of priorities in the
+    document are spread over all importances in this order. By the workspace
+    alone, most requests would have the same importance: overload would refuse
+    bookings as often as lookups.
+
+    Attributes:
+      by_priorities: importance by the priorities of workspace and route.
+    """
+
+    def __init__(self, document: Document):
+        route_priorities = {
+            route.priority for route in document.routes if not route.public
+        }
+        pairs = sorted(
+            {
+                (workspace.priority, priority)
+                for workspace in document.workspaces or ()
+                for priority in route_priorities
+                if workspace.priority is not None
+            }
+        )
+        self.by_priorities = {
+            pair: IMPORTANCE_BY_PRIORITY[
+                position * len(IMPORTANCE_BY_PRIORITY) // len(pairs)
+            ]
+            for position, pair in enumerate(pairs)
+        }
+
+    def find(
+        self, workspace: workspacedirectory.Workspace | None, route: Route
+    ) -> messages.Importance:
+        """Returns the importance of a workspace's requests on a route."""
+        own = importance_of(route.priority)
+        if workspace is None or workspace.priority is None:
+            return own
+        pair = (workspace.priority, route.priority)
+        return self.by_priorities.get(pair, own)
+
+
 class RouteState:
     """A route with the state that routes its requests.
 
@@ -240,14 +312,11 @@
     route: Route, weighted: WeightedService, method: str
 ) -> messages.Operation:
     """Returns the operation of a route's requests to one service."""
-    importance = IMPORTANCE_BY_PRIORITY[
-        min(max(route.priority, 0), len(IMPORTANCE_BY_PRIORITY) - 1)
-    ]
     return messages.Operation(
         service=weighted.service,
         name=ids.OperationName(route.name),
         method=method,
-        importance=importance,
+        importance=importance_of(route.priority),
         idempotent=route.retry_safety is RetrySafety.SAFE,
         outside=True,
         deadline_ms=int(route.timeout * 1000),
@@ -262,10 +331,18 @@
     Attributes:
       document: the routes document.
       routes_by_hostname: routes by host name and path prefix.
+      directory: finds workspaces by key; None if requests need no key.
+      ranking: importance of the requests of workspaces.
     """
 
     def __init__(self, document: Document):
         self.document = document
+        self.directory = (
+            None
+            if document.workspaces is None
+            else workspacedirectory.WorkspaceDirectory(document.workspaces)
+        )
+        self.ranking = ImportanceRanking(document)
         self.routes_by_hostname: dict[str, dict[str, RouteState]] = {}
         for route in document.routes:
             by_prefix = self.routes_by_hostname.setdefault(route.hostname, {})
--- a/mangobay/routespublisher.py
+++ b/mangobay/routespublisher.py
@@ -1,6 +1,7 @@
 """Publishing and fetching of routes documents at any control host."""
 
 import asyncio
+import collections.abc
 import hashlib
 import typing
 import zlib
@@ -27,14 +28,21 @@
 
 
 def make_routes_change(
-    version: ids.RoutesVersion, base: ids.RoutesVersion, document: bytes
+    version: ids.RoutesVersion,
+    base: ids.RoutesVersion,
+    document: bytes,
+    credentials: bytes = b"",
+    quotas: collections.abc.Sequence[messages.WorkspaceQuota] = (),
 ) -> messages.RoutesChange:
     """Returns the log entry that puts a document in force.
 
     Args:
       version: version of the document.
       base: the version that it replaces.
-      document: the encoded document; the same bytes for each resend.
+      document: the encoded document, with digests in place of keys; the same
+        bytes for each resend.
+      credentials: the encoded keys, which only control hosts get.
+      quotas: the limits of the workspaces that have one.
     """
     digest = hashlib.blake2b(
         b"%d %d " % (version, base) + document, digest_size=DIGEST_BYTES
@@ -45,14 +53,21 @@
         digest=digest.digest(),
         document=zlib.compress(document),
         accepted_ms=clock.unix_ms(),
+        credentials=zlib.compress(credentials) if credentials else b"",
+        quotas=list(quotas),
     )
 
 
 def decompress_document(change: messages.RoutesChange) -> bytes:
-    """Returns the document as the operator sent it."""
+    """Returns the document, with digests in place of keys."""
     return zlib.decompress(change.document)
 
 
+def decompress_credentials(change: messages.RoutesChange) -> bytes:
+    """Returns the encoded keys of a document, empty if it has none."""
+    return zlib.decompress(change.credentials) if change.credentials else b""
+
+
 class RoutesPublisher:
     """Puts routes documents in force, and returns the one in force.
 
--- a/schema/messages.capnp
+++ b/schema/messages.capnp
@@ -50,6 +50,14 @@
   malformed @22;
   internal @23;
   running @24;
+  unauthenticated @25;
+  # No workspace has the key of the request.
+  quotaExceeded @26;
+  # The workspace has used up its quota over all nodes.
+  outdatedRoutes @27;
+  # The routes document may be older than a key may outlive its removal.
+  quotaUnknown @28;
+  # Nobody could be asked whether the quota allows the request.
 }
 
 struct Header {
@@ -98,6 +106,8 @@
   # Longest useful wait for a slot, milliseconds; 0 leaves it to admission.
   repeat @20 :Bool;
   # A backend server may have seen the call before; its calls are made again.
+  workspace @21 :Text $id("WorkspaceName");
+  # Of the caller at the root of the tree; empty without one.
 }
 
 struct Reply {
@@ -320,6 +330,9 @@
   # Peer addresses of the voters, to ask when the leader does not answer.
   viewSteps @9 :List(ViewSteps);
   # In place of a whole view, where the steps from the node's own are known.
+  heldMs @10 :UInt32;
+  # Since the renewal came the leader has waited this long before a quorum
+  # began to confirm it: so much later than sent, all of this was newest.
 }
 
 # ---- configuration ----
@@ -394,6 +407,48 @@
   document @3 :Data;
   # As the operator wrote it, compressed.
   acceptedMs @4 :UInt64;
+  credentials @5 :Data;
+  # The keys that the document has digests of, compressed.  Nodes get none.
+  quotas @6 :List(WorkspaceQuota);
+}
+
+struct WorkspaceQuota {
+  # Limit of the requests of a workspace over all nodes: a token bucket.
+  workspace @0 :Text $id("WorkspaceName");
+  rate @1 :Float64;
+  # Requests per second.
+  burst @2 :Float64;
+  # Requests.
+}
+
+enum TokenOutcome {
+  granted @0;
+  denied @1;
+  # The quota is used up.
+  unavailable @2;
+  # This control host may grant nothing now; another one may.
+}
+
+struct TokenRequest {
+  # Node to control host: may one request of a workspace run?
+  workspace @0 :Text $id("WorkspaceName");
+  term @1 :UInt64 $id("Term");
+  # Term of the leader that granted the unused tokens.
+  unused @2 :List(UnusedTokens);
+  # Tokens of requests that did not run.
+}
+
+struct UnusedTokens {
+  workspace @0 :Text $id("WorkspaceName");
+  count @1 :UInt32;
+}
+
+struct TokenReply {
+  outcome @0 :TokenOutcome;
+  term @1 :UInt64 $id("Term");
+  # Of the leader that granted it; 0 from a reserve.
+  retryAfterMs @2 :UInt32;
+  # Denied: when the next token is likely to be free.
 }
 
 struct RoutesAccepted {
@@ -609,5 +664,7 @@
     groupJoinReply @22 :GroupJoinReply;
     ping @23 :Ping;
     deflated @24 :Deflated;
+    tokenRequest @25 :TokenRequest;
+    tokenReply @26 :TokenReply;
   }
 }
--- a/tests/platformfakes.py
+++ b/tests/platformfakes.py
@@ -49,6 +49,7 @@
 seeds = {seeds}
 follow = all
 cut_off = serve
+max_staleness = {max_staleness}
 [backend]
 service = {service}
 address = {ip}:{BACKEND}
@@ -92,10 +93,11 @@
     return Response(status, head, await reader.readexactly(length))
 
 
-def request_bytes(service, attempt_id, milliseconds):
+def request_bytes(service, attempt_id, milliseconds, key=""):
     """Returns the bytes of a request."""
+    authorization = f"Authorization: Bearer {key}\r\n" if key else ""
     head = (
-        f"GET /x HTTP/1.1\r\nHost: {service}.example\r\n"
+        f"GET /x HTTP/1.1\r\nHost: {service}.example\r\n{authorization}"
         f"X-Mangobay-Attempt-Id: {attempt_id}\r\n"
         f"X-Mangobay-Deadline-Ms: {milliseconds}\r\n\r\n"
     )
@@ -113,8 +115,15 @@
     return await send_request(ip, port, head.encode() + data)
 
 
-def configuration(version, services):
-    """Returns a configuration with one route for each service."""
+def configuration(version, services, workspaces=()):
+    """Returns a configuration with one route for each service.
+
+    Args:
+      version: its version.
+      services: names of the services.
+      workspaces: name, keys, priority, rate and burst of each workspace; if
+        empty, requests need no key.
+    """
     columns = [
         "name",
         "hostname",
@@ -131,7 +140,14 @@
         + ["8s", "1s", 0, 2, name]
         for name in services
     ]
+    members = {}
+    if workspaces:
+        members["tenants"] = {
+            "columns": ["name", "api_keys", "priority", "rate_per_s", "burst"],
+            "rows": list(workspaces),
+        }
     return {
+        **members,
         "version": f"r{version}",
         "routes": {"columns": columns, "rows": rows},
         "services": {
@@ -156,6 +172,7 @@
         self.delay_seconds = delay_seconds
         self.run_counts = {}
         self.deadlines_ms = {}
+        self.heads = []
         self.sequence = 0
         self.state = "ready"
         self.heartbeat_task = None
@@ -184,6 +201,7 @@
             while True:
                 head = (await reader.readuntil(b"\r\n\r\n")).decode().lower()
                 attempt_id = head.partition("attempt-id: ")[2].split()[0]
+                self.heads.append(head)
                 self.run_counts[attempt_id] = (
                     self.run_counts.get(attempt_id, 0) + 1
                 )
@@ -279,7 +297,9 @@
             join="yes" if join else "no",
         )
 
-    async def start_node(self, number, service, grace="6s", linger="1s"):
+    async def start_node(
+        self, number, service, grace="6s", linger="1s", max_staleness="0"
+    ):
         self.start(
             f"n{number}",
             NODE_SETTINGS,
@@ -289,6 +309,7 @@
             service=service,
             grace=grace,
             linger=linger,
+            max_staleness=max_staleness,
         )
         backend = BackendServer(self.ip(number), service)
         self.backends.append(backend)
@@ -316,13 +337,15 @@
                 process.kill()
             process.wait()
 
-    async def replace_config(self, number, version, services, base):
+    async def replace_config(
+        self, number, version, services, base, workspaces=()
+    ):
         """Sends a configuration to a control host."""
         return await call_rpc(
             self.ip(number),
             OPERATOR,
             "config.replace",
-            configuration(version, services),
+            configuration(version, services, workspaces),
             base=base,
         )
 
@@ -330,9 +353,11 @@
         """Reads the configuration from a control host."""
         return await call_rpc(self.ip(number), OPERATOR, "config.describe", {})
 
-    async def request(self, number, service, attempt_id, milliseconds=2000):
+    async def request(
+        self, number, service, attempt_id, milliseconds=2000, key=""
+    ):
         """Sends a request to a node."""
-        data = request_bytes(service, attempt_id, milliseconds)
+        data = request_bytes(service, attempt_id, milliseconds, key)
         return await send_request(self.ip(number), OUTSIDE, data)
 
     async def connect(self, number):
--- a/tests/test_controlclient.py
+++ b/tests/test_controlclient.py
@@ -1,6 +1,7 @@
 """Tests of the node's client of the control group."""
 
 import asyncio
+import dataclasses
 import random
 
 import controlfakes
@@ -8,6 +9,7 @@
 import routingfakes
 
 from mangobay import (
+    clock,
     controlclient,
     errors,
     ids,
@@ -60,6 +62,68 @@
     return make_client(transport)
 
 
+class TestDocumentLease:
+    """How long requests with keys are accepted without the control group."""
+
+    MAX_STALENESS = 5.0
+
+    @pytest.fixture
+    def client(self, transport):
+        config = dataclasses.replace(CONFIG, max_staleness=self.MAX_STALENESS)
+        client = make_client(transport, config)
+        client.document_lease.read_boot_time = clock.now
+        return client
+
+    async def test_held_renewal_leaves_nearly_the_whole_time(
+        self, client, transport
+    ):
+        """A node that was cut off a moment ago refuses all of its callers."""
+        async with controlfakes.running_task(client):
+            client.serves = [messages.ServedService(name="quotes", slots=70)]
+            await asyncio.sleep(20)
+            for _ in range(50):
+                await asyncio.sleep(0.1)
+                confirmed_at = client.document_lease.confirmed_at
+                age = clock.now() - confirmed_at
+                assert age < CONFIG.renew_interval + 0.2
+            transport.lease_tables.clear()
+            await asyncio.sleep(0.6 * self.MAX_STALENESS)
+            assert client.document_lease.is_valid()
+            await asyncio.sleep(
+                0.4 * self.MAX_STALENESS + CONFIG.renew_interval
+            )
+            assert not client.document_lease.is_valid()
+
+    async def test_leader_without_quorum_confirms_nothing(self, client, group):
+        """It does not know that a key was taken away by the next leader."""
+        async with controlfakes.running_task(client):
+            client.serves = [messages.ServedService(name="quotes", slots=70)]
+            await asyncio.sleep(3)
+            group.lose_quorum()
+            await asyncio.sleep(self.MAX_STALENESS)
+            assert not client.document_lease.is_valid()
+
+    async def test_slow_reply_confirms_what_was_known_when_it_was_asked(
+        self, client, transport
+    ):
+        """A key that was taken away while the reply travelled is accepted."""
+        table = transport.lease_tables[FIRST]
+        renew = table.renew
+
+        async def renew_slowly(renewal):
+            grant = await renew(renewal)
+            await asyncio.sleep(0.3)
+            return grant
+
+        table.renew = renew_slowly
+        async with controlfakes.running_task(client):
+            await asyncio.sleep(5)
+            for _ in range(40):
+                await asyncio.sleep(0.05)
+                replied_at = clock.now()
+                assert client.document_lease.confirmed_at <= replied_at - 0.3
+
+
 class TestRenewal:
     """How the lease, the table and the views are kept."""
 
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -9,13 +9,16 @@
 from adapter import platformnames
 
 from mangobay import (
+    accesscontrol,
     admission,
     admissionrequest,
     calls,
     gateway,
     ids,
     leanhttp,
+    lease,
     metrics,
+    outcomelog,
     requestlog,
     retryallowance,
     routes,
@@ -79,6 +82,8 @@
             metrics.Metrics(),
             requestlog.RequestLog(),
             self.schedule,
+            accesscontrol.AccessControl(lease.UnlimitedLease(), None),
+            outcomelog.OutcomeLog("n1"),
         )
         route = routes.Route(
             name="inner",
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -31,3 +31,45 @@
         node_lease.extend(clock.now() - 2, 4)
         await asyncio.sleep(3)
         assert node_lease.is_valid()
+
+
+class BootClock:
+    """Boot time that the test sets."""
+
+    now = 1000.0
+
+    def __call__(self):
+        return self.now
+
+
+class TestDocumentLease:
+    """How long requests with keys are accepted."""
+
+    def setup_method(self):
+        self.clock = BootClock()
+        self.lease = lease.DocumentLease(5.0, self.clock)
+
+    def test_document_that_was_never_confirmed_is_not_used(self):
+        assert not self.lease.is_valid()
+
+    def test_it_ends_before_the_bound(self):
+        self.lease.confirm(1000.0)
+        self.clock.now = 1004.9
+        assert self.lease.is_valid()
+        self.clock.now = 1004.99
+        assert not self.lease.is_valid()
+
+    def test_suspension_of_the_host_counts(self):
+        """A key that was taken away meanwhile is accepted after it."""
+        self.lease.confirm(1000.0)
+        self.clock.now += 6.0
+        assert not self.lease.is_valid()
+
+    def test_delayed_confirmation_does_not_shorten_it(self):
+        self.lease.confirm(1003.0)
+        self.lease.confirm(1001.0)
+        self.clock.now = 1007.0
+        assert self.lease.is_valid()
+
+    def test_without_a_bound_it_never_ends(self):
+        assert lease.DocumentLease(0.0, self.clock).is_valid()
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -8,11 +8,21 @@
 import pytest
 from adapter import documents, handlers, jsonvalues, platformnames
 
-from mangobay import heartbeats, leanhttp, options, routes
+from mangobay import (
+    heartbeats,
+    leanhttp,
+    options,
+    renewals,
+    routes,
+    routespublisher,
+    statemachine,
+)
+from mangobay.generated import messages
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 PLATFORM_TERMS = re.compile(
     r"x-mangobay-|/-/|traffic_split|path_prefix|route_type|cold_remaining"
+    r"|api_keys|rate_per_s|tenant(?!ed)"
     r"|instances\.|config\.replace|config\.describe",
     re.IGNORECASE,
 )
@@ -145,6 +155,205 @@
         ) == documents.encode_canonical(configuration())
 
 
+KEYS = ("kmgjqnirth5mgjy5rcpi", "hhacruddedev3nax7u27", "q2wsx4edc6rfv8tgb")
+
+
+def workspaces_table(*rows):
+    """Returns the member of a configuration that lists workspaces."""
+    columns = ["name", "api_keys", "priority", "rate_per_s", "burst"]
+    return {"columns": columns, "rows": list(rows)}
+
+
+def secured_configuration(*rows):
+    """Returns a configuration with workspaces."""
+    default = (
+        ["w1", [KEYS[0], KEYS[1]], 1, 12.5, 20],
+        ["w2", [KEYS[2]], None, 0, None],
+        ["w3", [], 0, None, None],
+    )
+    return configuration(tenants=workspaces_table(*(rows or default)))
+
+
+class TestWorkspaces:
+    """Workspaces in configurations, and where their keys go."""
+
+    def test_workspaces_are_parsed(self):
+        document = documents.parse_document(secured_configuration())
+        first, second, third = document.workspaces
+        assert (first.name, first.priority) == ("w1", 1)
+        assert (first.rate, first.burst) == (12.5, 20.0)
+        assert len(first.key_digests) == 2
+        assert (second.priority, second.rate, second.burst) == (None, 0, 0)
+        assert third.key_digests == ()
+        assert routes.validate(document) == []
+        assert [each.workspace for each in documents.quotas(document)] == ["w1"]
+
+    def test_without_the_member_requests_need_no_key(self):
+        document = documents.parse_document(configuration())
+        assert document.workspaces is None
+
+    def test_empty_table_lets_nobody_in(self):
+        config = configuration(tenants=workspaces_table())
+        assert documents.parse_document(config).workspaces == ()
+
+    def test_stored_form_has_no_key_and_reads_the_same(self):
+        config = secured_configuration()
+        stored, keys = documents.separate_keys(config)
+        data = documents.encode_canonical(stored)
+        assert not any(key.encode() in data for key in KEYS)
+        assert documents.decode(data) == documents.parse_document(config)
+        assert documents.merge_keys(json.loads(data), keys) == config
+
+    def test_configuration_without_keys_is_stored_as_it_is(self):
+        assert documents.separate_keys(configuration()) == (
+            configuration(),
+            {},
+        )
+
+    @pytest.mark.parametrize(
+        "row",
+        [
+            [None, [KEYS[0]], 1, 1, 1],
+            [[KEYS[0]], "w1", 1, 1, 1],
+            ["w1", KEYS[0], 1, 1, 1],
+            ["w1", [KEYS[0], 7], 1, 1, 1],
+            ["w1", [KEYS[0], ""], 1, 1, 1],
+            ["w1", [], KEYS[0], 1, 1],
+            ["w1", [], 1, KEYS[0], 1],
+            ["w1", [], 1, 1, KEYS[0]],
+            ["w1", [], True, 1, 1],
+            ["w1", [], 1, float("inf"), 1],
+            ["w1", [KEYS[0]], 1],
+        ],
+    )
+    def test_error_names_the_row_and_no_key(self, row):
+        config = secured_configuration(["w0", [], 1, 1, 1], row)
+        with pytest.raises(jsonvalues.FormatError) as caught:
+            documents.parse_document(config)
+        assert "tenants[1]" in str(caught.value)
+        assert not any(key in str(caught.value) for key in KEYS)
+
+    def test_column_that_stands_twice_is_an_error(self):
+        """The keys of the second one stay in the stored form."""
+        config = secured_configuration(["w1", [KEYS[0]], [KEYS[1]], 1, 1])
+        config["tenants"]["columns"][2] = "api_keys"
+        with pytest.raises(jsonvalues.FormatError, match="twice"):
+            documents.parse_document(config)
+
+    def test_column_of_the_stored_form_is_an_error(self):
+        config = secured_configuration(["w1", ["x"], 1, 1, 1])
+        config["tenants"]["columns"][1] = documents.DIGESTS_COLUMN
+        with pytest.raises(jsonvalues.FormatError, match="unknown column"):
+            documents.parse_document(config)
+
+    @pytest.mark.parametrize(
+        ("rows", "text"),
+        [
+            (
+                (["w1", [KEYS[0]], 1, 1, 1], ["w2", [KEYS[0]], 1, 1, 1]),
+                "workspace w2: shares a key with w1",
+            ),
+            ((["w1", [], 1, -1, 1],), "workspace w1: the rate is below 0"),
+            ((["w1", [], 1, 1, -1],), "workspace w1: the burst is below 0"),
+            (
+                (["w1", [], 1, 1, 1], ["w1", [], 1, 1, 1]),
+                "workspace w1: the name is used twice",
+            ),
+        ],
+    )
+    def test_invalid_workspaces_are_findings(self, rows, text):
+        document = documents.parse_document(secured_configuration(*rows))
+        assert [str(each) for each in routes.validate(document)] == [text]
+
+
+class FakePublisher:
+    """Accepts every routes document and keeps it."""
+
+    change = None
+
+    async def put(self, change):
+        self.change = change
+        return messages.RoutesOutcome.ACCEPTED
+
+    async def fetch_newest(self):
+        return self.change
+
+
+class TestOperators:
+    """What operators send is stored, and read back unchanged."""
+
+    def setup_method(self):
+        self.publisher = FakePublisher()
+        self.handle = handlers.operator_api(self.publisher)
+
+    async def call(self, name, config=None):
+        request = rpc_request(name, "", config or {})
+        request.headers = {platformnames.BASE_VERSION_HEADER: "0"}
+        return await self.handle(request, None)
+
+    @pytest.mark.parametrize(
+        "config", [configuration(), secured_configuration()]
+    )
+    async def test_configuration_is_read_back_as_it_was_sent(self, config):
+        assert (await self.call("config.replace", config)).status == 200
+        response = await self.call("config.describe")
+        assert json.loads(response.body) == config
+
+    async def test_nodes_get_no_key(self):
+        await self.call("config.replace", secured_configuration())
+        change = self.publisher.change
+        machine = statemachine.ConfigStateMachine()
+        machine.routes = change
+        sent = renewals.newer_routes(machine, messages.LeaseRenew())
+        assert sent.version == change.version
+        assert not sent.credentials
+        document = routespublisher.decompress_document(sent)
+        assert not any(key.encode() in document for key in KEYS)
+
+    async def test_log_and_response_of_a_refused_one_have_no_key(self, capsys):
+        config = secured_configuration(
+            ["w1", [KEYS[0]], 1, 1, 1], ["w2", [KEYS[0]], 1, 1, 1]
+        )
+        response = await self.call("config.replace", config)
+        assert response.status == 400
+        assert b"workspace w2: shares a key with w1" in response.body
+        printed = capsys.readouterr()
+        assert KEYS[0] not in printed.out + printed.err
+        assert KEYS[0].encode() not in response.body
+
+
+class TestImportance:
+    """Importance by the priorities of workspace and route."""
+
+    def ranking_of(self, *priorities):
+        rows = [
+            [f"w{index}", [], priority, 1, 1]
+            for index, priority in enumerate(priorities)
+        ]
+        document = documents.parse_document(secured_configuration(*rows))
+        ranking = routes.ImportanceRanking(document)
+        return [
+            [ranking.find(workspace, route) for route in document.routes]
+            for workspace in document.workspaces
+        ]
+
+    def test_workspace_takes_precedence_and_route_decides_the_rest(self):
+        (second, first), (fourth, third) = self.ranking_of(0, 1)
+        assert first >= second >= third >= fourth
+        assert first > third
+        assert third > fourth
+
+    def test_workspaces_of_one_priority_are_told_apart_by_route(self):
+        """Overload refuses bookings as often as lookups."""
+        [(lookup, booking)] = self.ranking_of(1)
+        assert booking > lookup
+
+    def test_workspace_without_priority_leaves_it_to_the_route(self):
+        [(lookup, booking)] = self.ranking_of(None)
+        assert lookup is messages.Importance.NORMAL
+        assert booking is messages.Importance.CRITICAL
+
+
 def heartbeat(**changes):
     """Returns a heartbeat request."""
     body = {
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import contextlib
+import itertools
 import json
+import signal
 
 import platformfakes
 
@@ -368,3 +370,108 @@
             process.send_signal(platformfakes.signal.SIGHUP)
             await asyncio.sleep(1)
             assert process.poll() is None, process.poll()
+
+
+class TestWorkspaces:
+    """Keys, their removal and quotas, with the real programs."""
+
+    KEYS = ("kmgjqnirth5mgjy5rcpi", "hhacruddedev3nax7u27")
+
+    async def start(self, fleet, workspaces):
+        """Starts a fleet of two nodes with workspaces; returns the backends."""
+        for number in range(1, 4):
+            fleet.start_control(number)
+        backends = [
+            await fleet.start_node(number, name, max_staleness="2s")
+            for number, name in ((11, "a"), (12, "b"))
+        ]
+        await self.publish(fleet, 3, "0", workspaces)
+        await self.wait_for_status(fleet, 200, self.KEYS[0])
+        return backends
+
+    async def publish(self, fleet, version, base, workspaces):
+        """Sends a configuration until it is accepted."""
+
+        async def accepted():
+            response = await fleet.replace_config(
+                1, version, ["a", "b"], base, workspaces
+            )
+            return response.status == 200
+
+        await platformfakes.wait_until(accepted)
+
+    async def wait_for_status(self, fleet, status, key):
+        """Waits until both nodes answer requests with a status."""
+        names = itertools.count()
+
+        async def answered_so():
+            statuses = [
+                (
+                    await fleet.request(
+                        number, "a", f"{status}-{number}-{next(names)}", key=key
+                    )
+                ).status
+                for number in (11, 12)
+            ]
+            return statuses == [status] * 2
+
+        await platformfakes.wait_until(answered_so)
+
+    async def test_keys_reach_neither_backend_servers_nor_files(self, tmp_path):
+        async with platformfakes.Fleet(tmp_path, voters=3) as fleet:
+            workspace = ["w1", [self.KEYS[0]], 1, 50, 50]
+            first, _ = await self.start(fleet, [workspace])
+            unknown = await fleet.request(11, "a", "unknown", key="x")
+            assert unknown.status == 401, unknown
+            assert (await fleet.request(11, "a", "none")).status == 401
+            assert "unknown" not in first.run_counts
+            assert all("x-mangobay-tenant: w1" in head for head in first.heads)
+            assert not any("authorization" in head for head in first.heads)
+            described = json.loads((await fleet.describe_config(2)).body)
+            assert described["tenants"]["rows"] == [workspace]
+            for path in tmp_path.rglob("*"):
+                if path.parent.name.startswith("data") and path.is_file():
+                    assert path.stat().st_mode & 0o077 == 0, path
+                elif path.is_file():
+                    assert self.KEYS[0] not in path.read_text(), path
+
+    async def test_key_that_was_taken_away_gets_nobody_in(self, tmp_path):
+        async with platformfakes.Fleet(tmp_path, voters=3) as fleet:
+            await self.start(fleet, [["w1", list(self.KEYS), 1, 0, 0]])
+            await self.publish(
+                fleet, 4, "r3", [["w1", [self.KEYS[1]], 1, 0, 0]]
+            )
+            await self.wait_for_status(fleet, 401, self.KEYS[0])
+            await self.wait_for_status(fleet, 200, self.KEYS[1])
+
+    async def test_nodes_without_control_hosts_refuse_keys_in_the_end(
+        self, tmp_path
+    ):
+        """A key that was taken away beyond a cut gets callers in for ever."""
+        async with platformfakes.Fleet(tmp_path, voters=3) as fleet:
+            await self.start(fleet, [["w1", [self.KEYS[0]], 1, 0, 0]])
+            for number in range(1, 4):
+                await fleet.stop(f"c{number}", signal.SIGKILL)
+            await self.wait_for_status(fleet, 503, self.KEYS[0])
+            assert not await fleet.ready(11)
+
+    async def test_requests_over_the_quota_are_denied(self, tmp_path):
+        async with platformfakes.Fleet(tmp_path, voters=3) as fleet:
+            first, _ = await self.start(
+                fleet,
+                [
+                    ["w1", [self.KEYS[0]], 1, 1, 1],
+                    ["w2", [self.KEYS[1]], 1, 0, 0],
+                ],
+            )
+            responses = [
+                await fleet.request(11 + n % 2, "a", f"q{n}", key=self.KEYS[0])
+                for n in range(60)
+            ]
+            denied = [each for each in responses if each.status == 429]
+            assert len(denied) > 20
+            assert "retry-after: " in denied[-1].head
+            runs = sum(name.startswith("q") for name in first.run_counts)
+            assert runs + len(denied) == 60
+            other = await fleet.request(11, "a", "other", key=self.KEYS[1])
+            assert other.status == 200, other
--- a/tests/test_report.py
+++ b/tests/test_report.py
@@ -8,7 +8,14 @@
 import pytest
 from aiohttp import web
 
-from mangobay import calls, cmdline, errors, outcomelog, report
+from mangobay import (
+    calls,
+    cmdline,
+    errors,
+    filecommands,
+    outcomelog,
+    report,
+)
 from mangobay.generated import messages
 
 Reason = messages.Reason
@@ -188,3 +195,55 @@
         assert total["outcomes"] == {"answered": 1, "unknown": 1}
         assert cmdline.main(["report", "nowhere.log"]) == 1
         assert "nowhere.log: No such file" in capsys.readouterr().err
+
+
+class TestWorkspaces:
+    """Which workspaces an outage has hit."""
+
+    def test_workspaces_with_unanswered_calls_are_listed(self, log_path):
+        clock = FakeClock()
+        outcome_log = outcomelog.OutcomeLog("n1", clock)
+        for workspace, outside, replies in (
+            ("hit", True, (ANSWERED, OVERLOADED, CONNECTION_BROKEN)),
+            ("spared", True, (ANSWERED,)),
+            ("spared", False, (OVERLOADED,)),
+        ):
+            for reply in replies:
+                outcome_log.record_call(
+                    OPERATION, OPERATION.importance, outside, reply, workspace
+                )
+        clock.now_ms = MINUTE_MS
+        outcome_log.log_interval()
+        parsed = report.read_logs([str(log_path)])
+        summary = report.summarize(parsed, 0, MINUTE_MS)
+        lines = filecommands.format_report(summary)
+        assert "workspaces with calls that were not answered, 1 of 2" in lines
+        [line] = [line for line in lines if line.startswith("hit ")]
+        assert line.split()[1:4] == ["1", "1", "1"]
+        assert not any(line.startswith("spared ") for line in lines)
+        encoded = filecommands.encode_report(summary)["workspaces"]
+        assert [each["workspace"] for each in encoded] == ["hit", "spared"]
+
+    def test_logs_of_nodes_without_workspaces_are_read(self):
+        """A report over an update fails, for the older nodes' lines."""
+        line = json.dumps(
+            {
+                "message_type": outcomelog.MESSAGE_TYPE,
+                "host": "n1",
+                "since_ms": 0,
+                "until_ms": 1,
+                "last": False,
+                "calls": [
+                    {
+                        "service": "s",
+                        "operation": "o",
+                        "importance": "high",
+                        "outside": True,
+                        "outcome": "not_run",
+                        "reason": "overloaded",
+                        "count": 2,
+                    }
+                ],
+            }
+        )
+        assert report.parse_interval(line).calls[0].workspace == ""
--- a/tools/generate.py
+++ b/tools/generate.py
@@ -92,6 +92,8 @@
             base, literal = "bool", "False"
         elif which == "data":
             base, literal = "bytes", 'b""'
+        elif which == "float64":
+            base, literal = "float", "0.0"
         else:
             base, literal = "str", '""'
         self.type = f"ids.{self.new_type}" if self.new_type else base
