--- a/mangobay/quotaclient.py
+++ b/mangobay/quotaclient.py
@@ -15,10 +15,10 @@
 
 Outcome = messages.TokenOutcome
 
-REPLY_TIMEOUT_SECONDS = 0.15
+REPLY_TIMEOUT_SECONDS = 0.08
 """Seconds to wait for one control host; a sound one replies within a few
 milliseconds, and the request waits meanwhile."""
-SUSPECT_SECONDS = 0.3
+SUSPECT_SECONDS = 1.0
 """Seconds for which a control host that did not reply is not asked first."""
 RETRY_DELAY_SECONDS = 0.05
 """Seconds between two rounds while no control host can grant anything."""
