--- a/bench/fleet/days.py
+++ b/bench/fleet/days.py
@@ -1,4 +1,4 @@
-"""Days that the model plays: three graphs of calls, several troubles."""
+"""Days that the model plays: four graphs of calls, several troubles."""
 
 from bench.fleet import deployments
 
@@ -160,6 +160,112 @@
     ),
 )
 
+BULLETINS = (
+    Service(name="archive", speeds=(0.7, 0.7, 1.6) * 2 + (1.0,), slots=54),
+    Service(
+        name="subscriptions",
+        speeds=(0.5, 1.0, 1.0, 1.5) * 2 + (0.5, 1.0, 1.5),
+        slots=54,
+    ),
+    Service(name="notices", speeds=(0.6, 1.0, 1.0, 1.4), slots=80),
+    Service(
+        name="audience",
+        speeds=(0.6, 1.0, 1.4),
+        slots=63,
+        queue=243,
+        knee=0.95,
+        knee_factor=1.3,
+    ),
+)
+"""A third of a deployment of 71 hosts; the last service is the narrow one."""
+BULLETIN_KINDS = (
+    Kind(
+        name="lookup",
+        service="archive",
+        rate=95,
+        work=0.36,
+        spread=0.8,
+        target=2.0,
+        deadline=5.0,
+        timeout=2.0,
+        priority=2,
+        worth=1,
+        late=0.5,
+        calls=(("status", 2),),
+    ),
+    Kind(
+        name="booking",
+        service="subscriptions",
+        rate=105,
+        work=0.47,
+        spread=0.3,
+        target=2.5,
+        deadline=5.0,
+        timeout=2.5,
+        priority=0,
+        worth=3,
+        late=1,
+        idempotent=False,
+        calls=(("slot", 2),),
+    ),
+    Kind(
+        name="notice",
+        service="notices",
+        rate=32.5,
+        work=0.25,
+        spread=0.8,
+        target=0.8,
+        deadline=3.0,
+        timeout=1.5,
+        priority=0,
+        worth=3,
+        late=1.5,
+        idempotent=False,
+    ),
+    Kind(
+        name="count",
+        service="audience",
+        rate=74.7,
+        work=0.14,
+        spread=0.3,
+        target=0.4,
+        deadline=1.5,
+        timeout=0.8,
+        priority=1,
+        worth=2,
+        late=1,
+    ),
+    Kind(
+        name="status",
+        service="subscriptions",
+        work=0.015,
+        target=1.0,
+        deadline=2.5,
+        timeout=2.5,
+        priority=1,
+        calls=(("slot", 1),),
+    ),
+    Kind(
+        name="slot",
+        service="notices",
+        work=0.015,
+        target=0.8,
+        deadline=2.0,
+        timeout=2.0,
+        priority=1,
+        calls=(("opens", 4),),
+    ),
+    Kind(
+        name="opens",
+        service="audience",
+        work=0.091,
+        target=0.3,
+        deadline=0.7,
+        timeout=0.7,
+        priority=1,
+    ),
+)
+
 
 def day(services, kinds, name, load, *events, seconds=24.0):
     """Returns a day."""
@@ -183,6 +289,11 @@
     return day(SHOPS, SHOP_KINDS, name, load, *events, **more)
 
 
+def bulletins(name, load, *events, **more):
+    """Returns a day of the bulletins: three hops, eight calls at the last."""
+    return day(BULLETINS, BULLETIN_KINDS, name, load, *events, **more)
+
+
 def event(kind, at, seconds, strength=1.0, service="", hosts=0):
     """Returns a trouble."""
     return Event(
@@ -220,6 +331,13 @@
             event(Trouble.LOST, 4.0, 6.0, 0.3, service="roster", hosts=2),
             event(Trouble.LOST, 4.0, 6.0, 0.3, service="documents", hosts=2),
         ),
+        bulletins("bulletins-calm", 0.7, seconds=12.0),
+        bulletins(
+            "bulletins-burst",
+            1.0,
+            event(Trouble.BURST, 1.0, 14.0, 1.7),
+            seconds=18.0,
+        ),
         shops("shops-burst", 0.9, event(Trouble.BURST, 3.0, 10.0, 1.8)),
         shops(
             "shops-grey",
