Refusals of child calls are told to their run on routes

Now a run is told, and an operation's threshold is learned in steps such that a tenth of the admitted calls is refused below: refusals raise it, calls that were not refused for room lower it, and refusals of calls admitted before it rose change nothing.

--- a/mangobay/downstream.py
+++ b/mangobay/downstream.py
@@ -15,24 +15,39 @@
 because of it."""
 SHARE_WEIGHT = 0.1
 """Weight of the newest call in that share."""
+MAX_REFUSED_SHARE = 0.1
+"""Share of the admitted calls that may be refused downstream."""
+LOWERING_STEP = 1.5
+"""Levels by which a call that was not refused lowers the threshold."""
+LOWERING_GROWTH = 1.1
+"""Growth of this step from call to call until the next refusal, so that the end
+of an overload is found soon."""
+RAISING_STEP = LOWERING_STEP * (1 - MAX_REFUSED_SHARE) / MAX_REFUSED_SHARE
+"""Levels by which a refusal raises the threshold."""
 
 
 class DownstreamTracker:
     """Tracks the threshold of the services that one operation calls.
 
+    A call with a refused child call raises the threshold and any other call
+    with child calls lowers it, by steps of such sizes that about
+    MAX_REFUSED_SHARE of the admitted calls are refused downstream. The thresholds of single downstream hosts
+    rise and fall within a second, and a call with several child calls meets
+    the highest of them.
+
     Attributes:
-      reopen_time: seconds in which the threshold decays.
-      reported_threshold: the threshold that last refused a child call,
-        lowered by calls below it that succeeded.
-      reported_at: loop time of that refusal.
-      child_call_share: share of the calls below the threshold that made child
-        calls.
+      reopen_time: seconds without a call after which the threshold has decayed.
+      learned_threshold: the threshold after the last call.
+      lowering_step: levels by which the next call may lower it.
+      observed_at: loop time of the last call.
+      child_call_share: share of the calls that made child calls.
     """
 
     def __init__(self, reopen_time: float):
         self.reopen_time = reopen_time
-        self.reported_threshold = levels.ADMIT_ALL
-        self.reported_at = 0.0
+        self.learned_threshold = 0.0
+        self.lowering_step = LOWERING_STEP
+        self.observed_at = 0.0
         self.child_call_share = 0.0
 
     def observe(
@@ -50,38 +65,54 @@
           downstream_threshold: threshold that refused its child call, or
             ADMIT_ALL.
           made_child_call: whether it made a child call.
-          ok: whether it got a complete response.
+          ok: whether it succeeded. A call whose child calls failed for another
+            reason than a lack of room counts as admitted downstream.
           now: loop time.
         """
-        if downstream_threshold:
-            self.reported_threshold = downstream_threshold
-            self.reported_at = now
-        if level >= self.reported_threshold:
+        if not ok and not downstream_threshold and not made_child_call:
             return
         self.child_call_share += (
             (1.0 if made_child_call else 0.0) - self.child_call_share
         ) * SHARE_WEIGHT
-        if made_child_call and ok and not downstream_threshold:
-            self.reported_threshold = (self.reported_threshold + level) // 2
+        if not made_child_call:
+            return
+        self.learned_threshold = self.threshold_at(now)
+        self.observed_at = now
+        if downstream_threshold and level < self.learned_threshold:
+            # Admitted before the threshold rose. If each of these raised it
+            # further, the calls in flight would raise it far too high.
+            return
+        if downstream_threshold:
+            lowest = level - level % levels.LEVELS_PER_IMPORTANCE
+            self.learned_threshold = min(
+                max(self.learned_threshold, lowest) + RAISING_STEP,
+                levels.MAX_THRESHOLD,
+            )
+            self.lowering_step = LOWERING_STEP
+            return
+        self.learned_threshold = max(
+            self.learned_threshold - self.lowering_step, 0.0
+        )
+        self.lowering_step *= LOWERING_GROWTH
+
+    def threshold_at(self, now: float) -> float:
+        """Returns the threshold, decayed since the last call."""
+        elapsed = (now - self.observed_at) / self.reopen_time
+        if elapsed >= 1.0:
+            return 0.0
+        return self.learned_threshold * (
+            1.0 - elapsed**levels.REMOTE_DECAY_POWER
+        )
 
     def threshold(self, now: float) -> int:
         """Returns the lowest level that is not refused downstream.
 
-        It decays, so that a few calls go through and find out whether the
-        downstream services still refuse them.
+        It decays without calls, so that a few go through and find out whether
+        the downstream services still refuse them.
         """
-        if (
-            not self.reported_threshold
-            or self.child_call_share < MIN_CHILD_CALL_SHARE
-        ):
+        if self.child_call_share < MIN_CHILD_CALL_SHARE:
             return levels.ADMIT_ALL
-        threshold = min(self.reported_threshold, levels.MAX_THRESHOLD)
-        return levels.decayed_threshold(
-            threshold,
-            now - self.reported_at,
-            self.reopen_time,
-            levels.REMOTE_DECAY_POWER,
-        )
+        return int(self.threshold_at(now))
 
 
 class DownstreamTrackers:
--- a/mangobay/gateway.py
+++ b/mangobay/gateway.py
@@ -282,6 +282,10 @@
             now = loop.time()
             if parent is not None:
                 parent.running_call.child_ended(now)
+                if reply.reason in calls.THRESHOLD_REFUSALS:
+                    parent.running_call.child_refused(
+                        max(reply.threshold, reply.below)
+                    )
             seconds = now - started_at
             self.metrics.record_call(call.operation, reply, seconds)
             if not execution.is_success(reply):
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -178,6 +178,27 @@
         }
         assert importances == {messages.Importance.HIGH}
 
+    async def test_refusal_of_a_child_call_is_told_to_its_run(self):
+        """Runs that end in vain are admitted again and again."""
+        harness = GatewayHarness()
+        refusal = calls.not_run_reply(messages.Reason.OVERLOADED)
+        refusal.threshold = 300
+
+        async def refuse(request):
+            return refusal
+
+        harness.dispatcher.handle = refuse
+        running_call = retryallowance.RunningCall(
+            retryallowance.RetryAllowance(0)
+        )
+        harness.parents["a"] = calls.Parent(
+            call=messages.Call(importance=NORMAL, tree="t"),
+            deadline=0.0,
+            running_call=running_call,
+        )
+        assert await harness.call("a.0") == 503
+        assert running_call.downstream_threshold == 300
+
     async def test_critical_requests_complete_while_downstream_is_full(self):
         """Bookings fail half-way while the downstream service serves others.
 
