Nodes log and count what a backend server says about itself

The log and the metrics of a node could not tell whether a limit that a backend server named had been read, kept or forgotten, nor how many requests the node sent. Both headers are parsed now, changes are logged, and two gauges show the limit and the requests sent. Nothing acts on them yet.

--- a/bench/fleet/world.py
+++ b/bench/fleet/world.py
@@ -36,6 +36,8 @@
         deadline=DEADLINE,
         signature="Signature",
         not_run="Not-Run",
+        rate_limit="Rate-Limit",
+        leaving="Leaving",
         private=frozenset(),
     ),
     caller_service="Caller",
--- a/mangobay/backend.py
+++ b/mangobay/backend.py
@@ -54,6 +54,24 @@
     abort_at: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ServerState:
+    """What a backend server says about itself in a response.
+
+    Attributes:
+      rate_limit: Requests per second that it accepts from all hosts together,
+        None if it names no limit.
+      leaving: Whether it is shutting down.
+    """
+
+    rate_limit: float | None = None
+    leaving: bool = False
+
+
+NORMAL_STATE = ServerState()
+"""The state of a backend server that names no limit and is not leaving."""
+
+
 @dataclasses.dataclass(slots=True, kw_only=True)
 class Response:
     """A complete response of a backend server.
@@ -61,6 +79,8 @@
     Attributes:
       seconds: Time from sending the request to the complete response.
       shed: Whether the backend server says that it did not run the request.
+      server_state: What the backend server says about itself, None if that
+        cannot be told from the response.
     """
 
     status: int
@@ -68,3 +88,4 @@
     body: bytes
     seconds: float
     shed: bool
+    server_state: ServerState | None = None
--- a/mangobay/execution.py
+++ b/mangobay/execution.py
@@ -30,6 +30,8 @@
 completes, its response is kept for a repeat with the same key.
 """
 FIRST_SERVER_ERROR_STATUS = 500
+MISDIRECTED_STATUS = 421
+"""Status of a response by another backend server than the called one."""
 
 Outcome = messages.Outcome
 Reason = messages.Reason
@@ -77,6 +79,7 @@
         calls.
       unkeyed_tasks: tasks of non-idempotent calls without a key.
       open_calls: number of calls without a reply yet.
+      sent_count: number of requests sent to the backend server.
       remote_traffic: bytes that child calls transfer to other data centres.
     """
 
@@ -96,6 +99,7 @@
         self.parents: dict[ids.CallId, calls.Parent] = {}
         self.unkeyed_tasks: set[asyncio.Task] = set()
         self.open_calls = 0
+        self.sent_count = 0
         self.remote_traffic = remotetraffic.RemoteTraffic()
 
     @property
@@ -327,6 +331,13 @@
                 logs.Component.CALL, "invariant check failed", why=str(error)
             )
             return calls.unknown_reply(Reason.INTERNAL)
+        finally:
+            self.sent_count += attempt.sent
+        if (
+            response.server_state is not None
+            and response.status != MISDIRECTED_STATUS
+        ):
+            local_service.observe_state(response.server_state)
         return self.reply_of(response, running_call)
 
     def reply_of(
--- a/mangobay/leanclient.py
+++ b/mangobay/leanclient.py
@@ -9,6 +9,7 @@
 import collections
 import collections.abc
 import dataclasses
+import math
 
 from mangobay import (
     backend,
@@ -17,6 +18,7 @@
     httpparse,
     ids,
     leanhttp,
+    logs,
     options,
 )
 from mangobay.generated import messages
@@ -37,6 +39,8 @@
       deadline: milliseconds left for the response, in requests.
       signature: present in complete responses of a backend server.
       not_run: present in responses to requests that were not run.
+      rate_limit: requests per second that the backend server accepts.
+      leaving: "1" in responses of a backend server that is shutting down.
       private: lower-case names of response headers that callers do not get.
     """
 
@@ -44,6 +48,8 @@
     deadline: str
     signature: str
     not_run: str
+    rate_limit: str
+    leaving: str
     private: frozenset[str]
 
 
@@ -175,6 +181,7 @@
             body=b"" if self.head_only else message.body,
             seconds=now - pending.started_at,
             shed=self.header_names.not_run in message.headers,
+            server_state=parse_server_state(message, self.header_names),
         )
         if not pending.future.done():
             pending.future.set_result(response)
@@ -400,6 +407,41 @@
         self.idle_connections.clear()
 
 
+def parse_server_state(
+    message: httpparse.Message, names: BackendHeaderNames
+) -> backend.ServerState | None:
+    """Returns what a backend server says about itself, None if invalid."""
+    rate_limit = message.headers.get(names.rate_limit)
+    leaving = message.headers.get(names.leaving)
+    if rate_limit is None and leaving is None:
+        return backend.NORMAL_STATE
+    try:
+        return backend.ServerState(
+            rate_limit=parse_rate_limit(rate_limit), leaving=leaving == "1"
+        )
+    except ValueError as error:
+        logs.log_event(
+            logs.Component.NODE,
+            "state of the backend server ignored",
+            why=str(error),
+        )
+        return None
+
+
+def parse_rate_limit(value: str | None) -> float | None:
+    """Parses a rate limit.
+
+    Raises:
+      ValueError: the value is no number, negative or not finite.
+    """
+    if value is None:
+        return None
+    rate_limit = float(value)
+    if not math.isfinite(rate_limit) or rate_limit < 0:
+        raise ValueError(f"{value!r} is no rate limit")
+    return rate_limit
+
+
 def fail_with_timeout(future: asyncio.Future) -> None:
     """Fails a request that has no response yet."""
     if not future.done():
--- a/mangobay/nodegauges.py
+++ b/mangobay/nodegauges.py
@@ -34,6 +34,24 @@
                 service.admission.limit for service in services.values()
             ),
         ),
+        metrics.Gauge(
+            name="backend_requests",
+            help="Requests sent to the backend server here since the start.",
+            read_value=lambda: node.executor.sent_count,
+        ),
+        metrics.Gauge(
+            name="announced_rate_limit",
+            help="Requests per second that the backend server here accepts "
+            "by its last response, -1 without a limit.",
+            read_value=lambda: min(
+                (
+                    service.server_state.rate_limit
+                    for service in services.values()
+                    if service.server_state.rate_limit is not None
+                ),
+                default=-1,
+            ),
+        ),
         metrics.Gauge(
             name="threshold",
             help="Highest level below which calls are refused here.",
--- a/tests/test_leanclient.py
+++ b/tests/test_leanclient.py
@@ -14,6 +14,8 @@
     deadline="Left-Ms",
     signature="Signature",
     not_run="Not-Run",
+    rate_limit="Rate-Limit",
+    leaving="Leaving",
     private=frozenset({"load"}),
 )
 
@@ -190,6 +192,31 @@
             assert (await server.send()).shed
 
 
+class TestServerState:
+    """What backend servers say about themselves in responses."""
+
+    @pytest.mark.parametrize(
+        "extra, state",
+        [
+            (b"", backend.NORMAL_STATE),
+            (b"Rate-Limit: 19.4\r\n", backend.ServerState(rate_limit=19.4)),
+            (b"Rate-Limit: 0\r\n", backend.ServerState(rate_limit=0.0)),
+            (b"Leaving: 1\r\n", backend.ServerState(leaving=True)),
+            (b"Leaving: 0\r\n", backend.NORMAL_STATE),
+            (b"Rate-Limit: many\r\n", None),
+            (b"Rate-Limit: nan\r\n", None),
+            (b"Rate-Limit: inf\r\n", None),
+            (b"Rate-Limit: -1\r\n", None),
+        ],
+    )
+    async def test_state_is_parsed(self, extra, state):
+        async with ScriptedBackendServer(
+            [response_bytes(extra=extra)]
+        ) as server:
+            response = await server.send()
+        assert response.server_state == state
+
+
 class TestConnections:
     """Reuse, failure and closing of connections."""
 
