Failing tests: servers get more than they announced, and requests while leaving

Run on the code before the fix: - a server that announces 2 requests a second got 5344 in 4 s (17 allowed); - after a restart of the node beside it, 120 in 4 s; - a server that says that it is leaving got 2618 requests later than 2 s, and 1954 after a restart of its node.

--- a/tests/platformfakes.py
+++ b/tests/platformfakes.py
@@ -13,6 +13,7 @@
 import signal
 import subprocess
 import sys
+import typing
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 PEER, OUTSIDE, READY, HEARTBEATS, OPERATOR, BACKEND = range(7620, 7626)
@@ -163,6 +164,13 @@
     }
 
 
+class Arrival(typing.NamedTuple):
+    """A request that reached a backend server, at a loop time."""
+
+    at: float
+    attempt_id: str
+
+
 class BackendServer:
     """Responds to each request after a delay; counts runs by attempt id."""
 
@@ -173,6 +181,8 @@
         self.run_counts = {}
         self.deadlines_ms = {}
         self.heads = []
+        self.arrivals = []
+        self.extra_headers = b""
         self.sequence = 0
         self.state = "ready"
         self.heartbeat_task = None
@@ -202,6 +212,9 @@
                 head = (await reader.readuntil(b"\r\n\r\n")).decode().lower()
                 attempt_id = head.partition("attempt-id: ")[2].split()[0]
                 self.heads.append(head)
+                self.arrivals.append(
+                    Arrival(asyncio.get_running_loop().time(), attempt_id)
+                )
                 self.run_counts[attempt_id] = (
                     self.run_counts.get(attempt_id, 0) + 1
                 )
@@ -212,7 +225,8 @@
                     b"HTTP/1.1 200 OK\r\nX-Mangobay-Attempt-Id: "
                     + attempt_id.encode()
                     + b"\r\nX-Mangobay-Response-Signature: s\r\n"
-                    b"Content-Length: 5\r\n\r\nhello"
+                    + self.extra_headers
+                    + b"Content-Length: 5\r\n\r\nhello"
                 )
         except (asyncio.IncompleteReadError, ConnectionError):
             writer.close()
--- /dev/null
+++ b/tests/test_serverstate.py
@@ -0,0 +1,165 @@
+"""What backend servers announce in their responses, with the real programs."""
+
+import asyncio
+import contextlib
+import itertools
+
+import platformfakes
+
+RATE = 2.0
+LIMIT_HEADER = f"Server-Limit: {RATE}\r\n".encode()
+LEAVING_HEADER = b"Server-Leaving: 1\r\n"
+WINDOW_SECONDS = 4.0
+ALLOWED_IN_WINDOW = 1.5 * RATE * WINDOW_SECONDS + 5
+"""Requests that may arrive within a window at the announced rate."""
+STABLE_SECONDS = 3.0
+"""Seconds after the first announcement in which the rate may be exceeded."""
+DRAIN_SECONDS = 2.0
+"""Seconds after the announcement in which a leaving server gets requests."""
+CALLER_COUNT = 30
+CALLER_TIMEOUT_MS = 1500
+SERVICES = ["a", "b"]
+
+
+@contextlib.asynccontextmanager
+async def serving_fleet(folder):
+    """Gives a fleet whose only host of `b`, n12, is called through n11."""
+    async with platformfakes.Fleet(folder, seeds=1, voters=1) as fleet:
+        fleet.start_control(1)
+        await fleet.start_node(11, "a")
+        backend = await fleet.start_node(12, "b")
+
+        async def is_configured():
+            response = await fleet.replace_config(1, 1, SERVICES, "0")
+            return response.status == 200
+
+        await platformfakes.wait_until(is_configured)
+        await wait_until_served(fleet, "first")
+        yield fleet, backend
+
+
+async def wait_until_served(fleet, prefix):
+    """Waits until a request through n11 is answered by `b`."""
+    numbers = itertools.count()
+
+    async def is_served():
+        name = f"{prefix}-{next(numbers)}"
+        return (await fleet.request(11, "b", name)).status == 200
+
+    await platformfakes.wait_until(is_served)
+
+
+@contextlib.asynccontextmanager
+async def callers(fleet, *hosts):
+    """Runs callers that send request after request through the hosts."""
+
+    async def call(host, caller):
+        for number in itertools.count():
+            name = f"n{host}-{caller}-{number}"
+            await fleet.request(host, "b", name, CALLER_TIMEOUT_MS)
+            await asyncio.sleep(0.02)
+
+    tasks = [
+        asyncio.create_task(call(host, caller))
+        for host in hosts
+        for caller in range(CALLER_COUNT)
+    ]
+    try:
+        yield
+    finally:
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+
+def arrivals_after(backend, time, prefix=""):
+    """Returns the times of requests that arrived after a loop time."""
+    return [
+        arrival.at
+        for arrival in backend.arrivals
+        if arrival.at > time and arrival.attempt_id.startswith(prefix)
+    ]
+
+
+def most_in_window(times):
+    """Returns the largest number of arrivals within a window."""
+    return max(
+        (
+            sum(start <= time < start + WINDOW_SECONDS for time in times)
+            for start in times
+        ),
+        default=0,
+    )
+
+
+class TestRateLimit:
+    """Requests per second that a backend server accepts."""
+
+    async def test_callers_of_all_hosts_together_stay_within_the_rate(
+        self, tmp_path
+    ):
+        """A backend server gets a multiple of the rate that it announced."""
+        async with serving_fleet(tmp_path) as (fleet, backend):
+            backend.extra_headers = LIMIT_HEADER
+            announced_at = asyncio.get_running_loop().time()
+            async with callers(fleet, 11, 12):
+                await asyncio.sleep(STABLE_SECONDS + WINDOW_SECONDS + 1)
+            times = arrivals_after(backend, announced_at + STABLE_SECONDS)
+        assert 0 < most_in_window(times) <= ALLOWED_IN_WINDOW
+
+    async def test_a_restarted_node_stays_within_the_rate(self, tmp_path):
+        """A node forgets the rate and sends a burst until the next response."""
+        async with serving_fleet(tmp_path) as (fleet, backend):
+            backend.extra_headers = LIMIT_HEADER
+            await wait_until_served(fleet, "announced")
+            await asyncio.sleep(STABLE_SECONDS)
+            await fleet.stop("n12", platformfakes.signal.SIGKILL)
+            backend.delay_seconds = 1.0
+            restarted_at = asyncio.get_running_loop().time()
+            fleet.restart("n12", "node")
+            async with callers(fleet, 11):
+                await asyncio.sleep(WINDOW_SECONDS + 2)
+            times = arrivals_after(backend, restarted_at, "n11")
+        assert 0 < most_in_window(times) <= ALLOWED_IN_WINDOW
+
+    async def test_the_rate_ends_with_the_announcement(self, tmp_path):
+        """Callers are refused by a rate that is no longer announced."""
+        async with serving_fleet(tmp_path) as (fleet, backend):
+            backend.extra_headers = LIMIT_HEADER
+            async with callers(fleet, 11):
+                await asyncio.sleep(STABLE_SECONDS)
+                backend.extra_headers = b""
+                await asyncio.sleep(2.0)
+                lifted_at = asyncio.get_running_loop().time()
+                await asyncio.sleep(2.0)
+            times = arrivals_after(backend, lifted_at)
+        assert len(times) > 10 * RATE
+
+
+class TestLeaving:
+    """A backend server that says in its responses that it is leaving."""
+
+    async def test_a_leaving_server_gets_no_requests(self, tmp_path):
+        """Requests reach a server long after it said that it is leaving."""
+        async with serving_fleet(tmp_path) as (fleet, backend):
+            backend.extra_headers = LEAVING_HEADER
+            async with callers(fleet, 11, 12):
+                announced_at = asyncio.get_running_loop().time()
+                await asyncio.sleep(DRAIN_SECONDS + 2)
+            late = arrivals_after(backend, announced_at + DRAIN_SECONDS)
+        assert len(late) == 0
+
+    async def test_a_restarted_node_sends_nothing_to_a_leaving_server(
+        self, tmp_path
+    ):
+        """A late heartbeat puts a server that is leaving back in use."""
+        async with serving_fleet(tmp_path) as (fleet, backend):
+            backend.extra_headers = LEAVING_HEADER
+            await wait_until_served(fleet, "announced")
+            announced_at = asyncio.get_running_loop().time()
+            await fleet.stop("n12", platformfakes.signal.SIGKILL)
+            fleet.restart("n12", "node")
+            async with callers(fleet, 11):
+                await asyncio.sleep(DRAIN_SECONDS + 3)
+            late = arrivals_after(backend, announced_at + DRAIN_SECONDS, "n11")
+        assert len(late) == 0
