The limit that a backend server announces bounds the calls that start

Its callers got late answers and failures from a server that had asked to be spared.

Cause: the header was passed on to callers like any other. Admission bounds how many calls run at once, never how many start in a second, so a server whose slots are free gets whatever comes.

Change: the node beside the backend server is the only way to it, so one token bucket there counts the requests of all hosts. It starts empty, holds half a second of the rate and takes a token for each call that starts; calls wait for it in the queue that they wait for slots in, the important ones first. The limit ends with the first response without it whose request was sent after it was last named. A limit near 0 lets one call in four seconds start, since only a response can end it. Other nodes are told the concurrency that the rate implies, so they spill over as from a full host, and a node no longer prefers its own backend server while the rate is used up.

Why it works: within any 4 s at most 4.5 s of the rate start, or 4 s and one request; allowed are 6 s and 5.

--- a/mangobay/admission.py
+++ b/mangobay/admission.py
@@ -25,6 +25,7 @@
     levels,
     limiter,
     overload,
+    ratelimit,
 )
 from mangobay.generated import messages, settings
 
@@ -139,6 +140,9 @@
       service_times: estimated service times by operation.
       running: calls that run now.
       completion_interval: mean interval between responses.
+      run_seconds: mean time of a call at the backend server.
+      rate_limiter: limits the calls that start per second.
+      rate_timer: admits waiting calls once the rate allows it.
     """
 
     def __init__(
@@ -168,6 +172,9 @@
         self.service_times = collections.defaultdict(estimates.ServiceTime)
         self.running = 0
         self.completion_interval = estimates.CompletionInterval()
+        self.run_seconds = estimates.MeanTime()
+        self.rate_limiter = ratelimit.RateLimiter()
+        self.rate_timer: asyncio.TimerHandle | None = None
 
     @property
     def threshold(self) -> int:
@@ -189,6 +196,28 @@
         """Calls that may run at once."""
         return min(self.limiter.limit, self.knee.limit)
 
+    @property
+    def capacity(self) -> int:
+        """Calls that run at once at the limits of concurrency and rate."""
+        return self.rate_limiter.concurrency(
+            self.run_seconds.seconds, self.limit
+        )
+
+    def has_room(self) -> bool:
+        """Returns whether a call would be admitted at once."""
+        now = asyncio.get_running_loop().time()
+        return not self.queue.length and self.may_start(now)
+
+    def may_start(self, now: float) -> bool:
+        """Returns whether a call may start at the backend server."""
+        return self.running < self.limit and self.rate_limiter.allows(now)
+
+    def set_rate_limit(self, rate: float | None) -> None:
+        """Sets the calls that may start per second, None for no limit."""
+        now = asyncio.get_running_loop().time()
+        self.rate_limiter.set_rate(rate, now)
+        self.admit_waiting(now)
+
     def set_slots(self, slots: int) -> None:
         """Sets the slots that the backend server announced."""
         self.limiter.set_slots(slots)
@@ -207,7 +236,7 @@
         now = loop.time()
         level, rank = self.classify(request, now)
         self.check_admissible(request, level, now)
-        if not self.queue.length and self.running < self.limit:
+        if not self.queue.length and self.may_start(now):
             return self.admit(request.operation, level, now, 0.0)
         waiter = self.enqueue(request, level, rank, loop)
         return await self.wait(waiter)
@@ -259,6 +288,7 @@
     ) -> Permit:
         """Takes a slot and returns its permit."""
         self.running += 1
+        self.rate_limiter.record_start(now)
         return Permit(self, operation, level, now, queue_seconds)
 
     def enqueue(
@@ -293,6 +323,7 @@
         self.queue.add(waiter)
         timeout_at = min(now + self.max_wait(request, now), latest_start)
         waiter.timer = loop.call_at(timeout_at, self.time_out, waiter)
+        self.schedule_admission(now)
         return waiter
 
     def make_room(self, level: int, rank: int) -> None:
@@ -386,6 +417,7 @@
         now: float,
     ) -> None:
         """Updates the estimates with the time of a complete response."""
+        self.run_seconds.observe(seconds)
         if not ok:
             return
         own_seconds = max(0.0, seconds - child_wait_seconds)
@@ -404,8 +436,8 @@
         self.admit_waiting(now)
 
     def admit_waiting(self, now: float) -> None:
-        """Admits waiting calls while slots are free."""
-        while self.queue.length and self.running < self.limit:
+        """Admits waiting calls while slots are free and the rate allows it."""
+        while self.queue.length and self.may_start(now):
             waiter = self.queue.pop_best()
             waiter.timer.cancel()
             if waiter.future.done():
@@ -418,6 +450,24 @@
                 self.admit(waiter.operation, waiter.level, now, queue_seconds)
             )
         self.update_threshold(now)
+        self.schedule_admission(now)
+
+    def schedule_admission(self, now: float) -> None:
+        """Starts the timer if the rate limit alone delays waiting calls."""
+        if (
+            not self.queue.length
+            or self.running >= self.limit
+            or self.rate_timer is not None
+        ):
+            return
+        self.rate_timer = asyncio.get_running_loop().call_at(
+            now + self.rate_limiter.delay(now), self.admit_at_rate
+        )
+
+    def admit_at_rate(self) -> None:
+        """Admits the calls that waited for the rate limit."""
+        self.rate_timer = None
+        self.admit_waiting(asyncio.get_running_loop().time())
 
     def update_threshold(self, now: float) -> None:
         """Updates the threshold and refuses the waiting calls below it.
--- a/mangobay/dispatch.py
+++ b/mangobay/dispatch.py
@@ -216,7 +216,7 @@
             or local_service.admission.threshold
         ):
             return False
-        if local_service.admission.running >= local_service.admission.limit:
+        if not local_service.admission.has_room():
             return False
         service_hosts = self.dependencies.router.services.get(operation.service)
         known_host = service_hosts.hosts.get(host) if service_hosts else None
--- a/mangobay/estimates.py
+++ b/mangobay/estimates.py
@@ -41,6 +41,23 @@
         return self.seconds * 0.5 ** ((now - self.updated_at) / HALF_LIFE)
 
 
+class MeanTime:
+    """The mean time of calls at the backend server, failed ones included.
+
+    Attributes:
+      seconds: the mean time, 0 before the first call ended.
+    """
+
+    def __init__(self):
+        self.seconds = 0.0
+
+    def observe(self, seconds: float) -> None:
+        """Updates the mean with the time of one call."""
+        if not self.seconds:
+            self.seconds = seconds
+        self.seconds += (seconds - self.seconds) * INTERVAL_WEIGHT
+
+
 class CompletionInterval:
     """The mean interval between two responses.
 
--- a/mangobay/execution.py
+++ b/mangobay/execution.py
@@ -176,7 +176,7 @@
                 call.operation
             )
             reply.inflight = local_service.admission.load
-            reply.limit = local_service.admission.limit
+            reply.limit = local_service.admission.capacity
             now = asyncio.get_running_loop().time()
             reply.crossing = self.remote_traffic.bytes_per_run(
                 call.operation, now
@@ -333,13 +333,39 @@
             return calls.unknown_reply(Reason.INTERNAL)
         finally:
             self.sent_count += attempt.sent
-        if (
-            response.server_state is not None
-            and response.status != MISDIRECTED_STATUS
-        ):
-            local_service.observe_state(response.server_state)
+        self.observe_server_state(local_service, response)
         return self.reply_of(response, running_call)
 
+    def observe_server_state(
+        self,
+        local_service: localservices.LocalService,
+        response: backend.Response,
+    ) -> None:
+        """Acts on what a response says about the backend server."""
+        state = response.server_state
+        if state is None or response.status == MISDIRECTED_STATUS:
+            return
+        now = asyncio.get_running_loop().time()
+        sent_at = now - response.seconds
+        if local_service.server_state.observe(state, sent_at, now):
+            self.apply_server_state(local_service)
+
+    def apply_server_state(
+        self, local_service: localservices.LocalService
+    ) -> None:
+        """Applies a changed state of the backend server."""
+        state = local_service.server_state.current
+        announcement = local_service.announcement
+        logs.log_event(
+            logs.Component.NODE,
+            "backend server changes its state",
+            service=announcement.service,
+            instance=announcement.instance,
+            rate_limit=state.rate_limit,
+            leaving=state.leaving,
+        )
+        local_service.admission.set_rate_limit(state.rate_limit)
+
     def reply_of(
         self,
         response: backend.Response,
--- a/mangobay/localservices.py
+++ b/mangobay/localservices.py
@@ -6,7 +6,7 @@
 import re
 import typing
 
-from mangobay import backend, calls, ids, logs, options
+from mangobay import calls, ids, logs, options, serverstate
 from mangobay.generated import messages
 
 if typing.TYPE_CHECKING:
@@ -51,27 +51,15 @@
       announcement: The last announcement.
       renewed_at: Loop time of the last announcement.
       admission: Admission control for the calls of the service.
-      server_state: What the backend server last said in a response.
+      server_state: What the backend server says about itself.
     """
 
     announcement: Announcement
     renewed_at: float
     admission: "admission.AdmissionController"
-    server_state: backend.ServerState = backend.NORMAL_STATE
-
-    def observe_state(self, state: backend.ServerState) -> None:
-        """Records what the backend server says, and logs changes."""
-        if state == self.server_state:
-            return
-        self.server_state = state
-        logs.log_event(
-            logs.Component.NODE,
-            "backend server changes its state",
-            service=self.announcement.service,
-            instance=self.announcement.instance,
-            rate_limit=state.rate_limit,
-            leaving=state.leaving,
-        )
+    server_state: serverstate.ServerStateTracker = dataclasses.field(
+        default_factory=serverstate.ServerStateTracker
+    )
 
 
 def parse_announcement(document: typing.Any) -> Announcement:
--- /dev/null
+++ b/mangobay/serverstate.py
@@ -0,0 +1,50 @@
+"""Tracks what a backend server says about itself in its responses."""
+
+from mangobay import backend
+
+
+class ServerStateTracker:
+    """The state of one incarnation of a backend server.
+
+    Attributes:
+      current: the last known state.
+      limited_at: loop time of the last response that named a limit.
+    """
+
+    __slots__ = ("current", "limited_at")
+
+    def __init__(self):
+        self.current = backend.NORMAL_STATE
+        self.limited_at = float("-inf")
+
+    def observe(
+        self, state: backend.ServerState, sent_at: float, now: float
+    ) -> bool:
+        """Records the state in a response.
+
+        Responses may arrive out of order: a limit ends only with the response
+        to a request that was sent after the limit was last named.  Leaving is
+        final.
+
+        Args:
+          state: the state in the response.
+          sent_at: loop time at which the request was sent.
+          now: loop time.
+
+        Returns:
+          Whether the current state has changed.
+        """
+        rate_limit = state.rate_limit
+        if rate_limit is not None:
+            self.limited_at = now
+        elif sent_at < self.limited_at:
+            rate_limit = self.current.rate_limit
+        return self.update(rate_limit, state.leaving)
+
+    def update(self, rate_limit: float | None, leaving: bool) -> bool:
+        """Changes the current state; returns whether it differs."""
+        previous = self.current
+        self.current = backend.ServerState(
+            rate_limit=rate_limit, leaving=leaving or previous.leaving
+        )
+        return self.current != previous
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -307,6 +307,49 @@
         assert controller.queue.length == 0
 
 
+@pytest.mark.looptime
+class TestRateLimit:
+    """Calls that start per second at the backend server."""
+
+    async def test_waiting_calls_start_at_the_rate(self):
+        """Waiting calls start only when another one ends, and time out."""
+        controller = make_controller(slots=50, queue_time=10.0)
+        controller.set_rate_limit(10.0)
+        started_at = asyncio.get_running_loop().time()
+        tasks = await enqueue(controller, *(make_request() for _ in range(20)))
+        await asyncio.gather(*tasks)
+        seconds = asyncio.get_running_loop().time() - started_at
+        assert 1.9 <= seconds <= 2.1
+
+    async def test_important_calls_start_first(self):
+        controller = make_controller(slots=50, queue_time=10.0)
+        controller.set_rate_limit(1.0)
+        normal, critical = await enqueue(
+            controller, make_request(), make_request(CRITICAL)
+        )
+        await asyncio.wait({normal, critical}, return_when="FIRST_COMPLETED")
+        assert critical.done() and not normal.done()
+        normal.cancel()
+
+    async def test_waiting_calls_start_when_the_limit_ends(self):
+        controller = make_controller(slots=50, queue_time=10.0)
+        controller.set_rate_limit(0.1)
+        tasks = await enqueue(controller, *(make_request() for _ in range(20)))
+        controller.set_rate_limit(None)
+        await asyncio.sleep(0)
+        assert all(task.done() for task in tasks)
+
+    async def test_capacity_follows_the_rate(self):
+        """Other nodes keep sending as if only the slots were limited."""
+        controller = make_controller(slots=50)
+        for _ in range(10):
+            (await controller.acquire(make_request())).release(0.5, ok=True)
+        assert controller.capacity == 50
+        controller.set_rate_limit(10.0)
+        assert controller.capacity == 5
+        assert not controller.has_room()
+
+
 class TestRecoveryWeight:
     """The setting that trades goodput against recovery."""
 
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -165,7 +165,7 @@
         del service
         return types.SimpleNamespace(
             announcement=types.SimpleNamespace(healthy=True),
-            admission=types.SimpleNamespace(threshold=0, running=0, limit=9),
+            admission=types.SimpleNamespace(threshold=0, has_room=lambda: True),
         )
 
     async def serve(self, call):
--- a/tests/test_execution.py
+++ b/tests/test_execution.py
@@ -47,7 +47,7 @@
     reported_threshold = 400
     running = 2
     load = 2
-    limit = 7
+    limit = capacity = 7
 
     def __init__(self):
         self.permit = FakePermit()
@@ -58,6 +58,12 @@
     def set_slots(self, slots):
         pass
 
+    def set_rate_limit(self, rate):
+        self.rate_limit = rate
+
+    def refuse_all_waiting(self):
+        pass
+
     def downstream_threshold(self, operation):
         return self.reported_threshold
 
@@ -85,7 +91,11 @@
     )
     address = options.Address("127.0.0.1", 1)
     services.announce(
-        localservices.Announcement(service="stock", address=address, slots=4)
+        localservices.Announcement(
+            service="stock",
+            address=address,
+            slots=4,
+        )
     )
     return execution.CallExecutor(
         PROCESS, services, FakeBackendClient(respond), None
@@ -342,3 +352,39 @@
         executor = make_executor(respond)
         reply = await executor.serve(call())
         assert reply.called_below is bool(calls_made)
+
+
+def respond_with(state, status=200):
+    async def respond(attempt):
+        attempt.sent = True
+        return backend.Response(
+            status=status,
+            headers=[],
+            body=b"",
+            seconds=0.1,
+            shed=False,
+            server_state=state,
+        )
+
+    return respond
+
+
+@pytest.mark.looptime
+class TestServerState:
+    """What the backend server says about itself in its responses."""
+
+    LIMITED = backend.ServerState(rate_limit=19.4)
+
+    async def test_limit_is_applied(self):
+        executor = make_executor(respond_with(self.LIMITED))
+        await executor.serve(call())
+        assert (
+            executor.local_services.find("stock").admission.rate_limit == 19.4
+        )
+
+    async def test_response_of_another_server_says_nothing(self):
+        """Another server at the address sets the limit of the former one."""
+        executor = make_executor(respond_with(self.LIMITED, status=421))
+        await executor.serve(call())
+        state = executor.local_services.find("stock").server_state.current
+        assert state == backend.NORMAL_STATE
--- a/tests/test_serverstate.py
+++ b/tests/test_serverstate.py
@@ -1,4 +1,4 @@
-"""What backend servers announce in their responses, with the real programs."""
+"""What backend servers say about themselves in their responses."""
 
 import asyncio
 import contextlib
@@ -6,6 +6,8 @@
 
 import platformfakes
 
+from mangobay import backend, serverstate
+
 RATE = 2.0
 LIMIT_HEADER = f"Server-Limit: {RATE}\r\n".encode()
 LEAVING_HEADER = b"Server-Leaving: 1\r\n"
@@ -92,6 +94,29 @@
     )
 
 
+LIMITED = backend.ServerState(rate_limit=RATE)
+LEAVING = backend.ServerState(leaving=True)
+
+
+class TestTracker:
+    """The state that a node takes from responses and from other nodes."""
+
+    def test_late_response_does_not_lift_the_limit(self):
+        """A response from before the limit is read after it and lifts it."""
+        tracker = serverstate.ServerStateTracker()
+        assert tracker.observe(LIMITED, sent_at=1.0, now=2.0)
+        assert not tracker.observe(backend.NORMAL_STATE, sent_at=1.5, now=3.0)
+        assert tracker.current == LIMITED
+        assert tracker.observe(backend.NORMAL_STATE, sent_at=2.5, now=3.5)
+        assert tracker.current == backend.NORMAL_STATE
+
+    def test_leaving_is_final(self):
+        tracker = serverstate.ServerStateTracker()
+        tracker.observe(LEAVING, sent_at=1.0, now=2.0)
+        tracker.observe(backend.NORMAL_STATE, sent_at=2.5, now=3.0)
+        assert tracker.current == LEAVING
+
+
 class TestRateLimit:
     """Requests per second that a backend server accepts."""
 
