A backend server that says that it is leaving gets no more requests

What was seen: requests reach a backend server long after it has said in its answers that it leaves, and are broken off when it ends.

Cause: the header was passed on to callers and not read, as with the limit.

Change: what a response says about leaving is final for that incarnation of the backend server. The node withdraws its announcement, as when it deregisters; later or delayed heartbeats of the same incarnation do not put it back in use. An incarnation is told by its id and its start, since ids are used again.

test_a_restarted_node_sends_nothing_to_a_leaving_server was too weak: its restart came within `drain`, so that the node could learn again in time.

--- a/mangobay/execution.py
+++ b/mangobay/execution.py
@@ -42,6 +42,8 @@
 ]
 """Admits a call and runs it; awaits the argument before the first byte."""
 
+RetireBackend = collections.abc.Callable[[localservices.Announcement], None]
+
 
 class AtMostOnce(typing.Protocol):
     """Interface of `once.AtMostOnce` that execution needs."""
@@ -81,6 +83,7 @@
       open_calls: number of calls without a reply yet.
       sent_count: number of requests sent to the backend server.
       remote_traffic: bytes that child calls transfer to other data centres.
+      retire: stops using a backend server that says that it is leaving.
     """
 
     def __init__(
@@ -101,12 +104,17 @@
         self.open_calls = 0
         self.sent_count = 0
         self.remote_traffic = remotetraffic.RemoteTraffic()
+        self.retire: RetireBackend = self.withdraw
 
     @property
     def idle(self) -> bool:
         """Whether no call is in progress."""
         return not (self.open_calls or self.unkeyed_tasks or self.parents)
 
+    def withdraw(self, announcement: localservices.Announcement) -> None:
+        """Removes a service until it is announced again."""
+        self.local_services.withdraw(announcement.service)
+
     async def serve(self, call: messages.Call) -> messages.Reply:
         """Runs a call; returns its reply.
 
@@ -365,6 +373,8 @@
             leaving=state.leaving,
         )
         local_service.admission.set_rate_limit(state.rate_limit)
+        if state.leaving:
+            self.retire(announcement)
 
     def reply_of(
         self,
--- a/mangobay/heartbeats.py
+++ b/mangobay/heartbeats.py
@@ -69,7 +69,7 @@
 
     Attributes:
       last_heartbeat: Its newest heartbeat.
-      deregistered: Whether it deregistered, which is final.
+      deregistered: Whether it deregistered or was retired, which is final.
     """
 
     last_heartbeat: Heartbeat
@@ -125,6 +125,7 @@
                 address=self.address,
                 slots=heartbeat.slots,
                 instance=heartbeat.instance,
+                incarnation=incarnation_of(heartbeat),
             )
         )
         return HeartbeatResult.ACCEPTED
@@ -149,6 +150,22 @@
         current.deregistered = True
         self.withdraw(current.last_heartbeat, current)
 
+    def retire(self, announcement: localservices.Announcement) -> None:
+        """Stops using an incarnation for good, since it is leaving.
+
+        Heartbeats that it sent before, or sends all the same, don't put it
+        back in use.
+        """
+        current = self.current
+        if (
+            current is None
+            or incarnation_of(current.last_heartbeat)
+            != announcement.incarnation
+        ):
+            return
+        current.deregistered = True
+        self.withdraw(current.last_heartbeat, current)
+
     def is_newer(self, heartbeat: Heartbeat) -> bool:
         """Returns whether the heartbeat is newer than the last one."""
         if self.current is None:
@@ -179,6 +196,13 @@
         )
 
 
+def incarnation_of(heartbeat: Heartbeat) -> ids.BackendIncarnation:
+    """Returns the incarnation that sent a heartbeat."""
+    return ids.BackendIncarnation(
+        f"{heartbeat.instance}/{heartbeat.start_unix_ms}"
+    )
+
+
 def is_same_incarnation(first: Heartbeat, second: Heartbeat) -> bool:
     """Returns whether two heartbeats are of the same incarnation."""
     return (first.instance, first.start_unix_ms) == (
--- a/mangobay/ids.py
+++ b/mangobay/ids.py
@@ -33,6 +33,8 @@
 """One attempt of a caller; assigned by the caller."""
 InstanceId = typing.NewType("InstanceId", str)
 """One run of a backend server; assigned by the backend server."""
+BackendIncarnation = typing.NewType("BackendIncarnation", str)
+"""One run of a backend server; distinct even if it reuses its instance id."""
 Term = typing.NewType("Term", int)
 LogIndex = typing.NewType("LogIndex", int)
 
--- a/mangobay/localservices.py
+++ b/mangobay/localservices.py
@@ -34,6 +34,7 @@
       healthy: Whether it reports itself healthy.  The report may be late or
         wrong, so it only keeps this node from preferring its own host.
       instance: Id of its incarnation, or empty if it sent none.
+      incarnation: Its incarnation, or empty if it cannot be told.
     """
 
     service: ids.ServiceName
@@ -41,6 +42,7 @@
     slots: int
     healthy: bool = True
     instance: ids.InstanceId = ids.InstanceId("")
+    incarnation: ids.BackendIncarnation = ids.BackendIncarnation("")
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
--- a/tests/test_execution.py
+++ b/tests/test_execution.py
@@ -10,6 +10,7 @@
     errors,
     execution,
     httpheaders,
+    ids,
     localservices,
     options,
 )
@@ -19,6 +20,7 @@
 Reason = messages.Reason
 PROCESS = calls.Process("me", "centre", "run-1")
 LONG_SECONDS = 60.0
+INCARNATION = ids.BackendIncarnation("i-1/5")
 
 
 class FakePermit:
@@ -95,6 +97,7 @@
             service="stock",
             address=address,
             slots=4,
+            incarnation=INCARNATION,
         )
     )
     return execution.CallExecutor(
@@ -382,6 +385,14 @@
             executor.local_services.find("stock").admission.rate_limit == 19.4
         )
 
+    async def test_leaving_server_gets_no_more_calls(self):
+        state = backend.ServerState(leaving=True)
+        executor = make_executor(respond_with(state))
+        reply = await executor.serve(call())
+        assert reply.outcome is Outcome.ANSWERED
+        later = await executor.serve(call())
+        assert later.outcome is Outcome.NOT_RUN
+
     async def test_response_of_another_server_says_nothing(self):
         """Another server at the address sets the limit of the former one."""
         executor = make_executor(respond_with(self.LIMITED, status=421))
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -494,6 +494,24 @@
         await self.send(heartbeat(born=6))
         assert self.local_services.announcement is not None
 
+    async def test_retired_incarnation_stays_withdrawn(self):
+        """A late heartbeat puts a backend server that is leaving back in use."""
+        await self.send(heartbeat())
+        self.receiver.retire(self.local_services.announcement)
+        assert self.local_services.announcement is None
+        status = {"state": "ready", "sequence": 8, "cold_remaining": "0ms"}
+        await self.send(heartbeat(status=status))
+        assert self.local_services.announcement is None
+
+    async def test_successor_with_the_same_id_is_used(self):
+        """A successor is taken for the server that left, and gets nothing."""
+        await self.send(heartbeat())
+        former = self.local_services.announcement
+        self.receiver.retire(former)
+        await self.send(heartbeat(born=6))
+        self.receiver.retire(former)
+        assert self.local_services.announcement is not None
+
 
 class TestBoundary:
     """Platform-specific code stays in the adapter package."""
--- a/tests/test_serverstate.py
+++ b/tests/test_serverstate.py
@@ -181,10 +181,11 @@
         async with serving_fleet(tmp_path) as (fleet, backend):
             backend.extra_headers = LEAVING_HEADER
             await wait_until_served(fleet, "announced")
-            announced_at = asyncio.get_running_loop().time()
+            await asyncio.sleep(DRAIN_SECONDS)
             await fleet.stop("n12", platformfakes.signal.SIGKILL)
+            restarted_at = asyncio.get_running_loop().time()
             fleet.restart("n12", "node")
             async with callers(fleet, 11):
                 await asyncio.sleep(DRAIN_SECONDS + 3)
-            late = arrivals_after(backend, announced_at + DRAIN_SECONDS, "n11")
+            late = arrivals_after(backend, restarted_at, "n11")
         assert len(late) == 0
