A restarted node is told what its backend server announced before

What was seen: after a restart of the node beside a backend server that has named a limit, callers of other nodes get a burst through that is limited by the slots alone; and a backend server that is leaving gets requests again.

Cause: only the node beside it knew. It keeps its state in memory, and learned it again from the next response only, by which time all slots were in use. The other nodes had passed such answers on, and had learned nothing from them.

Change: a node attaches what it knows of its backend server to its replies. The nodes that it ran calls for remember that by host, also while the host is in no view, and attach it to their calls. The node acts on it if it is about the incarnation that it serves, and on a limit only until its backend server has responded itself: a limit that was lifted does not come back from nodes that lag behind. Nothing is sent of backend servers without a limit that are not leaving.

Why it works: whoever has passed on such an answer has got it in a reply with that state, so its first call to the restarted node brings it along.

--- a/mangobay/dispatch.py
+++ b/mangobay/dispatch.py
@@ -7,6 +7,7 @@
 import typing
 
 from mangobay import (
+    backendstates,
     calls,
     errors,
     execution,
@@ -121,6 +122,7 @@
       retries: Settings of retries.
       dependencies: Objects that the dispatcher uses.
       in_flight: Calls without a reply.
+      backend_states: What is known of the backend servers of other hosts.
     """
 
     def __init__(
@@ -129,6 +131,7 @@
         self.retries = retries
         self.dependencies = dependencies
         self.in_flight = inflight.InFlightCalls()
+        self.backend_states = backendstates.BackendStates()
 
     async def handle(self, request: calls.Request) -> messages.Reply:
         """Returns the reply to a call, after retries where allowed.
@@ -329,6 +332,7 @@
         service = request.operation.service
         lent = request.allowance.lend()
         call = self.make_call(request, seconds_left, lent)
+        call.backend_states = self.backend_states.find(service, member.host)
         router = self.dependencies.router
         router.record_call_start(service, member.host)
         reply = execution.PENDING_REPLY
@@ -350,6 +354,7 @@
                     started_at=started_at,
                 )
                 self.dependencies.tracer.record_attempt(attempt)
+        self.backend_states.record(service, member.host, reply)
         request.allowance.reclaim(min(reply.tries_left, lent))
         return reply
 
--- a/mangobay/execution.py
+++ b/mangobay/execution.py
@@ -9,6 +9,7 @@
 from mangobay import (
     admissionrequest,
     backend,
+    backendstates,
     calls,
     errors,
     httpheaders,
@@ -131,6 +132,12 @@
             return self.refuse(
                 call, local_service, calls.not_run_reply(Reason.NO_BACKEND)
             )
+        if call.backend_states:
+            self.adopt_server_state(call, local_service)
+        if local_service.server_state.current.leaving:
+            return self.refuse(
+                call, local_service, calls.not_run_reply(Reason.NO_BACKEND)
+            )
         if not call.deadline_ms:
             refusal = calls.not_run_reply(Reason.DEADLINE_EXCEEDED)
             return self.refuse(call, local_service, refusal)
@@ -185,6 +192,10 @@
             )
             reply.inflight = local_service.admission.load
             reply.limit = local_service.admission.capacity
+            reply.backend_states = backendstates.to_messages(
+                local_service.announcement.incarnation,
+                local_service.server_state.current,
+            )
             now = asyncio.get_running_loop().time()
             reply.crossing = self.remote_traffic.bytes_per_run(
                 call.operation, now
@@ -358,6 +369,19 @@
         if local_service.server_state.observe(state, sent_at, now):
             self.apply_server_state(local_service)
 
+    def adopt_server_state(
+        self, call: messages.Call, local_service: localservices.LocalService
+    ) -> None:
+        """Acts on what the sender of a call knows of the backend server."""
+        incarnation = local_service.announcement.incarnation
+        for message in call.backend_states:
+            state = backendstates.from_message(message)
+            if (
+                message.incarnation == incarnation
+                and local_service.server_state.adopt(state)
+            ):
+                self.apply_server_state(local_service)
+
     def apply_server_state(
         self, local_service: localservices.LocalService
     ) -> None:
--- a/mangobay/serverstate.py
+++ b/mangobay/serverstate.py
@@ -9,13 +9,16 @@
     Attributes:
       current: the last known state.
       limited_at: loop time of the last response that named a limit.
+      has_responded: whether the state comes from a response; before the first
+        one, other nodes may know it.
     """
 
-    __slots__ = ("current", "limited_at")
+    __slots__ = ("current", "has_responded", "limited_at")
 
     def __init__(self):
         self.current = backend.NORMAL_STATE
         self.limited_at = float("-inf")
+        self.has_responded = False
 
     def observe(
         self, state: backend.ServerState, sent_at: float, now: float
@@ -34,6 +37,7 @@
         Returns:
           Whether the current state has changed.
         """
+        self.has_responded = True
         rate_limit = state.rate_limit
         if rate_limit is not None:
             self.limited_at = now
@@ -41,6 +45,13 @@
             rate_limit = self.current.rate_limit
         return self.update(rate_limit, state.leaving)
 
+    def adopt(self, state: backend.ServerState) -> bool:
+        """Records what another node knows; returns whether that is news."""
+        rate_limit = self.current.rate_limit
+        if not self.has_responded and state.rate_limit is not None:
+            rate_limit = state.rate_limit
+        return self.update(rate_limit, state.leaving)
+
     def update(self, rate_limit: float | None, leaving: bool) -> bool:
         """Changes the current state; returns whether it differs."""
         previous = self.current
--- a/schema/messages.capnp
+++ b/schema/messages.capnp
@@ -76,6 +76,15 @@
   protocol @4 :UInt16;
 }
 
+struct BackendState {
+  # What a backend server said of itself in its answers.
+  incarnation @0 :Text $id("BackendIncarnation");
+  leaving @1 :Bool;
+  limited @2 :Bool;
+  rateLimit @3 :Float64;
+  # Requests a second that it takes from all hosts together, if limited.
+}
+
 struct Call {
   service @0 :Text $id("ServiceName");
   operation @1 :Text $id("OperationName");
@@ -108,6 +117,8 @@
   # A backend server may have seen the call before; its calls are made again.
   workspace @21 :Text $id("WorkspaceName");
   # Of the caller at the root of the tree; empty without one.
+  backendStates @22 :List(BackendState);
+  # What the sender knows of the receiver's backend server; at most one.
 }
 
 struct Reply {
@@ -133,6 +144,8 @@
   # Bytes that the calls of one run here carry to other data centres.
   calledBelow @15 :Bool;
   # The run made calls of its own; another attempt would make them again.
+  backendStates @16 :List(BackendState);
+  # Of the receiver's backend server, if limited or leaving; at most one.
 }
 
 struct Cancel {
--- a/tests/test_serverstate.py
+++ b/tests/test_serverstate.py
@@ -6,7 +6,8 @@
 
 import platformfakes
 
-from mangobay import backend, serverstate
+from mangobay import backend, backendstates, ids, serverstate
+from mangobay.generated import messages
 
 RATE = 2.0
 LIMIT_HEADER = f"Server-Limit: {RATE}\r\n".encode()
@@ -116,6 +117,50 @@
         tracker.observe(backend.NORMAL_STATE, sent_at=2.5, now=3.0)
         assert tracker.current == LEAVING
 
+    def test_other_nodes_do_not_override_responses(self):
+        """A limit that was lifted comes back from nodes that lag behind."""
+        tracker = serverstate.ServerStateTracker()
+        assert tracker.adopt(LIMITED)
+        tracker.observe(backend.NORMAL_STATE, sent_at=1.0, now=2.0)
+        assert not tracker.adopt(LIMITED)
+        assert tracker.current == backend.NORMAL_STATE
+        assert tracker.adopt(LEAVING)
+
+
+class TestBackendStates:
+    """What a node remembers of the backend servers of other hosts."""
+
+    SERVICE = ids.ServiceName("stock")
+    HOST = ids.HostId("n1")
+
+    def record(self, states, outcome, state=backend.NORMAL_STATE):
+        reply = messages.Reply(outcome=outcome)
+        reply.backend_states = backendstates.to_messages(
+            ids.BackendIncarnation("i-1/5"), state
+        )
+        states.record(self.SERVICE, self.HOST, reply)
+
+    def test_state_is_kept_until_a_response_is_without_it(self):
+        """The refusal of a restarted node erases what others know."""
+        states = backendstates.BackendStates()
+        self.record(states, messages.Outcome.ANSWERED, LIMITED)
+        self.record(states, messages.Outcome.NOT_RUN)
+        (known,) = states.find(self.SERVICE, self.HOST)
+        assert backendstates.from_message(known) == LIMITED
+        self.record(states, messages.Outcome.ANSWERED)
+        assert states.find(self.SERVICE, self.HOST) == []
+
+    def test_number_of_states_is_bounded(self):
+        states = backendstates.BackendStates()
+        reply = messages.Reply(outcome=messages.Outcome.ANSWERED)
+        reply.backend_states = backendstates.to_messages(
+            ids.BackendIncarnation("i-1/5"), LEAVING
+        )
+        for number in range(backendstates.MAX_STATES + 1):
+            states.record(self.SERVICE, ids.HostId(f"n{number}"), reply)
+        assert len(states.by_host) == backendstates.MAX_STATES
+        assert states.find(self.SERVICE, ids.HostId("n0")) == []
+
 
 class TestRateLimit:
     """Requests per second that a backend server accepts."""
