A server that has deregistered stays out of use after a restart of its node

What was seen: a heartbeat that was delayed for seconds announces a backend server again that has deregistered, if the node beside it was restarted since. The server gets requests until it ends, and breaks them off.

Cause: the same as with the announced limit: only the node beside the server knew that it had left, and forgot it.

Change: a node answers calls for a service that has deregistered, or said in a response that it leaves, with the incarnation that left. A heartbeat that says "draining" is not remembered so: the next one says it again.

--- a/mangobay/backend.py
+++ b/mangobay/backend.py
@@ -70,6 +70,7 @@
 
 NORMAL_STATE = ServerState()
 """The state of a backend server that names no limit and is not leaving."""
+LEAVING_STATE = ServerState(leaving=True)
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
--- a/mangobay/execution.py
+++ b/mangobay/execution.py
@@ -185,7 +185,9 @@
         """
         reply.tries_left = tries_left
         reply.host = self.process.host
-        if local_service is not None:
+        if local_service is None:
+            reply.backend_states = self.retired_states(call.service)
+        else:
             reply.threshold = local_service.admission.threshold
             reply.below = local_service.admission.downstream_threshold(
                 call.operation
@@ -202,6 +204,15 @@
             )
         return reply
 
+    def retired_states(
+        self, service: ids.ServiceName
+    ) -> list[messages.BackendState]:
+        """Returns the state of the backend server that left last."""
+        incarnation = self.local_services.retired.get(service)
+        if incarnation is None:
+            return []
+        return backendstates.to_messages(incarnation, backend.LEAVING_STATE)
+
     async def serve_non_idempotent(
         self, call: messages.Call, execute: Execute, deadline: float
     ) -> messages.Reply:
--- a/mangobay/heartbeats.py
+++ b/mangobay/heartbeats.py
@@ -62,6 +62,11 @@
     def withdraw(self, service: ids.ServiceName) -> bool:
         """Removes a service; returns whether it was announced."""
 
+    def retire(
+        self, service: ids.ServiceName, incarnation: ids.BackendIncarnation
+    ) -> bool:
+        """Does the same, and tells callers that the server leaves for good."""
+
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class Incarnation:
@@ -147,8 +152,7 @@
             and start_unix_ms != current.last_heartbeat.start_unix_ms
         ):
             return
-        current.deregistered = True
-        self.withdraw(current.last_heartbeat, current)
+        self.remove(current)
 
     def retire(self, announcement: localservices.Announcement) -> None:
         """Stops using an incarnation for good, since it is leaving.
@@ -163,8 +167,14 @@
             != announcement.incarnation
         ):
             return
-        current.deregistered = True
-        self.withdraw(current.last_heartbeat, current)
+        self.remove(current)
+
+    def remove(self, incarnation: Incarnation) -> None:
+        """Stops sending requests to an incarnation for good."""
+        incarnation.deregistered = True
+        heartbeat = incarnation.last_heartbeat
+        if self.announcer.retire(self.service, incarnation_of(heartbeat)):
+            self.log_change("backend server leaves", heartbeat)
 
     def is_newer(self, heartbeat: Heartbeat) -> bool:
         """Returns whether the heartbeat is newer than the last one."""
--- a/mangobay/localservices.py
+++ b/mangobay/localservices.py
@@ -6,7 +6,7 @@
 import re
 import typing
 
-from mangobay import calls, ids, logs, options, serverstate
+from mangobay import backend, calls, ids, logs, options, serverstate
 from mangobay.generated import messages
 
 if typing.TYPE_CHECKING:
@@ -109,6 +109,7 @@
       timeout_seconds: Seconds without a renewal after which a service is
         removed.
       by_name: Services by name.
+      retired: The last incarnation that left for good, by service.
     """
 
     def __init__(
@@ -121,6 +122,7 @@
         self.make_admission = make_admission
         self.on_change = on_change
         self.by_name: dict[ids.ServiceName, LocalService] = {}
+        self.retired: dict[ids.ServiceName, ids.BackendIncarnation] = {}
 
     def announce(self, announcement: Announcement) -> None:
         """Adds a service or renews its announcement.
@@ -158,6 +160,22 @@
         self.report_change("left", service)
         return True
 
+    def retire(
+        self, service: ids.ServiceName, incarnation: ids.BackendIncarnation
+    ) -> bool:
+        """Removes a service whose backend server leaves for good.
+
+        Callers are told so, since this node forgets it when it restarts.
+
+        Returns:
+          Whether it was announced.
+        """
+        self.retired[service] = incarnation
+        local_service = self.by_name.get(service)
+        if local_service is not None:
+            local_service.server_state.adopt(backend.LEAVING_STATE)
+        return self.withdraw(service)
+
     def find(self, service: ids.ServiceName) -> LocalService | None:
         """Returns the service, or None if it is not announced here."""
         return self.by_name.get(service)
--- a/tests/platformfakes.py
+++ b/tests/platformfakes.py
@@ -206,6 +206,13 @@
         call = "instances.heartbeat"
         return await call_rpc(self.ip, HEARTBEATS, call, body, f"i-{self.ip}")
 
+    async def deregister(self):
+        """Sends no more heartbeats; returns the response."""
+        self.heartbeat_task.cancel()
+        call = "instances.deregister"
+        body = {"born": 1}
+        return await call_rpc(self.ip, HEARTBEATS, call, body, f"i-{self.ip}")
+
     async def serve(self, reader, writer):
         try:
             while True:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -391,6 +391,9 @@
         withdrawn, self.announcement = self.announcement, None
         return withdrawn is not None
 
+    def retire(self, service, incarnation):
+        return self.withdraw(service)
+
 
 class TestRoutes:
     """Matching of requests with routes."""
--- a/tests/test_serverstate.py
+++ b/tests/test_serverstate.py
@@ -234,3 +234,24 @@
                 await asyncio.sleep(DRAIN_SECONDS + 3)
             late = arrivals_after(backend, restarted_at, "n11")
         assert len(late) == 0
+
+    async def test_a_restarted_node_sends_nothing_to_a_deregistered_server(
+        self, tmp_path
+    ):
+        """A late heartbeat puts a server that has deregistered back in use."""
+        async with serving_fleet(tmp_path) as (fleet, backend):
+            async with callers(fleet, 11):
+                assert (await backend.deregister()).status == 200
+                await asyncio.sleep(DRAIN_SECONDS)
+            await fleet.stop("n12", platformfakes.signal.SIGKILL)
+            restarted_at = asyncio.get_running_loop().time()
+            fleet.restart("n12", "node")
+
+            async def is_heartbeat_accepted():
+                return (await backend.send_heartbeat()).status == 200
+
+            await platformfakes.wait_until(is_heartbeat_accepted)
+            async with callers(fleet, 11):
+                await asyncio.sleep(DRAIN_SECONDS + 1)
+            late = arrivals_after(backend, restarted_at, "n11")
+        assert len(late) == 0
