Soak: backend servers name limits, and say in responses that they leave

Servers of the soak do now, for 4 to 12 s, and say so while they leave; two checks hold the nodes to it, by the machine at which each request began.

--- a/bench/soak/backends.py
+++ b/bench/soak/backends.py
@@ -66,6 +66,7 @@
       born_ms: Unix milliseconds.
       sequence: of its last word about itself.
       draining: it leaves.
+      limit: that it names in its responses, None for none.
       runs: requests that it has begun.
     """
 
@@ -73,6 +74,7 @@
     born_ms: int
     sequence: int = 0
     draining: bool = False
+    limit: history.RateLimit | None = None
     runs: int = 0
 
 
@@ -165,6 +167,29 @@
             await self.close()
             await self.open()
 
+    async def announce_limit(self, rate: float, seconds: float) -> None:
+        """Names a limit in its responses for some seconds."""
+        current = self.current
+        now = asyncio.get_running_loop().time()
+        limit = history.RateLimit(
+            host=self.place.name,
+            instance=current.instance,
+            rate=rate,
+            since=now,
+            until=now + seconds,
+        )
+        self.seen.limits.append(limit)
+        current.limit = limit
+        await asyncio.sleep(seconds)
+        if current.limit is limit:
+            current.limit = None
+
+    def state_fields(self) -> dialect.Fields:
+        """Returns the fields of a response that describe this server."""
+        limit = self.current.limit
+        rate = limit.rate if limit is not None else None
+        return self.speech.state_fields(rate, self.current.draining)
+
     async def hang(self, seconds: float) -> None:
         """Does nothing for some seconds."""
         self.awake.clear()
@@ -267,7 +292,10 @@
         arrival.status = status
         self.seen.arrivals.append(arrival)
         self.end(arrival, history.Outcome.REFUSED)
-        fields = self.speech.refusal_fields(arrival.attempt)
+        fields = {
+            **self.speech.refusal_fields(arrival.attempt),
+            **self.state_fields(),
+        }
         writer.write(wire.encode(f"HTTP/1.1 {status} Refused", fields, b""))
 
     async def run(self, arrival, way, seconds, reader, writer, head) -> bool:
@@ -365,6 +393,7 @@
         arrival.status = status
         arrival.answer = digest(body)
         self.end(arrival, history.Outcome.ANSWERED)
+        fields = {**fields, **self.state_fields()}
         data = wire.encode(
             f"HTTP/1.1 {status} Answer", fields, body if length else None
         )
--- a/bench/soak/bounds.py
+++ b/bench/soak/bounds.py
@@ -31,6 +31,10 @@
       late_least: so many, from which on that share is looked at.
       freed_share: of the abandoned runs, at most, that may go on.
       freed_least: abandoned runs, from which on that share is looked at.
+      rate_window: in which requests at an announced rate are counted.
+      rate_factor: by which they may exceed the rate.
+      rate_slack: requests that may come besides.
+      told_after: until a host that passed on a state must act on it.
     """
 
     grace: float = 6.0
@@ -56,6 +60,10 @@
     late_least: int = 8
     freed_share: float = 0.25
     freed_least: int = 8
+    rate_window: float = 4.0
+    rate_factor: float = 1.5
+    rate_slack: int = 5
+    told_after: float = 0.5
 
 
 TARGET = Bounds()
--- a/bench/soak/dialect.py
+++ b/bench/soak/dialect.py
@@ -98,6 +98,8 @@
       told: what the fields of a request at a backend server say.
       answer_fields: by attempt and signature, of a backend server's answer.
       refusal_fields: by attempt, of an answer to what was not run.
+      state_fields: by rate limit and leaving, of what a backend server says
+        about itself in every response.
       signature: the signature in an answer's fields, empty without one.
       attempt: the request that an answer names, empty without one.
       beat: a whole request that tells a node of its backend server.
@@ -116,6 +118,7 @@
     told: collections.abc.Callable[[Fields], Told]
     answer_fields: collections.abc.Callable[[ids.AttemptId, str], Fields]
     refusal_fields: collections.abc.Callable[[ids.AttemptId], Fields]
+    state_fields: collections.abc.Callable[[float | None, bool], Fields]
     signature: collections.abc.Callable[[Fields], str]
     attempt: collections.abc.Callable[[Fields], str]
     beat: collections.abc.Callable[[Beat], bytes]
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -116,6 +116,16 @@
     callers: bool
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Limit:
+    """A backend server names a limit of requests a second for a time."""
+
+    at: float
+    host: ids.HostId
+    rate: float
+    seconds: float
+
+
 Fault = (
     Restart
     | RestartWithSignal
@@ -127,6 +137,7 @@
     | Tear
     | Hang
     | Sever
+    | Limit
 )
 
 
@@ -163,6 +174,8 @@
 """Seconds between two draws; most faults last longer, so that they overlap."""
 MEAN_LINK_GAP = 8.0
 """Seconds between two resets of connections."""
+MEAN_LIMIT_GAP = 3.0
+"""Seconds between two limits."""
 FIRST = 1.0
 """Seconds of calm at the start."""
 PLANNED_SEEDS = 3
@@ -185,6 +198,7 @@
         found += draw(name, round(at, 2), hosts, lots)
         at += lots.expovariate(1 / MEAN_GAP)
     found += draw_links(seed, seconds, hosts)
+    found += draw_limits(seed, seconds, hosts)
     found = [fault for fault in found if fault.at < seconds]
     found.sort(key=lambda fault: fault.at)
     return Plan(seed=seed, seconds=seconds, faults=tuple(found))
@@ -203,6 +217,24 @@
     return found
 
 
+def draw_limits(seed: int, seconds: float, hosts: Hosts) -> list[Fault]:
+    """Returns the limits that backend servers name."""
+    lots = random.Random(f"limits {seed}")
+    at = FIRST
+    found: list[Fault] = []
+    while at < seconds:
+        at += lots.expovariate(1 / MEAN_LIMIT_GAP)
+        found.append(
+            Limit(
+                at=round(at, 2),
+                host=lots.choice(hosts.nodes),
+                rate=round(lots.uniform(0.2, 3.0), 1),
+                seconds=round(lots.uniform(4.0, 12.0), 2),
+            )
+        )
+    return found
+
+
 def draw(
     name: str, at: float, hosts: Hosts, lots: random.Random
 ) -> list[Fault]:
--- a/bench/soak/history.py
+++ b/bench/soak/history.py
@@ -231,6 +231,25 @@
     acknowledged: float
 
 
+@dataclasses.dataclass(slots=True, kw_only=True)
+class RateLimit:
+    """A limit that a backend server names in its responses.
+
+    Attributes:
+      host: of the backend server.
+      instance: its incarnation.
+      rate: requests per second.
+      since: first response with it.
+      until: last response with it.
+    """
+
+    host: ids.HostId
+    instance: ids.InstanceId
+    rate: float
+    since: float
+    until: float
+
+
 @dataclasses.dataclass(slots=True, kw_only=True)
 class History:
     """All that was seen in one run.
@@ -245,6 +264,7 @@
       readiness: of nodes.
       strays: bytes that belong to no request.
       drains: of backend servers.
+      limits: that backend servers named.
       services: on each node's host.
       calm: every fault is over, and every process was started again.
       over: callers end.
@@ -261,6 +281,7 @@
     readiness: list[Readiness] = dataclasses.field(default_factory=list)
     strays: list[Stray] = dataclasses.field(default_factory=list)
     drains: list[Drain] = dataclasses.field(default_factory=list)
+    limits: list[RateLimit] = dataclasses.field(default_factory=list)
     services: dict[ids.HostId, ids.ServiceName] = dataclasses.field(
         default_factory=dict
     )
--- a/bench/soak/judge.py
+++ b/bench/soak/judge.py
@@ -3,7 +3,14 @@
 import collections.abc
 import typing
 
-from bench.soak import bounds, checks, history, systemchecks, timechecks
+from bench.soak import (
+    bounds,
+    checks,
+    history,
+    statechecks,
+    systemchecks,
+    timechecks,
+)
 
 
 class Check(typing.NamedTuple):
@@ -33,6 +40,8 @@
         "A leaving backend server gets no new work",
         timechecks.nothing_after_a_drain,
     ),
+    Check("LIMIT", statechecks.announced_rates_are_kept),
+    Check("DRAIN", statechecks.nothing_after_leaving),
     Check("DRAIN", systemchecks.leaving_nodes_say_so),
     Check("Fault", systemchecks.processes_end_as_told),
     Check(
--- a/bench/soak/play.py
+++ b/bench/soak/play.py
@@ -113,6 +113,8 @@
                 await self.boss.publish(count, gap, race)
             case faults.Replace(host=host):
                 await self.servers[host].replace(bounds.TARGET.drain + 1)
+            case faults.Limit(host=host, rate=rate, seconds=seconds):
+                await self.servers[host].announce_limit(rate, seconds)
             case faults.Hang(host=host, seconds=seconds):
                 await self.servers[host].hang(seconds)
             case faults.Sever(host=host, callers=True):
--- /dev/null
+++ b/bench/soak/statechecks.py
@@ -0,0 +1,97 @@
+"""What must hold of backend servers that describe themselves in responses."""
+
+import bisect
+import collections
+
+from bench.soak import checks, history
+from mangobay import ids
+
+Told = dict[ids.HostId, float]
+"""When each host had first passed on a response with a state."""
+
+
+def announced_rates_are_kept(view: checks.View) -> checks.Found:
+    """A backend server gets no more than the rate that it announces."""
+    target = view.target
+    origins = {each.attempt: each.host for each in view.seen.requests}
+    for limit in view.seen.limits:
+        told = told_hosts(view, limit.instance, limit.since, limit.until)
+        times = [
+            arrival.at
+            for arrival in view.seen.arrivals
+            if arrival.instance == limit.instance
+            and limit.since + target.stable <= arrival.at <= limit.until
+            and knows(
+                view,
+                told,
+                origins.get(arrival.attempt),
+                arrival.at - target.told_after,
+            )
+        ]
+        allowed = target.rate_factor * limit.rate * target.rate_window
+        allowed += target.rate_slack
+        times.sort()
+        for place, at in enumerate(times):
+            end = bisect.bisect_left(times, at + target.rate_window)
+            if end - place > allowed:
+                what = f"{end - place} requests, allowed {allowed:.0f}"
+                yield broken("announced rate", at, limit.host, what)
+                break
+
+
+def nothing_after_leaving(view: checks.View) -> checks.Found:
+    """A backend server that says that it leaves gets no requests after it."""
+    requests = {each.attempt: each for each in view.seen.requests}
+    for drain in view.seen.drains:
+        told = told_hosts(view, drain.instance, drain.acknowledged)
+        for arrival in view.seen.arrivals:
+            request = requests.get(arrival.attempt)
+            if arrival.instance != drain.instance or request is None:
+                continue
+            latest = request.began - view.target.drain - view.seen.lag
+            if knows(view, told, request.host, latest):
+                what = f"{arrival.attempt} was sent after it said so"
+                yield broken("leaving server", arrival.at, drain.host, what)
+                break
+
+
+def told_hosts(
+    view: checks.View,
+    instance: ids.InstanceId,
+    since: float,
+    until: float = float("inf"),
+) -> Told:
+    """Returns the hosts that passed on a response from within a time."""
+    told: Told = collections.defaultdict(lambda: float("inf"))
+    for request in view.seen.requests:
+        if request.end is not history.End.ANSWERED:
+            continue
+        for run in view.runs(request):
+            if (
+                run.instance == instance
+                and run.signature == request.signature
+                and since <= run.ended <= until
+            ):
+                told[request.host] = min(told[request.host], request.ended)
+    return told
+
+
+def knows(
+    view: checks.View, told: Told, host: ids.HostId | None, at: float
+) -> bool:
+    """Returns whether a host must know a state at a time.
+
+    A restart or a freeze of the host since then excuses it.
+    """
+    if host is None or host not in told or told[host] > at:
+        return False
+    events = view.spans.busy.get(host, [])
+    place = bisect.bisect_left(events, told[host])
+    return place == len(events) or events[place] > at + view.target.told_after
+
+
+def broken(check: str, at: float, host: ids.HostId, what: str) -> checks.Break:
+    """Returns a break that is about the backend server of a host."""
+    return checks.Break(
+        check=check, at=at, what=f"{host}: {what}", hosts=(host,)
+    )
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -3,7 +3,7 @@
 import pytest
 import soakfakes
 
-from bench.soak import checks, history, timechecks
+from bench.soak import checks, history, statechecks, timechecks
 
 Action = history.Action
 
@@ -345,3 +345,62 @@
             drains=[self.DRAIN],
         )
         assert len(breaks) == count
+
+
+class TestAnnouncedRate:
+    """`statechecks.announced_rates_are_kept`."""
+
+    LIMIT = history.RateLimit(
+        host=soakfakes.OTHER,
+        instance="i-1",
+        rate=2.0,
+        since=95.0,
+        until=115.0,
+    )
+    TOLD = {"attempt": "told", "began": 96.0, "sent": 96.0, "ended": 96.1}
+
+    def breaks_of(self, count, **more):
+        """Returns the breaks where so many requests arrive at once."""
+        names = [f"r{number}" for number in range(count)]
+        return found(
+            statechecks.announced_rates_are_kept,
+            requests=[soakfakes.request(**self.TOLD)]
+            + [soakfakes.request(name) for name in names],
+            arrivals=[soakfakes.arrival("told", at=96.0, ended=96.05)]
+            + [soakfakes.arrival(name) for name in names],
+            limits=[self.LIMIT],
+            **more,
+        )
+
+    @pytest.mark.parametrize(("count", "breaks"), [(17, 0), (18, 1)])
+    def test_more_than_the_tolerated_are_found(self, count, breaks):
+        assert len(self.breaks_of(count)) == breaks
+
+    def test_a_restart_of_the_first_host_excuses_it(self):
+        restart = soakfakes.event(98.0, history.Action.START)
+        assert not self.breaks_of(30, events=[restart])
+
+
+class TestLeavingServer:
+    """`statechecks.nothing_after_leaving`."""
+
+    DRAIN = history.Drain(
+        host=soakfakes.OTHER, instance="i-1", acknowledged=95.0
+    )
+
+    @pytest.mark.parametrize(("told_at", "count"), [(96.0, 1), (99.0, 0)])
+    def test_requests_after_the_bound_are_found(self, told_at, count):
+        told = {"began": told_at, "sent": told_at, "ended": told_at + 0.1}
+        breaks = found(
+            statechecks.nothing_after_leaving,
+            requests=[
+                soakfakes.request("told", **told),
+                soakfakes.request(),
+            ],
+            arrivals=[
+                soakfakes.arrival("told", at=told_at, ended=told_at + 0.05),
+                soakfakes.arrival(),
+            ],
+            drains=[self.DRAIN],
+        )
+        assert len(breaks) == count
