Waiting calls start at once when the announced limit is raised

What was seen: calls that wait for a low limit go on waiting for the token of the former limit, up to 4 s, when the backend server names a higher one; those behind them wait too, and time out.

Cause: the timer for the next token was kept. It is started again now.

test_admission.py::TestRateLimit:: test_waiting_calls_start_when_the_limit_is_raised, failed before.

--- a/mangobay/admission.py
+++ b/mangobay/admission.py
@@ -216,6 +216,9 @@
         """Sets the calls that may start per second, None for no limit."""
         now = asyncio.get_running_loop().time()
         self.rate_limiter.set_rate(rate, now)
+        if self.rate_timer is not None:
+            self.rate_timer.cancel()
+            self.rate_timer = None
         self.admit_waiting(now)
 
     def set_slots(self, slots: int) -> None:
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -339,6 +339,15 @@
         await asyncio.sleep(0)
         assert all(task.done() for task in tasks)
 
+    async def test_waiting_calls_start_when_the_limit_is_raised(self):
+        """Calls wait as long as the former limit says, and time out."""
+        controller = make_controller(slots=50, queue_time=10.0)
+        controller.set_rate_limit(0.1)
+        tasks = await enqueue(controller, make_request())
+        controller.set_rate_limit(10.0)
+        await asyncio.sleep(0.2)
+        assert tasks[0].done()
+
     async def test_capacity_follows_the_rate(self):
         """Other nodes keep sending as if only the slots were limited."""
         controller = make_controller(slots=50)
