A restarted node goes by the lowest limit that its callers know

Callers that got their last response at different times know different limits; whichever called last set the limit of a node that had restarted. The lowest one counts now, until the backend server itself has responded.

test_serverstate.py::TestTracker:: test_lowest_limit_that_other_nodes_know_applies, failed before. Besides, the private step of `HeartbeatReceiver.retire` and `deregister` has a name that says so.

--- a/mangobay/heartbeats.py
+++ b/mangobay/heartbeats.py
@@ -152,7 +152,7 @@
             and start_unix_ms != current.last_heartbeat.start_unix_ms
         ):
             return
-        self.remove(current)
+        self.retire_incarnation(current)
 
     def retire(self, announcement: localservices.Announcement) -> None:
         """Stops using an incarnation for good, since it is leaving.
@@ -167,9 +167,9 @@
             != announcement.incarnation
         ):
             return
-        self.remove(current)
+        self.retire_incarnation(current)
 
-    def remove(self, incarnation: Incarnation) -> None:
+    def retire_incarnation(self, incarnation: Incarnation) -> None:
         """Stops sending requests to an incarnation for good."""
         incarnation.deregistered = True
         heartbeat = incarnation.last_heartbeat
--- a/mangobay/serverstate.py
+++ b/mangobay/serverstate.py
@@ -46,11 +46,19 @@
         return self.update(rate_limit, state.leaving)
 
     def adopt(self, state: backend.ServerState) -> bool:
-        """Records what another node knows; returns whether that is news."""
-        rate_limit = self.current.rate_limit
-        if not self.has_responded and state.rate_limit is not None:
-            rate_limit = state.rate_limit
-        return self.update(rate_limit, state.leaving)
+        """Records what another node knows.
+
+        Other nodes may lag behind: a limit of theirs counts only before the
+        first response, and the lowest one.
+
+        Returns:
+          Whether the current state has changed.
+        """
+        limits = [self.current.rate_limit]
+        if not self.has_responded:
+            limits.append(state.rate_limit)
+        known = [limit for limit in limits if limit is not None]
+        return self.update(min(known, default=None), state.leaving)
 
     def update(self, rate_limit: float | None, leaving: bool) -> bool:
         """Changes the current state; returns whether it differs."""
--- a/tests/test_serverstate.py
+++ b/tests/test_serverstate.py
@@ -111,6 +111,14 @@
         assert tracker.observe(backend.NORMAL_STATE, sent_at=2.5, now=3.5)
         assert tracker.current == backend.NORMAL_STATE
 
+    def test_lowest_limit_that_other_nodes_know_applies(self):
+        """A node that lags behind raises the limit of a restarted node."""
+        tracker = serverstate.ServerStateTracker()
+        tracker.adopt(LIMITED)
+        assert not tracker.adopt(backend.ServerState(rate_limit=RATE + 1))
+        assert tracker.adopt(backend.ServerState(rate_limit=RATE / 2))
+        assert tracker.current.rate_limit == RATE / 2
+
     def test_leaving_is_final(self):
         tracker = serverstate.ServerStateTracker()
         tracker.observe(LEAVING, sent_at=1.0, now=2.0)
