--- a/bench/fleet/backends.py
+++ b/bench/fleet/backends.py
@@ -29,6 +29,7 @@
       began: loop time at which the load starts.
       arrivals: requests that came, by kind.
       runs: begun, by kind.
+      arrived_at: loop times of all requests that came.
     """
 
     def __init__(
@@ -50,6 +51,7 @@
         self.waiting: collections.deque[asyncio.Future] = collections.deque()
         self.arrivals: collections.Counter = collections.Counter()
         self.runs: collections.Counter = collections.Counter()
+        self.arrived_at: list[float] = []
 
     def concerns(self, event: deployments.Event) -> bool:
         """Returns whether a trouble is about this backend server."""
@@ -85,6 +87,7 @@
         attempt.sent = True
         kind = self.kinds[request.target.strip("/")]
         self.arrivals[kind.name] += 1
+        self.arrived_at.append(loop.time())
         began = loop.time()
         full = len(self.waiting) >= self.service.queue
         if full or self.is_struck(Trouble.SHED):
@@ -188,8 +191,14 @@
             body=b"" if shed else bytes(ANSWER_BYTES),
             seconds=asyncio.get_running_loop().time() - began,
             shed=shed,
+            server_state=self.state(),
         )
 
+    def state(self) -> backend.ServerState:
+        """Returns what it says about itself in its responses."""
+        limits = [event.strength for event in self.troubles(Trouble.LIMIT)]
+        return backend.ServerState(rate_limit=min(limits, default=None))
+
 
 def parent_attempt_of(attempt: ids.AttemptId) -> ids.AttemptId:
     """Returns the request that the id of a call names, empty for none."""
--- a/bench/fleet/days.py
+++ b/bench/fleet/days.py
@@ -338,6 +338,23 @@
             event(Trouble.BURST, 1.0, 14.0, 1.7),
             seconds=18.0,
         ),
+        shops(
+            "shops-limited",
+            0.7,
+            event(Trouble.LIMIT, 3.0, 10.0, 18.0, service="catalogue", hosts=1),
+            event(Trouble.LIMIT, 5.0, 9.0, 30.0, service="quotes", hosts=1),
+        ),
+        crews(
+            "crews-limited",
+            1.0,
+            event(Trouble.LIMIT, 3.0, 12.0, 25.0, service="roster", hosts=2),
+            event(Trouble.LIMIT, 5.0, 9.0, 60.0, service="allotments", hosts=1),
+        ),
+        shops(
+            "shops-limited-all",
+            0.9,
+            event(Trouble.LIMIT, 3.0, 10.0, 25.0, service="catalogue"),
+        ),
         shops("shops-burst", 0.9, event(Trouble.BURST, 3.0, 10.0, 1.8)),
         shops(
             "shops-grey",
--- a/bench/fleet/deployments.py
+++ b/bench/fleet/deployments.py
@@ -17,6 +17,8 @@
     """The connection breaks after this share of the runs."""
     DOWN = "down"
     """Backend servers take no connection, and are cold afterwards."""
+    LIMIT = "limit"
+    """Backend servers announce `strength` requests a second as their limit."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/bench/fleet/play.py
+++ b/bench/fleet/play.py
@@ -28,6 +28,8 @@
       arrivals: requests that reached a backend server, by kind.
       asked: requests and calls that were made, by kind.
       crossed: bytes carried between data centres.
+      arrived_at: times of the requests at each backend server, in seconds of
+        the day, by service and place.
     """
 
     name: str
@@ -38,6 +40,7 @@
     arrivals: collections.Counter
     asked: collections.Counter
     crossed: int
+    arrived_at: dict[tuple[str, int], list[float]]
 
     @property
     def worth(self) -> float:
@@ -76,6 +79,12 @@
             arrivals=nodes.arrivals,
             asked=nodes.asked,
             crossed=nodes.network.crossed,
+            arrived_at={
+                (node.server.service.name, node.server.place): [
+                    at - node.server.began for at in node.server.arrived_at
+                ]
+                for node in nodes.nodes
+            },
         )
 
     with seeded(seed):
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -8,6 +8,10 @@
 from bench.fleet import days, deployments, play, virtual, world
 
 CALM_SECONDS = 4.0
+STABLE_SECONDS = 3.0
+"""Seconds after the first announcement in which a limit may be exceeded."""
+WINDOW_SECONDS = 4.0
+"""Seconds in which the requests at an announced limit are counted."""
 
 
 class TestModel:
@@ -65,6 +69,27 @@
         assert retries < 0.2 * asked(played, day)
 
 
+class TestAnnouncedLimits:
+    """Backend servers announce the requests per second that they take."""
+
+    def test_limits_are_kept_and_callers_go_elsewhere(self, short):
+        """Callers of a limited server are refused while others have room."""
+        day = short("shops-limited", 10.0)
+        played = play.play_day(day, 2)
+        assert played.earned.served > 0.99
+        for event in day.events:
+            times = [
+                at
+                for at in played.arrived_at[event.service, 0]
+                if at >= event.at + STABLE_SECONDS
+            ]
+            most = max(
+                sum(start <= at < start + WINDOW_SECONDS for at in times)
+                for start in times
+            )
+            assert most <= 1.5 * event.strength * WINDOW_SECONDS + 5
+
+
 def arrivals(played: play.Played, day: deployments.Day) -> int:
     """Returns the requests that reached the deepest service."""
     return sum(played.arrivals[kind] for kind in deepest(day))
