Few calls wait for an announced limit; the others go elsewhere at once

What callers saw: calls waited up to half of their target latency for a backend server with a low limit while other hosts had room.

Change: at most 0.2 s of the rate wait, one call at least. A more important call takes the place of a less important one. A call that finds no place goes to another host as from a full one.

--- a/bench/fleet/days.py
+++ b/bench/fleet/days.py
@@ -355,6 +355,18 @@
             0.9,
             event(Trouble.LIMIT, 3.0, 10.0, 25.0, service="catalogue"),
         ),
+        shops(
+            "shops-limited-few",
+            0.9,
+            event(Trouble.LIMIT, 3.0, 10.0, 6.0, service="catalogue", hosts=1),
+            event(Trouble.LIMIT, 3.0, 10.0, 8.0, service="quotes", hosts=1),
+        ),
+        bulletins(
+            "bulletins-limited",
+            0.9,
+            event(Trouble.LIMIT, 3.0, 10.0, 8.0, hosts=1),
+            seconds=16.0,
+        ),
         shops("shops-burst", 0.9, event(Trouble.BURST, 3.0, 10.0, 1.8)),
         shops(
             "shops-grey",
--- a/mangobay/admission.py
+++ b/mangobay/admission.py
@@ -309,7 +309,9 @@
         """
         if self.queue_time <= 0:
             raise self.make_shed_error(messages.Reason.OVERLOADED, level)
-        if self.queue.length >= self.settings.queue_length:
+        if self.queue.length >= self.rate_limiter.max_waiting(
+            self.settings.queue_length
+        ):
             self.make_room(level, rank)
         now = loop.time()
         latest_start = request.deadline - self.service_times[
--- a/mangobay/ratelimit.py
+++ b/mangobay/ratelimit.py
@@ -9,6 +9,11 @@
 
 Only a response can tell that the limit was lifted.
 """
+QUEUE_SECONDS = 0.2
+"""Seconds of the rate for which calls may wait.
+
+Other hosts may have room, and a longer queue keeps calls from them.
+"""
 DELAY_MARGIN = 0.001
 """Seconds added to a wait, which by rounding could end without the token."""
 
@@ -59,6 +64,12 @@
             return 0.0
         return (1.0 - self.bucket.level) / self.bucket.rate + DELAY_MARGIN
 
+    def max_waiting(self, limit: int) -> int:
+        """Returns how many calls may wait, at most the limit of the queue."""
+        if self.rate is None:
+            return limit
+        return min(limit, max(1, int(self.rate * QUEUE_SECONDS)))
+
     def concurrency(self, run_seconds: float, limit: int) -> int:
         """Returns how many calls run at once at the rate limit.
 
--- a/tests/test_ratelimit.py
+++ b/tests/test_ratelimit.py
@@ -75,6 +75,20 @@
             limiter.record_start(now)
 
 
+class TestQueue:
+    """How many calls may wait for the limit."""
+
+    def test_few_calls_wait(self):
+        """Calls wait in a long queue although other hosts have room."""
+        limiter = ratelimit.RateLimiter()
+        assert limiter.max_waiting(40) == 40
+        limiter.set_rate(20.0, 0.0)
+        assert limiter.max_waiting(40) == 4
+        assert limiter.max_waiting(2) == 2
+        limiter.set_rate(0.0, 0.0)
+        assert limiter.max_waiting(40) == 1
+
+
 class TestConcurrency:
     """How many calls run at once at the limit, as other nodes are told."""
 
