Soak: a limit ends when the server names another one

The limits of two faults overlapped: the second replaced the first and ended before it, and the check went on by the first one, which was no longer named.

--- a/bench/soak/backends.py
+++ b/bench/soak/backends.py
@@ -179,6 +179,8 @@
             until=now + seconds,
         )
         self.seen.limits.append(limit)
+        if current.limit is not None:
+            current.limit.until = now
         current.limit = limit
         await asyncio.sleep(seconds)
         if current.limit is limit:
