--- a/mangobay/execution.py
+++ b/mangobay/execution.py
@@ -9,7 +9,6 @@
 from mangobay import (
     admissionrequest,
     backend,
-    backendstates,
     calls,
     errors,
     httpheaders,
@@ -21,6 +20,7 @@
     remotetraffic,
     retryallowance,
     shutdown,
+    stateupdates,
 )
 from mangobay.generated import messages
 
@@ -31,8 +31,6 @@
 completes, its response is kept for a repeat with the same key.
 """
 FIRST_SERVER_ERROR_STATUS = 500
-MISDIRECTED_STATUS = 421
-"""Status of a response by another backend server than the called one."""
 
 Outcome = messages.Outcome
 Reason = messages.Reason
@@ -43,8 +41,6 @@
 ]
 """Admits a call and runs it; awaits the argument before the first byte."""
 
-RetireBackend = collections.abc.Callable[[localservices.Announcement], None]
-
 
 class AtMostOnce(typing.Protocol):
     """Interface of `once.AtMostOnce` that execution needs."""
@@ -84,7 +80,7 @@
       open_calls: number of calls without a reply yet.
       sent_count: number of requests sent to the backend server.
       remote_traffic: bytes that child calls transfer to other data centres.
-      retire: stops using a backend server that says that it is leaving.
+      server_states: acts on what is learned about the backend server.
     """
 
     def __init__(
@@ -105,17 +101,13 @@
         self.open_calls = 0
         self.sent_count = 0
         self.remote_traffic = remotetraffic.RemoteTraffic()
-        self.retire: RetireBackend = self.withdraw
+        self.server_states = stateupdates.ServerStateUpdater(local_services)
 
     @property
     def idle(self) -> bool:
         """Whether no call is in progress."""
         return not (self.open_calls or self.unkeyed_tasks or self.parents)
 
-    def withdraw(self, announcement: localservices.Announcement) -> None:
-        """Removes a service until it is announced again."""
-        self.local_services.withdraw(announcement.service)
-
     async def serve(self, call: messages.Call) -> messages.Reply:
         """Runs a call; returns its reply.
 
@@ -133,7 +125,7 @@
                 call, local_service, calls.not_run_reply(Reason.NO_BACKEND)
             )
         if call.backend_states:
-            self.adopt_server_state(call, local_service)
+            self.server_states.adopt(local_service, call)
         if local_service.server_state.current.leaving:
             return self.refuse(
                 call, local_service, calls.not_run_reply(Reason.NO_BACKEND)
@@ -185,34 +177,22 @@
         """
         reply.tries_left = tries_left
         reply.host = self.process.host
-        if local_service is None:
-            reply.backend_states = self.retired_states(call.service)
-        else:
+        reply.backend_states = self.server_states.states_to_tell(
+            call.service, local_service
+        )
+        if local_service is not None:
             reply.threshold = local_service.admission.threshold
             reply.below = local_service.admission.downstream_threshold(
                 call.operation
             )
             reply.inflight = local_service.admission.load
             reply.limit = local_service.admission.capacity
-            reply.backend_states = backendstates.to_messages(
-                local_service.announcement.incarnation,
-                local_service.server_state.current,
-            )
             now = asyncio.get_running_loop().time()
             reply.crossing = self.remote_traffic.bytes_per_run(
                 call.operation, now
             )
         return reply
 
-    def retired_states(
-        self, service: ids.ServiceName
-    ) -> list[messages.BackendState]:
-        """Returns the state of the backend server that left last."""
-        incarnation = self.local_services.retired.get(service)
-        if incarnation is None:
-            return []
-        return backendstates.to_messages(incarnation, backend.LEAVING_STATE)
-
     async def serve_non_idempotent(
         self, call: messages.Call, execute: Execute, deadline: float
     ) -> messages.Reply:
@@ -363,54 +343,9 @@
             return calls.unknown_reply(Reason.INTERNAL)
         finally:
             self.sent_count += attempt.sent
-        self.observe_server_state(local_service, response)
+        self.server_states.observe(local_service, response)
         return self.reply_of(response, running_call)
 
-    def observe_server_state(
-        self,
-        local_service: localservices.LocalService,
-        response: backend.Response,
-    ) -> None:
-        """Acts on what a response says about the backend server."""
-        state = response.server_state
-        if state is None or response.status == MISDIRECTED_STATUS:
-            return
-        now = asyncio.get_running_loop().time()
-        sent_at = now - response.seconds
-        if local_service.server_state.observe(state, sent_at, now):
-            self.apply_server_state(local_service)
-
-    def adopt_server_state(
-        self, call: messages.Call, local_service: localservices.LocalService
-    ) -> None:
-        """Acts on what the sender of a call knows of the backend server."""
-        incarnation = local_service.announcement.incarnation
-        for message in call.backend_states:
-            state = backendstates.from_message(message)
-            if (
-                message.incarnation == incarnation
-                and local_service.server_state.adopt(state)
-            ):
-                self.apply_server_state(local_service)
-
-    def apply_server_state(
-        self, local_service: localservices.LocalService
-    ) -> None:
-        """Applies a changed state of the backend server."""
-        state = local_service.server_state.current
-        announcement = local_service.announcement
-        logs.log_event(
-            logs.Component.NODE,
-            "backend server changes its state",
-            service=announcement.service,
-            instance=announcement.instance,
-            rate_limit=state.rate_limit,
-            leaving=state.leaving,
-        )
-        local_service.admission.set_rate_limit(state.rate_limit)
-        if state.leaving:
-            self.retire(announcement)
-
     def reply_of(
         self,
         response: backend.Response,
