Names: the state of a backend server has one name

Messages and modules called it the state of the backend, the code beside the backend server that of the server. No change of behaviour; the new field of calls and replies keeps its place.

--- a/mangobay/dispatch.py
+++ b/mangobay/dispatch.py
@@ -7,7 +7,6 @@
 import typing
 
 from mangobay import (
-    backendstates,
     calls,
     errors,
     execution,
@@ -16,6 +15,7 @@
     ids,
     inflight,
     keyslots,
+    knownstates,
     options,
     ownerattempts,
     peers,
@@ -122,7 +122,7 @@
       retries: Settings of retries.
       dependencies: Objects that the dispatcher uses.
       in_flight: Calls without a reply.
-      backend_states: What is known of the backend servers of other hosts.
+      known_states: What is known of the backend servers of other hosts.
     """
 
     def __init__(
@@ -131,7 +131,7 @@
         self.retries = retries
         self.dependencies = dependencies
         self.in_flight = inflight.InFlightCalls()
-        self.backend_states = backendstates.BackendStates()
+        self.known_states = knownstates.KnownStates()
 
     async def handle(self, request: calls.Request) -> messages.Reply:
         """Returns the reply to a call, after retries where allowed.
@@ -332,7 +332,7 @@
         service = request.operation.service
         lent = request.allowance.lend()
         call = self.make_call(request, seconds_left, lent)
-        call.backend_states = self.backend_states.find(service, member.host)
+        call.server_states = self.known_states.find(service, member.host)
         router = self.dependencies.router
         router.record_call_start(service, member.host)
         reply = execution.PENDING_REPLY
@@ -354,7 +354,7 @@
                     started_at=started_at,
                 )
                 self.dependencies.tracer.record_attempt(attempt)
-        self.backend_states.record(service, member.host, reply)
+        self.known_states.record(service, member.host, reply)
         request.allowance.reclaim(min(reply.tries_left, lent))
         return reply
 
--- a/mangobay/execution.py
+++ b/mangobay/execution.py
@@ -80,7 +80,7 @@
       open_calls: number of calls without a reply yet.
       sent_count: number of requests sent to the backend server.
       remote_traffic: bytes that child calls transfer to other data centres.
-      server_states: acts on what is learned about the backend server.
+      state_updater: acts on what is learned about the backend server.
     """
 
     def __init__(
@@ -101,7 +101,7 @@
         self.open_calls = 0
         self.sent_count = 0
         self.remote_traffic = remotetraffic.RemoteTraffic()
-        self.server_states = stateupdates.ServerStateUpdater(local_services)
+        self.state_updater = stateupdates.ServerStateUpdater(local_services)
 
     @property
     def idle(self) -> bool:
@@ -124,9 +124,9 @@
             return self.refuse(
                 call, local_service, calls.not_run_reply(Reason.NO_BACKEND)
             )
-        if call.backend_states:
-            self.server_states.adopt(local_service, call)
-        if local_service.server_state.current.leaving:
+        if call.server_states:
+            self.state_updater.adopt(local_service, call)
+        if local_service.state_tracker.current.leaving:
             return self.refuse(
                 call, local_service, calls.not_run_reply(Reason.NO_BACKEND)
             )
@@ -177,7 +177,7 @@
         """
         reply.tries_left = tries_left
         reply.host = self.process.host
-        reply.backend_states = self.server_states.states_to_tell(
+        reply.server_states = self.state_updater.states_to_tell(
             call.service, local_service
         )
         if local_service is not None:
@@ -343,7 +343,7 @@
             return calls.unknown_reply(Reason.INTERNAL)
         finally:
             self.sent_count += attempt.sent
-        self.server_states.observe(local_service, response)
+        self.state_updater.observe(local_service, response)
         return self.reply_of(response, running_call)
 
     def reply_of(
--- a/mangobay/backendstates.py
+++ b/mangobay/knownstates.py
@@ -16,12 +16,12 @@
 
 def to_messages(
     incarnation: ids.BackendIncarnation, state: backend.ServerState
-) -> list[messages.BackendState]:
+) -> list[messages.ServerState]:
     """Returns the message for a state, none if there is nothing to tell."""
     if not incarnation or state == backend.NORMAL_STATE:
         return []
     return [
-        messages.BackendState(
+        messages.ServerState(
             incarnation=incarnation,
             leaving=state.leaving,
             limited=state.rate_limit is not None,
@@ -30,7 +30,7 @@
     ]
 
 
-def from_message(message: messages.BackendState) -> backend.ServerState:
+def from_message(message: messages.ServerState) -> backend.ServerState:
     """Returns the state in a message."""
     return backend.ServerState(
         rate_limit=message.rate_limit if message.limited else None,
@@ -38,7 +38,7 @@
     )
 
 
-class BackendStates:
+class KnownStates:
     """The states of the backend servers beside other nodes.
 
     They are kept when a host leaves the views, since it may come back with the
@@ -50,12 +50,12 @@
 
     def __init__(self):
         self.by_host: collections.OrderedDict[
-            tuple[ids.ServiceName, ids.HostId], list[messages.BackendState]
+            tuple[ids.ServiceName, ids.HostId], list[messages.ServerState]
         ] = collections.OrderedDict()
 
     def find(
         self, service: ids.ServiceName, host: ids.HostId
-    ) -> list[messages.BackendState]:
+    ) -> list[messages.ServerState]:
         """Returns what is known of the backend server, for a call to it."""
         return self.by_host.get((service, host), [])
 
@@ -71,8 +71,8 @@
         backend server has answered; a node that has restarted may not know.
         """
         key = (service, host)
-        if reply.backend_states:
-            self.by_host[key] = reply.backend_states
+        if reply.server_states:
+            self.by_host[key] = reply.server_states
             self.by_host.move_to_end(key)
             if len(self.by_host) > MAX_STATES:
                 self.by_host.popitem(last=False)
--- a/mangobay/localservices.py
+++ b/mangobay/localservices.py
@@ -53,13 +53,13 @@
       announcement: The last announcement.
       renewed_at: Loop time of the last announcement.
       admission: Admission control for the calls of the service.
-      server_state: What the backend server says about itself.
+      state_tracker: What the backend server says about itself.
     """
 
     announcement: Announcement
     renewed_at: float
     admission: "admission.AdmissionController"
-    server_state: serverstate.ServerStateTracker = dataclasses.field(
+    state_tracker: serverstate.ServerStateTracker = dataclasses.field(
         default_factory=serverstate.ServerStateTracker
     )
 
@@ -173,7 +173,7 @@
         self.retired[service] = incarnation
         local_service = self.by_name.get(service)
         if local_service is not None:
-            local_service.server_state.adopt(backend.LEAVING_STATE)
+            local_service.state_tracker.adopt(backend.LEAVING_STATE)
         return self.withdraw(service)
 
     def find(self, service: ids.ServiceName) -> LocalService | None:
--- a/mangobay/nodegauges.py
+++ b/mangobay/nodegauges.py
@@ -45,9 +45,9 @@
             "by its last response, -1 without a limit.",
             read_value=lambda: min(
                 (
-                    service.server_state.current.rate_limit
+                    service.state_tracker.current.rate_limit
                     for service in services.values()
-                    if service.server_state.current.rate_limit is not None
+                    if service.state_tracker.current.rate_limit is not None
                 ),
                 default=-1,
             ),
--- a/mangobay/routednode.py
+++ b/mangobay/routednode.py
@@ -90,7 +90,7 @@
             ids.ServiceName(config.backend.service),
             only_address(config.backend.address),
         )
-        self.executor.server_states.retire = self.heartbeat_receiver.retire
+        self.executor.state_updater.retire = self.heartbeat_receiver.retire
 
     def make_edges(self) -> None:
         """Creates the gateway and the HTTP listeners."""
--- a/mangobay/stateupdates.py
+++ b/mangobay/stateupdates.py
@@ -3,7 +3,7 @@
 import asyncio
 import collections.abc
 
-from mangobay import backend, backendstates, ids, localservices, logs
+from mangobay import backend, ids, knownstates, localservices, logs
 from mangobay.generated import messages
 
 MISDIRECTED_STATUS = 421
@@ -39,7 +39,7 @@
             return
         now = asyncio.get_running_loop().time()
         sent_at = now - response.seconds
-        if local_service.server_state.observe(state, sent_at, now):
+        if local_service.state_tracker.observe(state, sent_at, now):
             self.apply(local_service)
 
     def adopt(
@@ -47,17 +47,17 @@
     ) -> None:
         """Acts on what the sender of a call knows of the backend server."""
         incarnation = local_service.announcement.incarnation
-        for message in call.backend_states:
-            state = backendstates.from_message(message)
+        for message in call.server_states:
+            state = knownstates.from_message(message)
             if (
                 message.incarnation == incarnation
-                and local_service.server_state.adopt(state)
+                and local_service.state_tracker.adopt(state)
             ):
                 self.apply(local_service)
 
     def apply(self, local_service: localservices.LocalService) -> None:
         """Applies a changed state of the backend server."""
-        state = local_service.server_state.current
+        state = local_service.state_tracker.current
         announcement = local_service.announcement
         logs.log_event(
             logs.Component.NODE,
@@ -75,14 +75,14 @@
         self,
         service: ids.ServiceName,
         local_service: localservices.LocalService | None,
-    ) -> list[messages.BackendState]:
+    ) -> list[messages.ServerState]:
         """Returns the state for a reply: of the server here, or that left."""
         if local_service is not None:
-            return backendstates.to_messages(
+            return knownstates.to_messages(
                 local_service.announcement.incarnation,
-                local_service.server_state.current,
+                local_service.state_tracker.current,
             )
         incarnation = self.local_services.retired.get(service)
         if incarnation is None:
             return []
-        return backendstates.to_messages(incarnation, backend.LEAVING_STATE)
+        return knownstates.to_messages(incarnation, backend.LEAVING_STATE)
--- a/schema/messages.capnp
+++ b/schema/messages.capnp
@@ -76,7 +76,7 @@
   protocol @4 :UInt16;
 }
 
-struct BackendState {
+struct ServerState {
   # What a backend server said of itself in its answers.
   incarnation @0 :Text $id("BackendIncarnation");
   leaving @1 :Bool;
@@ -117,7 +117,7 @@
   # A backend server may have seen the call before; its calls are made again.
   workspace @21 :Text $id("WorkspaceName");
   # Of the caller at the root of the tree; empty without one.
-  backendStates @22 :List(BackendState);
+  serverStates @22 :List(ServerState);
   # What the sender knows of the receiver's backend server; at most one.
 }
 
@@ -144,7 +144,7 @@
   # Bytes that the calls of one run here carry to other data centres.
   calledBelow @15 :Bool;
   # The run made calls of its own; another attempt would make them again.
-  backendStates @16 :List(BackendState);
+  serverStates @16 :List(ServerState);
   # Of the receiver's backend server, if limited or leaving; at most one.
 }
 
--- a/tests/test_execution.py
+++ b/tests/test_execution.py
@@ -6,12 +6,12 @@
 
 from mangobay import (
     backend,
-    backendstates,
     calls,
     errors,
     execution,
     httpheaders,
     ids,
+    knownstates,
     localservices,
     options,
 )
@@ -382,7 +382,7 @@
     async def test_limit_is_applied_and_reported(self):
         executor = make_executor(respond_with(self.LIMITED))
         reply = await executor.serve(call())
-        (state,) = reply.backend_states
+        (state,) = reply.server_states
         assert (state.incarnation, state.rate_limit) == (INCARNATION, 19.4)
         assert (
             executor.local_services.find("stock").admission.rate_limit == 19.4
@@ -393,7 +393,7 @@
         executor = make_executor(respond_with(state))
         reply = await executor.serve(call())
         assert reply.outcome is Outcome.ANSWERED
-        assert reply.backend_states[0].leaving
+        assert reply.server_states[0].leaving
         later = await executor.serve(call())
         assert later.outcome is Outcome.NOT_RUN
 
@@ -401,7 +401,7 @@
         """Another server at the address sets the limit of the former one."""
         executor = make_executor(respond_with(self.LIMITED, status=421))
         reply = await executor.serve(call())
-        assert reply.backend_states == []
+        assert reply.server_states == []
 
     @pytest.mark.parametrize(
         "incarnation, applies", [(INCARNATION, True), ("i-1/4", False)]
@@ -410,8 +410,8 @@
         """A node has forgotten the limit after its restart."""
         executor = make_executor(respond_with(None))
         request = call()
-        request.backend_states = backendstates.to_messages(
+        request.server_states = knownstates.to_messages(
             ids.BackendIncarnation(incarnation), self.LIMITED
         )
         reply = await executor.serve(request)
-        assert bool(reply.backend_states) is applies
+        assert bool(reply.server_states) is applies
--- a/tests/test_serverstate.py
+++ b/tests/test_serverstate.py
@@ -6,7 +6,7 @@
 
 import platformfakes
 
-from mangobay import backend, backendstates, ids, serverstate
+from mangobay import backend, ids, knownstates, serverstate
 from mangobay.generated import messages
 
 RATE = 2.0
@@ -135,7 +135,7 @@
         assert tracker.adopt(LEAVING)
 
 
-class TestBackendStates:
+class TestKnownStates:
     """What a node remembers of the backend servers of other hosts."""
 
     SERVICE = ids.ServiceName("stock")
@@ -143,30 +143,30 @@
 
     def record(self, states, outcome, state=backend.NORMAL_STATE):
         reply = messages.Reply(outcome=outcome)
-        reply.backend_states = backendstates.to_messages(
+        reply.server_states = knownstates.to_messages(
             ids.BackendIncarnation("i-1/5"), state
         )
         states.record(self.SERVICE, self.HOST, reply)
 
     def test_state_is_kept_until_a_response_is_without_it(self):
         """The refusal of a restarted node erases what others know."""
-        states = backendstates.BackendStates()
+        states = knownstates.KnownStates()
         self.record(states, messages.Outcome.ANSWERED, LIMITED)
         self.record(states, messages.Outcome.NOT_RUN)
         (known,) = states.find(self.SERVICE, self.HOST)
-        assert backendstates.from_message(known) == LIMITED
+        assert knownstates.from_message(known) == LIMITED
         self.record(states, messages.Outcome.ANSWERED)
         assert states.find(self.SERVICE, self.HOST) == []
 
     def test_number_of_states_is_bounded(self):
-        states = backendstates.BackendStates()
+        states = knownstates.KnownStates()
         reply = messages.Reply(outcome=messages.Outcome.ANSWERED)
-        reply.backend_states = backendstates.to_messages(
+        reply.server_states = knownstates.to_messages(
             ids.BackendIncarnation("i-1/5"), LEAVING
         )
-        for number in range(backendstates.MAX_STATES + 1):
+        for number in range(knownstates.MAX_STATES + 1):
             states.record(self.SERVICE, ids.HostId(f"n{number}"), reply)
-        assert len(states.by_host) == backendstates.MAX_STATES
+        assert len(states.by_host) == knownstates.MAX_STATES
         assert states.find(self.SERVICE, ids.HostId("n0")) == []
 
 
