Nodes log why they get no grant, and how old the routes are that refuse a request

Each failed renewal is logged with the control host, the reason and the wait, a grant more than 2 s after the last one with the gap, and a refused request with the age of the routes. Renewals fail at most a few times a second, since they back off.

Test, written with the change: test_controlclient.py::TestLog::test_gap_and_its_causes_are_logged

--- a/bench/fleet/world.py
+++ b/bench/fleet/world.py
@@ -66,9 +66,9 @@
             why = str(reply.status)
         self.counted[call.operation.name, why] += 1
 
-    def log_refused(self, attempt, error, table) -> None:
+    def log_refused(self, attempt, error, table, routes_age) -> None:
         """Counts a request that became no call."""
-        del attempt, table
+        del attempt, table, routes_age
         self.counted["", error.reason.name.lower()] += 1
 
 
@@ -152,7 +152,7 @@
             metrics.Metrics(),
             Reasons(world.reasons),
             self.executor.shutdown,
-            accesscontrol.AccessControl(lease.UnlimitedLease(), None),
+            accesscontrol.AccessControl(lease.DocumentLease(0.0), None),
             outcomelog.OutcomeLog(self.process.host),
         )
         made.table = world.table
--- a/mangobay/accesscontrol.py
+++ b/mangobay/accesscontrol.py
@@ -17,6 +17,9 @@
 class DocumentLease(typing.Protocol):
     """The part of `lease.DocumentLease` that access control uses."""
 
+    def age(self) -> float:
+        """Returns the seconds since the last confirmation, inf without one."""
+
     def is_valid(self) -> bool:
         """Returns whether the document may be used for requests with keys."""
 
--- a/mangobay/controlclient.py
+++ b/mangobay/controlclient.py
@@ -41,6 +41,9 @@
 MIN_RENEWAL_SECONDS = 0.02
 """Minimum time in seconds between two renewals, whatever the leader replies."""
 
+LATE_GRANT_SECONDS = 2.0
+"""Seconds between two grants above which the second one is logged."""
+
 REFUSAL_MEMORY_SECONDS = 1.0
 """Seconds for which a control host that refused is not taken for the leader."""
 
@@ -84,6 +87,7 @@
       keyless: whether the node owns no idempotency keys and so needs no
         former views.
       had_lease: whether the lease was valid when this was last logged.
+      granted_at: loop time of the last grant, infinity before the first.
       interests: services whose operations and view this node follows.
       current_address: the control host that the next renewal is sent to.
       refused_at: when control hosts last refused a renewal.
@@ -117,6 +121,7 @@
         self.every_service = False
         self.keyless = False
         self.had_lease = False
+        self.granted_at = math.inf
         self.interests = interests.Interests()
         self.current_address = rng.choice(config.hosts)
         self.refused_at: dict[options.Address, float] = {}
@@ -203,6 +208,36 @@
             failures=self.consecutive_failures,
         )
 
+    def log_failed_renewal(
+        self, sent_at: float, reason: str, **facts: str
+    ) -> None:
+        """Logs a renewal without a grant, and which control host was asked."""
+        logs.log_event(
+            logs.Component.LEASE,
+            "renewal failed",
+            control=str(self.current_address),
+            why=reason,
+            waited_ms=int((clock.now() - sent_at) * 1000),
+            **facts,
+        )
+
+    def log_late_grant(self) -> None:
+        """Logs a grant that came late, since changes were not known until it.
+
+        The lease need not have ended meanwhile.
+        """
+        now = clock.now()
+        gap_seconds = now - self.granted_at
+        self.granted_at = now
+        if gap_seconds > LATE_GRANT_SECONDS:
+            logs.log_event(
+                logs.Component.LEASE,
+                "granted late",
+                control=str(self.current_address),
+                gap_ms=int(gap_seconds * 1000),
+                failures=self.consecutive_failures,
+            )
+
     def backoff(self) -> float:
         """Returns the seconds to wait after a failure, with full jitter.
 
@@ -255,6 +290,7 @@
             self.document_lease.confirm(sent_boot_time + reply.held_ms / 1000)
             return True
         except (errors.PeerError, TimeoutError) as error:
+            self.log_failed_renewal(sent_at, str(error) or "timed out")
             if isinstance(error, TimeoutError):
                 self.timeout_doublings += 1
             self.switch_to_next()
@@ -380,6 +416,9 @@
             case messages.LeaseGrant(granted=True) as grant:
                 pass
             case messages.LeaseGrant() as refusal:
+                self.log_failed_renewal(
+                    sent_at, "refused", leader=refusal.leader_address
+                )
                 self.switch_to_leader(refusal)
                 return False
             case _:
@@ -403,6 +442,7 @@
         self.apply_routes(grant.routes)
         self.update_addresses(grant.control_addresses)
         self.lease.extend(sent_at, grant.ttl_ms / 1000)
+        self.log_late_grant()
         if grant.drain != self.draining.value:
             self.draining.on_next(grant.drain)
         return True
--- a/mangobay/gateway.py
+++ b/mangobay/gateway.py
@@ -227,7 +227,12 @@
             self.metrics.record_refusal(error.reason)
             if entry is not None:
                 self.record_outcome(entry, parent, reply)
-            self.log.log_refused(attempt_id, error, self.table)
+            self.log.log_refused(
+                attempt_id,
+                error,
+                self.table,
+                self.access.document_lease.age(),
+            )
             return refusals.from_reply(reply)
         reply = await self.dispatch(entry, attempt_id, parent)
         self.record_outcome(entry, parent, reply)
--- a/mangobay/lease.py
+++ b/mangobay/lease.py
@@ -74,11 +74,12 @@
         """Records that the document was the newest one at a boot time."""
         self.confirmed_at = max(self.confirmed_at, confirmed_at)
 
+    def age(self) -> float:
+        """Returns the seconds since the last confirmation, inf without one."""
+        return self.read_boot_time() - self.confirmed_at
+
     def is_valid(self) -> bool:
         """Returns whether the document may be used for requests with keys."""
         if not self.max_staleness:
             return True
-        expires_at = (
-            self.confirmed_at + self.max_staleness - CLOCK_MARGIN_SECONDS
-        )
-        return self.read_boot_time() < expires_at
+        return self.age() < self.max_staleness - CLOCK_MARGIN_SECONDS
--- a/mangobay/requestlog.py
+++ b/mangobay/requestlog.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import math
 
 from mangobay import calls, ids, logs, routes
 from mangobay.generated import messages
@@ -67,8 +68,16 @@
         attempt: ids.AttemptId,
         error: calls.RequestError,
         table: routes.RouteTable | None,
+        routes_age: float,
     ) -> None:
-        """Logs a request that was refused before it became a call."""
+        """Logs a request that was refused before it became a call.
+
+        Args:
+          attempt: id of the attempt.
+          error: why it was refused.
+          table: the routes in force, None before the first.
+          routes_age: seconds since the control group confirmed them.
+        """
         if not self.take_token():
             return
         logs.log_event(
@@ -80,6 +89,9 @@
             workspace=error.workspace,
             retry_after_ms=int(error.retry_after * 1000),
             routes_version=table.document.version if table else 0,
+            routes_age_ms=(
+                int(routes_age * 1000) if math.isfinite(routes_age) else None
+            ),
             dropped=self.reset_dropped(),
         )
 
--- a/tests/test_accesscontrol.py
+++ b/tests/test_accesscontrol.py
@@ -38,6 +38,9 @@
 
     valid = True
 
+    def age(self):
+        return 0.0 if self.valid else 10.0
+
     def is_valid(self):
         return self.valid
 
--- a/tests/test_controlclient.py
+++ b/tests/test_controlclient.py
@@ -16,6 +16,7 @@
     interests,
     invariants,
     leases,
+    logs,
     options,
     statemachine,
 )
@@ -312,6 +313,50 @@
             assert invariants.violation_counts.total() == violations
 
 
+class TestLog:
+    """What the log tells of a node that gets no grant."""
+
+    @pytest.fixture
+    def events(self, monkeypatch):
+        """Returns the logged events, a list that grows."""
+        events = []
+
+        def record_event(component, event, **facts):
+            del component
+            events.append((event, facts))
+
+        monkeypatch.setattr(logs, "log_event", record_event)
+        return events
+
+    async def test_gap_and_its_causes_are_logged(
+        self, client, transport, events
+    ):
+        """Guards against a node that lags for reasons that nobody can tell."""
+        async with controlfakes.running_task(client):
+            client.serves = [messages.ServedService(name="quotes", slots=70)]
+            await asyncio.sleep(2)
+            lease_tables = dict(transport.lease_tables)
+            transport.lease_tables.clear()
+            await asyncio.sleep(5)
+            transport.lease_tables.update(lease_tables)
+            await asyncio.sleep(2)
+        failed = [facts for event, facts in events if event == "renewal failed"]
+        assert {facts["control"] for facts in failed} == {
+            str(FIRST),
+            str(SECOND),
+        }
+        assert all(facts["why"] for facts in failed)
+        (late,) = [facts for event, facts in events if event == "granted late"]
+        assert 4000 < late["gap_ms"] < 7000
+        assert late["failures"] == len(failed) - failed_before_start(events)
+
+
+def failed_before_start(events):
+    """Returns how many renewals failed before the first grant."""
+    names = [event for event, _ in events]
+    return names[: names.index("regained")].count("renewal failed")
+
+
 class TestInterest:
     """Services that a node fetches when a call needs them."""
 
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -82,7 +82,7 @@
             metrics.Metrics(),
             requestlog.RequestLog(),
             self.schedule,
-            accesscontrol.AccessControl(lease.UnlimitedLease(), None),
+            accesscontrol.AccessControl(lease.DocumentLease(0.0), None),
             outcomelog.OutcomeLog("n1"),
         )
         route = routes.Route(
