Soak: nodes are held to the configuration while a minority is away

The check of the configuration in force was narrower than the users' rule. It asked that nothing at all had been done to any control host for 3 s, and that none was down or frozen; the rule excuses only 3 s after a signal, a start or a freeze, as long as more than half of the group runs, and while such things go on it only stretches the bound by 5 s. A 404 counted only for the newest version of all that had been sent, so never while changes came in series; nodes were tried one at a time, behind reads that wait for frozen hosts.

Now steady nodes are held to 2 s whenever the group is stable by the rule, and to 7 s while a minority is disturbed. Routes stay in later versions, and the newest is tried at every node four times a second.

--- a/bench/soak/bounds.py
+++ b/bench/soak/bounds.py
@@ -14,6 +14,8 @@
       stable: after a disruption, until a process is held to its bounds again.
       loss_slack: a request sent this shortly before a close crossed it.
       config_apply: until an acknowledged configuration is in force.
+      max_skew: by which disturbances of a minority of the control hosts may
+        stretch `config_apply`.
       drain: until a backend server that leaves gets nothing more.
       freed: until work of a caller that left ends.
       recovery: until requests are served again.
@@ -43,6 +45,7 @@
     stable: float = 3.0
     loss_slack: float = 0.2
     config_apply: float = 2.0
+    max_skew: float = 5.0
     drain: float = 2.0
     freed: float = 0.5
     recovery: float = 15.0
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -176,6 +176,8 @@
 """Seconds between two resets of connections."""
 MEAN_LIMIT_GAP = 3.0
 """Seconds between two limits."""
+MEAN_MINORITY_GAP = 6.0
+"""Seconds between two long freezes of control hosts."""
 FIRST = 1.0
 """Seconds of calm at the start."""
 PLANNED_SEEDS = 3
@@ -199,6 +201,8 @@
         at += lots.expovariate(1 / MEAN_GAP)
     found += draw_links(seed, seconds, hosts)
     found += draw_limits(seed, seconds, hosts)
+    if seed % PLANNED_SEEDS:
+        found += draw_minorities(seed, seconds, hosts)
     found = [fault for fault in found if fault.at < seconds]
     found.sort(key=lambda fault: fault.at)
     return Plan(seed=seed, seconds=seconds, faults=tuple(found))
@@ -235,6 +239,29 @@
     return found
 
 
+def draw_minorities(seed: int, seconds: float, hosts: Hosts) -> list[Fault]:
+    """Returns long freezes of a minority of the control hosts.
+
+    The configuration changes meanwhile, since the others go on.
+    """
+    lots = random.Random(f"minorities {seed}")
+    at = FIRST
+    found: list[Fault] = []
+    while at < seconds:
+        at += lots.expovariate(1 / MEAN_MINORITY_GAP)
+        frozen = lots.uniform(5.0, 9.0)
+        chosen = lots.sample(hosts.controls, (len(hosts.controls) - 1) // 2)
+        found += [
+            Freeze(at=round(at, 2), host=each, seconds=round(frozen, 2))
+            for each in chosen
+        ]
+        found.append(
+            Publish(at=round(at + 0.5, 2), count=4, gap=1.0, race=False)
+        )
+        at += frozen
+    return found
+
+
 def draw(
     name: str, at: float, hosts: Hosts, lots: random.Random
 ) -> list[Fault]:
--- a/bench/soak/history.py
+++ b/bench/soak/history.py
@@ -184,12 +184,13 @@
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class Probe:
-    """One request on a route that only one version of the routes has.
+    """One request that shows which version of the routes a node goes by.
 
     Attributes:
       attempt: its id.
       host: of the node that is asked.
       version: that has the route.
+      kept: later versions have the route as well.
       sent: loop time.
       ended: loop time of the answer; a run may end before it comes.
       status: of the answer, 0 without one.
@@ -199,6 +200,7 @@
     host: ids.HostId
     version: int
     sent: float
+    kept: bool = False
     ended: float = math.inf
     status: int = 0
 
--- a/bench/soak/operators.py
+++ b/bench/soak/operators.py
@@ -9,6 +9,10 @@
 
 RACE_FACTOR = 2
 READ_SECONDS = 0.7
+PROBE_SECONDS = 0.25
+"""Seconds between two tries of the newest route at a node."""
+KEPT_ROUTES = 30
+"""Versions for which a route stays."""
 FIRST_SECONDS = 40.0
 """Longest wait for the first configuration to be accepted."""
 LAST_TRIES = 30
@@ -95,6 +99,14 @@
 
     async def watch(self) -> None:
         """Reads the configuration and tries routes until cancelled."""
+        async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(self.watch_hosts())
+            # A process that stands still must not hold up the others.
+            for place in self.nodes:
+                tasks.create_task(self.watch_routes(place))
+
+    async def watch_hosts(self) -> None:
+        """Reads the configuration, and asks nodes whether they are ready."""
         while True:
             await self.read(self.lots.choice(self.controls))
             await self.probe(self.lots.choice(self.nodes))
@@ -102,6 +114,12 @@
                 await self.ask_ready(place)
             await asyncio.sleep(READ_SECONDS * self.lots.random())
 
+    async def watch_routes(self, place: dialect.Place) -> None:
+        """Tries the newest route at one node."""
+        while True:
+            await self.probe(place, kept=True)
+            await asyncio.sleep(PROBE_SECONDS)
+
     async def read(self, place: dialect.Place, last: bool = False) -> bool:
         """Reads the configuration back; returns whether it was told."""
         loop = asyncio.get_running_loop()
@@ -137,20 +155,27 @@
             history.Readiness(host=place.name, sent=sent, ready=status == 200)
         )
 
-    async def probe(self, place: dialect.Place) -> None:
-        """Tries the route that only one version has."""
-        version = max(1, self.newest - self.lots.choice((0, 0, 1)))
+    async def probe(self, place: dialect.Place, kept: bool = False) -> None:
+        """Tries a route of one version, or one that later versions keep."""
+        version = self.newest
+        if not kept:
+            version = max(1, version - self.lots.choice((0, 0, 1)))
         loop = asyncio.get_running_loop()
         sent = loop.time()
-        attempt = ids.AttemptId(f"probe-{place.name}-{sent:.6f}")
+        name = "kept" if kept else "probe"
+        attempt = ids.AttemptId(f"{name}-{place.name}-{sent:.6f}")
         fields = {
-            "Host": marker(version),
+            "Host": kept_marker(version) if kept else marker(version),
             **self.speech.request_fields(attempt, 1.0),
         }
         data = wire.encode("GET /plain/0 HTTP/1.1", fields, None)
         port = self.speech.ports.outside
         probe = history.Probe(
-            attempt=attempt, host=place.name, version=version, sent=sent
+            attempt=attempt,
+            host=place.name,
+            version=version,
+            sent=sent,
+            kept=kept,
         )
         self.seen.probes.append(probe)
         probe.status, _ = await wire.exchange(place.ip, port, data)
@@ -162,6 +187,11 @@
     return f"v{version}.example"
 
 
+def kept_marker(version: int) -> str:
+    """Returns the host name of the route that is there since a version."""
+    return f"since{version}.example"
+
+
 def routes(version: int) -> list[dialect.Route]:
     """Returns the routes of a version."""
     found = [
@@ -174,13 +204,15 @@
         for service in world.SERVICES
         for repeatable in (True, False)
     ]
-    service = world.SERVICES[version % len(world.SERVICES)]
-    found.append(
+    names = {marker(version): version}
+    for kept in range(max(1, version - KEPT_ROUTES), version + 1):
+        names[kept_marker(kept)] = kept
+    return found + [
         dialect.Route(
-            hostname=marker(version),
-            service=service,
+            hostname=hostname,
+            service=world.SERVICES[number % len(world.SERVICES)],
             repeatable=True,
             timeout=1.0,
         )
-    )
-    return found
+        for hostname, number in names.items()
+    ]
--- a/bench/soak/spans.py
+++ b/bench/soak/spans.py
@@ -1,12 +1,26 @@
 """When a process was disturbed, from the events of a run."""
 
 import bisect
+import collections.abc
+import math
 
 from bench.soak import bounds, history
 from mangobay import ids
 
 Span = tuple[float, float]
 
+RESUMING = frozenset({history.Action.START, history.Action.THAW})
+"""What lets a process run that has ended or is frozen."""
+SUSPENDING = frozenset(
+    {
+        history.Action.TERM,
+        history.Action.KILL,
+        history.Action.KILL_LATE,
+        history.Action.FREEZE,
+    }
+)
+"""What ends or freezes a process."""
+
 
 class Spans:
     """Stops and disturbances of every process.
@@ -15,6 +29,8 @@
       unplanned: by host, from a disturbance until the process is steady again.
       stops: by host, the times of SIGTERM.
       busy: by host, the times of all events, in order.
+      signals: by host, the times of signals that disturb it, and of starts.
+      absences: by host, from a signal that ends or freezes it until it runs.
       stable: seconds after a disturbance until a process is steady.
     """
 
@@ -23,9 +39,16 @@
         self.unplanned: dict[ids.HostId, list[Span]] = {}
         self.stops: dict[ids.HostId, list[float]] = {}
         self.busy: dict[ids.HostId, list[float]] = {}
+        self.signals: dict[ids.HostId, list[float]] = {}
+        self.absences: dict[ids.HostId, list[Span]] = {}
         for place, event in enumerate(seen.events):
             host = event.host
             self.busy.setdefault(host, []).append(event.at)
+            if event.action in SUSPENDING | RESUMING:
+                self.signals.setdefault(host, []).append(event.at)
+            if event.action in SUSPENDING:
+                span = (event.at, resumed_at(seen.events[place:], event))
+                self.absences.setdefault(host, []).append(span)
             if event.action is history.Action.TERM:
                 self.stops.setdefault(host, []).append(event.at)
             if event.action in history.UNPLANNED:
@@ -47,6 +70,37 @@
         late = place > 0 and times[place - 1] > at - self.stable
         return not late and not self.disturbed(host, at, at)
 
+    def group_stable(
+        self, controls: collections.abc.Collection[ids.HostId], at: float
+    ) -> bool:
+        """Returns whether the control group runs and was left alone of late.
+
+        A minority that has been down or frozen for longer is no disturbance.
+        """
+        disturbed = any(
+            at - self.stable < each <= at
+            for host in controls
+            for each in self.signals.get(host, ())
+        )
+        return self.group_ran(controls, at, at) and not disturbed
+
+    def group_ran(
+        self,
+        controls: collections.abc.Collection[ids.HostId],
+        since: float,
+        until: float,
+    ) -> bool:
+        """Returns whether more than half of the group ran all the while."""
+        ran = sum(not self.away(host, since, until) for host in controls)
+        return 2 * ran > len(controls)
+
+    def away(self, host: ids.HostId, since: float, until: float) -> bool:
+        """Returns whether a process was down or frozen for a while."""
+        return any(
+            begin <= until and since <= end
+            for begin, end in self.absences.get(host, ())
+        )
+
     def stop_before(self, host: ids.HostId, at: float) -> float | None:
         """Returns the time of the last SIGTERM before a time, or None."""
         times = self.stops.get(host, [])
@@ -54,6 +108,21 @@
         return times[place - 1] if place else None
 
 
+def resumed_at(rest: list[history.Event], event: history.Event) -> float:
+    """Returns when a process runs again that an event ends or freezes."""
+    resuming = RESUMING
+    if event.action is not history.Action.FREEZE:
+        resuming = frozenset({history.Action.START})
+    return next(
+        (
+            each.at
+            for each in rest
+            if each.host == event.host and each.action in resuming
+        ),
+        math.inf,
+    )
+
+
 def end_of(rest: list[history.Event], event: history.Event) -> float:
     """Returns when what an event begins is over."""
     over = {
--- a/bench/soak/systemchecks.py
+++ b/bench/soak/systemchecks.py
@@ -113,29 +113,47 @@
 
 def routes_are_in_force(view: checks.View) -> checks.Found:
     """Nodes go by a configuration some time after it was acknowledged."""
-    bound = view.target.config_apply + view.seen.lag
-    controls = [host for host, name in view.seen.services.items() if not name]
     for probe in view.seen.probes:
-        hosts = [probe.host, *controls]
-        steady = all(view.spans.steady(host, probe.sent) for host in hosts)
+        if not view.spans.steady(probe.host, probe.sent):
+            continue
         # Rivals without an answer may be in force as well.
         sent = [each for each in view.seen.changes if each.sent < probe.ended]
         newest = max((each.version for each in sent), default=0)
-        known = [
-            each for each in accepted(view) if each.ended + bound < probe.sent
-        ]
-        latest = max((each.version for each in known), default=0)
-        if not steady:
-            continue
-        if probe.version < latest and probe.status == ACCEPTED:
+        latest = required_version(view, probe.sent)
+        refuses = probe.status == NO_ROUTE
+        if probe.kept:
+            if not refuses or probe.version > latest:
+                continue
+            what = f"refuses a route that is there since {probe.version}"
+        elif probe.version < latest and probe.status == ACCEPTED:
             what = f"serves by {probe.version}, in force is {latest}"
-        elif probe.version == latest == newest and probe.status == NO_ROUTE:
+        elif probe.version == latest == newest and refuses:
             what = f"refuses by an older version than {latest}"
         else:
             continue
         yield broken("configuration in force", probe.ended, probe.host, what)
 
 
+def required_version(view: checks.View, at: float) -> int:
+    """Returns the oldest version that steady nodes may go by at a time.
+
+    While the control group is disturbed, the bound is longer, as long as more
+    than half of it runs.
+    """
+    controls = [host for host, name in view.seen.services.items() if not name]
+    stable = view.spans.group_stable(controls, at)
+    latest = 0
+    for each in accepted(view):
+        due = each.ended + view.target.config_apply + view.seen.lag
+        if not stable:
+            due += view.target.max_skew
+            if not view.spans.group_ran(controls, each.ended, at):
+                continue
+        if due < at:
+            latest = max(latest, each.version)
+    return latest
+
+
 def leaving_nodes_say_so(view: checks.View) -> checks.Found:
     """A node that is asked some time after SIGTERM is not ready."""
     starts: dict[ids.HostId, list[float]] = collections.defaultdict(list)
