Failing tests: nodes in touch that go by an old configuration, and refuse for good by it

- final refusals by a configuration of unknown age: 404 for routes and for operations, 401, 413, 431.

The fakes of test_staleness.py move to leasefakes.py; its scenarios and bounds are as before.

--- a/tests/test_accesscontrol.py
+++ b/tests/test_accesscontrol.py
@@ -37,6 +37,10 @@
     """A lease on the routes document that the test ends."""
 
     valid = True
+    current = True
+
+    def is_current(self):
+        return self.current
 
     def age(self):
         return 0.0 if self.valid else 10.0
@@ -247,6 +251,28 @@
             assert key not in printed
 
 
+class TestOutdatedRoutes:
+    """Refusals that callers take as final, while the routes may be old."""
+
+    async def test_unknown_route_is_no_404(self):
+        """Guards against a final refusal of a route that was just added."""
+        harness = Harness(with_workspaces=False)
+        assert (await harness.send("new", None)).status == 404
+        harness.lease.current = False
+        response = await harness.send("new", None)
+        assert response.status == 503
+        assert float(header_of(response, "Retry-After")) > 0
+
+    async def test_unknown_key_is_no_401(self):
+        """Guards against a final refusal of a key that was just added."""
+        harness = Harness()
+        harness.lease.current = False
+        response = await harness.send(key="unknown")
+        assert response.status == 503
+        assert float(header_of(response, "Retry-After")) > 0
+        assert (await harness.send()).status == 200
+
+
 class TestQuota:
     """What the quota of a workspace allows."""
 
--- a/tests/test_edges.py
+++ b/tests/test_edges.py
@@ -393,6 +393,17 @@
         assert statuses[-1] == 503
         assert not one.executor.parents
 
+    async def test_unknown_operation_is_no_404_without_a_lease(self, cluster):
+        """Guards against a final refusal of an operation that was just added."""
+        one = await cluster.start("one", echo)
+        local = one.local_listener.address
+        status, _, _ = await cluster.send(local, "GET", "/stock/new")
+        assert status == 404
+        one.control.lease.expires_at = 0.0
+        status, headers, body = await cluster.send(local, "GET", "/stock/new")
+        assert (status, reason_of(body)) == (503, "no_lease")
+        assert float(headers["Retry-After"]) > 0
+
     async def test_calls_without_an_announced_service_are_refused(
         self, cluster
     ):
--- a/tests/test_leanserver.py
+++ b/tests/test_leanserver.py
@@ -294,6 +294,27 @@
         assert " 431 " in head
         writer.close()
 
+    async def test_old_limit_of_headers_refuses_nothing_for_good(
+        self, listener
+    ):
+        """Guards against 431 by a limit that was just raised."""
+        await self.check_refusal(listener, get("/", f"X: {'x' * 20_000}\r\n"))
+
+    async def test_old_limit_of_bodies_refuses_nothing_for_good(self, listener):
+        """Guards against 413 by a limit that was just raised."""
+        head = b"POST /p HTTP/1.1\r\nHost: h\r\nContent-Length: 101\r\n\r\n"
+        await self.check_refusal(listener, head + b"x")
+
+    async def check_refusal(self, listener, data):
+        """Checks that a request above an old limit may be sent again."""
+        listener.limits_are_current = lambda: False
+        reader, writer = await connect(listener)
+        writer.write(data)
+        head, _ = await read_response(reader)
+        assert " 503 " in head
+        assert "Retry-After" in head
+        writer.close()
+
 
 class TestConnectionEnd:
     """Callers that disconnect, and connections that time out."""
--- a/tests/test_staleness.py
+++ b/tests/test_staleness.py
@@ -7,86 +7,23 @@
 """
 
 import asyncio
-import random
 
-import groupfakes
+import leasefakes
 import pytest
-import routingfakes
-
-from mangobay import (
-    clock,
-    controlclient,
-    ids,
-    lease,
-    leases,
-    options,
-    statemachine,
-)
-from mangobay.generated import messages
+
+from mangobay import clock, lease
 
 REVOKE_SECONDS = 5.0
 """The bound within which a key must be dead."""
 MAX_STALENESS_SECONDS = REVOKE_SECONDS - lease.CLOCK_MARGIN_SECONDS
 """Age at which a node refuses keys."""
-HOSTS = 5
 SETTLE_SECONDS = 6.0
 WATCH_SECONDS = 15.0
 SAMPLE_SECONDS = 0.1
 
 
-class LeaseHost(groupfakes.FakeHost):
-    """A control host that grants leases."""
-
-    def make_machine(self):
-        return statemachine.ConfigStateMachine()
-
-    def start(self, join=False):
-        super().start(join)
-        self.leases = leases.LeaseTable(self.machine, self.group, 4.0, 1.0)
-        self.cluster.network.groups[self.address] = self
-
-    async def handle(self, body):
-        """Handles a request of a node or of another control host."""
-        match body:
-            case messages.LeaseRenew():
-                return await self.leases.renew(body)
-        return await self.group.handle(body)
-
-
-class LeaseCluster(groupfakes.Cluster):
-    """Control hosts that grant leases, and nodes that renew them."""
-
-    def __init__(self, node_count):
-        super().__init__(3, size=0)
-        self.addresses = tuple(
-            options.Address("127.0.0.1", 7000 + number)
-            for number in range(HOSTS)
-        )
-        self.hosts = [LeaseHost(self, address) for address in self.addresses]
-        self.clients = [self.make_client(n) for n in range(node_count)]
-
-    def make_client(self, number):
-        """Returns the control client of a node."""
-        address = options.Address("127.0.1.1", 8000 + number)
-        client = controlclient.ControlClient(
-            routingfakes.section(
-                "control",
-                hosts=self.addresses[:3],
-                max_staleness=REVOKE_SECONDS,
-            ),
-            controlclient.NodeIdentity(
-                host=ids.HostId(f"n{number}"),
-                incarnation=ids.Incarnation("1"),
-                data_centre=ids.DataCentre("lima"),
-                peer_address=address,
-            ),
-            groupfakes.FakeTransport(self.network, address),
-            random.Random(number),
-        )
-        client.keyless = True
-        client.every_service = True
-        client.document_lease.read_boot_time = clock.now
-        return client
+class FaultyCluster(leasefakes.LeaseCluster):
+    """Faults of control hosts, and how old documents get in them."""
 
     async def lose_leader(self):
         """Kills the leader, which is back after a second."""
@@ -183,6 +120,8 @@
 
     async def check(self, fault, node_count):
         """Plays a fault and checks the oldest document."""
-        ages = await LeaseCluster(node_count).watch(fault)
+        ages = await FaultyCluster(
+            node_count, max_staleness=REVOKE_SECONDS
+        ).watch(fault)
         assert ages[-1] < MAX_STALENESS_SECONDS
         return ages
