Nodes ask other control hosts while one is silent, and go by terms

Callers got 404 for routes that an acknowledged configuration had, from nodes that had found no leader for seconds while there was one.

Cause: a node asked one control host at a time. A silent one was waited for, 0.5 s at first and up to 4 s later, since the timeout doubled for all hosts together. A host that refused was not taken for the leader for 1 s, but one that was silent was: a follower that is cut off goes on naming the former leader, and the node went back and forth between these two and never asked the others.

Now a renewal that is overdue stays pending and another host is asked beside it. leadersearch decides which: the leader that was named, else the host asked least recently, those that reply before those that do not. Refusals tell the term, so that a leader which was just elected is taken at once although it refused a moment ago, and a host of an older term is not believed. The timeout doubles for a host by itself.

--- a/mangobay/controlclient.py
+++ b/mangobay/controlclient.py
@@ -18,6 +18,7 @@
     ids,
     interests,
     invariants,
+    leadersearch,
     lease,
     logs,
     operationtable,
@@ -32,20 +33,14 @@
 INITIAL_BACKOFF_SECONDS = 0.02
 """Upper bound in seconds of the delay after the first failure."""
 
-MAX_TIMEOUT_DOUBLINGS = 3
-"""Maximum number of times that the reply timeout is doubled.
-
-Each timeout adds a doubling, and each reply well below the timeout removes one.
-"""
-
 MIN_RENEWAL_SECONDS = 0.02
 """Minimum time in seconds between two renewals, whatever the leader replies."""
 
 LATE_GRANT_SECONDS = 2.0
 """Seconds between two grants above which the second one is logged."""
 
-REFUSAL_MEMORY_SECONDS = 1.0
-"""Seconds for which a control host that refused is not taken for the leader."""
+MIN_WAIT_SECONDS = 0.001
+"""Shortest wait. One below the clock's resolution would busy-wait."""
 
 FETCH_TIMEOUT_FACTOR = 4
 """Timeout of fetching a service, as a multiple of the setting `patience`."""
@@ -61,12 +56,27 @@
     peer_address: options.Address
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class PendingRenewal:
+    """A renewal that a control host has not replied to.
+
+    Attributes:
+      task: waits for the reply; returns whether the node need not ask again.
+      overdue_at: loop time from which the host may be asked again instead.
+    """
+
+    task: "asyncio.Task[bool]"
+    overdue_at: float
+
+
 class ControlClient:
     """Keeps one renewal pending at the leader of the control group.
 
     The leader replies at once if something changed for this node, and after
     the renewal interval otherwise, so that changes need no other channel to
-    the nodes.  The last table and views stay in use without a lease.
+    the nodes.  While one control host is silent, others are asked as well: it
+    may be slow, or be there no more.  The last table and views stay in use
+    without a lease.
 
     Attributes:
       config: settings of the control group.
@@ -81,19 +91,15 @@
         host.
       routes: subject of the newest routes document; version 0 before the
         first.
-      addresses: control hosts that are tried in turn: the current voters,
-        then the others of the settings.
+      search: chooses the control host to ask next.
+      pending: renewals that wait for a reply, by control host.
       every_service: whether the node follows the views of all services.
       keyless: whether the node owns no idempotency keys and so needs no
         former views.
       had_lease: whether the lease was valid when this was last logged.
       granted_at: loop time of the last grant, infinity before the first.
       interests: services whose operations and view this node follows.
-      current_address: the control host that the next renewal is sent to.
-      refused_at: when control hosts last refused a renewal.
-      consecutive_failures: failed renewals in a row.
-      timeout_doublings: how many times the reply timeout is doubled, up to
-        MAX_TIMEOUT_DOUBLINGS.
+      consecutive_failures: control hosts asked in a row without a grant.
       change_event: set if the node has changes to report.
       reply_event: set for a moment after each granted renewal.
       announced_services: what the backend server on this host announced.
@@ -117,21 +123,31 @@
         self.views = subject.BehaviorSubject({})
         self.draining = subject.BehaviorSubject(False)
         self.routes = subject.BehaviorSubject(messages.RoutesChange())
-        self.addresses = list(config.hosts)
+        self.search = leadersearch.LeaderSearch(
+            config.hosts, rng.choice(config.hosts), config.patience
+        )
+        self.pending: dict[options.Address, PendingRenewal] = {}
         self.every_service = False
         self.keyless = False
         self.had_lease = False
         self.granted_at = math.inf
         self.interests = interests.Interests()
-        self.current_address = rng.choice(config.hosts)
-        self.refused_at: dict[options.Address, float] = {}
         self.consecutive_failures = 0
-        self.timeout_doublings = 0
         self.change_event = asyncio.Event()
         self.reply_event = asyncio.Event()
         self.announced_services: list[messages.ServedService] = []
         self.is_leaving = False
 
+    @property
+    def addresses(self) -> list[options.Address]:
+        """Addresses of all control hosts."""
+        return self.search.hosts
+
+    @property
+    def current_address(self) -> options.Address:
+        """The leader's address, any control host's if it is unknown."""
+        return self.search.leader or self.search.hosts[0]
+
     @property
     def serves(self) -> list[messages.ServedService]:
         """Services that the backend server on this host announced."""
@@ -183,16 +199,102 @@
 
     async def run(self) -> None:
         """Renews the lease until cancelled."""
-        while True:
-            sent_at = clock.now()
-            renewed = await self.renew_once()
-            self.log_lease_change()
-            if renewed:
-                self.consecutive_failures = 0
-                await asyncio.sleep(sent_at + MIN_RENEWAL_SECONDS - clock.now())
-            else:
-                self.consecutive_failures += 1
-                await asyncio.sleep(self.backoff())
+        try:
+            while True:
+                await self.renew_once()
+        finally:
+            self.cancel_pending()
+
+    async def renew_once(self) -> bool:
+        """Asks one control host, and returns when it has replied or is overdue.
+
+        Returns:
+          Whether the next renewal may follow without a backoff.
+        """
+        asked_at = clock.now()
+        host = self.search.next_host(self.busy_hosts())
+        ask_next_at = asked_at + self.config.patience
+        if host is not None:
+            ask_next_at += self.ask(host)
+        renewed = await self.wait_for_grant(host, ask_next_at)
+        self.log_lease_change()
+        if renewed:
+            self.consecutive_failures = 0
+            await asyncio.sleep(asked_at + MIN_RENEWAL_SECONDS - clock.now())
+            return True
+        self.consecutive_failures += 1
+        if host in self.pending:
+            self.search.record_silence(host)
+        # Replies of hosts that were asked before may come meanwhile.
+        await self.wait_for_grant(None, clock.now() + self.backoff())
+        return False
+
+    def busy_hosts(self) -> set[options.Address]:
+        """Returns the control hosts that may still reply in time."""
+        now = clock.now()
+        return {
+            host
+            for host, pending in self.pending.items()
+            if now < pending.overdue_at
+        }
+
+    def ask(self, host: options.Address) -> float:
+        """Sends a renewal; returns how long the host may hold it, seconds."""
+        if host in self.pending:
+            self.pending.pop(host).task.cancel()
+            self.search.record_timeout(host)
+        renewal = self.make_renewal()
+        hold_seconds = renewal.hold_ms / 1000
+        self.search.record_asked(host)
+        self.pending[host] = PendingRenewal(
+            task=asyncio.create_task(self.renew_at(host, renewal)),
+            overdue_at=clock.now()
+            + hold_seconds
+            + self.search.reply_timeout(host),
+        )
+        return hold_seconds
+
+    async def wait_for_grant(
+        self, host: options.Address | None, until: float
+    ) -> bool:
+        """Waits for the replies to pending renewals.
+
+        Args:
+          host: returns once this host has replied; None to wait for a grant.
+          until: returns at this loop time, at the latest.
+
+        Returns:
+          Whether a host granted, or the node has new changes to report.
+        """
+        while (seconds := until - clock.now()) > MIN_WAIT_SECONDS:
+            if not self.pending:
+                await asyncio.sleep(seconds)
+                return False
+            await asyncio.wait(
+                [pending.task for pending in self.pending.values()],
+                timeout=seconds,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            replied = [
+                address
+                for address, pending in self.pending.items()
+                if pending.task.done()
+            ]
+            results = [
+                self.pending.pop(address).task.result() for address in replied
+            ]
+            if any(results):
+                self.cancel_pending()
+                return True
+            if host in replied:
+                return False
+        return False
+
+    def cancel_pending(self) -> None:
+        """Abandons the pending renewals."""
+        for pending in self.pending.values():
+            pending.task.cancel()
+        self.pending.clear()
 
     def log_lease_change(self) -> None:
         """Logs when the lease was lost or regained."""
@@ -209,13 +311,13 @@
         )
 
     def log_failed_renewal(
-        self, sent_at: float, reason: str, **facts: str
+        self, host: options.Address, sent_at: float, reason: str, **facts: str
     ) -> None:
         """Logs a renewal without a grant, and which control host was asked."""
         logs.log_event(
             logs.Component.LEASE,
             "renewal failed",
-            control=str(self.current_address),
+            control=str(host),
             why=reason,
             waited_ms=int((clock.now() - sent_at) * 1000),
             **facts,
@@ -251,59 +353,48 @@
         max_seconds = min(max_seconds, self.config.patience)
         return self.rng.uniform(0, max_seconds)
 
-    def reply_timeout(self) -> float:
-        """Returns the seconds to wait for the reply to an unheld renewal.
-
-        After a restart of the whole system, a leader replies to each renewal
-        later than the setting allows.  With a fixed timeout, renewals would be
-        abandoned and sent again forever: each would cost the leader its work
-        and none would be granted.  A longer timeout lets replies arrive,
-        although a part of each lease has passed by then.
-        """
-        return self.config.patience * 2 ** min(
-            self.timeout_doublings, MAX_TIMEOUT_DOUBLINGS
-        )
-
-    def record_reply_time(self, seconds: float) -> None:
-        """Removes a doubling of the timeout after a reply well below it."""
-        if seconds < self.reply_timeout() / 4:
-            self.timeout_doublings = max(self.timeout_doublings - 1, 0)
-
-    async def renew_once(self) -> bool:
-        """Sends one renewal to one control host.
+    async def renew_at(
+        self, host: options.Address, renewal: messages.LeaseRenew
+    ) -> bool:
+        """Sends a renewal to a control host and applies its reply.
 
         Returns:
-          Whether the next renewal may follow without a backoff.
+          Whether it was granted, or the node has new changes to report.
         """
-        renewal = self.make_renewal()
         sent_at = clock.now()
         sent_boot_time = self.document_lease.read_boot_time()
         try:
-            reply = await self.send_renewal(renewal)
-            self.record_reply_time(
-                clock.now() - sent_at - renewal.hold_ms / 1000
+            reply = await self.send_renewal(host, renewal)
+            self.search.record_reply(
+                host, clock.now() - sent_at - renewal.hold_ms / 1000
             )
             if reply is None:
                 return True
-            if not self.process_reply(renewal, sent_at, reply):
+            if not self.process_reply(host, renewal, sent_at, reply):
                 return False
             self.document_lease.confirm(sent_boot_time + reply.held_ms / 1000)
             return True
-        except (errors.PeerError, TimeoutError) as error:
-            self.log_failed_renewal(sent_at, str(error) or "timed out")
-            if isinstance(error, TimeoutError):
-                self.timeout_doublings += 1
-            self.switch_to_next()
+        except TimeoutError:
+            self.log_failed_renewal(host, sent_at, "timed out")
+            self.search.record_timeout(host)
+            return False
+        except errors.PeerBrokenError as error:
+            self.log_failed_renewal(host, sent_at, str(error))
+            self.search.record_broken_connection(host)
+            return False
+        except errors.PeerError as error:
+            self.log_failed_renewal(host, sent_at, str(error))
+            self.search.record_silence(host)
             return False
         except errors.MangobayError as error:
             logs.log_event(
                 logs.Component.LEASE, "grant rejected", why=str(error)
             )
-            self.switch_to_next()
+            self.search.record_silence(host)
             return False
 
     async def send_renewal(
-        self, renewal: messages.LeaseRenew
+        self, host: options.Address, renewal: messages.LeaseRenew
     ) -> messages.EnvelopeBody | None:
         """Returns the reply, or None if the node has new changes to report.
 
@@ -315,13 +406,11 @@
           errors.PeerError: no reply can come.
           TimeoutError: no reply came in time.
         """
-        timeout = renewal.hold_ms / 1000 + self.reply_timeout()
+        timeout = renewal.hold_ms / 1000 + self.search.max_reply_timeout
         if not renewal.hold_ms:
-            return await self.transport.send_request(
-                self.current_address, renewal, timeout
-            )
+            return await self.transport.send_request(host, renewal, timeout)
         request_task = asyncio.create_task(
-            self.transport.send_request(self.current_address, renewal, timeout)
+            self.transport.send_request(host, renewal, timeout)
         )
         change_task = asyncio.create_task(self.change_event.wait())
         try:
@@ -339,7 +428,11 @@
         new_interests = self.interests.new_interests()
         # If the next control host is unresponsive as well, a held renewal
         # would delay updates for longer.
-        is_connected = self.lease.is_valid() and not self.consecutive_failures
+        is_connected = (
+            self.lease.is_valid()
+            and not self.consecutive_failures
+            and not self.pending
+        )
         may_hold = (
             is_connected
             and not new_interests
@@ -395,6 +488,7 @@
 
     def process_reply(
         self,
+        host: options.Address,
         renewal: messages.LeaseRenew,
         sent_at: float,
         reply: messages.EnvelopeBody,
@@ -402,6 +496,7 @@
         """Applies the reply to a renewal.
 
         Args:
+          host: the control host that replied.
           renewal: the renewal.
           sent_at: loop time just before the renewal was sent.
           reply: the reply.
@@ -417,9 +512,13 @@
                 pass
             case messages.LeaseGrant() as refusal:
                 self.log_failed_renewal(
-                    sent_at, "refused", leader=refusal.leader_address
+                    host, sent_at, "refused", leader=refusal.leader_address
+                )
+                self.search.record_refusal(
+                    host,
+                    refusal.term,
+                    parse_leader_address(refusal.leader_address),
                 )
-                self.switch_to_leader(refusal)
                 return False
             case _:
                 raise errors.PeerProtocolError(
@@ -427,15 +526,16 @@
                 )
         # The control host lags behind a revision that this node has, so a
         # quorum cannot have confirmed its grant.
-        if grant.table.revision < renewal.revision:
+        if grant.table.revision < self.tables.value.revision:
             logs.log_event(
                 logs.Component.LEASE,
                 "control host lags, its grant is not taken",
                 leader=grant.leader,
                 revision=grant.table.revision,
             )
-            self.switch_to_next()
+            self.search.record_silence(host)
             return False
+        self.search.record_grant(host, grant.term)
         self.apply_table_update(grant.table)
         self.apply_views(grant.views, grant.view_steps)
         self.update_interests(renewal, grant)
@@ -487,7 +587,7 @@
             return
         voters = [options.parse_address(text) for text in addresses]
         configured = [host for host in self.config.hosts if host not in voters]
-        self.addresses = [*voters, *configured]
+        self.search.hosts = [*voters, *configured]
 
     def apply_views(
         self,
@@ -525,33 +625,10 @@
         self.reply_event.set()
         self.reply_event.clear()
 
-    def switch_to_leader(self, refusal: messages.LeaseGrant) -> None:
-        """Switches to the leader named by a control host.
 
-        Without a usable name it switches to the next control host. A host that
-        is cut off from the others goes on naming a former leader, which is cut
-        off with it and refuses: a node that trusted both would go back and
-        forth between them for as long as they are cut off.
-        """
-        now = clock.now()
-        self.refused_at[self.current_address] = now
-        try:
-            leader = options.parse_address(refusal.leader_address)
-        except ValueError:
-            self.switch_to_next()
-            return
-        refused_at = self.refused_at.get(leader, -math.inf)
-        if now - refused_at < REFUSAL_MEMORY_SECONDS:
-            self.switch_to_next()
-            return
-        self.current_address = leader
-
-    def switch_to_next(self) -> None:
-        """Switches to the next control host in the list."""
-        addresses = self.addresses
-        position = (
-            addresses.index(self.current_address)
-            if self.current_address in addresses
-            else -1
-        )
-        self.current_address = addresses[(position + 1) % len(addresses)]
+def parse_leader_address(text: str) -> options.Address | None:
+    """Returns the address in a refusal, None if it names no leader."""
+    try:
+        return options.parse_address(text)
+    except ValueError:
+        return None
--- a/mangobay/leases.py
+++ b/mangobay/leases.py
@@ -297,6 +297,7 @@
             ttl_ms=int(self.ttl * 1000),
             leader=self.group.leader,
             leader_address=self.group.leader_address,
+            term=self.group.term,
             table=renewals.make_table_update(self.machine, renewal),
             views=view_update.full_views,
             view_steps=view_update.steps,
@@ -308,7 +309,9 @@
     def make_refusal(self) -> messages.LeaseGrant:
         """Returns a reply without a lease that names the leader."""
         return messages.LeaseGrant(
-            leader=self.group.leader, leader_address=self.group.leader_address
+            leader=self.group.leader,
+            leader_address=self.group.leader_address,
+            term=self.group.term,
         )
 
     async def run(self) -> None:
--- a/schema/messages.capnp
+++ b/schema/messages.capnp
@@ -346,6 +346,8 @@
   heldMs @10 :UInt32;
   # Since the renewal came the leader has waited this long before a quorum
   # began to confirm it: so much later than sent, all of this was newest.
+  term @11 :UInt64 $id("Term");
+  # Newest term that the host knows, in which `leader` leads.
 }
 
 # ---- configuration ----
--- a/tests/test_controlclient.py
+++ b/tests/test_controlclient.py
@@ -279,7 +279,7 @@
             follower.machine, follower, 4.0, 1.0
         )
         client = make_client(transport)
-        client.current_address = SECOND
+        client.search.leader = SECOND
         assert not await client.renew_once()
         assert client.current_address == FIRST
         assert await client.renew_once()
