A renewal on a dead connection fails within 1.3 s

A node that had been cut off itself waited for up to 4 s on connections that had stopped working without a reset, and then for the kernel to send again, before it heard of a change: callers got 404 for new routes meanwhile.

Cause: only calls were pinged. Renewals were left out because the leader may hold them, which is true only of those that say so. The others are tracked now: a connection on which nothing was received for a second is dropped, and the next renewal makes a new one. Held renewals are not, so a calm node sends no Ping.

Failed before: test_peers.py::TestUnresponsivePeer:: test_renewal_at_unresponsive_peer_fails_early.

--- a/mangobay/connections.py
+++ b/mangobay/connections.py
@@ -22,10 +22,10 @@
 (0.22 s).
 """
 PING_AFTER_SECONDS = 0.3
-"""Time without a received byte, while calls are pending, after which a Ping is
+"""Time without a received byte, while requests are tracked, after which a Ping is
 sent; well above a round trip between data centres."""
 UNRESPONSIVE_AFTER_SECONDS = 1.0
-"""Time without a received byte, while calls are pending, after which the
+"""Time without a received byte, while requests are tracked, after which the
 connection gets no new requests.
 
 A host that is merely slow replies to the Ping in time: even at a sixth of its
@@ -82,16 +82,17 @@
       handler_tasks: tasks of the requests received, by stream.
       partial_frame_since: loop time at which an incomplete frame began, or 0.
       last_request_at: loop time of the last request sent.
-      pending_calls: streams of the calls that wait for their reply.
+      tracked_requests: streams of the pending requests that the peer should
+        reply to without delay.
       non_idempotent_calls: those of them that keep waiting when the peer is
         unresponsive.
       last_received_at: loop time of the last byte received, or of the first
-        pending call if that is later.
+        tracked request if that is later.
       unresponsive: whether the peer has stopped responding on an open
         connection.
       ping_sent: whether a Ping was sent since the last byte was received.
       liveness_check: calls check_liveness; contains this connection while
-        calls are pending.
+        requests are tracked.
     """
 
     def __init__(
@@ -116,7 +117,7 @@
         self.closed = False
         self.partial_frame_since = 0.0
         self.last_request_at = self.loop.time()
-        self.pending_calls: set[int] = set()
+        self.tracked_requests: set[int] = set()
         self.non_idempotent_calls: set[int] = set()
         self.last_received_at = self.last_request_at
         self.unresponsive = False
@@ -312,8 +313,8 @@
         self.send(messages.Envelope(stream=stream, body=body))
         future = self.loop.create_future()
         self.pending_requests[stream] = future
-        if isinstance(body, messages.Call):
-            self.track_call(stream, body)
+        if is_tracked(body):
+            self.track_request(stream, body)
         timer = self.loop.call_later(timeout, fail_with_timeout, future)
         try:
             reply = await future
@@ -323,32 +324,28 @@
         finally:
             timer.cancel()
             del self.pending_requests[stream]
-            self.untrack_call(stream)
+            self.untrack_request(stream)
             if self.unresponsive and not self.pending_requests:
                 self.close(UNRESPONSIVE_MESSAGE)
         if isinstance(reply, messages.Failure):
             raise errors.PeerBrokenError(reply.text)
         return reply
 
-    def track_call(self, stream: int, call: messages.Call) -> None:
-        """Adds a pending call; the liveness check runs while there are any.
-
-        Other requests are not tracked: the peer may hold them for longer than
-        the check allows, and their own timeouts are short.
-        """
-        if not self.pending_calls:
+    def track_request(self, stream: int, body: messages.EnvelopeBody) -> None:
+        """Adds a request; the liveness check runs while there are any."""
+        if not self.tracked_requests:
             self.last_received_at = self.last_request_at
             self.ping_sent = False
-        self.pending_calls.add(stream)
-        if not call.idempotent:
+        self.tracked_requests.add(stream)
+        if isinstance(body, messages.Call) and not body.idempotent:
             self.non_idempotent_calls.add(stream)
         self.liveness_check.add(self)
 
-    def untrack_call(self, stream: int) -> None:
-        """Removes a call that has ended."""
-        self.pending_calls.discard(stream)
+    def untrack_request(self, stream: int) -> None:
+        """Removes a request that has ended."""
+        self.tracked_requests.discard(stream)
         self.non_idempotent_calls.discard(stream)
-        if not self.pending_calls:
+        if not self.tracked_requests:
             self.liveness_check.discard(self)
 
     def record_received(self) -> None:
@@ -478,6 +475,20 @@
             task.cancel()
 
 
+def is_tracked(body: messages.EnvelopeBody) -> bool:
+    """Returns whether the peer is pinged while a request is pending.
+
+    Renewals that the peer may hold are not tracked: they are always pending, so
+    that the pings would cost more than the renewals.
+    """
+    match body:
+        case messages.Call():
+            return True
+        case messages.LeaseRenew(hold_ms=0):
+            return True
+    return False
+
+
 def fail_with_timeout(future: asyncio.Future) -> None:
     """Fails a request whose timeout has passed."""
     if not future.done():
--- a/tests/leasefakes.py
+++ b/tests/leasefakes.py
@@ -9,6 +9,7 @@
 
 from mangobay import (
     clock,
+    connections,
     controlclient,
     errors,
     ids,
@@ -28,6 +29,10 @@
 RETRANSMIT_SECONDS = 0.2
 """First retransmission of a lost packet; each further one takes twice as long."""
 CONNECT_TIMEOUT_SECONDS = 0.3
+SILENCE_SECONDS = (
+    connections.UNRESPONSIVE_AFTER_SECONDS + connections.PING_AFTER_SECONDS
+)
+"""Longest silence until a connection is dropped."""
 
 
 class Connection:
@@ -112,7 +117,9 @@
     async def send_request(self, sender, receiver, body, timeout):
         if (sender, receiver) not in self.connections:
             await asyncio.sleep(2 * self.delay_seconds)
-            if self.is_blocked(sender, receiver):
+            if receiver in self.frozen_hosts or self.is_blocked(
+                sender, receiver
+            ):
                 await asyncio.sleep(min(CONNECT_TIMEOUT_SECONDS, timeout))
                 raise errors.PeerUnreachableError("no connection")
             if receiver not in self.groups:
@@ -120,7 +127,33 @@
             self.connections[sender, receiver] = Connection(
                 self, sender, receiver
             )
-        return await super().send_request(sender, receiver, body, timeout)
+        request = super().send_request(sender, receiver, body, timeout)
+        if not connections.is_tracked(body):
+            return await request
+        return await self.drop_if_silent(sender, receiver, request)
+
+    async def drop_if_silent(self, sender, receiver, request):
+        """Returns a reply; drops the connection if the receiver is silent.
+
+        Raises:
+          errors.PeerBrokenError: the receiver answers no Ping.
+        """
+        task = asyncio.create_task(request)
+        self.deliveries.add(task)
+        task.add_done_callback(self.discard_delivery)
+        try:
+            await asyncio.wait({task}, timeout=SILENCE_SECONDS)
+            silent = receiver in self.frozen_hosts or self.is_blocked(
+                sender, receiver
+            )
+            if task.done() or not silent:
+                return await task
+        finally:
+            task.cancel()
+        found = self.connections.get((sender, receiver))
+        if found is not None:
+            found.close()
+        raise errors.PeerBrokenError("no reply to a Ping")
 
     def connection(self, sender, receiver):
         """Returns the connection on which a message or its reply travels.
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -170,6 +170,27 @@
         )
         assert reply.body == b"next"
 
+    async def test_renewal_at_unresponsive_peer_fails_early(
+        self, handler, listener, client
+    ):
+        """Guards against a node that waits on a connection that is dead."""
+        await self.stop_reading(handler, listener, client)
+        loop = asyncio.get_running_loop()
+        started_at = loop.time()
+        with pytest.raises(errors.PeerBrokenError):
+            await client.send_request(
+                listener.address, messages.LeaseRenew(), WAIT_SECONDS
+            )
+        assert loop.time() - started_at < WAIT_SECONDS / 2
+
+    async def test_held_renewal_is_not_pinged(self, handler, listener, client):
+        await self.stop_reading(handler, listener, client)
+        with pytest.raises(TimeoutError):
+            await client.send_request(
+                listener.address, messages.LeaseRenew(hold_ms=1000), 0.5
+            )
+        assert not client.liveness_check.items
+
     async def test_non_idempotent_call_keeps_waiting(
         self, handler, listener, client
     ):
