A node refuses for good only by routes that were just confirmed

Callers got 404 for a route that an acknowledged configuration had, at nodes that could not know of it. Callers never come again after a 404, nor after a 401: a node without news turned away for good what its neighbours served.

Cause: a refusal by the routes in force did not ask how old they were. The document had a lease for requests with keys only ([control] max_staleness), and within it a key that had just been added was refused with 401.

Now 404 and 401 need a confirmation by the control group that is at most [control] max_refusal_staleness old (2 s; on the platform, the time within which a change must be in force). Such a refusal is right by the newest version that had to be in force when the request was sent. Without it the answer is 503 with Retry-After, and the caller may find a node that knows. Requests that the routes allow are served as before.

Written with the change: test_lease.py:: test_refusals_are_final_only_by_a_young_confirmation.

--- a/mangobay/accesscontrol.py
+++ b/mangobay/accesscontrol.py
@@ -20,6 +20,9 @@
     def age(self) -> float:
         """Returns the seconds since the last confirmation, inf without one."""
 
+    def is_current(self) -> bool:
+        """Returns whether requests may be refused for good by the document."""
+
     def is_valid(self) -> bool:
         """Returns whether the document may be used for requests with keys."""
 
@@ -82,11 +85,26 @@
             )
         workspace = table.directory.find(header_values)
         if workspace is None:
+            self.check_current()
             raise calls.RequestError(
                 Reason.UNAUTHENTICATED, "no workspace has the key"
             )
         return workspace
 
+    def check_current(self) -> None:
+        """Checks that a request may be refused for good by the routes in force.
+
+        Raises:
+          calls.RequestError: a newer document may allow it, so that the caller
+            is told to come again.
+        """
+        if not self.document_lease.is_current():
+            raise calls.RequestError(
+                Reason.OUTDATED_ROUTES,
+                "the control group has not confirmed the routes of late",
+                STALE_RETRY_AFTER_SECONDS,
+            )
+
     async def acquire_token(
         self, workspace: workspacedirectory.Workspace, route: routes.Route
     ) -> quotaclient.Decision | None:
--- a/mangobay/controlclient.py
+++ b/mangobay/controlclient.py
@@ -118,7 +118,10 @@
         self.transport = transport
         self.rng = rng
         self.lease = lease.Lease()
-        self.document_lease = lease.DocumentLease(config.max_staleness)
+        self.document_lease = lease.DocumentLease(
+            config.max_staleness,
+            max_refusal_staleness=config.max_refusal_staleness,
+        )
         self.tables = subject.BehaviorSubject(operationtable.OperationTable())
         self.views = subject.BehaviorSubject({})
         self.draining = subject.BehaviorSubject(False)
--- a/mangobay/gateway.py
+++ b/mangobay/gateway.py
@@ -340,6 +340,7 @@
             request.headers.get("Host", ""), request.path
         )
         if destination is None:
+            self.access.check_current()
             raise calls.RequestError(
                 Reason.NO_SUCH_OPERATION, "no route matches host and path"
             )
--- a/mangobay/lease.py
+++ b/mangobay/lease.py
@@ -57,6 +57,7 @@
 
     Attributes:
       max_staleness: seconds since the last confirmation; 0: no limit.
+      max_refusal_staleness: the same for refusals that callers take as final.
       read_boot_time: returns the boot time in seconds.
       confirmed_at: boot time at which the document was the newest one.
     """
@@ -65,8 +66,10 @@
         self,
         max_staleness: float,
         read_boot_time: collections.abc.Callable[[], float] = clock.boot_time,
+        max_refusal_staleness: float = 0.0,
     ):
         self.max_staleness = max_staleness
+        self.max_refusal_staleness = max_refusal_staleness
         self.read_boot_time = read_boot_time
         self.confirmed_at = -math.inf
 
@@ -78,6 +81,15 @@
         """Returns the seconds since the last confirmation, inf without one."""
         return self.read_boot_time() - self.confirmed_at
 
+    def is_current(self) -> bool:
+        """Returns whether requests may be refused for good by the document.
+
+        If it was confirmed less than the time ago within which a change is in
+        force everywhere, such a refusal is right by the newest one as well.
+        """
+        limit = self.max_refusal_staleness
+        return not limit or self.age() <= limit
+
     def is_valid(self) -> bool:
         """Returns whether the document may be used for requests with keys."""
         if not self.max_staleness:
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -71,5 +71,18 @@
         self.clock.now = 1007.0
         assert self.lease.is_valid()
 
+    def test_refusals_are_final_only_by_a_young_confirmation(self):
+        """Guards against a final refusal of what was just added."""
+        document_lease = lease.DocumentLease(
+            0.0, self.clock, max_refusal_staleness=2.0
+        )
+        assert not document_lease.is_current()
+        document_lease.confirm(1000.0)
+        self.clock.now = 1002.0
+        assert document_lease.is_current()
+        self.clock.now = 1002.1
+        assert not document_lease.is_current()
+        assert document_lease.is_valid()
+
     def test_without_a_bound_it_never_ends(self):
         assert lease.DocumentLease(0.0, self.clock).is_valid()
