Limits that may be old refuse nothing for good

The limits of heads and bodies come with the routes. A node that lacked a version which had raised them answered 431 and 413, after which callers never come again; one without any routes answered 431 by its own limit, while bodies were told 503.

The listener asks whether its limits are certain to be the newest ones, and tells the caller to come again otherwise; this replaces the response that was exchanged when the first routes came.

Failed before: test_leanserver.py::TestMalformedInput::test_old_limit_of_* (two).

--- a/mangobay/leanserver.py
+++ b/mangobay/leanserver.py
@@ -13,6 +13,7 @@
     logs,
     options,
     periodic,
+    refusals,
 )
 
 Handler = collections.abc.Callable[
@@ -24,7 +25,8 @@
 """Connections in the accept queue; a burst of callers opens hundreds."""
 MAX_PIPELINED_REQUESTS = 64
 """Requests of one connection handled concurrently; reading pauses above it."""
-TOO_LARGE_RESPONSE = leanhttp.Response(status=413)
+BODY_TOO_LARGE_STATUS = 413
+HEAD_TOO_LARGE_STATUS = 431
 HALF_CLOSE_SECONDS = 1.0
 """Seconds that a caller has to close a half-closed connection; more than a
 round trip between distant regions."""
@@ -216,7 +218,7 @@
         )
         if body_bytes > self.listener.limits.max_body_bytes:
             newest.response_bytes = leanhttp.encode_response(
-                self.listener.too_large_response, True, False
+                self.listener.limit_response(BODY_TOO_LARGE_STATUS), True, False
             )
             newest.should_close = True
             self.closing = True
@@ -249,9 +251,10 @@
     def send_error(self, error: httpparse.ParseError) -> None:
         """Responds to malformed input after the responses that are due."""
         self.closing = True
-        response_bytes = leanhttp.encode_response(
-            leanhttp.Response(status=error.status), True, False
-        )
+        response = leanhttp.Response(status=error.status)
+        if error.status == HEAD_TOO_LARGE_STATUS:
+            response = self.listener.limit_response(error.status)
+        response_bytes = leanhttp.encode_response(response, True, False)
         # The error response takes the place of a request with a malformed body.
         if self.is_receiving_body():
             self.exchanges.pop()
@@ -363,7 +366,8 @@
       address: address to listen on; port 0 is replaced by the actual port.
       connection_check: checks the connections periodically.
       leaving: connections are closed after their last response.
-      too_large_response: response to a body above the limit.
+      limits_are_current: returns whether the limits of what callers may send
+        are certain to be the newest ones.
     """
 
     def __init__(
@@ -376,7 +380,9 @@
             periodic.PeriodicCheck(SWEEP_SECONDS, self.check_connection)
         )
         self.leaving = False
-        self.too_large_response = TOO_LARGE_RESPONSE
+        self.limits_are_current: collections.abc.Callable[[], bool] = lambda: (
+            True
+        )
         self.server: asyncio.Server | None = None
 
     async def start(self) -> None:
@@ -398,6 +404,16 @@
         )
         self.address = listening.bound_address(self.address, self.server)
 
+    def limit_response(self, status: int) -> leanhttp.Response:
+        """Returns the response to a request above a limit.
+
+        Callers never send it again after such a status, so they are told to
+        come again while the limit may have been raised.
+        """
+        if self.limits_are_current():
+            return leanhttp.Response(status=status)
+        return refusals.retry_later_response()
+
     @property
     def connections(self) -> set[Connection]:
         """The open connections."""
--- a/mangobay/routednode.py
+++ b/mangobay/routednode.py
@@ -17,7 +17,6 @@
     metricspage,
     options,
     quotaclient,
-    refusals,
     requestlog,
     routes,
     routespublisher,
@@ -119,11 +118,7 @@
         self.outside_listener = leanserver.Listener(
             config.listen.outside, self.gateway.handle, limits
         )
-        # The body limit comes with the routes. Before, callers are told to
-        # retry: they never resend a request that was refused as too large.
-        self.outside_listener.too_large_response = (
-            refusals.retry_later_response()
-        )
+        self.outside_listener.limits_are_current = self.has_current_routes
         internal = (
             (
                 config.listen.heartbeats,
@@ -144,6 +139,13 @@
             ),
         ]
 
+    def has_current_routes(self) -> bool:
+        """Returns whether the routes in force are certain to be the newest."""
+        return (
+            self.gateway.table is not None
+            and self.control.document_lease.is_current()
+        )
+
     def is_ready(self) -> bool:
         """Returns whether the node is ready for callers.
 
@@ -194,7 +196,6 @@
         self.metrics.retain_workspaces(
             {workspace.name for workspace in document.workspaces or ()}
         )
-        self.outside_listener.too_large_response = leanserver.TOO_LARGE_RESPONSE
         limits = self.outside_listener.limits
         limits.max_line_bytes = document.limits.max_header_bytes
         limits.max_body_bytes = document.limits.max_body_bytes
