Without a lease an unknown operation gets 503, not 404

The product's own interface had the same fault: a node that was cut off refused a call of its backend server to an operation that a newer sheet had added with 404, by the table that it had kept. Callers from outside were nearly safe, since every refusal asks the control group for a name that never exists, at most a second old.

Without a lease the refusal is no_lease, with a time to come back, at both edges.

Failed before: test_edges.py::TestLocalEdge:: test_unknown_operation_is_no_404_without_a_lease.

--- a/mangobay/edges.py
+++ b/mangobay/edges.py
@@ -142,6 +142,17 @@
             return None
         return operation
 
+    def no_such_operation(self) -> calls.RequestError:
+        """Returns the refusal of a call to an operation that is not known.
+
+        Without a lease, the operation may have been added meanwhile.
+        """
+        if self.directory.lease.is_valid():
+            return calls.RequestError(Reason.NO_SUCH_OPERATION, "")
+        return calls.RequestError(
+            Reason.NO_LEASE, "the operations known here may be outdated"
+        )
+
     async def fetch_services(self, *services: ids.ServiceName) -> None:
         """Waits until the table has the control group's entries for services.
 
@@ -219,7 +230,7 @@
             await self.fetch_services(service, decoy)
             operation = self.find_allowed(service, method, target, ids.OUTSIDE)
         if operation is None:
-            raise calls.RequestError(Reason.NO_SUCH_OPERATION, "")
+            raise self.no_such_operation()
         return operation
 
     def make_trace(
@@ -353,7 +364,7 @@
             await self.fetch_services(service)
             operation = self.find_allowed(service, method, target, caller)
         if operation is None:
-            raise calls.RequestError(Reason.NO_SUCH_OPERATION, "")
+            raise self.no_such_operation()
         return operation
 
 
