--- a/tests/soakfakes.py
+++ b/tests/soakfakes.py
@@ -101,13 +101,14 @@
     )
 
 
-def probe(version, at, status):
-    """Returns a request on the route of one version."""
+def probe(version, at, status, kept=False):
+    """Returns a request on the route of one version, or one that is kept."""
     return history.Probe(
         attempt=ids.AttemptId(f"probe-{at}"),
         host=NODE,
         version=version,
         sent=at,
+        kept=kept,
         ended=at + 0.1,
         status=status,
     )
--- a/tests/test_soak_systemchecks.py
+++ b/tests/test_soak_systemchecks.py
@@ -115,6 +115,61 @@
         assert len(breaks) == count
 
 
+class TestDisturbedGroup:
+    """`systemchecks.routes_are_in_force` while control hosts are away."""
+
+    CHANGES = (soakfakes.change(1, 0), soakfakes.change(2, 1, at=101.0))
+    CONTROLS = tuple(f"control-{number}" for number in range(1, 4))
+
+    def breaks(self, at, *events, kept=True):
+        """Returns what is found of a refusal of the newest route."""
+        made = soakfakes.seen(
+            changes=list(self.CHANGES),
+            probes=[soakfakes.probe(2, at, 404, kept=kept)],
+            events=[
+                soakfakes.event(each_at, action, host=host)
+                for each_at, action, host in events
+            ],
+        )
+        made.services |= dict.fromkeys(self.CONTROLS, "")
+        check = systemchecks.routes_are_in_force
+        return list(check(checks.View(made)))
+
+    def test_a_minority_that_is_away_excuses_nothing(self):
+        """Guards against a check that looks away while a host is frozen."""
+        frozen = (100.5, Action.FREEZE, "control-1")
+        assert not self.breaks(103.4, frozen)
+        assert self.breaks(103.6, frozen)
+
+    def test_a_majority_that_is_away_excuses_everything(self):
+        events = [
+            (100.0 + number, Action.KILL, host)
+            for number, host in enumerate(self.CONTROLS[:2])
+        ]
+        assert not self.breaks(120.0, *events)
+
+    def test_a_minority_disturbed_in_series_stretches_the_bound(self):
+        """Guards against series of faults in which a node is never judged."""
+        events = [
+            (100.0 + number, action, "control-1")
+            for number, action in enumerate((Action.FREEZE, Action.THAW) * 6)
+        ]
+        assert not self.breaks(108.0, *events)
+        assert self.breaks(108.2, *events)
+
+    def test_a_later_version_excuses_no_refusal_of_a_kept_route(self):
+        later = soakfakes.change(3, 2, at=103.0, status=0)
+        made = soakfakes.seen(
+            changes=[*self.CHANGES, later],
+            probes=[soakfakes.probe(2, 104.0, 404, kept=True)],
+        )
+        check = systemchecks.routes_are_in_force
+        assert list(check(checks.View(made)))
+
+    def test_signals_that_stop_nothing_are_no_disturbance(self):
+        assert self.breaks(104.0, (103.0, Action.HUP, "control-1"))
+
+
 class TestReadiness:
     """`systemchecks.leaving_nodes_say_so`."""
 
