Connection attempts that nobody waits for leave no stack traces

The attempt goes on for later requests, so its error is retrieved when it ends.

Failed before: test_peers.py::TestConnecting:: test_attempt_that_nobody_waits_for_fails_silently.

--- a/mangobay/peers.py
+++ b/mangobay/peers.py
@@ -148,6 +148,10 @@
             )
         if peer.connect_task is None:
             peer.connect_task = asyncio.create_task(self.connect(address, peer))
+            # Its error is retrieved here if no request waits for it any more.
+            peer.connect_task.add_done_callback(
+                lambda task: task.cancelled() or task.exception()
+            )
         try:
             # The shield keeps the connection attempt running for other waiting
             # requests when one is cancelled or times out.  `asyncio.wait_for`
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -1,6 +1,7 @@
 """Tests of connections between processes, over loopback."""
 
 import asyncio
+import gc
 import socket
 
 import pytest
@@ -111,6 +112,19 @@
             assert loop.time() - started_at < 0.85
             server.close()
 
+    async def test_attempt_that_nobody_waits_for_fails_silently(self, client):
+        """Guards against stack traces in the log of a node that is cut off."""
+        loop = asyncio.get_running_loop()
+        reports = []
+        loop.set_exception_handler(lambda _, context: reports.append(context))
+        with socket.create_server(("127.0.0.1", 0)) as silent:
+            address = options.Address(*silent.getsockname())
+            with pytest.raises(errors.PeerUnreachableError):
+                await client.send_request(address, call("now"), 0.05)
+            await asyncio.sleep(connections.CONNECT_TIMEOUT_SECONDS)
+        gc.collect()
+        assert not reports
+
 
 async def send_until_answered(client, address):
     """Repeats a request until there is a reply."""
