A leader that was named is asked without a long backoff

Now the next host is asked at once after a silence, and a leader that was named within 0.1 s; refusals without a leader back off as before.

--- a/mangobay/controlclient.py
+++ b/mangobay/controlclient.py
@@ -33,6 +33,9 @@
 INITIAL_BACKOFF_SECONDS = 0.02
 """Upper bound in seconds of the delay after the first failure."""
 
+LEADER_BACKOFF_SECONDS = 0.1
+"""Upper bound in seconds of the delay before a leader that was named is asked."""
+
 MIN_RENEWAL_SECONDS = 0.02
 """Minimum time in seconds between two renewals, whatever the leader replies."""
 
@@ -228,8 +231,9 @@
         self.consecutive_failures += 1
         if host in self.pending:
             self.search.record_silence(host)
-        # Replies of hosts that were asked before may come meanwhile.
-        await self.wait_for_grant(None, clock.now() + self.backoff())
+        elif host is not None:
+            # Replies of hosts that were asked before may come meanwhile.
+            await self.wait_for_grant(None, clock.now() + self.backoff())
         return False
 
     def busy_hosts(self) -> set[options.Address]:
@@ -344,7 +348,7 @@
             )
 
     def backoff(self) -> float:
-        """Returns the seconds to wait after a failure, with full jitter.
+        """Returns the seconds to wait after a refusal, with full jitter.
 
         Without jitter all nodes would send a renewal at once to a control host
         that has recovered.  The delay never exceeds the reply timeout: a node
@@ -354,6 +358,8 @@
             self.consecutive_failures, 16
         )
         max_seconds = min(max_seconds, self.config.patience)
+        if self.search.leader is not None:
+            max_seconds = min(max_seconds, LEADER_BACKOFF_SECONDS)
         return self.rng.uniform(0, max_seconds)
 
     async def renew_at(
