A late renewal of a dead process no longer locks out its successor

Found by looking for what else is answered for good from state that may be old. A renewal of a process that had been killed, read by the leader after the first one of the next process (from another connection, behind a freeze of the leader or a cut), made the leader take the dead process for the newer one. It then refused the running one for as long as it led: a node without a lease and without news, which goes by the configuration that it has.

The order of two processes of a host cannot be told from their ids, so the leader goes on refusing the one that it takes for replaced, but only until the lease of the other one has ended, which a dead process lets happen within ttl and margin.

Failed before: test_leases.py::TestLateRenewal:: test_it_does_not_lock_out_the_running_process.

--- a/mangobay/leases.py
+++ b/mangobay/leases.py
@@ -113,7 +113,7 @@
         """Replies to a renewal once there is a change or its time is up."""
         if not self.check_leadership():
             return self.make_refusal()
-        if viewactivity.process_id_of(renewal) in self.replaced_processes:
+        if self.is_replaced(renewal):
             return self.make_refusal()
         term = self.term
         arrived_at = clock.now()
@@ -142,6 +142,21 @@
         grant.held_ms = int(held_seconds * 1000)
         return grant
 
+    def is_replaced(self, renewal: messages.LeaseRenew) -> bool:
+        """Returns whether the host of a process runs another one.
+
+        Not once that one's lease has ended: renewals may arrive in another
+        order than the processes ran, so that the dead one seemed to be the
+        newer one.
+        """
+        process = viewactivity.process_id_of(renewal)
+        if process not in self.replaced_processes:
+            return False
+        if renewal.host in self.machine.members:
+            return True
+        del self.replaced_processes[process]
+        return False
+
     def check_leadership(self) -> bool:
         """Resets the state in a new term; returns whether this host leads."""
         if not self.group.leading.is_set():
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -225,6 +225,32 @@
         assert (await table.renew(renewal)).drain
 
 
+class TestLateRenewal:
+    """A renewal of a dead process that arrives after those of the next one."""
+
+    async def test_it_does_not_lock_out_the_running_process(self, table):
+        """Guards against a node that the leader refuses for as long as it leads."""
+        running = controlfakes.make_renewal("a", "quotes", incarnation="2")
+        late = controlfakes.make_renewal("a", "quotes", incarnation="1")
+        async with controlfakes.running_task(table):
+            assert (await table.renew(running)).granted
+            await table.renew(late)
+            refused_until = clock.now() + TTL + MARGIN + 1
+            await renew_until(table, refused_until, running)
+            assert (await table.renew(running)).granted
+
+    async def test_dead_process_does_not_return_while_the_next_one_renews(
+        self, table
+    ):
+        old = controlfakes.make_renewal("a", "quotes", incarnation="1")
+        new = controlfakes.make_renewal("a", "quotes", incarnation="2")
+        async with controlfakes.running_task(table):
+            await table.renew(old)
+            await renew_until(table, 3 * (TTL + MARGIN), new)
+            assert not (await table.renew(old)).granted
+            assert (await table.renew(new)).granted
+
+
 class TestExpiry:
     """When a host is removed because its lease has expired."""
 
