--- a/mangobay/controlclient.py
+++ b/mangobay/controlclient.py
@@ -212,10 +212,10 @@
             self.cancel_pending()
 
     async def renew_once(self) -> bool:
-        """Asks one control host, and returns when it has replied or is overdue.
+        """Asks one control host, and returns when the next one may be asked.
 
         Returns:
-          Whether the next renewal may follow without a backoff.
+          Whether a host granted, or the node has new changes to report.
         """
         asked_at = clock.now()
         host = self.search.next_host(self.busy_hosts())
@@ -226,15 +226,29 @@
         self.log_lease_change()
         if renewed:
             self.consecutive_failures = 0
+        else:
+            self.consecutive_failures += 1
+            renewed = await self.back_off(host)
+        if renewed:
             await asyncio.sleep(asked_at + MIN_RENEWAL_SECONDS - clock.now())
-            return True
-        self.consecutive_failures += 1
+        return renewed
+
+    async def back_off(self, host: options.Address | None) -> bool:
+        """Waits after a host that did not grant, unless it was waited for.
+
+        Hosts that were asked before may reply meanwhile.
+
+        Returns:
+          Whether one of them granted.
+        """
+        if host is None:
+            return False
         if host in self.pending:
             self.search.record_silence(host)
-        elif host is not None:
-            # Replies of hosts that were asked before may come meanwhile.
-            await self.wait_for_grant(None, clock.now() + self.backoff())
-        return False
+            return False
+        return await self.wait_for_grant(
+            None, clock.now() + self.backoff_seconds()
+        )
 
     def busy_hosts(self) -> set[options.Address]:
         """Returns the control hosts that may still reply in time."""
@@ -347,7 +361,7 @@
                 failures=self.consecutive_failures,
             )
 
-    def backoff(self) -> float:
+    def backoff_seconds(self) -> float:
         """Returns the seconds to wait after a refusal, with full jitter.
 
         Without jitter all nodes would send a renewal at once to a control host
