--- a/mangobay/controlclient.py
+++ b/mangobay/controlclient.py
@@ -23,6 +23,7 @@
     logs,
     operationtable,
     options,
+    pendingrenewals,
     views,
 )
 from mangobay.generated import messages, settings
@@ -42,9 +43,6 @@
 LATE_GRANT_SECONDS = 2.0
 """Seconds between two grants above which the second one is logged."""
 
-MIN_WAIT_SECONDS = 0.001
-"""Shortest wait. One below the clock's resolution would busy-wait."""
-
 FETCH_TIMEOUT_FACTOR = 4
 """Timeout of fetching a service, as a multiple of the setting `patience`."""
 
@@ -59,19 +57,6 @@
     peer_address: options.Address
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class PendingRenewal:
-    """A renewal that a control host has not replied to.
-
-    Attributes:
-      task: waits for the reply; returns whether the node need not ask again.
-      overdue_at: loop time from which the host may be asked again instead.
-    """
-
-    task: "asyncio.Task[bool]"
-    overdue_at: float
-
-
 class ControlClient:
     """Keeps one renewal pending at the leader of the control group.
 
@@ -95,7 +80,7 @@
       routes: subject of the newest routes document; version 0 before the
         first.
       search: chooses the control host to ask next.
-      pending: renewals that wait for a reply, by control host.
+      pending: renewals that wait for a reply.
       every_service: whether the node follows the views of all services.
       keyless: whether the node owns no idempotency keys and so needs no
         former views.
@@ -132,7 +117,7 @@
         self.search = leadersearch.LeaderSearch(
             config.hosts, rng.choice(config.hosts), config.patience
         )
-        self.pending: dict[options.Address, PendingRenewal] = {}
+        self.pending = pendingrenewals.PendingRenewals()
         self.every_service = False
         self.keyless = False
         self.had_lease = False
@@ -209,7 +194,7 @@
             while True:
                 await self.renew_once()
         finally:
-            self.cancel_pending()
+            self.pending.cancel_all()
 
     async def renew_once(self) -> bool:
         """Asks one control host, and returns when the next one may be asked.
@@ -218,11 +203,11 @@
           Whether a host granted, or the node has new changes to report.
         """
         asked_at = clock.now()
-        host = self.search.next_host(self.busy_hosts())
+        host = self.search.next_host(self.pending.busy_hosts())
         ask_next_at = asked_at + self.config.patience
         if host is not None:
             ask_next_at += self.ask(host)
-        renewed = await self.wait_for_grant(host, ask_next_at)
+        renewed = await self.pending.wait(host, ask_next_at)
         self.log_lease_change()
         if renewed:
             self.consecutive_failures = 0
@@ -246,77 +231,25 @@
         if host in self.pending:
             self.search.record_silence(host)
             return False
-        return await self.wait_for_grant(
+        return await self.pending.wait(
             None, clock.now() + self.backoff_seconds()
         )
 
-    def busy_hosts(self) -> set[options.Address]:
-        """Returns the control hosts that may still reply in time."""
-        now = clock.now()
-        return {
-            host
-            for host, pending in self.pending.items()
-            if now < pending.overdue_at
-        }
-
     def ask(self, host: options.Address) -> float:
         """Sends a renewal; returns how long the host may hold it, seconds."""
         if host in self.pending:
-            self.pending.pop(host).task.cancel()
+            self.pending.cancel(host)
             self.search.record_timeout(host)
         renewal = self.make_renewal()
         hold_seconds = renewal.hold_ms / 1000
         self.search.record_asked(host)
-        self.pending[host] = PendingRenewal(
-            task=asyncio.create_task(self.renew_at(host, renewal)),
-            overdue_at=clock.now()
-            + hold_seconds
-            + self.search.reply_timeout(host),
+        self.pending.add(
+            host,
+            self.renew_at(host, renewal),
+            hold_seconds + self.search.reply_timeout(host),
         )
         return hold_seconds
 
-    async def wait_for_grant(
-        self, host: options.Address | None, until: float
-    ) -> bool:
-        """Waits for the replies to pending renewals.
-
-        Args:
-          host: returns once this host has replied; None to wait for a grant.
-          until: returns at this loop time, at the latest.
-
-        Returns:
-          Whether a host granted, or the node has new changes to report.
-        """
-        while (seconds := until - clock.now()) > MIN_WAIT_SECONDS:
-            if not self.pending:
-                await asyncio.sleep(seconds)
-                return False
-            await asyncio.wait(
-                [pending.task for pending in self.pending.values()],
-                timeout=seconds,
-                return_when=asyncio.FIRST_COMPLETED,
-            )
-            replied = [
-                address
-                for address, pending in self.pending.items()
-                if pending.task.done()
-            ]
-            results = [
-                self.pending.pop(address).task.result() for address in replied
-            ]
-            if any(results):
-                self.cancel_pending()
-                return True
-            if host in replied:
-                return False
-        return False
-
-    def cancel_pending(self) -> None:
-        """Abandons the pending renewals."""
-        for pending in self.pending.values():
-            pending.task.cancel()
-        self.pending.clear()
-
     def log_lease_change(self) -> None:
         """Logs when the lease was lost or regained."""
         has_lease = self.lease.is_valid()
