--- a/mangobay/controlclient.py
+++ b/mangobay/controlclient.py
@@ -543,7 +543,7 @@
             return
         voters = [options.parse_address(text) for text in addresses]
         configured = [host for host in self.config.hosts if host not in voters]
-        self.search.hosts = [*voters, *configured]
+        self.search.update_hosts([*voters, *configured])
 
     def apply_views(
         self,
--- a/mangobay/edges.py
+++ b/mangobay/edges.py
@@ -38,9 +38,15 @@
 
 
 class Directory(typing.Protocol):
-    """The part of `controlclient.ControlClient` that edges use."""
+    """The part of `controlclient.ControlClient` that edges use.
+
+    Attributes:
+      tables: the operations known here.
+      lease: valid while they are certain to be the newest ones.
+    """
 
     tables: Tables
+    lease: dispatch.Lease
 
     async def fetch_service(self, service: ids.ServiceName) -> None:
         """Waits until the table has the control group's entry for a service."""
--- a/mangobay/leadersearch.py
+++ b/mangobay/leadersearch.py
@@ -2,6 +2,7 @@
 
 import collections
 import collections.abc
+import dataclasses
 import math
 
 from mangobay import clock, ids, options
@@ -17,6 +18,27 @@
 """Maximum number of times that the timeout of a host is doubled."""
 
 
+@dataclasses.dataclass(slots=True)
+class HostState:
+    """What is known of one control host.
+
+    Attributes:
+      asked_at: loop time at which it was last asked.
+      failed_at: loop time at which it last refused or did not reply.
+      failed_term: newest term in which it is known not to lead.
+      timeout_doublings: how many times its timeout is doubled.
+      silent: it did not reply when it was last asked.
+      connection_broken: its connection ended during the last request.
+    """
+
+    asked_at: float = -math.inf
+    failed_at: float = -math.inf
+    failed_term: int = -1
+    timeout_doublings: int = 0
+    silent: bool = False
+    connection_broken: bool = False
+
+
 class LeaderSearch:
     """Chooses the control host to ask next, and how long to wait for it.
 
@@ -30,14 +52,9 @@
       hosts: control hosts: the current voters, then the others of the settings.
       leader: the host that granted last, or was named since; None if unknown.
       patience: seconds to wait for the reply of a host that was not late before.
-      asked_at: loop time at which each host was last asked.
-      failed_at: loop time at which each host last refused or did not reply.
-      failed_terms: newest term in which each host is known not to lead.
+      states: what is known of each host.
       known_leader: the host that last was taken for the leader, and its term.
       newest_term: newest term that any host has told.
-      silent: hosts that did not reply when they were last asked.
-      broken: hosts whose connection ended during the last request.
-      timeout_doublings: how many times the timeout of each host is doubled.
     """
 
     def __init__(
@@ -49,16 +66,19 @@
         self.hosts = list(hosts)
         self.leader: options.Address | None = first
         self.patience = patience
-        self.asked_at: dict[options.Address, float] = {}
-        self.failed_at: dict[options.Address, float] = {}
-        self.failed_terms: dict[options.Address, ids.Term] = {}
+        self.states: collections.defaultdict[options.Address, HostState] = (
+            collections.defaultdict(HostState)
+        )
         self.known_leader = (first, ids.Term(0))
         self.newest_term = ids.Term(0)
-        self.silent: set[options.Address] = set()
-        self.broken: set[options.Address] = set()
-        self.timeout_doublings: collections.Counter[options.Address] = (
-            collections.Counter()
-        )
+
+    def update_hosts(
+        self, hosts: collections.abc.Sequence[options.Address]
+    ) -> None:
+        """Replaces the control hosts; forgets what was known of others."""
+        self.hosts = list(hosts)
+        for host in set(self.states).difference(hosts):
+            del self.states[host]
 
     def next_host(
         self, busy: collections.abc.Container[options.Address]
@@ -78,8 +98,8 @@
 
     def turn_of(self, host: options.Address) -> float:
         """Returns a time by which hosts take turns; silent ones come later."""
-        asked_at = self.asked_at.get(host, -math.inf)
-        return asked_at + (SILENCE_DELAY_SECONDS if host in self.silent else 0)
+        state = self.states[host]
+        return state.asked_at + (SILENCE_DELAY_SECONDS if state.silent else 0)
 
     @property
     def max_reply_timeout(self) -> float:
@@ -94,24 +114,25 @@
         abandoned and sent again forever: each would cost the leader its work
         and none would be granted.
         """
-        doublings = min(self.timeout_doublings[host], MAX_TIMEOUT_DOUBLINGS)
-        return self.patience * 2**doublings
+        doublings = self.states[host].timeout_doublings
+        return self.patience * 2 ** min(doublings, MAX_TIMEOUT_DOUBLINGS)
 
     def record_timeout(self, host: options.Address) -> None:
         """Records that a host did not reply within its timeout."""
-        self.timeout_doublings[host] += 1
+        self.states[host].timeout_doublings += 1
         self.record_silence(host)
 
     def record_reply(self, host: options.Address, seconds: float) -> None:
         """Records how long a host took to reply, beyond what it may hold."""
-        self.broken.discard(host)
-        self.silent.discard(host)
+        state = self.states[host]
+        state.connection_broken = False
+        state.silent = False
         if seconds < self.reply_timeout(host) / 4:
-            del self.timeout_doublings[host]
+            state.timeout_doublings = 0
 
     def record_asked(self, host: options.Address) -> None:
         """Records that a host is being asked."""
-        self.asked_at[host] = clock.now()
+        self.states[host].asked_at = clock.now()
 
     def record_grant(self, host: options.Address, term: ids.Term) -> None:
         """Records that a host granted a lease, as only the leader does."""
@@ -123,14 +144,14 @@
         It may have been the connection to a former process: the host is asked
         once more on a new one.
         """
-        if host in self.broken:
+        if self.states[host].connection_broken:
             self.record_silence(host)
         else:
-            self.broken.add(host)
+            self.states[host].connection_broken = True
 
     def record_silence(self, host: options.Address) -> None:
         """Records that a host did not reply in time."""
-        self.silent.add(host)
+        self.states[host].silent = True
         self.record_failure(host, self.newest_term)
 
     def record_refusal(
@@ -155,8 +176,9 @@
 
     def record_failure(self, host: options.Address, term: ids.Term) -> None:
         """Records that a host does not lead in a term, as far as is known."""
-        self.failed_at[host] = clock.now()
-        self.failed_terms[host] = max(self.failed_terms.get(host, term), term)
+        state = self.states[host]
+        state.failed_at = clock.now()
+        state.failed_term = max(state.failed_term, term)
         if self.leader == host:
             self.leader = None
 
@@ -170,7 +192,7 @@
         """Returns whether a host that was named may lead in a term."""
         if term < self.newest_term:
             return False
-        if term > self.failed_terms.get(host, -1):
+        state = self.states[host]
+        if term > state.failed_term:
             return True
-        failed_at = self.failed_at.get(host, -math.inf)
-        return clock.now() - failed_at >= FAILURE_MEMORY_SECONDS
+        return clock.now() - state.failed_at >= FAILURE_MEMORY_SECONDS
--- a/mangobay/leanserver.py
+++ b/mangobay/leanserver.py
@@ -359,6 +359,11 @@
         return not self.exchanges and self.last_activity < cutoff
 
 
+def limits_are_fixed() -> bool:
+    """Returns True; stands for limits that come from the settings."""
+    return True
+
+
 class Listener:
     """Accepts HTTP connections on one address.
 
@@ -380,8 +385,8 @@
             periodic.PeriodicCheck(SWEEP_SECONDS, self.check_connection)
         )
         self.leaving = False
-        self.limits_are_current: collections.abc.Callable[[], bool] = lambda: (
-            True
+        self.limits_are_current: collections.abc.Callable[[], bool] = (
+            limits_are_fixed
         )
         self.server: asyncio.Server | None = None
 
--- a/tests/test_leadersearch.py
+++ b/tests/test_leadersearch.py
@@ -131,3 +131,16 @@
         assert search.reply_timeout(LEADER) == 1.0
         search.record_reply(LEADER, 0.1)
         assert search.reply_timeout(LEADER) == PATIENCE
+
+
+class TestHosts:
+    """Control hosts that come and go."""
+
+    async def test_hosts_that_left_are_forgotten(self):
+        """Guards against a memory of every host that there ever was."""
+        search = make_search()
+        for host in HOSTS:
+            search.record_asked(host)
+        search.update_hosts(OTHERS)
+        assert set(search.states) == set(OTHERS)
+        assert search.hosts == OTHERS
