--- a/tests/test_soak_processes.py
+++ b/tests/test_soak_processes.py
@@ -10,24 +10,44 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 SEED = 27
 SECONDS = 12.0
+MINORITY_SEED = 131
+MINORITY_SECONDS = 8.0
 BUSY = dataclasses.replace(
     bounds.TARGET, loss_slack=1.0, config_apply=5.0, freed=2.0
 )
 """Wider where a busy machine is slow; what is true of requests stays so."""
 
 
+async def find_breaks(folder, seed, seconds, size, target):
+    """Plays a seed; returns what it breaks, and the explanation."""
+    run = play.Run(
+        seed=seed, seconds=seconds, size=size, tree=ROOT, folder=folder
+    )
+    played = await play.play(run, fakeplatform.DIALECT)
+    found = judge.judge(played.seen, target)
+    return found, report.explain(played, found, "this test")
+
+
 class TestShortRun:
     """Restarts that overlap, and changes of configuration beside them."""
 
     async def test_planned_work_breaks_nothing(self, tmp_path):
         """A request taken by a stopping node is cut, or runs though refused."""
-        run = play.Run(
-            seed=SEED,
-            seconds=SECONDS,
-            size=world.Size(nodes=4, controls=3),
-            tree=ROOT,
-            folder=tmp_path,
+        found, explanation = await find_breaks(
+            tmp_path, SEED, SECONDS, world.Size(nodes=4, controls=3), BUSY
+        )
+        assert not found, explanation
+
+    async def test_frozen_control_hosts_delay_no_change(self, tmp_path):
+        """Two of five control hosts stand still while nodes need news."""
+        target = dataclasses.replace(
+            BUSY, config_apply=bounds.TARGET.config_apply
+        )
+        found, explanation = await find_breaks(
+            tmp_path,
+            MINORITY_SEED,
+            MINORITY_SECONDS,
+            world.Size(nodes=4, controls=5),
+            target,
         )
-        played = await play.play(run, fakeplatform.DIALECT)
-        found = judge.judge(played.seen, BUSY)
-        assert not found, report.explain(played, found, "this test")
+        assert not found, explanation
