--- a/mangobay/controlclient.py
+++ b/mangobay/controlclient.py
@@ -63,8 +63,7 @@
     The leader replies at once if something changed for this node, and after
     the renewal interval otherwise, so that changes need no other channel to
     the nodes.  While one control host is silent, others are asked as well: it
-    may be slow, or be there no more.  The last table and views stay in use
-    without a lease.
+    may be slow, or gone.  The last table and views stay in use without a lease.
 
     Attributes:
       config: settings of the control group.
@@ -321,11 +320,11 @@
         sent_boot_time = self.document_lease.read_boot_time()
         try:
             reply = await self.send_renewal(host, renewal)
+            if reply is None:
+                return True
             self.search.record_reply(
                 host, clock.now() - sent_at - renewal.hold_ms / 1000
             )
-            if reply is None:
-                return True
             if not self.process_reply(host, renewal, sent_at, reply):
                 return False
             self.document_lease.confirm(sent_boot_time + reply.held_ms / 1000)
--- a/tests/leasefakes.py
+++ b/tests/leasefakes.py
@@ -25,7 +25,6 @@
 LEASE_TTL_SECONDS = 4.0
 LEASE_MARGIN_SECONDS = 1.0
 
-
 RETRANSMIT_SECONDS = 0.2
 """First retransmission of a lost packet; each further one takes twice as long."""
 CONNECT_TIMEOUT_SECONDS = 0.3
