Log the end of a backend server under a call

No log said that a backend server had ended: a request that failed was logged with its route, and neither what ended nor by what its repeats could be recognised. Repeats by one caller, calls made again beneath a repeated run and attempts at a hop looked alike.

A broken connection is followed by one probe for all calls in progress; where nothing accepts connections any more, each of these calls is logged with the id of the end and a digest of the request, never its body, key or query.

--- a/mangobay/execution.py
+++ b/mangobay/execution.py
@@ -4,6 +4,7 @@
 import collections.abc
 import dataclasses
 import functools
+import itertools
 import typing
 
 from mangobay import (
@@ -18,6 +19,7 @@
     logs,
     options,
     remotetraffic,
+    requestdigest,
     retryallowance,
     shutdown,
     stateupdates,
@@ -34,6 +36,8 @@
 
 Outcome = messages.Outcome
 Reason = messages.Reason
+BROKEN_REASONS = frozenset({Reason.CONNECTION_BROKEN, Reason.INCOMPLETE_ANSWER})
+"""Reasons of replies after which the backend server may have ended."""
 PENDING_REPLY = calls.unknown_reply(Reason.CANCELLED)
 """Stands for the reply of a call in progress; never returned."""
 Execute = collections.abc.Callable[
@@ -81,6 +85,7 @@
       sent_count: number of requests sent to the backend server.
       remote_traffic: bytes that child calls transfer to other data centres.
       state_updater: acts on what is learned about the backend server.
+      end_ids: ids of the ends of backend servers that are detected here.
     """
 
     def __init__(
@@ -102,6 +107,10 @@
         self.sent_count = 0
         self.remote_traffic = remotetraffic.RemoteTraffic()
         self.state_updater = stateupdates.ServerStateUpdater(local_services)
+        self.end_ids = (
+            ids.BackendEndId(f"{process.incarnation}/{number}")
+            for number in itertools.count(1)
+        )
 
     @property
     def idle(self) -> bool:
@@ -301,6 +310,8 @@
                 backend_shed=reply.reason == Reason.BACKEND_SHED,
                 downstream_threshold=running_call.downstream_threshold,
             )
+        if reply.reason in BROKEN_REASONS:
+            await self.detect_end(call, local_service, started_at)
         reply.called_below = running_call.child_wait_seconds > 0
         invariants.check(
             invariants.Invariant.NOT_RUN_IS_TRUE,
@@ -311,6 +322,33 @@
         )
         return reply
 
+    async def detect_end(
+        self,
+        call: messages.Call,
+        local_service: localservices.LocalService,
+        sent_at: float,
+    ) -> ids.BackendEndId | None:
+        """Returns the end of the backend server under a call, None if none.
+
+        Args:
+          call: a call whose connection to the backend server broke.
+          local_service: the service of the backend server.
+          sent_at: loop time at which the call was sent.
+        """
+        end_id = await local_service.crash_detector.find_end(
+            local_service.announcement.address, sent_at, self.end_ids
+        )
+        if end_id is not None:
+            logs.log_event(
+                logs.Component.CALL,
+                "backend server ended under a call",
+                service=call.service,
+                operation=call.operation,
+                request=requestdigest.digest_of(call).hex(),
+                end=end_id,
+            )
+        return end_id
+
     async def send_to_backend(
         self,
         call: messages.Call,
--- a/mangobay/ids.py
+++ b/mangobay/ids.py
@@ -35,6 +35,10 @@
 """One run of a backend server; assigned by the backend server."""
 BackendIncarnation = typing.NewType("BackendIncarnation", str)
 """One run of a backend server; distinct even if it reuses its instance id."""
+BackendEndId = typing.NewType("BackendEndId", str)
+"""One end of a backend server; assigned by the node that detects it."""
+RequestDigest = typing.NewType("RequestDigest", bytes)
+"""Digest of a request, the same for all its repeats."""
 Term = typing.NewType("Term", int)
 LogIndex = typing.NewType("LogIndex", int)
 
--- a/mangobay/localservices.py
+++ b/mangobay/localservices.py
@@ -6,7 +6,15 @@
 import re
 import typing
 
-from mangobay import backend, calls, ids, logs, options, serverstate
+from mangobay import (
+    backend,
+    calls,
+    crashdetection,
+    ids,
+    logs,
+    options,
+    serverstate,
+)
 from mangobay.generated import messages
 
 if typing.TYPE_CHECKING:
@@ -54,6 +62,7 @@
       renewed_at: Loop time of the last announcement.
       admission: Admission control for the calls of the service.
       state_tracker: What the backend server says about itself.
+      crash_detector: Finds out whether the backend server has ended.
     """
 
     announcement: Announcement
@@ -62,6 +71,9 @@
     state_tracker: serverstate.ServerStateTracker = dataclasses.field(
         default_factory=serverstate.ServerStateTracker
     )
+    crash_detector: crashdetection.CrashDetector = dataclasses.field(
+        default_factory=crashdetection.CrashDetector
+    )
 
 
 def parse_announcement(document: typing.Any) -> Announcement:
