--- a/tests/platformfakes.py
+++ b/tests/platformfakes.py
@@ -94,17 +94,26 @@
     return Response(status, head, await reader.readexactly(length))
 
 
-def request_bytes(service, attempt_id, milliseconds, key=""):
+def request_bytes(service, attempt_id, milliseconds, key="", target="/x"):
     """Returns the bytes of a request."""
     authorization = f"Authorization: Bearer {key}\r\n" if key else ""
     head = (
-        f"GET /x HTTP/1.1\r\nHost: {service}.example\r\n{authorization}"
+        f"GET {target} HTTP/1.1\r\nHost: {service}.example\r\n{authorization}"
         f"X-Mangobay-Attempt-Id: {attempt_id}\r\n"
         f"X-Mangobay-Deadline-Ms: {milliseconds}\r\n\r\n"
     )
     return head.encode()
 
 
+def response_bytes(attempt_id, status, extra_headers=b""):
+    """Returns the bytes of a backend server's response."""
+    head = (
+        f"HTTP/1.1 {status} Any\r\nX-Mangobay-Attempt-Id: {attempt_id}\r\n"
+        "X-Mangobay-Response-Signature: s\r\n"
+    )
+    return head.encode() + extra_headers + b"Content-Length: 5\r\n\r\nhello"
+
+
 async def call_rpc(ip, port, call, body, subject="", base=None):
     """Returns the response to an RPC of the platform."""
     data = json.dumps(body).encode()
@@ -116,7 +125,7 @@
     return await send_request(ip, port, head.encode() + data)
 
 
-def configuration(version, services, workspaces=()):
+def configuration(version, services, workspaces=(), route_type="unsafe"):
     """Returns a configuration with one route for each service.
 
     Args:
@@ -124,6 +133,7 @@
       services: names of the services.
       workspaces: name, keys, priority, rate and burst of each workspace; if
         empty, requests need no key.
+      route_type: what may be repeated on the routes.
     """
     columns = [
         "name",
@@ -137,7 +147,7 @@
         "service",
     ]
     rows = [
-        [f"r-{name}", f"{name}.example", "/", "unsafe"]
+        [f"r-{name}", f"{name}.example", "/", route_type]
         + ["8s", "1s", 0, 2, name]
         for name in services
     ]
@@ -183,6 +193,7 @@
         self.heads = []
         self.arrivals = []
         self.extra_headers = b""
+        self.born = 1
         self.sequence = 0
         self.state = "ready"
         self.heartbeat_task = None
@@ -199,7 +210,7 @@
     async def send_heartbeat(self):
         self.sequence += 1
         body = {
-            "born": 1,
+            "born": self.born,
             "info": {"service": self.service, "slots": 50},
             "status": {"state": self.state, "sequence": self.sequence},
         }
@@ -210,7 +221,7 @@
         """Sends no more heartbeats; returns the response."""
         self.heartbeat_task.cancel()
         call = "instances.deregister"
-        body = {"born": 1}
+        body = {"born": self.born}
         return await call_rpc(self.ip, HEARTBEATS, call, body, f"i-{self.ip}")
 
     async def serve(self, reader, writer):
@@ -228,19 +239,17 @@
                 left_ms = head.partition("deadline-ms: ")[2].split()[0]
                 self.deadlines_ms[attempt_id] = int(left_ms)
                 await asyncio.sleep(self.delay_seconds)
-                writer.write(
-                    b"HTTP/1.1 200 OK\r\nX-Mangobay-Attempt-Id: "
-                    + attempt_id.encode()
-                    + b"\r\nX-Mangobay-Response-Signature: s\r\n"
-                    + self.extra_headers
-                    + b"Content-Length: 5\r\n\r\nhello"
-                )
+                await self.respond(writer, attempt_id)
         except (asyncio.IncompleteReadError, ConnectionError):
             writer.close()
         except asyncio.CancelledError:
             # The test has ended; asyncio would log the cancellation.
             return
 
+    async def respond(self, writer, attempt_id):
+        """Writes the response to a request."""
+        writer.write(response_bytes(attempt_id, 200, self.extra_headers))
+
     async def close(self):
         self.heartbeat_task.cancel()
         self.server.close()
@@ -278,6 +287,7 @@
         self.seed_count = seeds
         self.processes = {}
         self.backends = []
+        self.backend_class = BackendServer
 
     def ip(self, number):
         return f"127.{self.second_octet}.{self.third_octet}.{number}"
@@ -332,7 +342,7 @@
             linger=linger,
             max_staleness=max_staleness,
         )
-        backend = BackendServer(self.ip(number), service)
+        backend = self.backend_class(self.ip(number), service)
         self.backends.append(backend)
         await backend.start()
         return backend
@@ -359,14 +369,20 @@
             process.wait()
 
     async def replace_config(
-        self, number, version, services, base, workspaces=()
+        self,
+        number,
+        version,
+        services,
+        base,
+        workspaces=(),
+        route_type="unsafe",
     ):
         """Sends a configuration to a control host."""
         return await call_rpc(
             self.ip(number),
             OPERATOR,
             "config.replace",
-            configuration(version, services, workspaces),
+            configuration(version, services, workspaces, route_type),
             base=base,
         )
 
@@ -375,10 +391,16 @@
         return await call_rpc(self.ip(number), OPERATOR, "config.describe", {})
 
     async def request(
-        self, number, service, attempt_id, milliseconds=2000, key=""
+        self,
+        number,
+        service,
+        attempt_id,
+        milliseconds=2000,
+        key="",
+        target="/x",
     ):
         """Sends a request to a node."""
-        data = request_bytes(service, attempt_id, milliseconds, key)
+        data = request_bytes(service, attempt_id, milliseconds, key, target)
         return await send_request(self.ip(number), OUTSIDE, data)
 
     async def connect(self, number):
