Requests under which backend servers end are quarantined

Callers saw 503 from a whole service: a request that ends the backend server it runs on, repeated with fresh ids, ended all servers of the service within a second (eight of eight, tests/test_crashing_requests.py failed so before).

Cause: nothing remembered that a backend server had ended under a request beyond one attempt of one caller. Retry bounds do not help, since each repeat is a new request. Evidence: one attempt ends as many servers as its route allows; the repeats end all of them, through one node and through all nodes alike, also when the run of another service makes the request.

Change: the node beside a backend server finds out whether it has ended when a connection breaks, and counts ends for each call in progress by the digest of its request; the members of the service tell each other. After three ends without a response in between, all of them refuse the request as not run, with the time of the next test as Retry-After, and let one through after each pause, which doubles. A response releases it. Ends count for the run that made the call too, and a run under which three servers have ended makes no more calls.

It works because only these nodes can send requests to the servers of a service, and because a request that ends servers gets no response, while one that only happened to be there does. The one test that was wrong is a fake executor without the new attribute.

--- a/mangobay/basenode.py
+++ b/mangobay/basenode.py
@@ -25,8 +25,11 @@
     once,
     outcomelog,
     peers,
+    quarantine,
+    quarantinenotices,
     retrybudget,
     routing,
+    runguard,
     slotownership,
     tls,
     traces,
@@ -145,6 +148,20 @@
             self.set_served_services,
         )
         self.make_backend()
+        self.make_quarantine()
+
+    def make_quarantine(self) -> None:
+        """Creates the guard of the backend server, unless it is off."""
+        self.quarantine = quarantine.Quarantine(self.config.quarantine)
+        self.quarantine_exchange = quarantinenotices.QuarantineExchange(
+            self.process.host, self.peer_client, self.quarantine
+        )
+        if self.config.quarantine.after:
+            self.executor.guard = runguard.RunGuard(
+                self.quarantine,
+                self.quarantine_exchange,
+                runguard.number_ends(self.process.incarnation),
+            )
 
     def make_backend(self) -> None:
         """Creates the client of the local backend server, and the executor."""
@@ -238,6 +255,8 @@
                 return reply
             case messages.CopyPut() | messages.CopyFetch():
                 return await self.once.handle(body)
+            case messages.QuarantineNotice():
+                return self.quarantine_exchange.handle(body)
         raise errors.PeerProtocolError(
             f"a node does not answer {type(body).__name__} of {hello.host}"
         )
@@ -367,6 +386,7 @@
     async def close_connections(self) -> None:
         """Closes the connections to peers and to the backend server."""
         await self.once.close()
+        await self.quarantine_exchange.close()
         await self.peer_client.close()
         await self.backend.close()
 
--- a/mangobay/calls.py
+++ b/mangobay/calls.py
@@ -81,6 +81,7 @@
       repeat: Whether the call or one of its ancestors is a retry of a call that
         may have reached a backend server.
       workspace: Workspace of the client at the root of the call tree, or empty.
+      parent_run: The running call on this host that makes this call, or None.
     """
 
     operation: messages.Operation
@@ -100,9 +101,12 @@
     parent_operation: ids.OperationName = ids.OperationName("")
     repeat: bool = False
     workspace: ids.WorkspaceName = ids.NO_WORKSPACE
+    parent_run: "retryallowance.RunningCall | None" = None
 
-    def inherit_from(self, parent_call: messages.Call) -> None:
+    def inherit_from(self, parent: "Parent") -> None:
         """Inherits importance, depth and call tree from the parent call."""
+        parent_call = parent.call
+        self.parent_run = parent.running_call
         self.workspace = parent_call.workspace
         self.importance = parent_call.importance
         self.depth = parent_call.depth + 1
--- a/mangobay/dispatch.py
+++ b/mangobay/dispatch.py
@@ -91,6 +91,7 @@
       unknown_reply: Reply of an attempt that may have run, if any.
       retry_reserved: Whether a retry was withdrawn for the next attempt.
       started_at: Loop time of the first attempt.
+      end_ids: Ends of backend servers under the attempts.
     """
 
     excluded: set[ids.HostId] = dataclasses.field(default_factory=set)
@@ -99,11 +100,14 @@
     unknown_reply: messages.Reply | None = None
     retry_reserved: bool = False
     started_at: float = 0.0
+    end_ids: set[ids.BackendEndId] = dataclasses.field(default_factory=set)
 
     def record(self, reply: messages.Reply) -> None:
-        """Records the reply if the attempt may have run."""
+        """Records the reply of an attempt, and whether it may have run."""
         if reply.outcome == Outcome.UNKNOWN:
             self.unknown_reply = reply
+        if reply.end_ids:
+            self.end_ids.update(reply.end_ids)
 
     def final_reply(self, reply: messages.Reply) -> messages.Reply:
         """Returns the reply for the caller.
@@ -112,7 +116,10 @@
         attempt that may have run, the caller must not be told `not_run`.
         """
         refused = reply.outcome == Outcome.NOT_RUN
-        return self.unknown_reply if refused and self.unknown_reply else reply
+        final = self.unknown_reply if refused and self.unknown_reply else reply
+        if self.end_ids:
+            final.end_ids = sorted(self.end_ids)
+        return final
 
 
 class Dispatcher:
@@ -145,6 +152,9 @@
             return calls.not_run_reply(Reason.LEAVING)
         if not operation.idempotent and not self.dependencies.lease.is_valid():
             return calls.not_run_reply(Reason.NO_LEASE)
+        refusal = self.refuse_child(request)
+        if refusal is not None:
+            return refusal
         self.dependencies.retry_budget.record_request(
             operation.service, request.repeat
         )
@@ -153,7 +163,17 @@
             if request.requires_owner
             else self.try_routed_hosts
         )
-        return await self.in_flight.track(run(request))
+        reply = await self.in_flight.track(run(request))
+        if reply.end_ids and request.parent_run is not None:
+            request.parent_run.end_ids.update(reply.end_ids)
+        return reply
+
+    def refuse_child(self, request: calls.Request) -> messages.Reply | None:
+        """Returns the refusal of a call that a run may not make, or None."""
+        guard = self.dependencies.executor.guard
+        if guard is None or request.parent_run is None:
+            return None
+        return guard.refuse_child(request.parent_run)
 
     async def try_routed_hosts(self, request: calls.Request) -> messages.Reply:
         """Tries the hosts that the router picks until a reply is final."""
--- a/mangobay/edges.py
+++ b/mangobay/edges.py
@@ -312,7 +312,7 @@
         ):
             return calls.not_run_reply(Reason.TRIES_EXHAUSTED)
         call.client = parent.call.client
-        call.inherit_from(parent.call)
+        call.inherit_from(parent)
         call.deadline = min(call.deadline, parent.deadline)
         call.trace = parent.trace
         call.allowance = retryallowance.RetryAllowance(
--- a/mangobay/execution.py
+++ b/mangobay/execution.py
@@ -4,7 +4,6 @@
 import collections.abc
 import dataclasses
 import functools
-import itertools
 import typing
 
 from mangobay import (
@@ -19,8 +18,8 @@
     logs,
     options,
     remotetraffic,
-    requestdigest,
     retryallowance,
+    runguard,
     shutdown,
     stateupdates,
 )
@@ -85,7 +84,8 @@
       sent_count: number of requests sent to the backend server.
       remote_traffic: bytes that child calls transfer to other data centres.
       state_updater: acts on what is learned about the backend server.
-      end_ids: ids of the ends of backend servers that are detected here.
+      guard: keeps requests from the backend server under which others have
+        ended; None if they are not quarantined.
     """
 
     def __init__(
@@ -107,10 +107,7 @@
         self.sent_count = 0
         self.remote_traffic = remotetraffic.RemoteTraffic()
         self.state_updater = stateupdates.ServerStateUpdater(local_services)
-        self.end_ids = (
-            ids.BackendEndId(f"{process.incarnation}/{number}")
-            for number in itertools.count(1)
-        )
+        self.guard: runguard.RunGuard | None = None
 
     @property
     def idle(self) -> bool:
@@ -273,6 +270,11 @@
         Raises:
           Exception: whatever `before_send` raises; no byte was sent.
         """
+        running_call = retryallowance.RunningCall(allowance)
+        if self.guard is not None:
+            refusal = self.guard.refuse(call, running_call)
+            if refusal is not None:
+                return refusal
         request = admissionrequest.AdmissionRequest(
             importance=call.importance,
             depth=call.depth,
@@ -286,7 +288,11 @@
             permit = await local_service.admission.acquire(request)
         except admissionrequest.ShedError as error:
             return calls.not_run_reply(error.reason, error.retry_after)
-        running_call = retryallowance.RunningCall(allowance)
+        if self.guard is not None:
+            refusal = await self.guard.begin(call, running_call)
+            if refusal is not None:
+                permit.release(0.0, ok=False)
+                return refusal
         self.parents[call.call_id] = calls.Parent(
             call=call,
             deadline=deadline,
@@ -310,8 +316,10 @@
                 backend_shed=reply.reason == Reason.BACKEND_SHED,
                 downstream_threshold=running_call.downstream_threshold,
             )
-        if reply.reason in BROKEN_REASONS:
-            await self.detect_end(call, local_service, started_at)
+        if self.guard is not None:
+            await self.guard.end(
+                call, reply, local_service, running_call, started_at
+            )
         reply.called_below = running_call.child_wait_seconds > 0
         invariants.check(
             invariants.Invariant.NOT_RUN_IS_TRUE,
@@ -322,33 +330,6 @@
         )
         return reply
 
-    async def detect_end(
-        self,
-        call: messages.Call,
-        local_service: localservices.LocalService,
-        sent_at: float,
-    ) -> ids.BackendEndId | None:
-        """Returns the end of the backend server under a call, None if none.
-
-        Args:
-          call: a call whose connection to the backend server broke.
-          local_service: the service of the backend server.
-          sent_at: loop time at which the call was sent.
-        """
-        end_id = await local_service.crash_detector.find_end(
-            local_service.announcement.address, sent_at, self.end_ids
-        )
-        if end_id is not None:
-            logs.log_event(
-                logs.Component.CALL,
-                "backend server ended under a call",
-                service=call.service,
-                operation=call.operation,
-                request=requestdigest.digest_of(call).hex(),
-                end=end_id,
-            )
-        return end_id
-
     async def send_to_backend(
         self,
         call: messages.Call,
--- a/mangobay/gateway.py
+++ b/mangobay/gateway.py
@@ -275,7 +275,7 @@
         loop = asyncio.get_running_loop()
         started_at = loop.time()
         if parent is not None:
-            call.inherit_from(parent.call)
+            call.inherit_from(parent)
             if not self.shutdown.accepts_work(started_at):
                 latest_deadline = self.shutdown.latest_deadline()
                 call.deadline = min(call.deadline, latest_deadline)
--- a/mangobay/node.py
+++ b/mangobay/node.py
@@ -84,6 +84,7 @@
         await self.local_listener.start()
         await self.outside_listener.start()
         self.control.views.subscribe(self.router.update_views)
+        self.control.views.subscribe(self.quarantine_exchange.update_views)
         self.control.views.subscribe(self.once.update_views)
         self.control.draining.subscribe(self.leave_if_draining)
         for coroutine in (
--- a/mangobay/nodegauges.py
+++ b/mangobay/nodegauges.py
@@ -39,6 +39,24 @@
             help="Requests sent to the backend server here since the start.",
             read_value=lambda: node.executor.sent_count,
         ),
+        metrics.Gauge(
+            name="quarantined_requests",
+            help="Requests that this node refuses because backend servers "
+            "ended under them.",
+            read_value=lambda: len(node.quarantine.quarantined),
+        ),
+        metrics.Gauge(
+            name="suspected_requests",
+            help="Other requests under which a backend server has ended.",
+            read_value=lambda: len(node.quarantine.suspects),
+        ),
+        metrics.Gauge(
+            name="quarantine_refusals",
+            help="Calls refused here by the quarantine since the start.",
+            read_value=lambda: (
+                node.executor.guard.refused_count if node.executor.guard else 0
+            ),
+        ),
         metrics.Gauge(
             name="announced_rate_limit",
             help="Requests per second that the backend server here accepts "
--- a/mangobay/problems.py
+++ b/mangobay/problems.py
@@ -46,6 +46,9 @@
     Reason.CONNECTION_BROKEN: ProblemType(502, "The connection broke"),
     Reason.INCOMPLETE_ANSWER: ProblemType(502, "The answer was incomplete"),
     Reason.BACKEND_SHED: ProblemType(503, "The backend server refused"),
+    Reason.QUARANTINED: ProblemType(
+        503, "Backend servers ended under this request"
+    ),
     Reason.TOO_LARGE: ProblemType(413, "Too large"),
     Reason.CANCELLED: ProblemType(503, "Cancelled"),
     Reason.TRIES_EXHAUSTED: ProblemType(503, "No tries left"),
@@ -70,6 +73,7 @@
         Reason.OWNER_CHANGED,
         Reason.CONNECTION_FAILED,
         Reason.BACKEND_SHED,
+        Reason.QUARANTINED,
         Reason.CALLER_THROTTLED,
     }
 )
--- a/mangobay/requestdigest.py
+++ b/mangobay/requestdigest.py
@@ -14,13 +14,13 @@
 
     Calls with the same service, workspace, method, target and body are taken
     for repeats of the same request.  Headers do not count: they hold ids and
-    times that differ with every repeat.  Each part is preceded by its length,
-    so that no two different calls give the same input.
+    times that differ with every repeat.  The lengths come first, so that no two
+    different calls give the same input.
     """
-    state = hashlib.blake2b(digest_size=DIGEST_BYTES)
-    for part in (call.service, call.workspace, call.method, call.target):
-        data = part.encode("utf-8", "surrogateescape")
-        state.update(len(data).to_bytes(4))
-        state.update(data)
-    state.update(call.body)
-    return ids.RequestDigest(state.digest())
+    parts = (call.service, call.workspace, call.method, call.target)
+    lengths = " ".join([str(len(part)) for part in parts])
+    text = f"{lengths} {''.join(parts)}"
+    data = text.encode("utf-8", "surrogateescape") + call.body
+    return ids.RequestDigest(
+        hashlib.blake2b(data, digest_size=DIGEST_BYTES).digest()
+    )
--- a/mangobay/retryallowance.py
+++ b/mangobay/retryallowance.py
@@ -140,6 +140,8 @@
         child call.  Admission reads it when the call ends.
       children_in_flight: Number of child calls in flight.
       child_wait_since: Loop time since which child calls are in flight.
+      end_ids: Ends of backend servers under this call and its child calls.
+      digest: Digest of its request, or None before it was needed.
     """
 
     __slots__ = (
@@ -149,6 +151,8 @@
         "allowance",
         "children_in_flight",
         "child_wait_since",
+        "end_ids",
+        "digest",
     )
 
     def __init__(self, allowance: RetryAllowance):
@@ -158,6 +162,8 @@
         self.downstream_threshold = 0
         self.children_in_flight = 0
         self.child_wait_since = 0.0
+        self.end_ids: set[ids.BackendEndId] = set()
+        self.digest: ids.RequestDigest | None = None
 
     def allow_child(self, method: str, target: str, body: bytes) -> bool:
         """Returns whether the backend server may make this child call.
--- a/mangobay/routednode.py
+++ b/mangobay/routednode.py
@@ -167,6 +167,7 @@
         for listener in self.listeners:
             await listener.start()
         self.control.views.subscribe(self.router.update_views)
+        self.control.views.subscribe(self.quarantine_exchange.update_views)
         self.control.views.subscribe(self.set_node_count)
         self.control.routes.subscribe(self.apply_routes)
         self.control.draining.subscribe(self.leave_if_draining)
--- a/mangobay/settings.py
+++ b/mangobay/settings.py
@@ -73,6 +73,10 @@
 
 NODE_LISTENERS = section_settings("listen", "outside", "local", "peer")
 CONTROL_LISTENERS = section_settings("listen", "peer", "operator")
+QUARANTINE_PAUSES = (
+    SettingId("quarantine", "pause"),
+    SettingId("quarantine", "max_pause"),
+)
 TLS_FILES = section_settings("tls", "certificate", "key", "authority")
 GROUP_HOSTS = SettingId("group", "hosts")
 GROUP_SEEDS = SettingId("group", "seeds")
@@ -125,6 +129,14 @@
         ),
         unique_hosts_check(SettingId("control", "hosts")),
         unique_hosts_check(SettingId("control", "seeds")),
+        Check(
+            setting=QUARANTINE_PAUSES[1],
+            depends_on=QUARANTINE_PAUSES[:1],
+            is_satisfied=lambda values: (
+                values[QUARANTINE_PAUSES[0]] <= values[QUARANTINE_PAUSES[1]]
+            ),
+            message="must be at least as long as [quarantine] pause",
+        ),
         TLS_CHECK,
     ),
     generated.Control: (
--- a/schema/messages.capnp
+++ b/schema/messages.capnp
@@ -58,6 +58,8 @@
   # The routes document may be older than a key may outlive its removal.
   quotaUnknown @28;
   # Nobody could be asked whether the quota allows the request.
+  quarantined @29;
+  # Backend servers ended under the request.
 }
 
 struct Header {
@@ -146,6 +148,8 @@
   # The run made calls of its own; another attempt would make them again.
   serverStates @16 :List(ServerState);
   # Of the receiver's backend server, if limited or leaving; at most one.
+  endIds @17 :List(Text);
+  # Ends of backend servers under the call, and under the calls of its run.
 }
 
 struct Cancel {
@@ -169,6 +173,34 @@
   text @0 :Text;
 }
 
+# ---- node to node: quarantine ----
+
+struct SuspectRequest {
+  # A request under which backend servers have ended.
+  digest @0 :Data $id("RequestDigest");
+  endIds @1 :List(Text);
+  # Ends since the last response.
+  tests @2 :UInt16;
+  # Tests since the last response.
+  testInMs @3 :UInt32;
+  # Time until the next test, milliseconds.
+  answered @4 :Bool;
+  # It was answered: all ends before count no more.
+}
+
+struct QuarantineNotice {
+  # To the other nodes of a service.  Answered by QuarantineState.
+  suspects @0 :List(SuspectRequest);
+  # What has changed.
+  all @1 :Bool;
+  # The sender knows nothing yet and asks for everything.
+}
+
+struct QuarantineState {
+  suspects @0 :List(SuspectRequest);
+  # What the receiver knows: of the same requests, or of all.
+}
+
 # ---- node to node: at most once ----
 
 enum OnceState {
@@ -681,5 +713,7 @@
     deflated @24 :Deflated;
     tokenRequest @25 :TokenRequest;
     tokenReply @26 :TokenReply;
+    quarantineNotice @27 :QuarantineNotice;
+    quarantineState @28 :QuarantineState;
   }
 }
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import itertools
+import signal
 
 import platformfakes
 
@@ -233,3 +234,38 @@
             ]
             await fleet.request(CALLING_NODE, "b", "run")
             assert ended_count(fleet) <= MAX_ENDED + MAX_IN_FLIGHT
+
+
+class TestLostKnowledge:
+    """What is known of a request outlives faults of the system."""
+
+    async def test_without_a_control_host(self, tmp_path):
+        """Nodes learn of the ends only from the control group."""
+        async with crashing_fleet(tmp_path) as fleet:
+            await fleet.stop("c1", signal.SIGKILL)
+            await repeat_crashing_request(fleet, NODES, 0.8, 0.05)
+            assert ended_count(fleet) <= MAX_ENDED + MAX_IN_FLIGHT
+
+    async def test_restarted_nodes_run_it_no_more_often(self, tmp_path):
+        """A node that was restarted runs what the others refuse."""
+        names = itertools.count()
+        async with crashing_fleet(tmp_path) as fleet:
+            await repeat_crashing_request(fleet, NODES, 0.8, 0.05)
+            restarted = list(NODES)[: len(NODES) // 2]
+            for number in restarted:
+                await fleet.stop(f"n{number}", signal.SIGKILL)
+                fleet.restart(f"n{number}", "node")
+
+            async def all_served():
+                responses = [
+                    await fleet.request(number, "a", f"again-{next(names)}")
+                    for number in restarted
+                ]
+                return {response.status for response in responses} == {200}
+
+            await platformfakes.wait_until(all_served)
+            # The pause of a test in between must not hide a node that forgot.
+            await repeat_crashing_request(fleet, NODES, 1.2, 0.05)
+            before = ended_count(fleet)
+            await repeat_crashing_request(fleet, restarted, 0.8, 0.05)
+            assert ended_count(fleet) - before <= MAX_IN_FLIGHT
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -157,6 +157,7 @@
     def __init__(self, failing):
         self.local_services = self
         self.leaving = False
+        self.guard = None
         self.remote_traffic = remotetraffic.RemoteTraffic()
         self.failing = failing
         self.served_calls = 0
--- /dev/null
+++ b/tests/test_runguard.py
@@ -0,0 +1,305 @@
+"""Runs that are refused, and what is learned from runs that end."""
+
+import asyncio
+
+import pytest
+
+from mangobay import (
+    calls,
+    execution,
+    ids,
+    localservices,
+    options,
+    quarantine,
+    quarantinenotices,
+    retryallowance,
+    runguard,
+)
+from mangobay.generated import messages, settings
+
+pytestmark = pytest.mark.looptime
+
+CONFIG = settings.NodeQuarantine(after=3, pause=1.0, max_pause=8.0, forget=60.0)
+Outcome = messages.Outcome
+Reason = messages.Reason
+CALL = messages.Call(service="stock", method="GET", target="/x")
+
+
+class FakeDetector:
+    """Finds the end that the test names."""
+
+    def __init__(self):
+        self.end_id = None
+        self.delay = 0.0
+
+    async def find_end(self, address, sent_at, end_ids):
+        await asyncio.sleep(self.delay)
+        return self.end_id
+
+
+class Network:
+    """Delivers notices between guards after a delay.
+
+    Attributes:
+      exchanges: exchanges by the port of their node.
+      cut: ports that cannot be reached.
+      sent: number of notices.
+    """
+
+    def __init__(self, delay=0.005):
+        self.delay = delay
+        self.exchanges = {}
+        self.cut = set()
+        self.sent = 0
+
+    async def send_request(self, address, body, timeout):
+        self.sent += 1
+        await asyncio.sleep(self.delay)
+        if address.port in self.cut:
+            await asyncio.sleep(timeout)
+            raise TimeoutError
+        return self.exchanges[address.port].handle(body)
+
+    def add_node(self, number):
+        state = quarantine.Quarantine(CONFIG)
+        exchange = quarantinenotices.QuarantineExchange(
+            ids.HostId(f"h{number}"), self, state
+        )
+        self.exchanges[number] = exchange
+        return runguard.RunGuard(
+            state, exchange, runguard.number_ends(f"run-{number}")
+        )
+
+    def publish_view(self, numbers):
+        members = [
+            messages.Member(
+                host=f"h{number}", peer_address=f"127.0.0.1:{number}"
+            )
+            for number in numbers
+        ]
+        view = messages.ServiceView(service="stock", members=members)
+        for number in numbers:
+            self.exchanges[number].update_views({"stock": view})
+
+
+class Run:
+    """One run of a call at the backend server beside a guard."""
+
+    def __init__(self, guard):
+        self.guard = guard
+        self.running_call = retryallowance.RunningCall(
+            retryallowance.RetryAllowance(0)
+        )
+        self.local_service = localservices.LocalService(
+            announcement=localservices.Announcement(
+                service="stock",
+                address=options.Address("127.0.0.1", 1),
+                slots=1,
+            ),
+            renewed_at=0.0,
+            admission=None,
+        )
+        self.local_service.crash_detector = FakeDetector()
+
+    async def end(self, reply):
+        now = asyncio.get_running_loop().time()
+        await self.guard.end(
+            CALL, reply, self.local_service, self.running_call, now
+        )
+        return reply
+
+    async def crash(self, end_id):
+        self.local_service.crash_detector.end_id = end_id
+        return await self.end(calls.unknown_reply(Reason.CONNECTION_BROKEN))
+
+
+def refuse(guard):
+    return guard.refuse(CALL, Run(guard).running_call)
+
+
+async def begin(guard):
+    return await guard.begin(CALL, Run(guard).running_call)
+
+
+def answered(status=200):
+    return messages.Reply(outcome=Outcome.ANSWERED, status=status)
+
+
+async def quarantine_at(guard):
+    for number in range(CONFIG.after):
+        await Run(guard).crash(f"e{number}")
+
+
+class TestRefusals:
+    """Quarantined requests at the node beside a backend server."""
+
+    async def test_a_quarantined_request_is_refused_as_not_run(self):
+        """Callers are not told that it did not run, or when to come back."""
+        guard = Network().add_node(1)
+        await quarantine_at(guard)
+        reply = refuse(guard)
+        assert (reply.outcome, reply.reason) == (
+            Outcome.NOT_RUN,
+            Reason.QUARANTINED,
+        )
+        assert 900 <= reply.retry_after_ms <= 1000
+
+    async def test_a_broken_connection_is_no_end(self):
+        """Responses that are lost quarantine the requests that lost them."""
+        guard = Network().add_node(1)
+        for _ in range(10):
+            await Run(guard).crash(None)
+        assert guard.quarantine.is_empty
+
+    async def test_only_one_of_many_repeats_is_the_test(self):
+        """All repeats that wait for the pause run at once after it."""
+        guard = Network().add_node(1)
+        await quarantine_at(guard)
+        await asyncio.sleep(1.1)
+        refusals = await asyncio.gather(*(begin(guard) for _ in range(20)))
+        assert refusals.count(None) == 1
+
+    async def test_an_error_response_releases_it(self):
+        """A request that fails without ending its server stays refused."""
+        guard = Network().add_node(1)
+        await quarantine_at(guard)
+        await asyncio.sleep(1.1)
+        assert await begin(guard) is None
+        await Run(guard).end(answered(500))
+        assert refuse(guard) is None
+
+    async def test_a_caller_that_hangs_up_does_not_hide_an_end(self):
+        """A caller that leaves at once ends servers without being noticed."""
+        guard = Network().add_node(1)
+        run = Run(guard)
+        run.local_service.crash_detector.delay = 0.01
+        task = asyncio.create_task(run.crash("e1"))
+        await asyncio.sleep(0.005)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        await asyncio.sleep(0.1)
+        assert not guard.quarantine.is_empty
+
+
+class TestCallsOfRuns:
+    """Ends under the calls that a run makes."""
+
+    async def test_they_count_for_the_run_that_failed_by_them(self):
+        """Repeats of the run make its calls again, each with a new digest."""
+        guard = Network().add_node(1)
+        run = Run(guard)
+        run.running_call.end_ids = {"e1", "e2", "e3"}
+        reply = await run.end(answered(500))
+        assert reply.end_ids == ["e1", "e2", "e3"]
+        assert refuse(guard).reason is Reason.QUARANTINED
+
+    async def test_a_run_that_succeeded_is_no_suspect(self):
+        """A request whose calls were answered elsewhere is refused."""
+        guard = Network().add_node(1)
+        run = Run(guard)
+        run.running_call.end_ids = {"e1", "e2", "e3"}
+        await run.end(answered(200))
+        assert guard.quarantine.is_empty
+
+    async def test_a_run_makes_no_more_calls_after_three_ends(self):
+        """One run ends a server with each of many different calls."""
+        guard = Network().add_node(1)
+        running_call = Run(guard).running_call
+        assert guard.refuse_child(running_call) is None
+        running_call.end_ids = {"e1", "e2", "e3"}
+        assert guard.refuse_child(running_call).reason is Reason.QUARANTINED
+
+
+class TestNotices:
+    """Nodes of a service tell each other."""
+
+    async def test_an_end_is_known_elsewhere_before_the_reply(self):
+        """The retry of the call arrives at a node before the notice."""
+        network = Network()
+        guards = [network.add_node(number) for number in (1, 2, 3)]
+        network.publish_view([1, 2, 3])
+        for number, guard in enumerate(guards):
+            await Run(guard).crash(f"e{number}")
+        assert all(refuse(guard) for guard in guards)
+
+    async def test_a_node_that_cannot_be_reached_delays_a_reply_briefly(self):
+        """Replies wait for nodes that are cut off."""
+        network = Network()
+        guard = network.add_node(1)
+        network.add_node(2)
+        network.publish_view([1, 2])
+        network.cut.add(2)
+        loop = asyncio.get_running_loop()
+        started_at = loop.time()
+        await Run(guard).crash("e1")
+        assert loop.time() - started_at < 0.1
+
+    async def test_all_requests_in_progress_are_told_in_one_notice(self):
+        """A crash sends as many notices as requests were in progress."""
+        network = Network()
+        guard = network.add_node(1)
+        network.add_node(2)
+        network.publish_view([1, 2])
+        await asyncio.sleep(1)
+        network.sent = 0
+        await asyncio.gather(*(Run(guard).crash("e1") for _ in range(50)))
+        assert network.sent == 1
+
+    async def test_a_restarted_node_asks_the_others(self):
+        """A node that was restarted runs what all others refuse."""
+        network = Network()
+        guard = network.add_node(1)
+        network.add_node(2)
+        network.publish_view([1, 2])
+        await quarantine_at(guard)
+        restarted = network.add_node(2)
+        network.publish_view([1, 2])
+        await asyncio.sleep(0.1)
+        assert refuse(restarted) is not None
+
+    async def test_only_one_node_tests(self):
+        """Every node tests when the pause is over, and each ends a server."""
+        network = Network()
+        guards = [network.add_node(number) for number in (1, 2, 3)]
+        network.publish_view([1, 2, 3])
+        await quarantine_at(guards[0])
+        await asyncio.sleep(1.1)
+        refusals = [await begin(guard) for guard in guards]
+        assert refusals.count(None) == 1
+
+    async def test_a_release_reaches_the_other_nodes(self):
+        """A request that was answered stays refused at other nodes."""
+        network = Network()
+        guards = [network.add_node(number) for number in (1, 2)]
+        network.publish_view([1, 2])
+        await quarantine_at(guards[0])
+        await asyncio.sleep(1.1)
+        assert await begin(guards[0]) is None
+        await Run(guards[0]).end(answered())
+        await asyncio.sleep(1)
+        assert guards[1].quarantine.is_empty
+
+
+class TestCost:
+    """What the guard costs requests that nothing is known of."""
+
+    async def test_no_digest_without_suspects(self, monkeypatch):
+        """Every request is hashed although no backend server has ended."""
+        guard = Network().add_node(1)
+        monkeypatch.setattr(
+            runguard.requestdigest, "digest_of", lambda call: 1 / 0
+        )
+        assert refuse(guard) is None
+        assert await begin(guard) is None
+        await Run(guard).end(answered())
+
+
+class TestOff:
+    """The setting that turns the quarantine off."""
+
+    def test_an_executor_has_no_guard_by_default(self):
+        """The setting `after = 0` does not turn it off."""
+        services = localservices.LocalServices(5, None, lambda services: None)
+        process = calls.Process("me", "centre", "run-1")
+        executor = execution.CallExecutor(process, services, None, None)
+        assert executor.guard is None
