Configurations that cannot be read are refused, and large values do no harm

Accepted were versions and times in digits of other scripts and JSON in UTF-16, which the platform's pages do not allow; NaN, infinity and very deep nesting got 502 in place of 4xx, so an operator sent them again and again; and a route with more than 65,536 attempts, or a very long target latency, was accepted and then failed each of its requests, since no message between nodes can hold such a number.

Now bodies must be JSON in UTF-8 with finite numbers and ASCII digits, and what nodes tell each other of a route is bounded by what a message holds.

--- a/mangobay/routes.py
+++ b/mangobay/routes.py
@@ -156,6 +156,8 @@
             yield f"names the unknown service {weighted.service}"
         if weighted.weight < 0:
             yield f"the weight of {weighted.service} is below 0"
+    if not math.isfinite(sum(part.weight for part in route.weighted_services)):
+        yield "the weights are too large"
     if not 0 < route.timeout <= MAX_TIMEOUT_SECONDS:
         yield (
             f"the timeout must be above 0 and at most {MAX_TIMEOUT_SECONDS:g} s"
@@ -175,6 +177,8 @@
 """Importance by priority; lower priorities get the last one."""
 
 
+MAX_TRIES = 2**16 - 1
+"""Most extra attempts that a message between nodes can name."""
 FULL_TIME_SHARE = 0.97
 """Share of `max_time_left` below which a caller has waited before."""
 MAX_OPERATIONS = 64
@@ -320,8 +324,8 @@
         idempotent=route.retry_safety is RetrySafety.SAFE,
         outside=True,
         deadline_ms=int(route.timeout * 1000),
-        tries=route.max_attempts - 1,
-        target_ms=int(route.target_latency * 1000),
+        tries=min(route.max_attempts - 1, MAX_TRIES),
+        target_ms=int(min(route.target_latency, MAX_TIMEOUT_SECONDS) * 1000),
     )
 
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -103,6 +103,7 @@
         [
             ({"version": "7"}, "version"),
             ({"version": 7}, "version"),
+            ({"version": "r٧"}, "version"),
             ({"limits": {}}, "limits.max_header_bytes"),
             ({"routes": {"columns": ["name"], "rows": [[]]}}, "routes[0]"),
             ({"services": []}, "services"),
@@ -117,9 +118,43 @@
         with pytest.raises(jsonvalues.FormatError, match="not JSON"):
             documents.decode(data[:-9])
 
+    @pytest.mark.parametrize(
+        "data",
+        [
+            json.dumps(configuration()).replace("90", "NaN").encode(),
+            json.dumps(configuration()).replace("90", "1e999").encode(),
+            json.dumps(configuration()).encode("utf-16"),
+            b"[" * 100_000,
+        ],
+        ids=["NaN", "infinity", "UTF-16", "deep"],
+    )
+    async def test_what_is_no_json_is_refused_by_operators_api(self, data):
+        """A configuration that cannot be read gets no 4xx, or is accepted."""
+        handle = handlers.operator_api(FakePublisher())
+        request = rpc_request("config.replace", "", data)
+        request.headers = {platformnames.BASE_VERSION_HEADER: "0"}
+        assert (await handle(request, None)).status == 400
+
+    @pytest.mark.parametrize(
+        ("column", "value"),
+        [("max_attempts", 10**6), ("target_latency", "9" * 400 + "s")],
+    )
+    def test_large_values_fit_into_a_message(self, column, value):
+        """No request of a route with very large values is sent on."""
+        document = documents.parse_document(
+            configuration_with_cell(column, value)
+        )
+        table = routes.RouteTable(document)
+        operation = table.find("h.example", "/x/").next_operation("GET")
+        call = messages.Call(
+            tries=operation.tries, patience_ms=operation.target_ms
+        )
+        messages.encode_envelope(messages.Envelope(body=call))
+
     @pytest.mark.parametrize(
         ("column", "value"),
         [
+            ("timeout", "١٠s"),
             ("route_type", "odd"),
             ("route_type", ["safe"]),
             ("timeout", 1000),
