Soak: callers repeat requests that end backend servers

A series of equal requests with fresh ids goes to all nodes in turn; a backend server that runs one ends and starts again a second later. The new check allows three ends and then one after each pause that doubles, from one second after the third end on. Nodes that were frozen since may not have been told, and where every node of the service was restarted none is left that knows.

--- a/bench/soak/backends.py
+++ b/bench/soak/backends.py
@@ -15,6 +15,8 @@
 LARGE = 400_000
 """Bytes of a large answer: more than the buffers of a slow reader take."""
 POLL_SECONDS = 0.02
+CRASHED_SECONDS = 1.0
+"""Between the end of a server that crashed and its next start."""
 LATE_SECONDS = 0.2
 """How long a second answer comes after the first."""
 
@@ -39,6 +41,8 @@
     CLOSING = "closing"
     RESET = "reset"
     """The connection is reset in the middle of the work."""
+    CRASH = "crash"
+    """The server ends; the number in the path only names the request."""
 
 
 def path_of(way: Way, seconds: float) -> str:
@@ -87,6 +91,8 @@
       seen: gets every arrival.
       current: its present lifetime.
       awake: not set while it does nothing.
+      server: its listener; None between two lifetimes.
+      crashing: the last crash, until the next start.
     """
 
     def __init__(
@@ -105,6 +111,7 @@
         self.awake = asyncio.Event()
         self.awake.set()
         self.server: asyncio.Server | None = None
+        self.crashing: asyncio.Task | None = None
 
     async def __aenter__(self) -> "Backend":
         """Listens and tells the node of itself."""
@@ -115,6 +122,8 @@
     async def __aexit__(self, *unused) -> None:
         """Ends it with all its connections."""
         self.beating.cancel()
+        if self.crashing is not None:
+            self.crashing.cancel()
         await self.close()
 
     async def open(self) -> None:
@@ -132,10 +141,19 @@
 
     async def close(self) -> None:
         """Ends a lifetime; what it works on is broken off."""
-        if self.server is not None:
-            self.server.close()
+        server, self.server = self.server, None
+        if server is not None:
+            server.close()
         await self.sever()
 
+    async def crash(self) -> None:
+        """Ends without a word, and begins another lifetime a little later."""
+        former = self.current
+        await self.close()
+        await asyncio.sleep(CRASHED_SECONDS)
+        if self.current is former:
+            await self.open()
+
     async def sever(self) -> None:
         """Resets every connection; what it works on is broken off."""
         ending = list(self.tasks)
@@ -207,6 +225,8 @@
 
     async def tell(self) -> bool:
         """Tells the node of itself; returns whether it was acknowledged."""
+        if self.server is None:
+            return False
         current = self.current
         current.sequence += 1
         said = dialect.Beat(
@@ -309,6 +329,8 @@
             arrival.digest = digest(body)
             return True
         arrival.digest = digest(await wire.read_body(reader, head))
+        if way is Way.CRASH:
+            return self.start_crash(arrival)
         loop = asyncio.get_running_loop()
         due = arrival.at + arrival.seconds
         arrival.until = loop.time() + seconds
@@ -322,6 +344,20 @@
             return True
         return await self.finish(arrival, way, fields, writer)
 
+    def start_crash(self, arrival: history.Arrival) -> bool:
+        """Lets the server end under a request."""
+        self.end(arrival, history.Outcome.BROKEN)
+        if self.crashing is None or self.crashing.done():
+            crash = history.Crash(
+                at=arrival.ended,
+                host=self.place.name,
+                service=self.place.service,
+                line=arrival.line,
+            )
+            self.seen.crashes.append(crash)
+            self.crashing = asyncio.create_task(self.crash())
+        return False
+
     async def work(
         self,
         arrival: history.Arrival,
--- a/bench/soak/bounds.py
+++ b/bench/soak/bounds.py
@@ -37,6 +37,9 @@
       rate_factor: by which they may exceed the rate.
       rate_slack: requests that may come besides.
       told_after: until a host that passed on a state must act on it.
+      ended: backend servers that one request may end before it is known.
+      ends_known: until every node that may run it knows it.
+      test_pause: until it may be tried again; doubled each time.
     """
 
     grace: float = 6.0
@@ -67,6 +70,9 @@
     rate_factor: float = 1.5
     rate_slack: int = 5
     told_after: float = 0.5
+    ended: int = 3
+    ends_known: float = 1.0
+    test_pause: float = 1.0
 
 
 TARGET = Bounds()
--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -66,12 +66,16 @@
 
 
 class Wish(typing.NamedTuple):
-    """What a request asks for; times in seconds."""
+    """What a request asks for; times in seconds.
+
+    Without a service, any one is called.
+    """
 
     way: backends.Way
     work: float
     repeatable: bool
     seconds: float
+    service: ids.ServiceName = ids.ServiceName("")
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -107,6 +111,7 @@
       manner: how it behaves.
       speech: how it speaks.
       seen: gets every request.
+      numbers: numbers of connections.
       lots: drawn from the seed.
     """
 
@@ -222,15 +227,13 @@
         lots = self.lots
         wish = self.choose()
         repeatable, seconds = wish.repeatable, wish.seconds
-        service = lots.choice(world.SERVICES)
+        service = wish.service or lots.choice(world.SERVICES)
         path = backends.path_of(wish.way, wish.work)
         body = b""
         if not repeatable or self.manner is Manner.LARGE:
             size = LARGE_BODY if self.manner is Manner.LARGE else BODY
             body = lots.randbytes(lots.randint(1, size))
-        attempt = ids.AttemptId(
-            f"{self.place.name}-{self.manner.name.lower()}-{next(self.count)}"
-        )
+        attempt = self.make_attempt()
         line = f"{'POST' if body else 'GET'} {path}"
         request = history.Request(
             attempt=attempt,
@@ -255,6 +258,12 @@
             encode = wire.encode_in_chunks
         return request, encode(f"{line} HTTP/1.1", fields, body)
 
+    def make_attempt(self) -> ids.AttemptId:
+        """Returns an id that no other request has."""
+        return ids.AttemptId(
+            f"{self.place.name}-{self.manner.name.lower()}-{next(self.count)}"
+        )
+
     async def send(self, connection: Connection) -> history.Request:
         """Sends the next request."""
         request, data = self.draw(connection)
@@ -366,6 +375,36 @@
         )
 
 
+class Repeater(Caller):
+    """A caller that sends one request of a series of equal ones.
+
+    Attributes:
+      wish: what the request asks for.
+      name: unlike that of any other request.
+    """
+
+    def __init__(
+        self,
+        wish: Wish,
+        name: str,
+        place: dialect.Place,
+        speech: dialect.Dialect,
+        seen: history.History,
+        numbers: collections.abc.Iterator[int],
+    ):
+        super().__init__(place, Manner.FRESH, speech, seen, 0, numbers)
+        self.wish = wish
+        self.name = name
+
+    def choose(self) -> Wish:
+        """Returns what the request asks for."""
+        return self.wish
+
+    def make_attempt(self) -> ids.AttemptId:
+        """Returns an id that no other request has."""
+        return ids.AttemptId(f"{self.place.name}-repeat-{self.name}")
+
+
 def close(connection: Connection, end: history.End) -> None:
     """Ends what waits on a connection."""
     connection.closed = True
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -126,6 +126,27 @@
     seconds: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Crash:
+    """Callers of several nodes repeat a request that ends backend servers.
+
+    Attributes:
+      at: the first request.
+      hosts: nodes that it is sent to, in turn.
+      service: place of its service among all.
+      mark: names the request.
+      count: how often it is sent.
+      gap: seconds between two.
+    """
+
+    at: float
+    hosts: tuple[ids.HostId, ...]
+    service: int
+    mark: int
+    count: int
+    gap: float
+
+
 Fault = (
     Restart
     | RestartWithSignal
@@ -138,6 +159,7 @@
     | Hang
     | Sever
     | Limit
+    | Crash
 )
 
 
@@ -176,6 +198,8 @@
 """Seconds between two resets of connections."""
 MEAN_LIMIT_GAP = 3.0
 """Seconds between two limits."""
+MEAN_CRASH_GAP = 5.0
+"""Seconds between two series of requests that end backend servers."""
 MEAN_MINORITY_GAP = 6.0
 """Seconds between two long freezes of control hosts."""
 FIRST = 1.0
@@ -201,6 +225,7 @@
         at += lots.expovariate(1 / MEAN_GAP)
     found += draw_links(seed, seconds, hosts)
     found += draw_limits(seed, seconds, hosts)
+    found += draw_crashes(seed, seconds, hosts)
     if seed % PLANNED_SEEDS:
         found += draw_minorities(seed, seconds, hosts)
     found = [fault for fault in found if fault.at < seconds]
@@ -239,6 +264,26 @@
     return found
 
 
+def draw_crashes(seed: int, seconds: float, hosts: Hosts) -> list[Fault]:
+    """Returns the series of requests that end backend servers."""
+    lots = random.Random(f"crashes {seed}")
+    at = FIRST
+    found: list[Fault] = []
+    while at < seconds:
+        at += lots.expovariate(1 / MEAN_CRASH_GAP)
+        found.append(
+            Crash(
+                at=round(at, 2),
+                hosts=tuple(lots.sample(hosts.nodes, len(hosts.nodes))),
+                service=lots.randrange(1000),
+                mark=len(found),
+                count=lots.randint(10, 60),
+                gap=round(lots.uniform(0.05, 0.2), 2),
+            )
+        )
+    return found
+
+
 def draw_minorities(seed: int, seconds: float, hosts: Hosts) -> list[Fault]:
     """Returns long freezes of a minority of the control hosts.
 
--- a/bench/soak/history.py
+++ b/bench/soak/history.py
@@ -233,6 +233,23 @@
     acknowledged: float
 
 
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Crash:
+    """The end of a backend server under a request.
+
+    Attributes:
+      at: loop time.
+      host: of the backend server.
+      service: of the backend server.
+      line: method and path of the request.
+    """
+
+    at: float
+    host: ids.HostId
+    service: ids.ServiceName
+    line: str
+
+
 @dataclasses.dataclass(slots=True, kw_only=True)
 class RateLimit:
     """A limit that a backend server names in its responses.
@@ -267,6 +284,7 @@
       strays: bytes that belong to no request.
       drains: of backend servers.
       limits: that backend servers named.
+      crashes: ends of backend servers under a request.
       services: on each node's host.
       calm: every fault is over, and every process was started again.
       over: callers end.
@@ -284,6 +302,7 @@
     strays: list[Stray] = dataclasses.field(default_factory=list)
     drains: list[Drain] = dataclasses.field(default_factory=list)
     limits: list[RateLimit] = dataclasses.field(default_factory=list)
+    crashes: list[Crash] = dataclasses.field(default_factory=list)
     services: dict[ids.HostId, ids.ServiceName] = dataclasses.field(
         default_factory=dict
     )
--- a/bench/soak/judge.py
+++ b/bench/soak/judge.py
@@ -41,6 +41,10 @@
         timechecks.nothing_after_a_drain,
     ),
     Check("LIMIT", statechecks.announced_rates_are_kept),
+    Check(
+        "A request that ends backend servers ends few of them",
+        statechecks.crashing_requests_are_held_back,
+    ),
     Check("DRAIN", statechecks.nothing_after_leaving),
     Check("DRAIN", systemchecks.leaving_nodes_say_so),
     Check("Fault", systemchecks.processes_end_as_told),
--- a/bench/soak/play.py
+++ b/bench/soak/play.py
@@ -115,6 +115,8 @@
                 await self.servers[host].replace(bounds.TARGET.drain + 1)
             case faults.Limit(host=host, rate=rate, seconds=seconds):
                 await self.servers[host].announce_limit(rate, seconds)
+            case faults.Crash():
+                await self.repeat_crashing_request(fault)
             case faults.Hang(host=host, seconds=seconds):
                 await self.servers[host].hang(seconds)
             case faults.Sever(host=host, callers=True):
@@ -124,6 +126,31 @@
             case faults.Sever(host=host):
                 await self.servers[host].sever()
 
+    async def repeat_crashing_request(self, fault: faults.Crash) -> None:
+        """Sends a request that ends backend servers to nodes in turn."""
+        services = world.SERVICES
+        wish = callers.Wish(
+            way=backends.Way.CRASH,
+            work=fault.mark / 1000,
+            repeatable=True,
+            seconds=2.0,
+            service=services[fault.service % len(services)],
+        )
+        first = self.clients[0]
+        hosts = itertools.cycle(fault.hosts)
+        async with asyncio.TaskGroup() as group:
+            for number in range(fault.count):
+                repeater = callers.Repeater(
+                    wish,
+                    f"{fault.mark}-{number}",
+                    self.made.places[next(hosts)],
+                    self.made.speech,
+                    first.seen,
+                    first.numbers,
+                )
+                group.create_task(repeater.turn())
+                await asyncio.sleep(fault.gap)
+
     async def start(self, host: ids.HostId, down: float) -> None:
         """Starts a process that has ended."""
         await asyncio.sleep(down)
--- a/bench/soak/statechecks.py
+++ b/bench/soak/statechecks.py
@@ -2,6 +2,7 @@
 
 import bisect
 import collections
+import math
 
 from bench.soak import checks, history
 from mangobay import ids
@@ -55,6 +56,53 @@
                 break
 
 
+def crashing_requests_are_held_back(view: checks.View) -> checks.Found:
+    """After three ends, a request is tried once after each pause."""
+    target = view.target
+    by_request = collections.defaultdict(list)
+    for crash in view.seen.crashes:
+        by_request[crash.service, crash.line].append(crash)
+    for (service, line), crashes in by_request.items():
+        crashes.sort(key=lambda each: each.at)
+        if len(crashes) <= target.ended:
+            continue
+        known_at = crashes[target.ended - 1].at + target.ends_known
+        late = [each for each in crashes[target.ended :] if each.at > known_at]
+        for place, crash in enumerate(late):
+            passed = crash.at - known_at + target.ends_known + view.seen.lag
+            tests = int(math.log2(passed / target.test_pause + 1))
+            tests += forgetful_hosts(view, service, crashes[0].at, crash.at)
+            if place >= tests:
+                what = f"{line} ended {place + 1} servers late, may {tests}"
+                yield broken("crashing request", crash.at, crash.host, what)
+                break
+
+
+def forgetful_hosts(
+    view: checks.View, service: ids.ServiceName, since: float, until: float
+) -> int:
+    """Returns how many nodes of a service may not know what was told.
+
+    Nodes that were frozen could not be told, and if each was restarted, none is
+    left that knows.
+    """
+    hosts = {
+        host for host, found in view.seen.services.items() if found == service
+    }
+    events = [
+        event
+        for event in view.seen.events
+        if event.host in hosts and since <= event.at <= until
+    ]
+    thawed = {
+        event.host for event in events if event.action is history.Action.THAW
+    }
+    started = {
+        event.host for event in events if event.action is history.Action.START
+    }
+    return len(hosts) if started | thawed == hosts else len(thawed)
+
+
 def told_hosts(
     view: checks.View,
     instance: ids.InstanceId,
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -381,6 +381,49 @@
         assert not self.breaks_of(30, events=[restart])
 
 
+class TestCrashingRequest:
+    """`statechecks.crashing_requests_are_held_back`."""
+
+    def breaks_of(self, times, line="GET /crash/1", **more):
+        """Returns the breaks where servers end under a request at times."""
+        return found(
+            statechecks.crashing_requests_are_held_back,
+            crashes=[
+                history.Crash(
+                    at=at,
+                    host=soakfakes.OTHER,
+                    service=soakfakes.SERVICE,
+                    line=line,
+                )
+                for at in times
+            ],
+            **more,
+        )
+
+    @pytest.mark.parametrize(
+        ("later", "count"),
+        [
+            ((), 0),
+            ((100.5, 101.1), 0),
+            ((101.1, 103.1, 107.1), 0),
+            ((101.1, 101.5), 1),
+            ((101.1, 103.1, 105.0), 1),
+        ],
+    )
+    def test_more_than_one_after_each_pause_are_found(self, later, count):
+        assert len(self.breaks_of((99.0, 99.5, 100.0, *later))) == count
+
+    def test_a_thawed_node_may_not_have_been_told(self):
+        thaw = soakfakes.event(100.2, history.Action.THAW, soakfakes.OTHER)
+        times = (99.0, 99.5, 100.0, 101.1, 101.5)
+        assert not self.breaks_of(times, events=[thaw])
+
+    def test_a_restart_of_the_only_node_excuses_one_more(self):
+        start = soakfakes.event(100.2, history.Action.START, soakfakes.OTHER)
+        times = (99.0, 99.5, 100.0, 101.1, 101.5)
+        assert not self.breaks_of(times, events=[start])
+
+
 class TestLeavingServer:
     """`statechecks.nothing_after_leaving`."""
 
--- a/tests/test_soak_processes.py
+++ b/tests/test_soak_processes.py
@@ -12,6 +12,8 @@
 SECONDS = 12.0
 MINORITY_SEED = 131
 MINORITY_SECONDS = 8.0
+CRASH_SEED = 4904
+CRASH_SECONDS = 6.0
 BUSY = dataclasses.replace(
     bounds.TARGET, loss_slack=1.0, config_apply=5.0, freed=2.0
 )
@@ -51,3 +53,14 @@
             target,
         )
         assert not found, explanation
+
+    async def test_a_request_that_ends_servers_is_held_back(self, tmp_path):
+        """Callers that repeat it end each server that starts again."""
+        found, explanation = await find_breaks(
+            tmp_path,
+            CRASH_SEED,
+            CRASH_SECONDS,
+            world.Size(nodes=6, controls=3),
+            BUSY,
+        )
+        assert not found, explanation
