Nodes of an older build get no notices that they do not know

An older node ends a connection on a message or a reason of an unknown kind, and with it all calls on the connection: while a fleet is updated host by host, each crash of a backend server would cut calls to the hosts that are not updated yet. Found by reading, before any run of mixed builds.

A process says in its Hello whether it knows notices; others are not told, and get "overloaded" in place of "quarantined". Both new tests failed before. Besides, who is to be told is looked up when there is something to tell, not at each change of a view.

--- a/mangobay/basenode.py
+++ b/mangobay/basenode.py
@@ -201,6 +201,9 @@
     def set_served_services(self, served: list[messages.ServedService]) -> None:
         """Announces the services of the local backend server to control."""
         self.control.serves = served
+        self.quarantine_exchange.update_served(
+            [service.name for service in served]
+        )
 
     def make_dispatcher(self) -> None:
         """Creates the components that send calls to hosts."""
@@ -252,6 +255,8 @@
             case messages.Call():
                 reply = await self.executor.serve(body)
                 reply.revision = self.control.tables.value.revision
+                if not hello.takes_notices:
+                    make_known_to_older_peer(reply)
                 return reply
             case messages.CopyPut() | messages.CopyFetch():
                 return await self.once.handle(body)
@@ -391,6 +396,12 @@
         await self.backend.close()
 
 
+def make_known_to_older_peer(reply: messages.Reply) -> None:
+    """Replaces a reason that would end the connection of an older peer."""
+    if reply.reason is messages.Reason.QUARANTINED:
+        reply.reason = messages.Reason.OVERLOADED
+
+
 def limit_gc_pauses() -> None:
     """Excludes objects created so far from garbage collection.
 
--- a/mangobay/connections.py
+++ b/mangobay/connections.py
@@ -135,7 +135,9 @@
 
     def send_hello(self) -> None:
         """Sends this process's Hello."""
-        hello = dataclasses.replace(self.local_hello, protocol=PROTOCOL_VERSION)
+        hello = dataclasses.replace(
+            self.local_hello, protocol=PROTOCOL_VERSION, takes_notices=True
+        )
         self.send(messages.Envelope(body=hello))
 
     def handle_hello(self, body: messages.EnvelopeBody) -> None:
@@ -295,6 +297,11 @@
         if task is not None:
             task.cancel()
 
+    def is_known_to_peer(self, body: messages.EnvelopeBody) -> bool:
+        """Returns whether the peer's version knows a kind of request."""
+        is_notice = type(body) is messages.QuarantineNotice
+        return not is_notice or self.peer_hello.takes_notices
+
     async def send_request(
         self, body: messages.EnvelopeBody, timeout: float
     ) -> messages.EnvelopeBody:
@@ -307,6 +314,10 @@
           TimeoutError: it was sent, but no reply came in time.
         """
         self.check_writable()
+        if not self.is_known_to_peer(body):
+            raise errors.PeerUnreachableError(
+                "the peer is too old to know this message"
+            )
         self.last_request_at = self.loop.time()
         self.last_stream += 1
         stream = self.last_stream
--- a/mangobay/quarantinenotices.py
+++ b/mangobay/quarantinenotices.py
@@ -53,7 +53,8 @@
       host: this host, which is not told.
       transport: connections to other processes.
       quarantine: the state of this node.
-      members: the other members by service.
+      views: who serves what.
+      served: the services of the backend server on this host.
       asked: the services whose members were asked for everything.
       batches: changes not sent yet, by service and delay.
       tasks: the messages that are being sent.
@@ -68,31 +69,43 @@
         self.host = host
         self.transport = transport
         self.quarantine = known
-        self.members: dict[ids.ServiceName, list[messages.Member]] = {}
+        self.views: Views = {}
+        self.served: list[ids.ServiceName] = []
         self.asked: set[ids.ServiceName] = set()
         self.batches: dict[tuple[ids.ServiceName, float], Batch] = {}
         self.tasks: set[asyncio.Task] = set()
         self.sending = asyncio.Semaphore(MAX_PARALLEL_NOTICES)
 
     def update_views(self, views: Views) -> None:
-        """Notes the members of the services of this host.
+        """Notes who serves what."""
+        self.views = views
+        for service in self.served:
+            self.ask_others(service)
 
-        When it first sees them, it asks some of them for what they know: this
-        process may have been restarted and have forgotten it.
+    def update_served(self, services: list[ids.ServiceName]) -> None:
+        """Notes the services of the backend server on this host."""
+        self.served = services
+        for service in services:
+            self.ask_others(service)
+
+    def ask_others(self, service: ids.ServiceName) -> None:
+        """Asks some other members for what they know, once for each service.
+
+        This process may have been restarted and have forgotten it.
         """
-        self.members = {
-            service: [
-                member for member in view.members if member.host != self.host
-            ]
-            for service, view in views.items()
-            if any(member.host == self.host for member in view.members)
-        }
-        for service, members in self.members.items():
-            if members and service not in self.asked:
-                self.asked.add(service)
-                notice = messages.QuarantineNotice(all=True)
-                for member in members[:MAX_ASKED_NODES]:
-                    self.start(member, notice)
+        members = self.other_members(service)
+        if service in self.asked or not members:
+            return
+        self.asked.add(service)
+        notice = messages.QuarantineNotice(all=True)
+        for member in members[:MAX_ASKED_NODES]:
+            self.start(member, notice)
+
+    def other_members(self, service: ids.ServiceName) -> list[messages.Member]:
+        """Returns the members of a service without this host."""
+        view = self.views.get(service)
+        members = view.members if view is not None else ()
+        return [member for member in members if member.host != self.host]
 
     async def tell(
         self, service: ids.ServiceName, suspect: messages.SuspectRequest
@@ -131,8 +144,7 @@
         batch = self.batches.pop((service, delay))
         notice = messages.QuarantineNotice(suspects=batch.suspects)
         tasks = {
-            self.start(member, notice)
-            for member in self.members.get(service, ())
+            self.start(member, notice) for member in self.other_members(service)
         }
         if not tasks:
             batch.sent.set_result(None)
--- a/schema/messages.capnp
+++ b/schema/messages.capnp
@@ -76,6 +76,9 @@
   incarnation @2 :Text $id("Incarnation");
   role @3 :Text;
   protocol @4 :UInt16;
+  takesNotices @5 :Bool;
+  # It knows QuarantineNotice; older processes end a connection on which one
+  # comes.
 }
 
 struct ServerState {
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from mangobay import connections, errors, options, peers, wire
+from mangobay import basenode, connections, errors, options, peers, wire
 from mangobay.generated import messages
 
 HELLO = messages.Hello(host="here", role="node")
@@ -516,6 +516,29 @@
         assert await request_task == reply
 
 
+class TestOlderPeer:
+    """A peer of a version that ends a connection on an unknown message."""
+
+    async def test_it_gets_no_notice(self):
+        """Each crash of a backend server cuts calls to hosts not updated yet."""
+        connection = connections.Connection(HELLO, peers.Limits())
+        transport = FakeTransport()
+        connection.connection_made(transport)
+        hello = wire.encode_frame(messages.Envelope(body=PEER_HELLO))
+        connection.data_received(hello)
+        with pytest.raises(errors.PeerUnreachableError):
+            await connection.send_request(
+                messages.QuarantineNotice(), WAIT_SECONDS
+            )
+        assert not connection.closed
+
+    async def test_it_gets_a_reason_that_it_knows(self):
+        """Each refusal of a quarantined call cuts all calls of its host."""
+        reply = messages.Reply(reason=messages.Reason.QUARANTINED)
+        basenode.make_known_to_older_peer(reply)
+        assert reply.reason is messages.Reason.OVERLOADED
+
+
 class TestListener:
     """Connections that a listener accepts."""
 
--- a/tests/test_runguard.py
+++ b/tests/test_runguard.py
@@ -79,6 +79,7 @@
         ]
         view = messages.ServiceView(service="stock", members=members)
         for number in numbers:
+            self.exchanges[number].update_served(["stock"])
             self.exchanges[number].update_views({"stock": view})
 
 
