Failing test: a restarted node of which no caller was refused

Callers would see requests run by a server that has deregistered (DRAIN). Cause: that a server has deregistered is known to its node, which forgets it when it restarts, and to callers that this node refused. If no call was refused before the view of the callers changed, as when their process got no processor time, nobody tells the restarted node, and a late heartbeat puts the server back in use.

--- a/tests/test_serverstate.py
+++ b/tests/test_serverstate.py
@@ -263,3 +263,29 @@
                 await asyncio.sleep(DRAIN_SECONDS + 1)
             late = arrivals_after(backend, restarted_at, "n11")
         assert len(late) == 0
+
+    async def test_a_restarted_node_of_which_nobody_was_refused(self, tmp_path):
+        """Only callers that it refused can tell a node that its server left.
+
+        The only caller's node stands still while the server deregisters, and
+        learns from its view that there is no host.
+        """
+        async with serving_fleet(tmp_path) as (fleet, backend):
+            caller = fleet.processes["n11"]
+            caller.send_signal(platformfakes.signal.SIGSTOP)
+            assert (await backend.deregister()).status == 200
+            await asyncio.sleep(1)
+            caller.send_signal(platformfakes.signal.SIGCONT)
+            await asyncio.sleep(DRAIN_SECONDS)
+            await fleet.stop("n12", platformfakes.signal.SIGKILL)
+            restarted_at = asyncio.get_running_loop().time()
+            fleet.restart("n12", "node")
+
+            async def is_heartbeat_accepted():
+                return (await backend.send_heartbeat()).status == 200
+
+            await platformfakes.wait_until(is_heartbeat_accepted)
+            async with callers(fleet, 11):
+                await asyncio.sleep(DRAIN_SECONDS + 1)
+            late = arrivals_after(backend, restarted_at, "n11")
+        assert len(late) == 0
