A node whose question at its start was lost asks again

A node that was restarted asks three members of its service for quarantined requests, once. If none of them could be reached then, it went on without, and ran what all others refuse. Found by reading; the test failed before. Now it asks again with the next change of a view or of its services, until one replies.

--- a/mangobay/quarantinenotices.py
+++ b/mangobay/quarantinenotices.py
@@ -55,7 +55,8 @@
       quarantine: the state of this node.
       views: who serves what.
       served: the services of the backend server on this host.
-      asked: the services whose members were asked for everything.
+      asked: the services whose members are asked for everything, or were and
+        have replied.
       batches: changes not sent yet, by service and delay.
       tasks: the messages that are being sent.
     """
@@ -89,7 +90,7 @@
             self.ask_others(service)
 
     def ask_others(self, service: ids.ServiceName) -> None:
-        """Asks some other members for what they know, once for each service.
+        """Asks some other members for what they know, until one has replied.
 
         This process may have been restarted and have forgotten it.
         """
@@ -98,8 +99,20 @@
             return
         self.asked.add(service)
         notice = messages.QuarantineNotice(all=True)
-        for member in members[:MAX_ASKED_NODES]:
-            self.start(member, notice)
+        tasks = [
+            self.start(member, notice) for member in members[:MAX_ASKED_NODES]
+        ]
+
+        def ask_again_if_silent(task: asyncio.Task) -> None:
+            del task
+            if all(
+                each.done() and (each.cancelled() or not each.result())
+                for each in tasks
+            ):
+                self.asked.discard(service)
+
+        for task in tasks:
+            task.add_done_callback(ask_again_if_silent)
 
     def other_members(self, service: ids.ServiceName) -> list[messages.Member]:
         """Returns the members of a service without this host."""
@@ -160,7 +173,7 @@
 
     def start(
         self, member: messages.Member, notice: messages.QuarantineNotice
-    ) -> asyncio.Task:
+    ) -> asyncio.Task[bool]:
         """Starts to send a notice to a member; returns the task."""
         task = asyncio.create_task(self.send(member, notice))
         self.tasks.add(task)
@@ -169,8 +182,11 @@
 
     async def send(
         self, member: messages.Member, notice: messages.QuarantineNotice
-    ) -> None:
-        """Sends a notice to a member, and merges its reply."""
+    ) -> bool:
+        """Sends a notice to a member; returns whether it replied.
+
+        What it knows beyond the notice is merged.
+        """
         address = options.parse_address(member.peer_address)
         try:
             async with self.sending:
@@ -184,10 +200,12 @@
                 host=member.host,
                 why=str(error) or type(error).__name__,
             )
-            return
-        if isinstance(reply, messages.QuarantineState):
-            now = asyncio.get_running_loop().time()
-            self.quarantine.merge(reply.suspects, now)
+            return False
+        if not isinstance(reply, messages.QuarantineState):
+            return False
+        now = asyncio.get_running_loop().time()
+        self.quarantine.merge(reply.suspects, now)
+        return True
 
     def handle(
         self, notice: messages.QuarantineNotice
--- a/tests/test_runguard.py
+++ b/tests/test_runguard.py
@@ -258,6 +258,22 @@
         await asyncio.sleep(0.1)
         assert refuse(restarted) is not None
 
+    async def test_a_node_whose_question_was_lost_asks_again(self):
+        """A node that could not ask at its start runs what others refuse."""
+        network = Network()
+        guard = network.add_node(1)
+        network.add_node(2)
+        network.publish_view([1, 2])
+        await quarantine_at(guard)
+        restarted = network.add_node(2)
+        network.cut.add(1)
+        network.publish_view([1, 2])
+        await asyncio.sleep(3)
+        network.cut.clear()
+        network.publish_view([1, 2])
+        await asyncio.sleep(0.1)
+        assert restarted.quarantine.quarantined
+
     async def test_only_one_node_tests(self):
         """Every node tests when the pause is over, and each ends a server."""
         network = Network()
