One function tells whether a reply is a success

runguard had a copy of that of execution, which it cannot import. Tasks that find out why a connection broke are kept referenced. No change of behaviour.

--- a/mangobay/calls.py
+++ b/mangobay/calls.py
@@ -12,6 +12,7 @@
 Outcome = messages.Outcome
 Reason = messages.Reason
 
+FIRST_SERVER_ERROR_STATUS = 500
 DEFAULT_DEADLINE = 5.0
 """Deadline in seconds if neither the sheet nor the caller sets one."""
 
@@ -157,3 +158,14 @@
 def unknown_reply(reason: Reason) -> messages.Reply:
     """Returns the reply of a call that may or may not have run."""
     return messages.Reply(outcome=Outcome.UNKNOWN, reason=reason)
+
+
+def is_success(reply: messages.Reply) -> bool:
+    """Returns whether the backend server completed the call successfully.
+
+    A backend server whose child call is refused responds early with an error.
+    The duration of such a call is no service time, and its response does not
+    mean that the services it calls admit calls.
+    """
+    is_answered = reply.outcome == Outcome.ANSWERED
+    return is_answered and reply.status < FIRST_SERVER_ERROR_STATUS
--- a/mangobay/execution.py
+++ b/mangobay/execution.py
@@ -31,7 +31,6 @@
 If it were aborted at the deadline, its outcome would stay unknown. Once it
 completes, its response is kept for a repeat with the same key.
 """
-FIRST_SERVER_ERROR_STATUS = 500
 
 Outcome = messages.Outcome
 Reason = messages.Reason
@@ -311,7 +310,7 @@
             self.remote_traffic.record_run_end(call.operation, now)
             permit.release(
                 now - started_at,
-                ok=is_success(reply),
+                ok=calls.is_success(reply),
                 child_wait_seconds=running_call.child_wait_seconds_at(now),
                 backend_shed=reply.reason == Reason.BACKEND_SHED,
                 downstream_threshold=running_call.downstream_threshold,
@@ -423,17 +422,6 @@
         )
 
 
-def is_success(reply: messages.Reply) -> bool:
-    """Returns whether the backend server completed the call successfully.
-
-    A backend server whose child call is refused responds early with an error.
-    The duration of such a call is no service time, and its response does not
-    mean that the services it calls admit calls.
-    """
-    is_answered = reply.outcome == Outcome.ANSWERED
-    return is_answered and reply.status < FIRST_SERVER_ERROR_STATUS
-
-
 def reply_for_error(
     error: errors.BackendError, attempt: backend.Attempt
 ) -> messages.Reply:
--- a/mangobay/gateway.py
+++ b/mangobay/gateway.py
@@ -293,7 +293,7 @@
                     )
             seconds = now - started_at
             self.metrics.record_call(call.operation, reply, seconds)
-            if not execution.is_success(reply):
+            if not calls.is_success(reply):
                 self.log.log_unanswered(attempt_id, call, reply, seconds)
         return reply
 
@@ -428,7 +428,7 @@
         return metrics.WorkspaceResult.OVER_QUOTA
     if reply.outcome is Outcome.NOT_RUN:
         return metrics.WorkspaceResult.REFUSED
-    if execution.is_success(reply):
+    if calls.is_success(reply):
         return metrics.WorkspaceResult.ANSWERED
     return metrics.WorkspaceResult.FAILED
 
--- a/mangobay/runguard.py
+++ b/mangobay/runguard.py
@@ -21,7 +21,6 @@
 
 BROKEN_REASONS = frozenset({Reason.CONNECTION_BROKEN, Reason.INCOMPLETE_ANSWER})
 """Reasons of replies after which the backend server may have ended."""
-FIRST_SERVER_ERROR_STATUS = 500
 
 
 class RunGuard:
@@ -35,6 +34,7 @@
       exchange: tells the other nodes of a service.
       end_ids: ids of the ends of backend servers that are detected here.
       refused_count: number of refused calls.
+      learning: tasks that find out why a connection broke.
     """
 
     def __init__(
@@ -47,6 +47,7 @@
         self.exchange = exchange
         self.end_ids = end_ids
         self.refused_count = 0
+        self.learning: set[asyncio.Task] = set()
 
     def refuse(
         self, call: messages.Call, running_call: retryallowance.RunningCall
@@ -111,9 +112,11 @@
             learning = asyncio.create_task(
                 self.detect_end(call, local_service, running_call, sent_at)
             )
+            self.learning.add(learning)
+            learning.add_done_callback(self.learning.discard)
             # A caller that hangs up must not keep the node from learning.
             await asyncio.shield(learning)
-        elif running_call.end_ids and not succeeded(reply):
+        elif running_call.end_ids and not calls.is_success(reply):
             await self.record_ends(call, running_call)
         elif reply.outcome is Outcome.ANSWERED and not running_call.end_ids:
             self.record_response(call, running_call)
@@ -198,14 +201,6 @@
     return running_call.digest
 
 
-def succeeded(reply: messages.Reply) -> bool:
-    """Returns whether a backend server responded without an error."""
-    return (
-        reply.outcome is Outcome.ANSWERED
-        and reply.status < FIRST_SERVER_ERROR_STATUS
-    )
-
-
 def number_ends(
     incarnation: ids.Incarnation,
 ) -> collections.abc.Iterator[ids.BackendEndId]:
