--- a/tests/test_serverstate.py
+++ b/tests/test_serverstate.py
@@ -84,6 +84,21 @@
     ]
 
 
+async def arrivals_after_restart(fleet, backend):
+    """Restarts n12, lets a late heartbeat come, and returns what arrives."""
+    await fleet.stop("n12", platformfakes.signal.SIGKILL)
+    restarted_at = asyncio.get_running_loop().time()
+    fleet.restart("n12", "node")
+
+    async def is_heartbeat_accepted():
+        return (await backend.send_heartbeat()).status == 200
+
+    await platformfakes.wait_until(is_heartbeat_accepted)
+    async with callers(fleet, 11):
+        await asyncio.sleep(DRAIN_SECONDS + 1)
+    return arrivals_after(backend, restarted_at, "n11")
+
+
 def most_in_window(times):
     """Returns the largest number of arrivals within a window."""
     return max(
@@ -251,17 +266,7 @@
             async with callers(fleet, 11):
                 assert (await backend.deregister()).status == 200
                 await asyncio.sleep(DRAIN_SECONDS)
-            await fleet.stop("n12", platformfakes.signal.SIGKILL)
-            restarted_at = asyncio.get_running_loop().time()
-            fleet.restart("n12", "node")
-
-            async def is_heartbeat_accepted():
-                return (await backend.send_heartbeat()).status == 200
-
-            await platformfakes.wait_until(is_heartbeat_accepted)
-            async with callers(fleet, 11):
-                await asyncio.sleep(DRAIN_SECONDS + 1)
-            late = arrivals_after(backend, restarted_at, "n11")
+            late = await arrivals_after_restart(fleet, backend)
         assert len(late) == 0
 
     async def test_a_restarted_node_of_which_nobody_was_refused(self, tmp_path):
@@ -277,15 +282,5 @@
             await asyncio.sleep(1)
             caller.send_signal(platformfakes.signal.SIGCONT)
             await asyncio.sleep(DRAIN_SECONDS)
-            await fleet.stop("n12", platformfakes.signal.SIGKILL)
-            restarted_at = asyncio.get_running_loop().time()
-            fleet.restart("n12", "node")
-
-            async def is_heartbeat_accepted():
-                return (await backend.send_heartbeat()).status == 200
-
-            await platformfakes.wait_until(is_heartbeat_accepted)
-            async with callers(fleet, 11):
-                await asyncio.sleep(DRAIN_SECONDS + 1)
-            late = arrivals_after(backend, restarted_at, "n11")
+            late = await arrivals_after_restart(fleet, backend)
         assert len(late) == 0
