Operators list and release quarantined requests

Operators saw quarantined requests in logs and gauges only, and could end a quarantine only by turning it off and restarting nodes. Now any control host asks or tells the nodes of the service over the messages that they exchange anyway, so it works without a leader and with nodes as they are.

--- a/bench/operatorslopes.py
+++ b/bench/operatorslopes.py
@@ -56,6 +56,7 @@
         state,
         leases.LeaseTable(state, group, 4, 1),
         1 << 20,
+        quarantine_admin=None,
     )
     return json.dumps({"hosts": told.encode_hosts()}).encode()
 
--- a/mangobay/cmdline.py
+++ b/mangobay/cmdline.py
@@ -15,6 +15,7 @@
     filecommands,
     operatorclient,
     options,
+    quarantinecommand,
     workspacecommand,
 )
 
@@ -65,6 +66,7 @@
         *commands.COMMANDS,
         *filecommands.COMMANDS,
         *workspacecommand.COMMANDS,
+        *quarantinecommand.COMMANDS,
     ):
         command().add_parser(subparsers)
     return parser
--- a/mangobay/control.py
+++ b/mangobay/control.py
@@ -19,6 +19,7 @@
     logs,
     operatorapi,
     peers,
+    quarantineadmin,
     routespublisher,
     statemachine,
     stepdown,
@@ -63,6 +64,7 @@
       leases: the leases of nodes, while this host leads.
       peer_listener: for nodes and other control hosts.
       operator_listener: for operators.
+      quarantine_admin: lists and releases quarantined requests.
       forwarded_calls: operators' calls forwarded by other control hosts.
     """
 
@@ -114,6 +116,9 @@
         self.publisher = routespublisher.RoutesPublisher(
             self.machine, self.group, self.peer_client
         )
+        self.quarantine_admin = quarantineadmin.QuarantineAdmin(
+            lambda: self.machine.views, self.peer_client
+        )
         self.operator_listener = self.make_operator_listener()
         self.peer_listener = peers.Listener(
             config.listen.peer,
@@ -134,6 +139,7 @@
             self.machine,
             self.leases,
             config.limits.sheet_bytes,
+            self.quarantine_admin,
             connectionlimits.Limits(
                 config.limits.operator_connections,
                 config.limits.header_timeout,
--- a/mangobay/errors.py
+++ b/mangobay/errors.py
@@ -43,7 +43,7 @@
 
 
 class NotFoundError(MangobayError):
-    """An operator's request names an unknown host or revision."""
+    """An operator's request names an unknown host, service or revision."""
 
 
 class PeerError(MangobayError):
--- a/mangobay/operatorapi.py
+++ b/mangobay/operatorapi.py
@@ -21,6 +21,7 @@
     logs,
     operatorproblems,
     options,
+    quarantineadmin,
     sheet,
     sheetacceptance,
     statemachine,
@@ -64,6 +65,7 @@
       address: listening address; port 0 is replaced by the actual port on
         start.
       drain_manager: runs requests, and refuses them once draining.
+      quarantine_admin: lists and releases quarantined requests.
     """
 
     routes = (
@@ -73,6 +75,12 @@
         ("GET", "/v1/hosts", "get_hosts"),
         ("POST", "/v1/hosts/{host}/drain", "post_drain"),
         ("GET", "/v1/revisions/{revision}/in-force", "get_in_force"),
+        ("GET", "/v1/services/{service}/quarantine", "get_quarantine"),
+        (
+            "POST",
+            "/v1/services/{service}/quarantine/{digest}/release",
+            "post_release",
+        ),
         ("GET", "/health", "get_health"),
         ("GET", "/metrics", "get_metrics"),
     )
@@ -84,12 +92,14 @@
         state_machine: statemachine.ConfigStateMachine,
         lease_table: leases.LeaseTable,
         sheet_bytes: int,
+        quarantine_admin: quarantineadmin.QuarantineAdmin,
         limits: connectionlimits.Limits = DEFAULT_LIMITS,
     ):
         self.address = address
         self.group = group
         self.machine = state_machine
         self.leases = lease_table
+        self.quarantine_admin = quarantine_admin
         self.sheet_acceptor = sheetacceptance.SheetAcceptor(
             state_machine, group
         )
@@ -237,6 +247,21 @@
         await self.group.propose(change)
         return web.json_response({"host": host, "draining": True}, status=202)
 
+    async def get_quarantine(self, request: web.Request) -> web.Response:
+        """Returns the suspected requests of a service; needs no leader."""
+        service = ids.ServiceName(request.match_info["service"])
+        return web.json_response(await self.quarantine_admin.list(service))
+
+    async def post_release(self, request: web.Request) -> web.Response:
+        """Releases a quarantined request; this is idempotent."""
+        digest = quarantineadmin.parse_digest(request.match_info["digest"])
+        result = await self.quarantine_admin.release(
+            ids.ServiceName(request.match_info["service"]),
+            digest,
+            request.query.get("operator", "")[:MAX_NAME_LENGTH],
+        )
+        return web.json_response(result)
+
     async def get_in_force(self, request: web.Request) -> web.Response:
         """Returns the rollout of a revision, waiting for it to complete."""
         revision = parse_number(request.match_info["revision"], int, "revision")
--- a/mangobay/routedcontrol.py
+++ b/mangobay/routedcontrol.py
@@ -13,6 +13,7 @@
     leanhttp,
     leanserver,
     metricspage,
+    quarantinepage,
     quota,
     routespublisher,
     statemachine,
@@ -153,9 +154,12 @@
         listeners = [
             leanserver.Listener(config.listen.operator, handler, limits)
         ]
-        metrics_handler = metricspage.make_handler(self.render_metrics)
+        internal_handler = quarantinepage.make_handler(
+            self.quarantine_admin,
+            otherwise=metricspage.make_handler(self.render_metrics),
+        )
         listeners += [
-            leanserver.Listener(address, metrics_handler, leanserver.Limits())
+            leanserver.Listener(address, internal_handler, leanserver.Limits())
             for address in config.listen.metrics
         ]
         return ListenerGroup(listeners, drain_manager)
--- a/tests/platformfakes.py
+++ b/tests/platformfakes.py
@@ -16,7 +16,7 @@
 import typing
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
-PEER, OUTSIDE, READY, HEARTBEATS, OPERATOR, BACKEND = range(7620, 7626)
+PEER, OUTSIDE, READY, HEARTBEATS, OPERATOR, BACKEND, METRICS = range(7620, 7627)
 """Ports of the listeners, the same on every host."""
 WAIT_SECONDS = 20.0
 """Maximum wait in seconds, long enough for a busy machine."""
@@ -27,6 +27,7 @@
 [listen]
 peer = {ip}:{PEER}
 operator = {ip}:{OPERATOR}
+metrics = {ip}:{METRICS}
 [group]
 hosts = {ip}:{PEER}
 seeds = {seeds}
@@ -306,7 +307,7 @@
             ports = {
                 key: globals()[key]
                 for key in ("PEER", "OUTSIDE", "READY", "HEARTBEATS")
-                + ("OPERATOR", "BACKEND")
+                + ("OPERATOR", "BACKEND", "METRICS")
             }
             text = template.format(
                 folder=self.folder, seeds=self.seeds, **ports, **values
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -7,6 +7,8 @@
 
 import platformfakes
 
+from mangobay import operatorclient, options
+
 CRASHING_TARGET = "/crash"
 ATTEMPTS_OF_ROUTE = 2
 RESTART_SECONDS = 1.5
@@ -236,6 +238,30 @@
             assert ended_count(fleet) <= MAX_ENDED + MAX_IN_FLIGHT
 
 
+class TestOperators:
+    """Operators list and release the request."""
+
+    async def test_a_released_request_runs_again(self, tmp_path):
+        """A request stays refused at some node after its release."""
+        async with crashing_fleet(tmp_path) as fleet:
+            await repeat_crashing_request(fleet, NODES, 0.8, 0.05)
+            before = ended_count(fleet)
+            address = options.Address(fleet.ip(1), platformfakes.METRICS)
+            path = "/v1/services/a/quarantine"
+            async with operatorclient.OperatorClient((address,)) as client:
+                listed = await client.send_request("GET", path)
+                (request,) = listed["requests"]
+                released = await client.send_request(
+                    "POST", f"{path}/{request['request']}/release"
+                )
+                relisted = await client.send_request("GET", path)
+            assert request["nodes"] == listed["asked"] == len(NODES)
+            assert released["nodes"] == len(NODES)
+            assert not relisted["requests"]
+            await fleet.request(11, "a", "again", target=CRASHING_TARGET)
+            assert ended_count(fleet) > before
+
+
 class TestLostKnowledge:
     """What is known of a request outlives faults of the system."""
 
--- a/tests/test_operatorapi.py
+++ b/tests/test_operatorapi.py
@@ -59,7 +59,9 @@
 async def running_api(group):
     """Runs the API; yields an operator."""
     table = leases.LeaseTable(group.machine, group, 4.0, 1.0)
-    api = operatorapi.OperatorApi(LOOPBACK, group, group.machine, table, 2000)
+    api = operatorapi.OperatorApi(
+        LOOPBACK, group, group.machine, table, 2000, quarantine_admin=None
+    )
     await api.start()
     try:
         async with aiohttp.ClientSession() as session:
