--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -98,6 +98,13 @@
         )
         assert document.routes[0].retry_safety is routes.RetrySafety.UNSAFE
 
+    def test_download_routes_are_safe(self):
+        """A configuration with large responses is refused as a whole."""
+        document = documents.parse_document(
+            configuration_with_cell("route_type", "download")
+        )
+        assert document.routes[0].retry_safety is routes.RetrySafety.SAFE
+
     @pytest.mark.parametrize(
         ("broken", "where"),
         [
