Trees that lack retries for more important ones do not begin

Now the replies of failed runs say that trees below a level lack retries, only while more important calls need them all. The first node begins no such tree for a second; calls of begun trees pass; a fifth of the levels goes on and finds the end.

--- a/mangobay/calls.py
+++ b/mangobay/calls.py
@@ -83,8 +83,8 @@
         may have reached a backend server.
       workspace: Workspace of the client at the root of the call tree, or empty.
       parent_run: The running call on this host that makes this call, or None.
-      refused_retry_threshold: Lowest level that was allowed a retry when this
-        call was refused one, 0 if it was not.
+      retry_threshold: Level below which call trees lack retries, 0 unless this
+        call was refused one.
     """
 
     operation: messages.Operation
@@ -105,7 +105,7 @@
     repeat: bool = False
     workspace: ids.WorkspaceName = ids.NO_WORKSPACE
     parent_run: "retryallowance.RunningCall | None" = None
-    refused_retry_threshold: int = 0
+    retry_threshold: int = 0
 
     def inherit_from(self, parent: "Parent") -> None:
         """Inherits importance, depth and call tree from the parent call."""
--- a/mangobay/dispatch.py
+++ b/mangobay/dispatch.py
@@ -186,6 +186,7 @@
                 operation=request.operation.name,
                 idempotent=request.operation.idempotent,
                 tree=request.tree,
+                begun=bool(request.parent_operation),
             )
         except routing.EarlyRefusalError as error:
             reply = calls.not_run_reply(Reason.OVERLOADED, error.retry_after)
@@ -272,7 +273,9 @@
         service = request.operation.service
         level = self.dependencies.router.level(request.importance, request.tree)
         if not budget.try_withdraw(service, request.importance, now, level):
-            request.refused_retry_threshold = budget.threshold_at(service, now)
+            request.retry_threshold = retrypolicy.early_refusal_threshold(
+                level, budget.threshold_at(service, now)
+            )
             return None
         if uses_allowance:
             request.allowance.try_withdraw()
@@ -475,6 +478,7 @@
         status=reply.status,
         response_bytes=len(reply.body),
         remote_bytes=reply.crossing,
+        retry_threshold=reply.retry_threshold,
         late=0 < request.operation.target_ms < seconds * 1000,
     )
 
--- a/mangobay/execution.py
+++ b/mangobay/execution.py
@@ -320,6 +320,8 @@
                 call, reply, local_service, running_call, started_at
             )
         reply.called_below = running_call.child_wait_seconds > 0
+        if running_call.retry_threshold and not calls.is_success(reply):
+            reply.retry_threshold = running_call.retry_threshold
         invariants.check(
             invariants.Invariant.NOT_RUN_IS_TRUE,
             reply.outcome != Outcome.NOT_RUN
--- a/mangobay/gateway.py
+++ b/mangobay/gateway.py
@@ -292,8 +292,8 @@
                         max(reply.threshold, reply.below)
                     )
                 elif not calls.is_success(reply):
-                    parent.running_call.child_refused(
-                        call.refused_retry_threshold
+                    parent.running_call.child_failed(
+                        max(call.retry_threshold, reply.retry_threshold)
                     )
             seconds = now - started_at
             self.metrics.record_call(call.operation, reply, seconds)
--- a/mangobay/hosts.py
+++ b/mangobay/hosts.py
@@ -36,6 +36,12 @@
 It applies when calls are rare.  A single failure diverts calls only briefly,
 and about seven responses are enough for an estimate.
 """
+RETRY_THRESHOLD_SECONDS = 1.0
+"""Seconds for which no call trees begin that lacked retries.
+
+Trees of the highest levels still begin and renew the threshold, so that it ends
+soon after its cause.
+"""
 SIZE_WEIGHT = 0.05
 """Weight of the newest response in the mean response size of an operation."""
 FAILURE_HALF_LIFE = 3.0
@@ -68,6 +74,8 @@
       remote_bytes: Average bytes that the child calls of a run of the
         operation exchange with other data centres.
       late: Whether the response exceeded the operation's target latency.
+      retry_threshold: Level below which call trees of the operation lack
+        retries downstream, 0 if they do not.
     """
 
     outcome: messages.Outcome
@@ -82,6 +90,7 @@
     response_bytes: int = 0
     remote_bytes: int = 0
     late: bool = False
+    retry_threshold: int = 0
 
     @property
     def loss(self) -> float:
@@ -347,6 +356,8 @@
       outliers: Ejects hosts that fail repeatedly.
       downstream_thresholds: Thresholds above zero by operation.  They are
         shared by all hosts, which call the same downstream services.
+      retry_thresholds: Levels by operation below which call trees lack
+        retries downstream.
       response_sizes: Mean response size in bytes by operation.
     """
 
@@ -363,6 +374,7 @@
         self.downstream_thresholds: dict[
             ids.OperationName, ReportedThreshold
         ] = {}
+        self.retry_thresholds: dict[ids.OperationName, ReportedThreshold] = {}
         self.response_sizes: dict[ids.OperationName, float] = {}
 
     def observe_operation(self, observation: Observation, now: float) -> None:
@@ -376,6 +388,10 @@
             self.response_sizes[observation.operation] = mean + SIZE_WEIGHT * (
                 observation.response_bytes - mean
             )
+        if observation.retry_threshold:
+            self.retry_thresholds[observation.operation] = ReportedThreshold(
+                observation.retry_threshold, now
+            )
         if observation.downstream_threshold:
             self.downstream_thresholds[observation.operation] = (
                 ReportedThreshold(observation.downstream_threshold, now)
@@ -397,6 +413,18 @@
             levels.REMOTE_DECAY_POWER,
         )
 
+    def retry_threshold_at(
+        self, operation: ids.OperationName, now: float
+    ) -> int:
+        """Returns the level below which call trees need not begin."""
+        reported = self.retry_thresholds.get(operation)
+        if reported is None:
+            return levels.ADMIT_ALL
+        if now - reported.reported_at > RETRY_THRESHOLD_SECONDS:
+            del self.retry_thresholds[operation]
+            return levels.ADMIT_ALL
+        return reported.threshold
+
     def update(self, view: messages.ServiceView, now: float) -> None:
         """Updates the hosts from a view and keeps their observed state."""
         if view.version == self.view_version:
--- a/mangobay/requestlog.py
+++ b/mangobay/requestlog.py
@@ -56,7 +56,7 @@
             status=reply.status,
             host=reply.host,
             threshold=reply.threshold,
-            retry_threshold=call.refused_retry_threshold,
+            retry_threshold=call.retry_threshold,
             running=reply.inflight,
             limit=reply.limit,
             held_ms=int(seconds * 1000),
--- a/mangobay/retryallowance.py
+++ b/mangobay/retryallowance.py
@@ -138,6 +138,8 @@
         the last time that none was.
       downstream_threshold: Highest admission threshold reported by a refused
         child call.  Admission reads it when the call ends.
+      retry_threshold: Highest level below which call trees lack retries,
+        according to a failed child call.
       children_in_flight: Number of child calls in flight.
       child_wait_since: Loop time since which child calls are in flight.
       end_ids: Ends of backend servers under this call and its child calls.
@@ -148,6 +150,7 @@
         "child_attempts",
         "child_wait_seconds",
         "downstream_threshold",
+        "retry_threshold",
         "allowance",
         "children_in_flight",
         "child_wait_since",
@@ -160,6 +163,7 @@
         self.child_attempts: dict[bytes, int] = {}
         self.child_wait_seconds = 0.0
         self.downstream_threshold = 0
+        self.retry_threshold = 0
         self.children_in_flight = 0
         self.child_wait_since = 0.0
         self.end_ids: set[ids.BackendEndId] = set()
@@ -200,6 +204,15 @@
         """Records the admission threshold that refused a child call."""
         self.downstream_threshold = max(self.downstream_threshold, threshold)
 
+    def child_failed(self, retry_threshold: int) -> None:
+        """Records a failed child call.
+
+        Args:
+          retry_threshold: Level below which call trees lack retries, 0 if the
+            child call failed for another reason.
+        """
+        self.retry_threshold = max(self.retry_threshold, retry_threshold)
+
     def child_wait_seconds_at(self, now: float) -> float:
         """Returns the seconds with child calls in flight up to `now`."""
         if self.children_in_flight == 0:
--- a/mangobay/retrypolicy.py
+++ b/mangobay/retrypolicy.py
@@ -1,6 +1,6 @@
 """Decides which failed attempts may be retried on another host."""
 
-from mangobay import calls
+from mangobay import calls, levels
 from mangobay.generated import messages
 
 Outcome = messages.Outcome
@@ -29,6 +29,12 @@
     {Reason.CONNECTION_BROKEN, Reason.INCOMPLETE_ANSWER, Reason.INTERNAL}
 )
 """Reasons of calls that may have run; only idempotent ones are retried."""
+EARLY_REFUSAL_LEVELS = 208
+"""Levels of each importance that may be refused early for lack of retries.
+
+Call trees of the other levels, about a fifth, go on: with a few probes only, it
+took seconds to find out that a service had ceased to reject requests.
+"""
 MAX_RESENDS = 6
 """Attempts of a call at hosts that were tried before.
 
@@ -66,6 +72,23 @@
     return rejected and resends < MAX_RESENDS
 
 
+def early_refusal_threshold(level: int, retry_threshold: int) -> int:
+    """Returns the level below which call trees need not begin, 0 if all may.
+
+    While more important calls need all retries, hardly any tree of a less
+    important one completes.  Among calls of one importance, a tree may complete
+    without a retry, and its refusal would gain nothing for more important ones.
+
+    Args:
+      level: Admission level of a call that was refused a retry.
+      retry_threshold: Lowest level that is allowed one.
+    """
+    lowest = level - level % levels.LEVELS_PER_IMPORTANCE
+    if retry_threshold < lowest + levels.LEVELS_PER_IMPORTANCE:
+        return levels.ADMIT_ALL
+    return lowest + EARLY_REFUSAL_LEVELS
+
+
 def may_have_reached_backend(reply: messages.Reply) -> bool:
     """Returns whether the call may have reached a backend server."""
     not_run = reply.outcome is Outcome.NOT_RUN
--- a/mangobay/routing.py
+++ b/mangobay/routing.py
@@ -151,6 +151,7 @@
         operation: ids.OperationName = ANY_OPERATION,
         idempotent: bool = False,
         tree: str = "",
+        begun: bool = False,
     ) -> messages.Member:
         """Returns the host for a call.
 
@@ -162,6 +163,7 @@
           operation: The called operation.
           idempotent: Whether the call may probe an ejected host.
           tree: Id of the call tree, from which its level is derived.
+          begun: Whether the call belongs to a call tree that is running.
 
         Raises:
           NoHostError: There is no host, or all are excluded or ejected.
@@ -176,6 +178,11 @@
         downstream_threshold = service_hosts.downstream_threshold_at(
             operation, now, self.reopen_time
         )
+        if not begun and service_hosts.retry_thresholds:
+            downstream_threshold = max(
+                downstream_threshold,
+                service_hosts.retry_threshold_at(operation, now),
+            )
         if downstream_threshold > level:
             self.maybe_refuse_early(downstream_threshold, criteria)
         return self.choose_host(service_hosts, criteria).member
--- a/schema/messages.capnp
+++ b/schema/messages.capnp
@@ -153,6 +153,8 @@
   # Of the receiver's backend server, if limited or leaving; at most one.
   endIds @17 :List(Text);
   # Ends of backend servers under the call, and under the calls of its run.
+  retryThreshold @18 :UInt16;
+  # Of a failed run: call trees below this level lack retries further down.
 }
 
 struct Cancel {
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -19,6 +19,7 @@
     remotetraffic,
     retryallowance,
     retrybudget,
+    retrypolicy,
     routing,
     traces,
 )
@@ -544,3 +545,64 @@
         await giving_up
         reply = await handling
         assert reply.outcome is messages.Outcome.ANSWERED
+
+
+@pytest.mark.looptime
+class TestRejectedCalls:
+    """Calls that a backend server rejected unrun, with retries by window."""
+
+    def make_dispatcher(self, script):
+        dispatcher, transport = make_dispatcher(
+            script, ratio=0.2, slack=70, window=10.0, hop_tries=1
+        )
+        budget = dispatcher.dependencies.retry_budget
+        budget.set_node_count(70)
+        now = asyncio.get_running_loop().time()
+        for _ in range(200):
+            budget.record_request("stock", now=now)
+        return dispatcher, transport
+
+    def reject(self, times):
+        """Returns a script that rejects so many calls."""
+        reject_all = refuse_all(Reason.BACKEND_SHED)
+        left = iter(range(times))
+
+        def script(host, call):
+            if next(left, None) is None:
+                return respond(host, call)
+            return reject_all(host, call)
+
+        return script
+
+    async def test_it_is_sent_again_to_hosts_that_were_tried(self):
+        """A call fails although nothing ran and retries are left."""
+        dispatcher, transport = self.make_dispatcher(self.reject(4))
+        reply = await dispatcher.handle(make_request(granted=1))
+        assert reply.outcome is Outcome.ANSWERED
+        assert len(transport.asked_hosts) == 5
+        assert len(set(transport.asked_hosts)) == 2
+
+    async def test_the_number_of_attempts_is_bounded(self):
+        dispatcher, transport = self.make_dispatcher(self.reject(100))
+        await dispatcher.handle(make_request(granted=1))
+        assert len(transport.asked_hosts) == 2 + retrypolicy.MAX_RESENDS
+
+    async def test_a_call_that_may_have_run_is_not_sent_again(self):
+        """An unsafe call runs twice at the same backend server."""
+
+        def script(host, call):
+            return calls.unknown_reply(Reason.CONNECTION_BROKEN)
+
+        dispatcher, transport = self.make_dispatcher(script)
+        await dispatcher.handle(make_request(idempotent=False, granted=0))
+        assert len(transport.asked_hosts) == 1
+
+    async def test_trees_below_more_important_ones_are_told(self):
+        """Nobody learns that all retries go to more important calls."""
+        dispatcher, _ = self.make_dispatcher(self.reject(1000))
+        budget = dispatcher.dependencies.retry_budget
+        window = budget.find_window("stock")
+        window.demand[-1] = 1000.0
+        request = make_request(granted=1)
+        await dispatcher.handle(request)
+        assert request.retry_threshold > 0
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -8,7 +8,7 @@
 import pytest
 import routingfakes as fakes
 
-from mangobay import ids, routing
+from mangobay import hosts, ids, routing
 from mangobay.generated import messages
 
 NORMAL = messages.Importance.NORMAL
@@ -280,6 +280,25 @@
         assert refused.value.threshold == 2 * 256
         assert pick(router, operation=stock) == "a"
 
+    async def test_trees_that_lack_retries_do_not_begin(self):
+        """Trees that cannot complete run, and cost the work of every hop.
+
+        Calls of trees that have begun pass, and the refusals end soon after
+        the last tree that lacked retries.
+        """
+        router = make_router(fakes.member("a"))
+        price = ids.OperationName("price")
+        observation = dataclasses.replace(
+            fakes.ANSWERED, operation=price, status=500, retry_threshold=3 * 256
+        )
+        complete_call(router, ids.HostId("a"), observation)
+        router.rng = random.Random(fakes.SEED)
+        with pytest.raises(routing.EarlyRefusalError):
+            pick(router, operation=price)
+        assert pick(router, operation=price, begun=True) == "a"
+        await asyncio.sleep(hosts.RETRY_THRESHOLD_SECONDS + 0.1)
+        assert pick(router, operation=price) == "a"
+
     async def test_critical_calls_are_never_refused_early(self):
         router = make_router(fakes.member("a"))
         complete_call(router, ids.HostId("a"), refusal(3 * 256))
