--- a/tests/platformfakes.py
+++ b/tests/platformfakes.py
@@ -281,6 +281,8 @@
 
     def __init__(self, folder, seeds=3, voters=5):
         self.folder = folder
+        self.root = ROOT
+        self.python_arguments = []
         # Test runs at the same time must not share IP addresses.
         self.second_octet = random.SystemRandom().randrange(1, 250)
         self.third_octet = random.SystemRandom().randrange(1, 250)
@@ -314,7 +316,12 @@
             )
             path.write_text(text)
         self.processes[name] = subprocess.Popen(
-            [sys.executable, ROOT / "platform" / "run.py", program],
+            [
+                sys.executable,
+                *self.python_arguments,
+                self.root / "platform" / "run.py",
+                program,
+            ],
             env={**os.environ, "MANGOBAY_NODE_FILE": str(path)},
         )
 
