The task that awaits a reply or a response runs as soon as it is received

Its step was scheduled for the next iteration of the event loop, which polls the sockets first: one poll for each reply of a peer and each response of the backend server. eager.set_result runs it at once, as eager.start_task does with the first step of a task.

--- a/mangobay/connections.py
+++ b/mangobay/connections.py
@@ -239,7 +239,7 @@
         """Resolves the pending request of the stream with its reply."""
         future = self.pending_requests[envelope.stream]
         if not future.done():
-            future.set_result(envelope.body)
+            eager.set_result(self.loop, future, envelope.body)
 
     def start_handler(self, envelope: messages.Envelope) -> None:
         """Starts the task that handles a request.
--- a/mangobay/leanclient.py
+++ b/mangobay/leanclient.py
@@ -13,6 +13,7 @@
 
 from mangobay import (
     backend,
+    eager,
     errors,
     httpheaders,
     httpparse,
@@ -61,11 +62,13 @@
       attempt_id: id that the response must carry; empty accepts any response.
       future: receives the response.
       started_at: loop time of the first byte of the request.
+      response: the complete response; None until it is received.
     """
 
     attempt_id: ids.AttemptId
     future: asyncio.Future
     started_at: float
+    response: backend.Response | None = None
 
 
 class Connection(leanhttp.BaseConnection):
@@ -124,6 +127,7 @@
             # could not be told apart from the rest of them.
             self.abort()
             return
+        pending = self.pending
         receiving = self.message
         new_messages = self.parser.feed(data)
         if receiving is not None and receiving.complete:
@@ -135,6 +139,7 @@
         if self.parser.error is not None:
             detail = f"malformed response: {self.parser.error}"
             self.fail(errors.BackendBrokenError(detail))
+        self.hand_over_response(pending)
 
     def handle_head(self, message: httpparse.Message) -> None:
         """Accepts a response whose head is complete."""
@@ -165,7 +170,7 @@
         return False
 
     def deliver_response(self) -> None:
-        """Completes the pending request with its response."""
+        """Ends the pending request with its response."""
         message, pending = self.message, self.pending
         if message is None or pending is None or not self.check_size(message):
             return
@@ -173,7 +178,7 @@
         now = self.loop.time()
         self.idle_since = now
         self.update_keep_alive(message)
-        response = backend.Response(
+        pending.response = backend.Response(
             status=message.status,
             headers=leanhttp.end_to_end_headers(
                 message, self.header_names.private
@@ -183,8 +188,15 @@
             shed=self.header_names.not_run in message.headers,
             server_state=parse_server_state(message, self.header_names),
         )
-        if not pending.future.done():
-            pending.future.set_result(response)
+
+    def hand_over_response(self, pending: PendingRequest) -> None:
+        """Passes a complete response to the task that awaits it.
+
+        The task runs at once and may reuse the connection, so all received
+        bytes must have been handled.
+        """
+        if pending.response is not None and not pending.future.done():
+            eager.set_result(self.loop, pending.future, pending.response)
 
     def update_keep_alive(self, message: httpparse.Message) -> None:
         """Updates whether and for how long the connection may be reused."""
@@ -204,7 +216,8 @@
         super().connection_lost(exc)
         self.parser.close()
         self.reusable = False
-        if self.pending is None:
+        pending = self.pending
+        if pending is None:
             return
         if exc is None and self.message is not None and self.message.until_eof:
             # Without an error: a response cut by a reset is not complete.
@@ -216,6 +229,7 @@
             self.fail(
                 error_class("connection closed before the end of the response")
             )
+        self.hand_over_response(pending)
 
     def fail(self, error: errors.BackendError) -> None:
         """Fails the pending request and closes the connection."""
--- a/tests/test_eager.py
+++ b/tests/test_eager.py
@@ -1,4 +1,4 @@
-"""Tests of tasks whose first step runs when they are created."""
+"""Tests of tasks that run at once."""
 
 import asyncio
 
@@ -91,3 +91,71 @@
         assert steps == []
         await task
         assert steps == ["started"]
+
+
+class TestSetResult:
+    """When the task that awaits a future runs."""
+
+    async def test_waiting_task_runs_at_once(self):
+        steps = []
+        future = asyncio.get_running_loop().create_future()
+
+        async def work():
+            steps.append(await future)
+
+        def resolve(loop):
+            eager.set_result(loop, future, "result")
+            steps.append("resolved")
+
+        task = asyncio.create_task(work())
+        await asyncio.sleep(0)
+        await run_in_callback(resolve)
+        await task
+        assert steps == ["result", "resolved"]
+
+    async def test_without_a_waiting_task_later_callbacks_are_scheduled(self):
+        """Guards against a callback that takes the place of the missing one."""
+        steps = []
+        future = asyncio.get_running_loop().create_future()
+
+        def resolve(loop):
+            eager.set_result(loop, future, "result")
+            loop.call_soon(steps.append, "scheduled")
+            assert steps == []
+
+        await run_in_callback(resolve)
+        await asyncio.sleep(0)
+        assert steps == ["scheduled"]
+        assert await future == "result"
+
+    async def test_only_the_first_waiting_task_runs_at_once(self):
+        steps = []
+        future = asyncio.get_running_loop().create_future()
+
+        async def work(name):
+            await future
+            steps.append(name)
+
+        def resolve(loop):
+            eager.set_result(loop, future, None)
+            steps.append("resolved")
+
+        tasks = [asyncio.create_task(work(name)) for name in ("first", "other")]
+        await asyncio.sleep(0)
+        await run_in_callback(resolve)
+        await asyncio.gather(*tasks)
+        assert steps == ["first", "resolved", "other"]
+
+    async def test_within_a_task_the_waiting_one_runs_later(self):
+        steps = []
+        future = asyncio.get_running_loop().create_future()
+
+        async def work():
+            steps.append(await future)
+
+        task = asyncio.create_task(work())
+        await asyncio.sleep(0)
+        eager.set_result(asyncio.get_running_loop(), future, "result")
+        assert steps == []
+        await task
+        assert steps == ["result"]
