Messages are decoded by field, without a context manager

Reading a field by its name searches the schema for the name each time, and from_bytes is a context manager written in Python. Readers now keep the fields, and a message of a single segment is read by from_segments.

--- a/tools/generate.py
+++ b/tools/generate.py
@@ -145,7 +145,7 @@
 
     def read_expression(self) -> str:
         """Returns the expression that takes the field out of a reader."""
-        theirs = f'get("{self.wire}")'
+        theirs = f"get({self.name})"
         match self.kind:
             case Kind.PLAIN:
                 # Any value may stand for a NewType; to say so costs a call.
@@ -161,7 +161,21 @@
         return f"[_get_{snake(self.item)}(item) for item in {theirs}]"
 
 
-PACKING = """
+HELPERS = """
+
+def _fields_of(struct, *names: str) -> tuple:
+    fields = struct.schema.fields
+    return tuple(fields[name] for name in names)
+
+
+def _is_single_segment(data: bytes) -> bool:
+    # The frame of such a message is the number of segments less one, and the
+    # words of the segment.  Reading the segment itself costs a third.
+    if len(data) < _SINGLE_SEGMENT_FRAME.size:
+        return False
+    more_segments, words = _SINGLE_SEGMENT_FRAME.unpack_from(data)
+    return not more_segments and len(data) == 8 * (1 + words)
+
 
 def _pack_headers(headers: list[Header]) -> bytes:
     lines = [f"{header.name}:{header.value}" for header in headers]
@@ -219,6 +233,25 @@
     ]
 
 
+def reader_lines(name: str, plain: list[Field]) -> list[str]:
+    """Returns the head of the reader of a message.
+
+    Reading by field saves the search for the field's name in the schema.
+    """
+    function = ["", "", f"def _get_{snake(name)}(reader) -> {name}:"]
+    if not plain:
+        return function
+    constant = f"_{snake(name).upper()}_FIELDS"
+    wire_names = ", ".join(f'"{field.wire}"' for field in plain)
+    local_names = ", ".join(field.name for field in plain)
+    return [
+        *["", "", f"{constant} = _fields_of(_schema.{name}, {wire_names})"],
+        *function,
+        "    get = reader._get_by_field",
+        f"    {local_names}{',' * (len(plain) == 1)} = {constant}",
+    ]
+
+
 def struct_lines(name: str, fields: list[Field]) -> list[str]:
     """Returns the data class of a message with its writer and reader."""
     plain = [field for field in fields if not field.in_union]
@@ -235,9 +268,7 @@
             )
     if not fields:
         lines.append("    del builder, message")
-    lines += ["", "", f"def _get_{snake(name)}(reader) -> {name}:"]
-    if plain:
-        lines.append("    get = reader._get")
+    lines += reader_lines(name, plain)
     lines.append(f"    return {name}(")
     lines += [
         f"        {field.name}={field.read_expression()}," for field in plain
@@ -272,6 +303,13 @@
         "    Raises:",
         "      capnp.KjException: the bytes are not such a message.",
         '    """',
+        "    if _is_single_segment(data):",
+        f"        return _get_{low}(",
+        f"            _schema.{name}.from_segments(",
+        "                [data[8:]],",
+        "                traversal_limit_in_words=TRAVERSAL_LIMIT_WORDS,",
+        "            )",
+        "        )",
         f"    with _schema.{name}.from_bytes(",
         "        data, traversal_limit_in_words=TRAVERSAL_LIMIT_WORDS",
         "    ) as reader:",
@@ -290,13 +328,14 @@
     lines = [f'"""Messages between the processes.  {NOTICE}"""', ""]
     lines += ["from __future__ import annotations", ""]
     lines += ["import dataclasses", "import enum", "import operator"]
-    lines += ["import pathlib", ""]
+    lines += ["import pathlib", "import struct", ""]
     lines += ["import capnp", "", "from mangobay import ids, valueobjects", ""]
     lines.append(
         '_schema = capnp.load(str(pathlib.Path(__file__).with_name("messages.capnp")))'
     )
     lines.append("TRAVERSAL_LIMIT_WORDS = 1 << 27")
-    lines += PACKING.splitlines()
+    lines.append('_SINGLE_SEGMENT_FRAME = struct.Struct("<II")')
+    lines += HELPERS.splitlines()
     unions: list[str] = []
     for name, _ in nodes:
         if name[0].islower():
