--- a/bench/requestcost.py
+++ b/bench/requestcost.py
@@ -26,7 +26,7 @@
 """The services beside the first and the second node."""
 UNSAFE_PREFIX = "/u/"
 CHILD_CALLS = 2
-WARM_UP_REQUESTS = 1000
+WARM_UP_REQUESTS = 400
 IDLE_SECONDS = 2.0
 DEADLINE_MS = 8000
 EXTRA_HEADERS = (
@@ -278,42 +278,57 @@
         return (self.cpu_seconds() - started_at) / IDLE_SECONDS * 1e6
 
 
-def describe(values: list[float]) -> str:
-    """Returns the median and the quartiles."""
-    low, middle, high = statistics.quantiles(values, n=4)
-    return f"{middle:8.3f} ({low:.3f} to {high:.3f})"
-
-
 def lower_quartile(values: list[float]) -> float:
-    """Returns the first quartile."""
+    """Returns the first quartile.
+
+    Other processes only ever add time, so it is a steadier measure than the
+    median.
+    """
     return statistics.quantiles(values, n=4)[0]
 
 
-def report(systems: list[System]) -> None:
-    """Prints times of each tree, and ratios of adjacent measurements."""
-    for name, values in systems[0].samples.items():
-        print(f"{name:22} {statistics.median(values):8.1f} us", end="")
-        if len(systems) > 1:
-            others = systems[1].samples[name]
-            # Other processes only ever add time, so that the lower quartile is
-            # the steadier measure of a tree.
-            least = lower_quartile(values) / lower_quartile(others)
-            ratios = [
-                mine / other for mine, other in zip(values, others, strict=True)
-            ]
-            print(
-                f"  other {statistics.median(others):8.1f} us"
-                f"  ratio {describe(ratios)}, of lower quartiles {least:.3f}",
-                end="",
+def report(starts: list[list[System]]) -> None:
+    """Prints the times of each tree, and the ratios of each start.
+
+    Args:
+      starts: the systems of this tree and of the other one, for each start.
+    """
+    for name in starts[0][0].samples:
+        times = [
+            [lower_quartile(system.samples[name]) for system in systems]
+            for systems in starts
+        ]
+        mine, *others = (statistics.median(column) for column in zip(*times))
+        line = f"{name:22} {mine:8.1f} us"
+        if others:
+            ratios = sorted(mine / other for mine, other in times)
+            shown = " ".join(f"{ratio:.3f}" for ratio in ratios)
+            line += (
+                f"  other {others[0]:8.1f} us"
+                f"  ratio {statistics.median(ratios):.3f} of {shown}"
             )
-        print()
+        print(line, flush=True)
 
 
 async def run(arguments: argparse.Namespace) -> None:
-    """Starts the systems, measures in turns and prints the table."""
+    """Starts the systems several times and prints the table.
+
+    Processes of the same code differ by several per cent for as long as they
+    run, so that one start of each tree does not compare them.
+    """
     trees = [THIS_TREE]
     if arguments.other:
         trees.append(pathlib.Path(arguments.other).resolve())
+    starts = [
+        await measure_start(trees, arguments) for _ in range(arguments.starts)
+    ]
+    report(starts)
+
+
+async def measure_start(
+    trees: list[pathlib.Path], arguments: argparse.Namespace
+) -> list[System]:
+    """Starts a system of each tree and measures them in turns."""
     with tempfile.TemporaryDirectory() as folder:
         systems = [
             System(tree, pathlib.Path(folder) / str(index))
@@ -325,30 +340,38 @@
                 await system.start(arguments.callers, arguments.profile)
                 for kind in KINDS:
                     await system.send_requests(kind, WARM_UP_REQUESTS)
-            for number in range(arguments.rounds):
-                order = systems if number % 2 else systems[::-1]
-                for kind in KINDS:
-                    for system in order:
-                        micros = await system.measure(kind, arguments.requests)
-                        system.samples[kind.name].append(micros)
-            for _ in range(arguments.idle_rounds):
-                micros = await asyncio.gather(
-                    *(system.measure_idle() for system in systems)
-                )
-                for system, value in zip(systems, micros, strict=True):
-                    system.samples["one idle second"].append(value)
+            await measure_in_turns(systems, arguments)
             for system in systems:
                 for number in (FIRST, SECOND):
                     await system.fleet.stop(f"n{number}")
-    report(systems)
+    return systems
+
+
+async def measure_in_turns(
+    systems: list[System], arguments: argparse.Namespace
+) -> None:
+    """Adds samples to the systems, which take turns."""
+    for number in range(arguments.rounds):
+        order = systems if number % 2 else systems[::-1]
+        for kind in KINDS:
+            for system in order:
+                micros = await system.measure(kind, arguments.requests)
+                system.samples[kind.name].append(micros)
+    for _ in range(arguments.idle_rounds):
+        idle_micros = await asyncio.gather(
+            *(system.measure_idle() for system in systems)
+        )
+        for system, micros in zip(systems, idle_micros, strict=True):
+            system.samples["one idle second"].append(micros)
 
 
 def main() -> int:
     """Runs the comparison."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--other", default="", help="another source tree")
+    parser.add_argument("--starts", type=int, default=5)
     parser.add_argument("--callers", type=int, default=4)
-    parser.add_argument("--rounds", type=int, default=80)
+    parser.add_argument("--rounds", type=int, default=25)
     parser.add_argument("--idle-rounds", type=int, default=2)
     parser.add_argument("--requests", type=int, default=100)
     parser.add_argument("--profile", default="", help="folder for profiles")
