--- a/mangobay/connections.py
+++ b/mangobay/connections.py
@@ -130,7 +130,6 @@
         """Sets up the connection; the connecting side sends its Hello first."""
         self.transport = transport
         sockets.set_options(transport)
-        sockets.limit_reads(transport)
         if self.handler is None:
             self.send_hello()
 
--- a/mangobay/leanhttp.py
+++ b/mangobay/leanhttp.py
@@ -11,7 +11,7 @@
 import http
 import typing
 
-from mangobay import httpheaders, sockets
+from mangobay import httpheaders
 from mangobay.generated import messages
 
 MAX_LINE_BYTES = 16 * 1024
@@ -39,7 +39,6 @@
     def connection_made(self, transport) -> None:
         """Stores the transport of the new connection."""
         self.transport = transport
-        sockets.limit_reads(transport)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Releases the transport."""
--- a/mangobay/sockets.py
+++ b/mangobay/sockets.py
@@ -1,4 +1,4 @@
-"""Options of sockets, and of the transports that read from them."""
+"""Socket options of connections between processes."""
 
 import asyncio
 import socket
@@ -11,19 +11,6 @@
 KEEPALIVE_PROBES = 3
 """Unanswered keepalive probes after which the kernel ends the connection."""
 
-MAX_READ_BYTES = 64 * 1024
-"""Most bytes that a transport reads from its socket at once.
-
-Before each read asyncio allocates this many bytes.  With the 256 KiB of asyncio
-the C library maps and unmaps memory for each read, which takes several times as
-long as the read itself; it does so from 128 KiB on.
-"""
-
-
-def limit_reads(transport: asyncio.Transport) -> None:
-    """Limits the bytes that are read at once, see MAX_READ_BYTES."""
-    transport.max_size = MAX_READ_BYTES
-
 
 def set_options(transport: asyncio.Transport) -> None:
     """Sets timeouts with which a network partition ends the connection.
