Callers who are late get no token of a scarce quota

A workspace that sends five times its usual is denied most requests. Denied callers came back after up to 2 s and took the next tokens, so that most of what the quota still allowed was answered late. Now requests say whether their caller has waited longer than the target latency, and such a request gets a token only while half of the bucket is left.

With the order taken out, the test of the load fails: all tokens go to late callers, who ask first in each step of it.

--- a/mangobay/accesscontrol.py
+++ b/mangobay/accesscontrol.py
@@ -106,17 +106,27 @@
             )
 
     async def acquire_token(
-        self, workspace: workspacedirectory.Workspace, route: routes.Route
+        self,
+        workspace: workspacedirectory.Workspace,
+        route: routes.Route,
+        seconds_waited: float,
     ) -> quotaclient.Decision | None:
         """Waits for the token of a request; returns None if it needs none.
 
+        Args:
+          workspace: the workspace of the request.
+          route: its route.
+          seconds_waited: seconds that the caller has waited before.
+
         Raises:
           calls.RequestError: the quota is used up, or nobody could be asked.
         """
         if not workspace.rate:
             return None
         decision = await self.quota_client.ask(
-            workspace.name, route.target_latency * QUOTA_WAIT_SHARE
+            workspace.name,
+            route.target_latency * QUOTA_WAIT_SHARE,
+            late=seconds_waited >= route.target_latency,
         )
         match decision.verdict:
             case quotaclient.Verdict.DENIED:
--- a/mangobay/gateway.py
+++ b/mangobay/gateway.py
@@ -161,12 +161,14 @@
       route: its route.
       workspace: the workspace of its key; None if it needs none.
       token: what the quota of the workspace allowed; None if it has no quota.
+      seconds_waited: seconds that the caller has spent on it before.
     """
 
     call: calls.Request
     route: routes.Route
     workspace: workspacedirectory.Workspace | None
     token: quotaclient.Decision | None = None
+    seconds_waited: float = 0.0
 
 
 class Gateway:
@@ -220,7 +222,7 @@
             entry = self.make_entry(request, attempt_id, connection)
             if entry.workspace is not None and not entry.route.public:
                 entry.token = await self.access.acquire_token(
-                    entry.workspace, entry.route
+                    entry.workspace, entry.route, entry.seconds_waited
                 )
         except calls.RequestError as error:
             reply = calls.not_run_reply(error.reason, error.retry_after)
@@ -383,7 +385,12 @@
             tree=httpheaders.new_tree_id(),
             workspace=workspace.name if workspace else ids.NO_WORKSPACE,
         )
-        return Entry(call=call, route=destination.route, workspace=workspace)
+        return Entry(
+            call=call,
+            route=destination.route,
+            workspace=workspace,
+            seconds_waited=destination.seconds_waited(caller_timeout),
+        )
 
     def removed_header_names(self) -> frozenset[str]:
         """Returns the lower-case names of the headers that are not forwarded.
--- a/mangobay/quota.py
+++ b/mangobay/quota.py
@@ -35,6 +35,12 @@
 """Seconds for which a leader grants tokens after a quorum confirmed it."""
 RESERVE_SHARE = 0.5
 """Share of the usable tolerance that is the reserve; the rest is depth."""
+LATE_KEPT_SHARE = 0.5
+"""Share of a bucket that is kept for callers who can still be served in time.
+
+A workspace that sends several times its quota is denied most requests.  If
+those that come back got the next tokens, nearly every response would be late.
+"""
 RESERVE_CONTACT_SECONDS = 5.0
 """Seconds since the last contact with a leader within which a control host
 uses its reserve. One that was replaced while it was cut off must stop."""
@@ -234,7 +240,10 @@
             return reply
         bucket = self.buckets[quota.workspace]
         counts = self.counts[quota.workspace]
-        if bucket.try_take(now):
+        kept = 0.0
+        if request.late:
+            kept = max(bucket.depth - 1.0, 0.0) * LATE_KEPT_SHARE
+        if bucket.try_take(now, kept):
             counts.granted += 1
             return reply
         # The buckets of a new leader are empty, whatever was used before.
--- a/mangobay/quotaclient.py
+++ b/mangobay/quotaclient.py
@@ -93,19 +93,20 @@
         self.unused_term = ids.Term(0)
 
     async def ask(
-        self, workspace: ids.WorkspaceName, max_wait: float
+        self, workspace: ids.WorkspaceName, max_wait: float, late: bool = False
     ) -> Decision:
         """Returns the decision on one request of a workspace.
 
         Args:
           workspace: the workspace of the request.
           max_wait: longest useful wait in seconds.
+          late: whether the caller has waited longer than the target latency.
         """
         loop = asyncio.get_running_loop()
         give_up_at = loop.time() + min(max_wait, MAX_WAIT_SECONDS)
         while True:
             for address in self.hosts_to_ask(loop.time()):
-                decision = await self.ask_host(address, workspace)
+                decision = await self.ask_host(address, workspace, late)
                 if decision is not None:
                     return decision
                 if loop.time() >= give_up_at:
@@ -130,10 +131,13 @@
         )
 
     async def ask_host(
-        self, address: options.Address, workspace: ids.WorkspaceName
+        self,
+        address: options.Address,
+        workspace: ids.WorkspaceName,
+        late: bool,
     ) -> Decision | None:
         """Returns one control host's decision, None if it makes none."""
-        request = self.make_request(workspace)
+        request = self.make_request(workspace, late)
         try:
             reply = await self.transport.send_request(
                 address, request, REPLY_TIMEOUT_SECONDS
@@ -155,7 +159,7 @@
         return None
 
     def make_request(
-        self, workspace: ids.WorkspaceName
+        self, workspace: ids.WorkspaceName, late: bool
     ) -> messages.TokenRequest:
         """Returns the question, with all unused tokens."""
         request = messages.TokenRequest(
@@ -165,6 +169,7 @@
                 messages.UnusedTokens(workspace=name, count=count)
                 for name, count in self.unused.items()
             ],
+            late=late,
         )
         # If the request is lost, so are they: given back twice, a token would
         # be granted twice.
--- a/mangobay/routes.py
+++ b/mangobay/routes.py
@@ -277,6 +277,14 @@
         self.max_time_left = max(self.max_time_left, time_left)
         return time_left < FULL_TIME_SHARE * self.max_time_left
 
+    def seconds_waited(self, time_left: float) -> float:
+        """Returns the seconds that a caller has spent on this request before.
+
+        Args:
+          time_left: seconds that the caller still waits.
+        """
+        return max(self.max_time_left - time_left, 0.0)
+
     def next_operation(self, method: str) -> messages.Operation | None:
         """Returns the operation of the next request, None if all weights are 0.
 
--- a/mangobay/tokenbucket.py
+++ b/mangobay/tokenbucket.py
@@ -41,10 +41,10 @@
         self.depth = depth
         self.refill(now)
 
-    def try_take(self, now: float) -> bool:
-        """Takes a token; returns False if there is none."""
+    def try_take(self, now: float, kept: float = 0.0) -> bool:
+        """Takes a token; returns False if no more than `kept` would be left."""
         self.refill(now)
-        if self.level < 1.0:
+        if self.level < 1.0 + kept:
             return False
         self.level -= 1.0
         return True
--- a/schema/messages.capnp
+++ b/schema/messages.capnp
@@ -488,6 +488,8 @@
   # Term of the leader that granted the unused tokens.
   unused @2 :List(UnusedTokens);
   # Tokens of requests that did not run.
+  late @3 :Bool;
+  # The caller has waited for longer than the target latency.
 }
 
 struct UnusedTokens {
--- a/tests/test_accesscontrol.py
+++ b/tests/test_accesscontrol.py
@@ -57,7 +57,7 @@
         self.asked = []
         self.given_back = []
 
-    async def ask(self, workspace, max_wait):
+    async def ask(self, workspace, max_wait, late=False):
         self.asked.append((workspace, max_wait))
         return self.decision
 
@@ -329,7 +329,7 @@
         loop = asyncio.get_running_loop()
         deadline = loop.time() + 2.0
 
-        async def ask_slowly(workspace, max_wait):
+        async def ask_slowly(workspace, max_wait, late):
             await asyncio.sleep(0.3)
             return ALLOWED
 
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -85,6 +85,28 @@
         host.granted(0.0, 100.0)
         assert host.granted(100.0, 20.0) == pytest.approx(200, abs=2)
 
+    def test_callers_who_are_late_get_no_token_of_a_scarce_quota(self):
+        """Callers who come back too late take the tokens of all others.
+
+        Load: three times the quota, and each denied caller comes back once, too
+        late for the target latency.
+        """
+        host = Host()
+        host.drain(20.0)
+        granted = {True: 0, False: 0}
+        for step in range(600):
+            now = 20.0 + step / 60
+            for late in (True, False):
+                reply = host.ask(now, late=late)
+                granted[late] += reply.outcome is Outcome.GRANTED
+        assert granted[True] == 0
+        assert granted[False] == pytest.approx(100, abs=2)
+
+    def test_callers_who_are_late_are_served_while_tokens_are_left(self):
+        """A caller who comes back is denied although nobody else asks."""
+        host = Host()
+        assert host.ask(20.0, late=True).outcome is Outcome.GRANTED
+
     def test_demand_below_the_rate_is_never_denied(self):
         host = Host()
         replies = [host.ask(number * 0.11).outcome for number in range(2000)]
