Parse the load that backend servers report

The load reports of backend servers were discarded, so callers could not place calls by them. The client parses running, waiting, slots and an optional pace into backend.LoadReport; invalid, absurd or overlong values give None and one log line a minute. The header is still removed from what callers get.

--- a/bench/fleet/world.py
+++ b/bench/fleet/world.py
@@ -37,6 +37,7 @@
         signature="Signature",
         not_run="Not-Run",
         rate_limit="Rate-Limit",
+        load="Load",
         leaving="Leaving",
         private=frozenset(),
     ),
--- a/mangobay/backend.py
+++ b/mangobay/backend.py
@@ -73,6 +73,24 @@
 LEAVING_STATE = ServerState(leaving=True)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoadReport:
+    """The load that a backend server reports in a response.
+
+    Attributes:
+      running: Requests that it runs.
+      waiting: Requests that wait for a slot there.
+      slots: Requests that it can run at once.
+      pace: How long work currently takes there in percent of the usual time,
+        None if it does not say.
+    """
+
+    running: int
+    waiting: int
+    slots: int
+    pace: int | None = None
+
+
 @dataclasses.dataclass(slots=True, kw_only=True)
 class Response:
     """A complete response of a backend server.
@@ -82,6 +100,7 @@
       shed: Whether the backend server says that it did not run the request.
       server_state: What the backend server says about itself, None if that
         cannot be told from the response.
+      load_report: The load that it reports, None if there is no valid report.
     """
 
     status: int
@@ -90,3 +109,4 @@
     seconds: float
     shed: bool
     server_state: ServerState | None = None
+    load_report: LoadReport | None = None
--- a/mangobay/leanclient.py
+++ b/mangobay/leanclient.py
@@ -10,6 +10,7 @@
 import collections.abc
 import dataclasses
 import math
+import re
 
 from mangobay import (
     backend,
@@ -28,6 +29,23 @@
 rest covers a close that is already on its way."""
 FIRST_FINAL_STATUS = 200
 """Responses with lower statuses are interim responses."""
+MAX_LOAD_REPORT_LENGTH = 64
+"""Characters of the longest load report that is parsed."""
+MAX_REPORTED_REQUESTS = 1_000_000
+"""Largest number of running or waiting requests in a load report."""
+MAX_REPORTED_SLOTS = 100_000
+"""Largest number of slots in a load report."""
+MAX_PACE = 100_000
+"""Largest pace in a load report, in percent."""
+REPORT_LOG_INTERVAL = 60.0
+"""Seconds between two log lines about invalid load reports."""
+LOAD_REPORT = re.compile(
+    r"(\d+)S(\d+)S(\d+)(?:S(\d+(?:\.\d+)?))?".replace(
+        "S", r"(?:\s*[,;/]\s*|\s+)"
+    ),
+    re.ASCII,
+)
+"""Running, waiting, slots and pace; only the pace may have decimals."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -41,6 +59,8 @@
       not_run: present in responses to requests that were not run.
       rate_limit: requests per second that the backend server accepts.
       leaving: "1" in responses of a backend server that is shutting down.
+      load: requests running, waiting and slots of the backend server and, where
+        it shares its machine, its pace, in responses.
       private: lower-case names of response headers that callers do not get.
     """
 
@@ -50,6 +70,7 @@
     not_run: str
     rate_limit: str
     leaving: str
+    load: str
     private: frozenset[str]
 
 
@@ -74,6 +95,7 @@
     Attributes:
       header_names: names of the headers exchanged with the backend server.
       max_response_bytes: limit of a response body.
+      load_reports: parses the load reports in responses.
       pending: the request that awaits its response, None while idle.
       message: the response being received, None before its head is complete.
       head_only: carries a HEAD request, whose response never has a body.
@@ -87,6 +109,7 @@
         "head_only",
         "idle_since",
         "keep_alive",
+        "load_reports",
         "message",
         "header_names",
         "parser",
@@ -99,6 +122,7 @@
         header_names: BackendHeaderNames,
         max_response_bytes: int,
         head_only: bool,
+        load_reports: "LoadReportParser",
     ):
         loop = asyncio.get_running_loop()
         super().__init__(loop)
@@ -106,6 +130,7 @@
         self.head_only = head_only
         self.header_names = header_names
         self.max_response_bytes = max_response_bytes
+        self.load_reports = load_reports
         self.pending: PendingRequest | None = None
         self.message: httpparse.Message | None = None
         self.reusable = not head_only
@@ -182,6 +207,9 @@
             seconds=now - pending.started_at,
             shed=self.header_names.not_run in message.headers,
             server_state=parse_server_state(message, self.header_names),
+            load_report=self.load_reports.parse(
+                message.headers.get(self.header_names.load), now
+            ),
         )
         if not pending.future.done():
             pending.future.set_result(response)
@@ -252,6 +280,7 @@
       max_response_bytes: limit of a response body.
       inflight: number of requests that hold a connection.
       idle_connections: idle connections by address, most recently used last.
+      load_reports: parses the load reports in responses.
     """
 
     def __init__(
@@ -269,6 +298,7 @@
         self.idle_connections: dict[
             options.Address, collections.deque[Connection]
         ] = collections.defaultdict(collections.deque)
+        self.load_reports = LoadReportParser()
 
     async def send(
         self,
@@ -375,7 +405,10 @@
             async with asyncio.timeout_at(request.abort_at):
                 _, connection = await loop.create_connection(
                     lambda: Connection(
-                        self.header_names, self.max_response_bytes, head_only
+                        self.header_names,
+                        self.max_response_bytes,
+                        head_only,
+                        self.load_reports,
                     ),
                     address.ip,
                     address.port,
@@ -442,6 +475,62 @@
     return rate_limit
 
 
+class LoadReportParser:
+    """Parses the load reports of one backend server.
+
+    Attributes:
+      next_log_at: loop time from which on an invalid report is logged.
+    """
+
+    __slots__ = ("next_log_at",)
+
+    def __init__(self):
+        self.next_log_at = float("-inf")
+
+    def parse(self, value: str | None, now: float) -> backend.LoadReport | None:
+        """Returns the report, None if there is none or it is invalid.
+
+        Args:
+          value: the value of the header, None without one.
+          now: loop time.
+        """
+        if value is None:
+            return None
+        try:
+            return parse_load_report(value)
+        except ValueError as error:
+            if now >= self.next_log_at:
+                self.next_log_at = now + REPORT_LOG_INTERVAL
+                logs.log_event(
+                    logs.Component.NODE,
+                    "load report of the backend server ignored",
+                    why=str(error),
+                )
+            return None
+
+
+def parse_load_report(value: str) -> backend.LoadReport:
+    """Parses a load report: three or four figures.
+
+    Raises:
+      ValueError: the value is too long, malformed, or out of range.
+    """
+    if len(value) > MAX_LOAD_REPORT_LENGTH:
+        raise ValueError(f"{len(value)} characters are no load report")
+    match = LOAD_REPORT.fullmatch(value.strip())
+    if match is None:
+        raise ValueError(f"{value!r} is no load report")
+    running, waiting, slots = map(int, match.group(1, 2, 3))
+    pace = round(float(match[4])) if match[4] else None
+    if (
+        max(running, waiting) > MAX_REPORTED_REQUESTS
+        or not 1 <= slots <= MAX_REPORTED_SLOTS
+        or (pace is not None and not 1 <= pace <= MAX_PACE)
+    ):
+        raise ValueError(f"{value!r} is out of range")
+    return backend.LoadReport(running, waiting, slots, pace)
+
+
 def fail_with_timeout(future: asyncio.Future) -> None:
     """Fails a request that has no response yet."""
     if not future.done():
--- a/tests/test_leanclient.py
+++ b/tests/test_leanclient.py
@@ -16,6 +16,7 @@
     not_run="Not-Run",
     rate_limit="Rate-Limit",
     leaving="Leaving",
+    load="Load",
     private=frozenset({"load"}),
 )
 
@@ -217,6 +218,51 @@
         assert response.server_state == state
 
 
+class TestLoadReport:
+    """The load that backend servers report in responses."""
+
+    @pytest.mark.parametrize(
+        "value, report",
+        [
+            (b"3,0,8", backend.LoadReport(3, 0, 8)),
+            (b"3, 1, 8, 250", backend.LoadReport(3, 1, 8, 250)),
+            (b"3 1 8 249.6", backend.LoadReport(3, 1, 8, 250)),
+            (b"3,1", None),
+            (b"3,1,8,100,1", None),
+            (b"3,1,0,100", None),
+            (b"3,1,8,0", None),
+            (b"-3,1,8,100", None),
+            (b"3,1,8,nan", None),
+            (b"3,1,8,1e9", None),
+            (b"3,1,8,9999999", None),
+            (b"9999999,1,8,100", None),
+            (b"3,,8,100", None),
+            (b"", None),
+            (b"0" * 80 + b"3,1,8", None),
+        ],
+    )
+    async def test_report_is_parsed_and_not_passed_on(self, value, report):
+        """Callers see the header, or an absurd value directs calls."""
+        extra = b"Load: " + value + b"\r\n"
+        async with ScriptedBackendServer(
+            [response_bytes(extra=extra)]
+        ) as server:
+            response = await server.send()
+        assert response.load_report == report
+        assert "load" not in [each.name.lower() for each in response.headers]
+
+    def test_invalid_reports_are_logged_once_a_minute(self, monkeypatch):
+        """An invalid report in every response floods the log."""
+        lines = []
+        monkeypatch.setattr(
+            leanclient.logs, "log_event", lambda *args, **facts: lines.append(1)
+        )
+        parser = leanclient.LoadReportParser()
+        for second in range(70):
+            assert parser.parse("busy", float(second)) is None
+        assert len(lines) == 2
+
+
 class TestConnections:
     """Reuse, failure and closing of connections."""
 
