Replies carry the load that a backend server reports, with its age

Callers could not know the load of a backend server beside another node. The node beside it keeps the newest report, by the order in which requests were sent, and what runs take there at usual pace. Replies and refusals carry it while it is at most 2 s old and has a pace; without a pace messages are as before. Reply.load is a new field, so older processes ignore it.

--- a/mangobay/execution.py
+++ b/mangobay/execution.py
@@ -193,6 +193,7 @@
             reply.inflight = local_service.admission.load
             reply.limit = local_service.admission.capacity
             now = asyncio.get_running_loop().time()
+            reply.load = local_service.load.to_messages(call.operation, now)
             reply.crossing = self.remote_traffic.bytes_per_run(
                 call.operation, now
             )
@@ -362,8 +363,33 @@
         finally:
             self.sent_count += attempt.sent
         self.state_updater.observe(local_service, response)
+        if response.load_report is not None:
+            self.observe_load(call, local_service, running_call, response)
         return self.reply_of(response, running_call)
 
+    def observe_load(
+        self,
+        call: messages.Call,
+        local_service: localservices.LocalService,
+        running_call: retryallowance.RunningCall,
+        response: backend.Response,
+    ) -> None:
+        """Learns from the load report in a response of the backend server."""
+        report = response.load_report
+        if report is None or response.status == stateupdates.MISDIRECTED_STATUS:
+            return
+        now = asyncio.get_running_loop().time()
+        load = local_service.load
+        load.observe(report, now - response.seconds, now)
+        succeeded = response.status < calls.FIRST_SERVER_ERROR_STATUS
+        if succeeded and not response.shed:
+            load.observe_run(
+                report,
+                call.operation,
+                response.seconds,
+                running_call.child_wait_seconds_at(now),
+            )
+
     def reply_of(
         self,
         response: backend.Response,
--- a/mangobay/localservices.py
+++ b/mangobay/localservices.py
@@ -13,6 +13,7 @@
     ids,
     logs,
     options,
+    serverload,
     serverstate,
 )
 from mangobay.generated import messages
@@ -62,6 +63,7 @@
       renewed_at: Loop time of the last announcement.
       admission: Admission control for the calls of the service.
       state_tracker: What the backend server says about itself.
+      load: The load that the backend server reports.
       crash_detector: Finds out whether the backend server has ended.
     """
 
@@ -71,6 +73,9 @@
     state_tracker: serverstate.ServerStateTracker = dataclasses.field(
         default_factory=serverstate.ServerStateTracker
     )
+    load: serverload.ServerLoad = dataclasses.field(
+        default_factory=serverload.ServerLoad
+    )
     crash_detector: crashdetection.CrashDetector = dataclasses.field(
         default_factory=crashdetection.CrashDetector
     )
--- a/schema/messages.capnp
+++ b/schema/messages.capnp
@@ -90,6 +90,22 @@
   # Requests a second that it takes from all hosts together, if limited.
 }
 
+struct LoadReport {
+  # What the receiver's backend server reported of its load.
+  running @0 :UInt32;
+  waiting @1 :UInt32;
+  slots @2 :UInt32;
+  pace @3 :UInt32;
+  # How long work takes there now, percent of the usual time.
+  ageMs @4 :UInt32;
+  # Time since the report was true, milliseconds.
+  workUs @5 :UInt32;
+  # Mean time of a run of the called operation there at usual pace, without
+  # the calls that it makes, microseconds; 0 if unknown.
+  holdUs @6 :UInt32;
+  # Mean time that a run holds a slot there at usual pace, microseconds.
+}
+
 struct Call {
   service @0 :Text $id("ServiceName");
   operation @1 :Text $id("OperationName");
@@ -153,6 +169,8 @@
   # Of the receiver's backend server, if limited or leaving; at most one.
   endIds @17 :List(Text);
   # Ends of backend servers under the call, and under the calls of its run.
+  load @18 :List(LoadReport);
+  # Of the receiver's backend server, if it reports a pace; at most one.
 }
 
 struct Cancel {
--- a/tests/test_execution.py
+++ b/tests/test_execution.py
@@ -415,3 +415,49 @@
         )
         reply = await executor.serve(request)
         assert bool(reply.server_states) is applies
+
+
+@pytest.mark.looptime
+class TestLoadReport:
+    """The load that the backend server reports in its responses."""
+
+    REPORT = backend.LoadReport(running=3, waiting=1, slots=4, pace=200)
+
+    async def replies(self, report, seconds=0.1, status=200):
+        """Returns a reply and, 0.3 s later, that to a call past its time."""
+
+        async def respond(attempt):
+            attempt.sent = True
+            return backend.Response(
+                status=status,
+                headers=[],
+                body=b"",
+                seconds=seconds,
+                shed=False,
+                load_report=report,
+            )
+
+        executor = make_executor(respond)
+        reply = await executor.serve(call())
+        await asyncio.sleep(0.3)
+        return reply, await executor.serve(call(deadline_ms=0))
+
+    async def test_replies_and_refusals_carry_the_report_with_its_age(self):
+        reply, refusal = await self.replies(self.REPORT)
+        (load,) = reply.load
+        assert (load.running, load.waiting, load.slots, load.pace) == (
+            (3, 1, 4, 200)
+        )
+        assert (load.age_ms, load.work_us, load.hold_us) == (0, 40000, 40000)
+        assert refusal.outcome is Outcome.NOT_RUN
+        assert refusal.load[0].age_ms == 300
+
+    async def test_report_without_pace_is_not_passed_on(self):
+        """The part takes effect where it is not called for."""
+        reply, refusal = await self.replies(backend.LoadReport(3, 1, 4))
+        assert (reply.load, refusal.load) == ([], [])
+
+    async def test_response_of_another_server_says_nothing(self):
+        """Another server at the address directs calls by its load."""
+        reply, _ = await self.replies(self.REPORT, status=421)
+        assert reply.load == []
