Callers keep the newest load report of each host

The report in a reply was not kept. hosts.Host keeps the newest one with the loop time at which it was true, the calls of this node since, and what the called operations take there. The backlog is at least what the node there counts, since calls wait in its queue too. Nothing is decided by it yet.

--- a/mangobay/dispatch.py
+++ b/mangobay/dispatch.py
@@ -484,6 +484,7 @@
         response_bytes=len(reply.body),
         remote_bytes=reply.crossing,
         late=0 < request.operation.target_ms < seconds * 1000,
+        load_report=reply.load[0] if reply.load else None,
     )
 
 
--- a/mangobay/hosts.py
+++ b/mangobay/hosts.py
@@ -36,6 +36,10 @@
 It applies when calls are rare.  A single failure diverts calls only briefly,
 and about seven responses are enough for an estimate.
 """
+NEVER = float("-inf")
+"""Loop time of what has not happened."""
+PACE_WEIGHT = 0.1
+"""Weight of the newest report in the usual pace."""
 SIZE_WEIGHT = 0.05
 """Weight of the newest response in the mean response size of an operation."""
 FAILURE_HALF_LIFE = 3.0
@@ -68,6 +72,7 @@
       remote_bytes: Average bytes that the child calls of a run of the
         operation exchange with other data centres.
       late: Whether the response exceeded the operation's target latency.
+      load_report: Load that the backend server of the host reported, or None.
     """
 
     outcome: messages.Outcome
@@ -82,6 +87,7 @@
     response_bytes: int = 0
     remote_bytes: int = 0
     late: bool = False
+    load_report: messages.LoadReport | None = None
 
     @property
     def loss(self) -> float:
@@ -150,6 +156,17 @@
       failure_rates: Failure rates of the operations that failed at the host.
       remote_bytes_per_run: Remote traffic per run, for the operations that
         cause any.
+      report: Newest load report of the backend server, or None.
+      reported_at: Loop time at which the report was true; minus infinity
+        without a report.
+      backlog: Calls running or waiting there at that time, by the report or
+        by the count of the node there, whichever is higher.
+      parallel: Calls that can run there at once.
+      usual_pace: Moving average of the reported pace, in percent.
+      work_seconds: Mean time of each operation there at usual pace, without
+        child calls.
+      sent_since_report: Calls of this node sent since the report was true.
+      last_sent_at: Loop time at which this node last sent a call there.
     """
 
     member: messages.Member
@@ -166,6 +183,16 @@
     remote_bytes_per_run: dict[
         ids.OperationName, remotetraffic.DecayingBytes
     ] = dataclasses.field(default_factory=dict)
+    report: messages.LoadReport | None = None
+    reported_at: float = NEVER
+    backlog: int = 0
+    parallel: int = 1
+    usual_pace: float = 0.0
+    work_seconds: dict[ids.OperationName, float] = dataclasses.field(
+        default_factory=dict
+    )
+    sent_since_report: int = 0
+    last_sent_at: float = NEVER
 
     def remote_bytes_at(
         self, operation: ids.OperationName, now: float
@@ -277,6 +304,39 @@
         if observation.limit > 0:
             self.load = observation.inflight / observation.limit
             self.load_hint = min(1.0, self.load)
+        if observation.load_report is not None:
+            self.observe_report(observation.load_report, observation, now)
+
+    def record_call_start(self, now: float) -> None:
+        """Records that this node sends a call to the host."""
+        self.outstanding += 1
+        self.sent_since_report += 1
+        self.last_sent_at = now
+
+    def observe_report(
+        self,
+        report: messages.LoadReport,
+        observation: Observation,
+        now: float,
+    ) -> None:
+        """Keeps a load report if it is newer than the last one."""
+        if report.work_us:
+            self.work_seconds[observation.operation] = report.work_us / 1e6
+        reported_at = now - report.age_ms / 1000
+        if reported_at <= self.reported_at or not report.slots:
+            return
+        self.report = report
+        self.reported_at = reported_at
+        self.backlog = max(
+            report.running + report.waiting, observation.inflight
+        )
+        self.parallel = report.slots
+        if observation.limit:
+            self.parallel = min(report.slots, observation.limit)
+        self.usual_pace += (report.pace - self.usual_pace) * (
+            PACE_WEIGHT if self.usual_pace else 1.0
+        )
+        self.sent_since_report = 1 if self.last_sent_at > reported_at else 0
 
 
 SHED_REASONS = frozenset(
--- a/mangobay/routing.py
+++ b/mangobay/routing.py
@@ -186,7 +186,7 @@
         """Records that a call is sent to the host."""
         known_host = self.find_host(service, host)
         if known_host:
-            known_host.outstanding += 1
+            known_host.record_call_start(asyncio.get_running_loop().time())
 
     def record_call_end(
         self,
