Place calls by what backend servers report

Hosts were picked by a node's own calls and by the load that the called node counts, so slow backend servers got as many calls as fast ones. placement predicts when a call would complete from the work of the operation, the pace, the queue and this node's calls since the report, all of which count less with the report's age. The router compares two drawn hosts and the one with the newest report, and local with remote hosts; a call leaves a clearly slower backend server on its own host. Without reports the former path is taken; [routing] placement = load turns it off.

--- a/mangobay/dispatch.py
+++ b/mangobay/dispatch.py
@@ -224,10 +224,11 @@
     ) -> bool:
         """Returns whether to use the backend server on this host.
 
-        That saves a hop.  A backend server that fails calls or responds late
-        is not preferred.  Otherwise it would receive all calls that enter on
-        its host: up to a third of a service's callers run on the hosts of its
-        backend servers, and the router would not choose a host for them.
+        That saves a hop.  A backend server that fails calls, responds late, or
+        is clearly slower than another one is not preferred.  Otherwise it would
+        receive all calls that enter on its host: up to a third of a service's
+        callers run on the hosts of its backend servers, and the router would
+        not choose a host for them.
         """
         executor = self.dependencies.executor
         local_service = executor.local_services.find(operation.service)
@@ -251,7 +252,11 @@
             >= routing.FAILURE_RATE_MARGIN
         ):
             return False
-        return service_hosts.is_usable(known_host, excluded, now)
+        if not service_hosts.is_usable(known_host, excluded, now):
+            return False
+        return not self.dependencies.router.is_elsewhere_better(
+            service_hosts, known_host, operation.name, excluded, now
+        )
 
     def delay_before_next(
         self, request: calls.Request, reply: messages.Reply, state: RetryState
--- a/mangobay/hosts.py
+++ b/mangobay/hosts.py
@@ -38,8 +38,8 @@
 """
 NEVER = float("-inf")
 """Loop time of what has not happened."""
-PACE_WEIGHT = 0.1
-"""Weight of the newest report in the usual pace."""
+REPORT_WEIGHT = 0.1
+"""Weight of the newest report in the usual pace and backlog."""
 SIZE_WEIGHT = 0.05
 """Weight of the newest response in the mean response size of an operation."""
 FAILURE_HALF_LIFE = 3.0
@@ -162,9 +162,12 @@
       backlog: Calls running or waiting there at that time, by the report or
         by the count of the node there, whichever is higher.
       parallel: Calls that can run there at once.
+      usual_backlog: Moving average of the backlog.
       usual_pace: Moving average of the reported pace, in percent.
       work_seconds: Mean time of each operation there at usual pace, without
         child calls.
+      hold_seconds: Mean time that a run holds a slot there at usual pace.
+      preferred: Whether it is one of the preferred hosts of its service.
       sent_since_report: Calls of this node sent since the report was true.
       last_sent_at: Loop time at which this node last sent a call there.
     """
@@ -187,10 +190,13 @@
     reported_at: float = NEVER
     backlog: int = 0
     parallel: int = 1
+    usual_backlog: float = 0.0
     usual_pace: float = 0.0
     work_seconds: dict[ids.OperationName, float] = dataclasses.field(
         default_factory=dict
     )
+    hold_seconds: float = 0.0
+    preferred: bool = True
     sent_since_report: int = 0
     last_sent_at: float = NEVER
 
@@ -306,6 +312,8 @@
             self.load_hint = min(1.0, self.load)
         if observation.load_report is not None:
             self.observe_report(observation.load_report, observation, now)
+        elif self.report is not None and observation.limit:
+            self.forget_report()
 
     def record_call_start(self, now: float) -> None:
         """Records that this node sends a call to the host."""
@@ -313,6 +321,11 @@
         self.sent_since_report += 1
         self.last_sent_at = now
 
+    def forget_report(self) -> None:
+        """Forgets the report: the node there has none, or distrusts it."""
+        self.report = None
+        self.reported_at = NEVER
+
     def observe_report(
         self,
         report: messages.LoadReport,
@@ -325,7 +338,6 @@
         reported_at = now - report.age_ms / 1000
         if reported_at <= self.reported_at or not report.slots:
             return
-        self.report = report
         self.reported_at = reported_at
         self.backlog = max(
             report.running + report.waiting, observation.inflight
@@ -333,9 +345,11 @@
         self.parallel = report.slots
         if observation.limit:
             self.parallel = min(report.slots, observation.limit)
-        self.usual_pace += (report.pace - self.usual_pace) * (
-            PACE_WEIGHT if self.usual_pace else 1.0
-        )
+        weight = REPORT_WEIGHT if self.report else 1.0
+        self.usual_pace += (report.pace - self.usual_pace) * weight
+        self.usual_backlog += (self.backlog - self.usual_backlog) * weight
+        self.hold_seconds = report.hold_us / 1e6
+        self.report = report
         self.sent_since_report = 1 if self.last_sent_at > reported_at else 0
 
 
@@ -408,6 +422,8 @@
       downstream_thresholds: Thresholds above zero by operation.  They are
         shared by all hosts, which call the same downstream services.
       response_sizes: Mean response size in bytes by operation.
+      fresh_hosts: The host with the newest load report among the preferred
+        hosts (True) and among the others.
     """
 
     def __init__(
@@ -424,6 +440,7 @@
             ids.OperationName, ReportedThreshold
         ] = {}
         self.response_sizes: dict[ids.OperationName, float] = {}
+        self.fresh_hosts: dict[bool, Host] = {}
 
     def observe_operation(self, observation: Observation, now: float) -> None:
         """Updates the response size and the downstream threshold."""
@@ -496,6 +513,11 @@
         ]
         if not self.local_hosts:
             self.local_hosts, self.remote_hosts = self.remote_hosts, []
+        self.fresh_hosts.clear()
+        for host in self.local_hosts:
+            host.preferred = True
+        for host in self.remote_hosts:
+            host.preferred = False
 
     def is_local(self, host: Host) -> bool:
         """Returns whether the host is preferred for its data centre."""
--- a/mangobay/routing.py
+++ b/mangobay/routing.py
@@ -6,7 +6,7 @@
 import random
 import typing
 
-from mangobay import errors, hosts, ids, levels, logs, remotetraffic
+from mangobay import errors, hosts, ids, levels, logs, placement, remotetraffic
 from mangobay.generated import messages, settings
 
 MAX_SCANNED_HOSTS = 64
@@ -109,6 +109,7 @@
       by_importance: Whether the level depends on the importance of the call.
       reopen_time: Seconds in which a reported threshold decays to zero.
       data_centre: Data centre of this node.
+      uses_reports: Whether calls go by the load that backend servers report.
       services: Hosts by service.
     """
 
@@ -124,6 +125,7 @@
         self.by_importance = admission.by_importance
         self.reopen_time = admission.reopen_time
         self.data_centre = data_centre
+        self.uses_reports = routing.placement == "reported"
         self.rng = rng
         self.services: dict[ids.ServiceName, hosts.ServiceHosts] = {}
 
@@ -208,6 +210,10 @@
         known_host.outstanding -= 1
         known_host.observe(observation, now)
         service_hosts.observe_operation(observation, now)
+        if observation.load_report is not None and not (
+            known_host.member.leaving
+        ):
+            service_hosts.fresh_hosts[known_host.preferred] = known_host
         if (
             observation.reason in hosts.LEAVING_REASONS
             and not known_host.member.leaving
@@ -245,6 +251,46 @@
             logs.Component.ROUTING, event, service=service, host=host
         )
 
+    def is_elsewhere_better(
+        self,
+        service_hosts: hosts.ServiceHosts,
+        own: hosts.Host,
+        operation: ids.OperationName,
+        excluded: typing.AbstractSet[ids.HostId],
+        now: float,
+    ) -> bool:
+        """Returns whether a call should not stay at this node's own host.
+
+        The own host is compared with a random host of its data centre and with
+        the one that has the newest report.
+        """
+        if own.report is None or not self.uses_reports or not own.preferred:
+            return False
+        local_hosts = service_hosts.local_hosts
+        others = (
+            local_hosts[int(self.rng.random() * len(local_hosts))],
+            service_hosts.fresh_hosts.get(True, own),
+        )
+        return any(
+            other is not own
+            and service_hosts.is_usable(other, excluded, now)
+            and not other.threshold
+            and placement.is_clearly_better(other, own, operation, now)
+            for other in others
+        )
+
+    def mean_report_age(self) -> float:
+        """Returns the mean age of the load reports in seconds, -1 without."""
+        now = asyncio.get_running_loop().time()
+        ages = [
+            now - host.reported_at
+            for service_hosts in self.services.values()
+            for host in service_hosts.hosts.values()
+            if host.report is not None
+            and now - host.reported_at <= placement.MAX_REPORT_AGE
+        ]
+        return sum(ages) / len(ages) if ages else -1.0
+
     def find_host(
         self, service: ids.ServiceName, host: ids.HostId
     ) -> hosts.Host | None:
@@ -371,6 +417,14 @@
             return remote.load_at(now) < 1.0 or load_gain > 0
         local_is_full = local.load_at(now) >= SPILL_LOAD
         margin = REMOTE_LOAD_MARGIN + REMOTE_LOAD_MARGIN_PER_KB * kilobytes
+        local_seconds = self.predict(local, criteria)
+        remote_seconds = self.predict(remote, criteria)
+        if local_seconds is not None and remote_seconds is not None:
+            gain = local_seconds - remote_seconds - placement.REMOTE_SECONDS
+            return (
+                gain > margin * local.hold_seconds
+                and failure_rate_gain >= -FAILURE_RATE_MARGIN
+            )
         return (
             local_is_full
             and load_gain > margin
@@ -433,7 +487,82 @@
         second = candidates[index % count]
         if not self.is_eligible(service_hosts, second, criteria):
             return self.scan_hosts(service_hosts, candidates, criteria)
-        return self.less_busy(first, second, criteria)
+        return self.better_of(
+            service_hosts, candidates, first, second, criteria
+        )
+
+    def better_of(
+        self,
+        service_hosts: hosts.ServiceHosts,
+        candidates: list[hosts.Host],
+        first: hosts.Host,
+        second: hosts.Host,
+        criteria: PickCriteria,
+    ) -> hosts.Host:
+        """Returns the better of two hosts, or of a few more with reports."""
+        if first.report is None or second.report is None:
+            return self.less_busy(first, second, criteria)
+        return self.soonest(service_hosts, candidates, first, second, criteria)
+
+    def soonest(
+        self,
+        service_hosts: hosts.ServiceHosts,
+        candidates: list[hosts.Host],
+        first: hosts.Host,
+        second: hosts.Host,
+        criteria: PickCriteria,
+    ) -> hosts.Host:
+        """Returns the host where the call would complete first.
+
+        It is one of the two, of a few more that are drawn like them, or the
+        host with the newest report, whose prediction is the most certain.
+        Without predictions for the first two, it is the less busy one.
+        """
+        best, best_seconds = first, self.predict(first, criteria)
+        seconds = self.predict(second, criteria)
+        if best_seconds is None or seconds is None:
+            return self.less_busy(first, second, criteria)
+        if self.is_sooner(second, seconds, best, best_seconds, criteria):
+            best, best_seconds = second, seconds
+        for draw in range(placement.DRAWN_HOSTS - 1):
+            if draw:
+                index = int(self.rng.random() * len(candidates))
+                candidate = candidates[index]
+            else:
+                candidate = service_hosts.fresh_hosts.get(first.preferred, best)
+            if candidate is best or not self.is_eligible(
+                service_hosts, candidate, criteria
+            ):
+                continue
+            seconds = self.predict(candidate, criteria)
+            if seconds is not None and self.is_sooner(
+                candidate, seconds, best, best_seconds, criteria
+            ):
+                best, best_seconds = candidate, seconds
+        return best
+
+    def predict(self, host: hosts.Host, criteria: PickCriteria) -> float | None:
+        """Returns the predicted seconds of the call at a host, or None."""
+        if not self.uses_reports:
+            return None
+        return placement.predict(host, criteria.operation, criteria.now)
+
+    def is_sooner(
+        self,
+        host: hosts.Host,
+        seconds: float,
+        best: hosts.Host,
+        best_seconds: float,
+        criteria: PickCriteria,
+    ) -> bool:
+        """Returns whether a host is better than the best one so far."""
+        seconds *= 1 + hosts.SHED_PENALTY * host.shed_rate
+        best_seconds *= 1 + hosts.SHED_PENALTY * best.shed_rate
+        if host.failure_rates or best.failure_rates:
+            seconds, best_seconds = penalize_failures(
+                host, seconds, best, best_seconds, criteria
+            )
+        return seconds < best_seconds
 
     def less_busy(
         self, first: hosts.Host, second: hosts.Host, criteria: PickCriteria
@@ -443,15 +572,9 @@
         now = criteria.now
         first_score = first.score(first.ramp(now, slow_start))
         second_score = second.score(second.ramp(now, slow_start))
-        failure_rate_difference = first.failure_rate_at(
-            criteria.operation, now
-        ) - second.failure_rate_at(criteria.operation, now)
-        # Hosts with about equal failure rates share the calls; if every small
-        # difference counted, the better host would get all of them.
-        if failure_rate_difference >= FAILURE_RATE_MARGIN:
-            first_score *= 1 + FAILURE_PENALTY * failure_rate_difference
-        elif failure_rate_difference <= -FAILURE_RATE_MARGIN:
-            second_score *= 1 - FAILURE_PENALTY * failure_rate_difference
+        first_score, second_score = penalize_failures(
+            first, first_score, second, second_score, criteria
+        )
         return first if first_score <= second_score else second
 
     def is_eligible(
@@ -497,7 +620,9 @@
         ]
         if len(eligible) > 1:
             first, second = self.rng.sample(eligible, 2)
-            return self.less_busy(first, second, criteria)
+            return self.better_of(
+                service_hosts, candidates, first, second, criteria
+            )
         if eligible:
             return eligible[0]
         return min(
@@ -505,3 +630,23 @@
             key=lambda host: self.threshold(host, criteria.now),
             default=None,
         )
+
+
+def penalize_failures(
+    first: hosts.Host,
+    first_score: float,
+    second: hosts.Host,
+    second_score: float,
+    criteria: PickCriteria,
+) -> tuple[float, float]:
+    """Returns the scores; that of the host with more failures is increased."""
+    difference = first.failure_rate_at(
+        criteria.operation, criteria.now
+    ) - second.failure_rate_at(criteria.operation, criteria.now)
+    # Hosts with about equal failure rates share the calls; if every small
+    # difference counted, the better host would get all of them.
+    if difference >= FAILURE_RATE_MARGIN:
+        first_score *= 1 + FAILURE_PENALTY * difference
+    elif difference <= -FAILURE_RATE_MARGIN:
+        second_score *= 1 - FAILURE_PENALTY * difference
+    return first_score, second_score
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -204,6 +204,49 @@
             await dispatcher.handle(make_request(granted=0))
         assert fewest <= executor.served_calls <= most
 
+    @pytest.mark.parametrize(
+        ("own_pace", "fewest", "most"), [(100, 200, 200), (400, 1, 100)]
+    )
+    async def test_slow_backend_server_on_the_own_host_is_avoided(
+        self, own_pace, fewest, most
+    ):
+        """Calls that enter beside a slow backend server all stay there.
+
+        It has free slots and fails no calls, so it would always be preferred.
+        """
+
+        def report(reply, pace):
+            reply.inflight, reply.limit = 1, 9
+            load = messages.LoadReport(
+                running=1, slots=9, pace=pace, work_us=20_000, hold_us=20_000
+            )
+            reply.load = [load]
+            return reply
+
+        dispatcher, _ = make_dispatcher(
+            lambda host, call: report(respond(host, call), 100),
+            names=[*HOSTS[:5], PROCESS.host],
+            hop_tries=0,
+        )
+        executor = dispatcher.dependencies.executor = FakeCallExecutor(0)
+        serve = executor.serve
+
+        async def serve_and_report(call):
+            return report(await serve(call), own_pace)
+
+        executor.serve = serve_and_report
+        for host in HOSTS[:5]:
+            await dispatcher.attempt(
+                make_request(),
+                dispatcher.dependencies.views.value["stock"].members[
+                    HOSTS.index(host)
+                ],
+            )
+        for _ in range(200):
+            await dispatcher.handle(make_request(granted=0))
+            await asyncio.sleep(0.01)
+        assert fewest <= executor.served_calls <= most
+
 
 @pytest.mark.looptime
 class TestRetries:
