Distrust load reports that predict too little

A backend server that reports idle and is full attracted calls. The node beside it compares the time of its runs with the prediction; while they take twice as long on average, replies carry no report for 5 s, and callers place calls as without reports. One log line when reports become distrusted and one when they are trusted again; gauges of distrusted servers, prediction error and age.

tests/test_serverload.py and test_execution.py pass; reports of a server that slows down by a factor of six are distrusted within 15 runs.

--- a/mangobay/execution.py
+++ b/mangobay/execution.py
@@ -389,6 +389,15 @@
                 response.seconds,
                 running_call.child_wait_seconds_at(now),
             )
+        if load.update_trust(now):
+            logs.log_event(
+                logs.Component.NODE,
+                "load reports of the backend server are distrusted"
+                if load.distrusted
+                else "load reports of the backend server are trusted again",
+                service=call.service,
+                instance=local_service.announcement.instance,
+            )
 
     def reply_of(
         self,
--- a/mangobay/nodegauges.py
+++ b/mangobay/nodegauges.py
@@ -70,6 +70,28 @@
                 default=-1,
             ),
         ),
+        metrics.Gauge(
+            name="load_reports_distrusted",
+            help="Backend servers here whose load reports are distrusted.",
+            read_value=lambda: sum(
+                service.load.distrusted for service in services.values()
+            ),
+        ),
+        metrics.Gauge(
+            name="load_prediction_error",
+            help="Time of runs here as a multiple of the time predicted by "
+            "the load reports.",
+            read_value=lambda: max(
+                (service.load.error for service in services.values()),
+                default=1.0,
+            ),
+        ),
+        metrics.Gauge(
+            name="load_report_age_seconds",
+            help="Mean age of the load reports by which this node places "
+            "calls, -1 without any.",
+            read_value=lambda: node.router.mean_report_age(),
+        ),
         metrics.Gauge(
             name="threshold",
             help="Highest level below which calls are refused here.",
--- a/mangobay/serverload.py
+++ b/mangobay/serverload.py
@@ -12,6 +12,20 @@
 """Seconds after which a report is not sent to callers any more."""
 MIN_WEIGHT = 0.02
 """Weight of the newest run in a mean; the first runs weigh equally."""
+MIN_RUNS = 20
+"""Runs of an operation before its mean is compared with further runs."""
+ERROR_WEIGHT = 0.05
+"""Weight of the newest run in the prediction error."""
+MAX_RUN_ERROR = 10.0
+"""Largest error that a single run counts with."""
+DISTRUST_ERROR = 2.0
+"""Prediction error from which on reports are distrusted.
+
+Runs of equal work vary by less; a constant error is learned before."""
+DISTRUST_SECONDS = 5.0
+"""How long reports are not passed on after the prediction error was too large.
+
+It bounds the share of time in which callers are misled by false reports."""
 USUAL_PACE = 100
 """Pace of a backend server that works as fast as usual, in percent."""
 
@@ -51,9 +65,21 @@
       sent_at: loop time at which its request was sent.
       work: mean time of each operation without its child calls.
       hold: mean time that a run of any operation holds a slot.
+      error: moving average of the time of runs as a multiple of the time
+        predicted by the reports.
+      distrusted_until: loop time until which the reports are distrusted, None
+        while they are trusted.
     """
 
-    __slots__ = ("hold", "report", "reported_at", "sent_at", "work")
+    __slots__ = (
+        "distrusted_until",
+        "error",
+        "hold",
+        "report",
+        "reported_at",
+        "sent_at",
+        "work",
+    )
 
     def __init__(self):
         self.report: backend.LoadReport | None = None
@@ -61,6 +87,13 @@
         self.sent_at = float("-inf")
         self.work: dict[ids.OperationName, MeanSeconds] = {}
         self.hold = MeanSeconds()
+        self.error = 1.0
+        self.distrusted_until: float | None = None
+
+    @property
+    def distrusted(self) -> bool:
+        """Whether the reports are not passed on to callers."""
+        return self.distrusted_until is not None
 
     def observe(
         self, report: backend.LoadReport, sent_at: float, now: float
@@ -108,15 +141,35 @@
         mean = self.work.get(operation)
         if mean is None:
             mean = self.work[operation] = MeanSeconds()
-        mean.observe(max(seconds - child_wait_seconds, 0.0) * share)
+        usual_seconds = max(seconds - child_wait_seconds, 0.0) * share
+        if mean.count >= MIN_RUNS and mean.seconds:
+            run_error = min(usual_seconds / mean.seconds, MAX_RUN_ERROR)
+            self.error += (run_error - self.error) * ERROR_WEIGHT
+        mean.observe(usual_seconds)
         self.hold.observe(seconds * share)
 
+    def update_trust(self, now: float) -> bool:
+        """Distrusts or trusts the reports; returns whether that has changed."""
+        if self.distrusted_until is None:
+            if self.error < DISTRUST_ERROR:
+                return False
+            self.distrusted_until = now + DISTRUST_SECONDS
+            return True
+        if now < self.distrusted_until:
+            return False
+        self.distrusted_until = None
+        self.error = 1.0
+        return True
+
     def to_messages(
         self, operation: ids.OperationName, now: float
     ) -> list[messages.LoadReport]:
-        """Returns the report for a reply, none if it has no pace or is old."""
+        """Returns the report for a reply.
+
+        There is none without a pace, if it is old, or if it is distrusted.
+        """
         report = self.report
-        if report is None or report.pace is None:
+        if report is None or report.pace is None or self.distrusted:
             return []
         age = now - self.reported_at
         if age > MAX_REPORT_AGE:
--- a/tests/test_serverload.py
+++ b/tests/test_serverload.py
@@ -54,3 +54,33 @@
             child_wait_seconds,
         )
         assert load.work[OPERATION].seconds == pytest.approx(work)
+
+
+class TestDistrust:
+    """A backend server whose runs take longer than its reports say."""
+
+    @staticmethod
+    def run_calls(load, count, seconds, now=0.0) -> int:
+        """Runs calls until trust changes; returns how many."""
+        for number in range(1, count + 1):
+            load.observe(report(), now, now)
+            load.observe_run(report(), OPERATION, seconds, 0.0)
+            if load.update_trust(now):
+                return number
+        return 0
+
+    def test_idle_reports_of_a_full_server_are_distrusted_for_a_while(self):
+        """It reports idle and its runs take six times as long as before."""
+        load = serverload.ServerLoad()
+        assert self.run_calls(load, 100, 0.02) == 0
+        assert 0 < self.run_calls(load, 100, 0.12) <= 15
+        assert not load.to_messages(OPERATION, 0.0)
+        later = serverload.DISTRUST_SECONDS
+        assert self.run_calls(load, 100, 0.12, later) == 1
+        assert load.to_messages(OPERATION, later)
+
+    def test_a_constant_error_is_learned(self):
+        """A backend server that is always slow needs no distrust."""
+        load = serverload.ServerLoad()
+        assert self.run_calls(load, 500, 0.12) == 0
+        assert load.work[OPERATION].seconds == pytest.approx(0.12)
