--- a/mangobay/leanclient.py
+++ b/mangobay/leanclient.py
@@ -9,6 +9,7 @@
 import collections
 import collections.abc
 import dataclasses
+import functools
 import math
 import re
 
@@ -31,6 +32,8 @@
 """Responses with lower statuses are interim responses."""
 MAX_LOAD_REPORT_LENGTH = 64
 """Characters of the longest load report that is parsed."""
+MAX_CACHED_REPORTS = 4096
+"""Load reports of which the parsed form is kept; most responses repeat one."""
 MAX_REPORTED_REQUESTS = 1_000_000
 """Largest number of running or waiting requests in a load report."""
 MAX_REPORTED_SLOTS = 100_000
@@ -509,8 +512,9 @@
             return None
 
 
+@functools.lru_cache(maxsize=MAX_CACHED_REPORTS)
 def parse_load_report(value: str) -> backend.LoadReport:
-    """Parses a load report: three or four figures.
+    """Parses a load report: three or four figures; results are cached.
 
     Raises:
       ValueError: the value is too long, malformed, or out of range.
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -138,6 +138,15 @@
             del self.parents[attempt_id]
 
 
+class TestHeaderNames:
+    """Names of the platform's headers."""
+
+    def test_callers_do_not_get_load_reports(self):
+        """Callers depend on what backend servers tell nodes."""
+        names = platformnames.HEADER_NAMES.backend
+        assert names.load.lower() in names.private
+
+
 @pytest.mark.looptime
 class TestChildCalls:
     """Calls that a running request makes to other services."""
