Hosts that cannot be reached have no load report

The last report of a host that went down or is cut off may say that it is idle, and ejection takes at most a share of the hosts out of use. Such a host is placed as one without reports until its next reply.

tests/test_placement.py, test_placements.py and test_routing.py pass.

--- a/mangobay/hosts.py
+++ b/mangobay/hosts.py
@@ -296,6 +296,10 @@
         self.shed_rate += (
             (1.0 if shed else 0.0) - self.shed_rate
         ) * SHED_WEIGHT
+        if self.report is not None and is_failure(observation):
+            # The last report of a host that went down or is cut off may say
+            # that it is idle.
+            self.forget_report()
         if observation.outcome == messages.Outcome.UNKNOWN:
             return
         self.threshold = observation.threshold
@@ -322,7 +326,7 @@
         self.last_sent_at = now
 
     def forget_report(self) -> None:
-        """Forgets the report: the node there has none, or distrusts it."""
+        """Forgets the report, so that calls are placed as without one."""
         self.report = None
         self.reported_at = NEVER
 
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -80,6 +80,24 @@
         host.observe(observation(None, limit=4), 5.1)
         assert placement.predict(host, OPERATION, 5.1) is None
 
+    @pytest.mark.parametrize(
+        "outcome, reason",
+        [
+            (messages.Outcome.NOT_RUN, messages.Reason.CONNECTION_FAILED),
+            (messages.Outcome.UNKNOWN, messages.Reason.CONNECTION_BROKEN),
+            (messages.Outcome.UNKNOWN, messages.Reason.DEADLINE_EXCEEDED),
+        ],
+    )
+    def test_unreachable_host_has_no_report(self, outcome, reason):
+        """Half of the hosts are cut off, and their last reports attract calls.
+
+        Ejection takes no more than a share of the hosts out of use.
+        """
+        host = hosts.Host(fakes.member("a"), 0.0)
+        host.observe(observation(load_report()), 5.0)
+        host.observe(hosts.Observation(outcome=outcome, reason=reason), 5.1)
+        assert placement.predict(host, OPERATION, 5.1) is None
+
 
 class TestPrediction:
     """How long a call would take at a host."""
