--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -246,6 +246,19 @@
         share = picks(router, 1000)["h0"] / 1000
         assert share < 2.5 * placement.DRAWN_HOSTS / len(names)
 
+    async def test_newest_report_attracts_calls_until_the_slots_are_taken(self):
+        """A node sends all its calls to the host that it heard of last."""
+        names = [f"h{number}" for number in range(20)]
+        router = make_router(*map(fakes.member, names))
+        for name in reversed(names):
+            tell(router, name, load_report(pace=100 if name == "h0" else 200))
+        sent = collections.Counter()
+        for _ in range(60):
+            (host,) = picks(router, 1)
+            router.record_call_start(fakes.QUOTES, host)
+            sent[host] += 1
+        assert 8 <= sent["h0"] <= 20
+
 
 @pytest.mark.looptime
 class TestOwnHost:
