A real-process test of load reports between nodes

A report could get lost between two nodes, or go on to the caller, without a test seeing it. Two nodes as real processes: the calling node has the report after one call, and its caller does not get the header. The fakes' nodes serve metrics for it.

--- a/tests/platformfakes.py
+++ b/tests/platformfakes.py
@@ -45,6 +45,7 @@
 local = 127.0.0.1:1
 peer = {ip}:{PEER}
 ready = {ip}:{READY}
+metrics = {ip}:{METRICS}
 heartbeats = {ip}:{HEARTBEATS}
 [control]
 hosts = {seeds}
@@ -415,6 +416,18 @@
         )
         return response.status == 200
 
+    async def metric(self, number, name):
+        """Returns a gauge of a node, None if it has no such metric."""
+        response = await send_request(
+            self.ip(number),
+            METRICS,
+            b"GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n",
+        )
+        for line in response.body.decode().splitlines():
+            if line.split(" ")[0].split("{")[0] == f"mangobay_{name}":
+                return float(line.split()[-1])
+        return None
+
 
 async def wait_until(check, seconds=WAIT_SECONDS):
     """Returns the first true result of an asynchronous check."""
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -133,6 +133,27 @@
             assert set(statuses) == {200}
             assert await stopping == 0
 
+    async def test_load_reports_reach_calling_nodes_and_no_callers(
+        self, tmp_path
+    ):
+        """A report is lost between two nodes, or goes on to the caller."""
+        names = iter(range(10_000))
+        async with platformfakes.Fleet(tmp_path, seeds=1, voters=1) as fleet:
+            fleet.start_control(1)
+            await fleet.start_node(11, "a")
+            second = await fleet.start_node(12, "b")
+            await platformfakes.wait_until(
+                accepted(fleet, 1, 1, ["a", "b"], "0")
+            )
+            await platformfakes.wait_until(served(fleet, 11, "b", names))
+            assert await fleet.metric(11, "load_report_age_seconds") == -1
+            second.extra_headers = b"X-Mangobay-Server-Load: 1,0,4,130\r\n"
+            answer = await fleet.request(11, "b", "with-a-report")
+            assert answer.status == 200
+            assert "server-load" not in answer.head
+            age = await fleet.metric(11, "load_report_age_seconds")
+            assert 0 <= age < 5
+
     async def test_a_node_ends_within_its_grace(self, tmp_path):
         """A request is cut by SIGKILL instead of being answered.
 
