--- a/mangobay/hosts.py
+++ b/mangobay/hosts.py
@@ -42,6 +42,10 @@
 Trees of the highest levels still begin and renew the threshold, so that it ends
 soon after its cause.
 """
+NEVER = float("-inf")
+"""Loop time of what has not happened."""
+REPORT_WEIGHT = 0.1
+"""Weight of the newest report in the usual pace and backlog."""
 SIZE_WEIGHT = 0.05
 """Weight of the newest response in the mean response size of an operation."""
 FAILURE_HALF_LIFE = 3.0
@@ -76,6 +80,7 @@
       late: Whether the response exceeded the operation's target latency.
       retry_threshold: Level below which call trees of the operation lack
         retries downstream, 0 if they do not.
+      load_report: Load that the backend server of the host reported, or None.
     """
 
     outcome: messages.Outcome
@@ -91,6 +96,7 @@
     remote_bytes: int = 0
     late: bool = False
     retry_threshold: int = 0
+    load_report: messages.LoadReport | None = None
 
     @property
     def loss(self) -> float:
@@ -159,6 +165,20 @@
       failure_rates: Failure rates of the operations that failed at the host.
       remote_bytes_per_run: Remote traffic per run, for the operations that
         cause any.
+      report: Newest load report of the backend server, or None.
+      reported_at: Loop time at which the report was true; minus infinity
+        without a report.
+      backlog: Calls running or waiting there at that time, by the report or
+        by the count of the node there, whichever is higher.
+      parallel: Calls that can run there at once.
+      usual_backlog: Moving average of the backlog.
+      usual_pace: Moving average of the reported pace, in percent.
+      work_seconds: Mean time of each operation there at usual pace, without
+        child calls.
+      hold_seconds: Mean time that a run holds a slot there at usual pace.
+      preferred: Whether it is one of the preferred hosts of its service.
+      sent_since_report: Calls of this node sent since the report was true.
+      last_sent_at: Loop time at which this node last sent a call there.
     """
 
     member: messages.Member
@@ -175,6 +195,19 @@
     remote_bytes_per_run: dict[
         ids.OperationName, remotetraffic.DecayingBytes
     ] = dataclasses.field(default_factory=dict)
+    report: messages.LoadReport | None = None
+    reported_at: float = NEVER
+    backlog: int = 0
+    parallel: int = 1
+    usual_backlog: float = 0.0
+    usual_pace: float = 0.0
+    work_seconds: dict[ids.OperationName, float] = dataclasses.field(
+        default_factory=dict
+    )
+    hold_seconds: float = 0.0
+    preferred: bool = True
+    sent_since_report: int = 0
+    last_sent_at: float = NEVER
 
     def remote_bytes_at(
         self, operation: ids.OperationName, now: float
@@ -272,6 +305,10 @@
         self.shed_rate += (
             (1.0 if shed else 0.0) - self.shed_rate
         ) * SHED_WEIGHT
+        if self.report is not None and is_failure(observation):
+            # The last report of a host that went down or is cut off may say
+            # that it is idle.
+            self.forget_report()
         if observation.outcome == messages.Outcome.UNKNOWN:
             return
         self.threshold = observation.threshold
@@ -286,6 +323,47 @@
         if observation.limit > 0:
             self.load = observation.inflight / observation.limit
             self.load_hint = min(1.0, self.load)
+        if observation.load_report is not None:
+            self.observe_report(observation.load_report, observation, now)
+        elif self.report is not None and observation.limit:
+            self.forget_report()
+
+    def record_call_start(self, now: float) -> None:
+        """Records that this node sends a call to the host."""
+        self.outstanding += 1
+        self.sent_since_report += 1
+        self.last_sent_at = now
+
+    def forget_report(self) -> None:
+        """Forgets the report, so that calls are placed as without one."""
+        self.report = None
+        self.reported_at = NEVER
+
+    def observe_report(
+        self,
+        report: messages.LoadReport,
+        observation: Observation,
+        now: float,
+    ) -> None:
+        """Keeps a load report if it is newer than the last one."""
+        if report.work_us:
+            self.work_seconds[observation.operation] = report.work_us / 1e6
+        reported_at = now - report.age_ms / 1000
+        if reported_at <= self.reported_at or not report.slots:
+            return
+        self.reported_at = reported_at
+        self.backlog = max(
+            report.running + report.waiting, observation.inflight
+        )
+        self.parallel = report.slots
+        if observation.limit:
+            self.parallel = min(report.slots, observation.limit)
+        weight = REPORT_WEIGHT if self.report else 1.0
+        self.usual_pace += (report.pace - self.usual_pace) * weight
+        self.usual_backlog += (self.backlog - self.usual_backlog) * weight
+        self.hold_seconds = report.hold_us / 1e6
+        self.report = report
+        self.sent_since_report = 1 if self.last_sent_at > reported_at else 0
 
 
 SHED_REASONS = frozenset(
@@ -359,6 +437,8 @@
       retry_thresholds: Levels by operation below which call trees lack
         retries downstream.
       response_sizes: Mean response size in bytes by operation.
+      fresh_hosts: The host with the newest load report among the preferred
+        hosts (True) and among the others.
     """
 
     def __init__(
@@ -376,6 +456,7 @@
         ] = {}
         self.retry_thresholds: dict[ids.OperationName, ReportedThreshold] = {}
         self.response_sizes: dict[ids.OperationName, float] = {}
+        self.fresh_hosts: dict[bool, Host] = {}
 
     def observe_operation(self, observation: Observation, now: float) -> None:
         """Updates the response size and the downstream threshold."""
@@ -464,6 +545,11 @@
         ]
         if not self.local_hosts:
             self.local_hosts, self.remote_hosts = self.remote_hosts, []
+        self.fresh_hosts.clear()
+        for host in self.local_hosts:
+            host.preferred = True
+        for host in self.remote_hosts:
+            host.preferred = False
 
     def is_local(self, host: Host) -> bool:
         """Returns whether the host is preferred for its data centre."""
