--- a/schema/messages.capnp
+++ b/schema/messages.capnp
@@ -79,6 +79,8 @@
   takesNotices @5 :Bool;
   # It knows QuarantineNotice; older processes end a connection on which one
   # comes.
+  takesQueries @6 :Bool;
+  # It answers CallQuery, and may send it.
 }
 
 struct ServerState {
@@ -159,6 +161,14 @@
   # The sender no longer wants the answer of the call on this stream.
 }
 
+struct CallQuery {
+  # What became of a call that was sent on a connection that has gone silent?
+  # Answered by the Reply of the call, or by one that it has not run.
+  callId @0 :Text $id("CallId");
+  timeLeftMs @1 :UInt32;
+  # Time left when sent, milliseconds.
+}
+
 struct Ping {
   # Sent where answers are awaited and none comes; answered at once.
   answers @0 :Bool;
@@ -718,5 +728,6 @@
     tokenReply @26 :TokenReply;
     quarantineNotice @27 :QuarantineNotice;
     quarantineState @28 :QuarantineState;
+    callQuery @29 :CallQuery;
   }
 }
