Calls on connections that go silent are resolved over a new connection

Cause: a connection that stops working without a reset was noticed after 1 s, and its calls ended as unknown although most had never arrived, so that callers got 502 or 504 and could not repeat unsafe requests.

Change: the waits before and after a Ping follow the target latency of the calls (silence). If the other node then answers on a new connection while the old one stays silent, callresolution asks there about each call. The called node (callquery) waits for the call or returns its reply, or refuses its id for good. It also drops what still arrives on older connections of the same process, since a network may deliver a call after its id is forgotten. Calls refused this way count as not run and go to another host.

--- a/mangobay/basenode.py
+++ b/mangobay/basenode.py
@@ -11,6 +11,7 @@
 
 from mangobay import (
     admission,
+    callquery,
     calls,
     controlclient,
     dispatch,
@@ -102,6 +103,7 @@
             data_centre=self.process.data_centre,
             incarnation=self.process.incarnation,
             role=ROLE,
+            takes_queries=config.silence.queries,
         )
         limits = peers.Limits(
             max_frame_bytes=config.limits.frame_bytes,
@@ -110,7 +112,10 @@
         )
         identity = tls.load_identity(config.tls)
         self.peer_client = peers.PeerClient(
-            hello, identity=identity, limits=limits
+            hello,
+            identity=identity,
+            limits=limits,
+            silence_share=config.silence.share,
         )
         self.peer_listener = peers.Listener(
             config.listen.peer,
@@ -119,6 +124,9 @@
             identity=identity,
             limits=limits,
         )
+        self.call_memory = callquery.CallMemory(
+            config.silence, self.peer_listener
+        )
         self.control = controlclient.ControlClient(
             joining.node_control_with_seeds(config.control, config.listen.peer),
             controlclient.NodeIdentity(
@@ -252,12 +260,15 @@
           errors.PeerProtocolError: nodes do not handle such a request.
         """
         match body:
+            case messages.Call() if self.answers_queries_of(hello):
+                return await self.call_memory.run(body, self.serve_call)
             case messages.Call():
-                reply = await self.executor.serve(body)
-                reply.revision = self.control.tables.value.revision
+                reply = await self.serve_call(body)
                 if not hello.takes_notices:
                     make_known_to_older_peer(reply)
                 return reply
+            case messages.CallQuery() if self.answers_queries_of(hello):
+                return await self.call_memory.answer(hello, body)
             case messages.CopyPut() | messages.CopyFetch():
                 return await self.once.handle(body)
             case messages.QuarantineNotice():
@@ -266,6 +277,16 @@
             f"a node does not answer {type(body).__name__} of {hello.host}"
         )
 
+    def answers_queries_of(self, hello: messages.Hello) -> bool:
+        """Returns whether a process may ask about its calls to this node."""
+        return hello.takes_queries and self.config.silence.queries
+
+    async def serve_call(self, call: messages.Call) -> messages.Reply:
+        """Runs a call of another node at the backend server here."""
+        reply = await self.executor.serve(call)
+        reply.revision = self.control.tables.value.revision
+        return reply
+
     async def run(self) -> int:
         """Runs until the node has left; returns the exit code."""
         handlers = {
--- a/mangobay/connections.py
+++ b/mangobay/connections.py
@@ -7,8 +7,18 @@
 import asyncio
 import collections.abc
 import dataclasses
-
-from mangobay import eager, errors, logs, periodic, sockets, tls, wire
+import typing
+
+from mangobay import (
+    eager,
+    errors,
+    logs,
+    periodic,
+    silence,
+    sockets,
+    tls,
+    wire,
+)
 from mangobay.generated import messages
 
 PROTOCOL_VERSION = 2
@@ -21,9 +31,9 @@
 exceeds the two round trips that connecting takes between distant regions
 (0.22 s).
 """
-PING_AFTER_SECONDS = 0.3
+PING_AFTER_SECONDS = silence.DEFAULT_PING_AFTER
 """Time without a received byte, while requests are tracked, after which a Ping is
-sent; well above a round trip between data centres."""
+sent, unless the target latencies of the calls call for an earlier one."""
 UNRESPONSIVE_AFTER_SECONDS = 1.0
 """Time without a received byte, while requests are tracked, after which the
 connection gets no new requests.
@@ -35,6 +45,8 @@
 PING_STREAM = 0
 """Stream of Hello and Ping; requests have higher ones."""
 
+OnSilent = collections.abc.Callable[["Connection"], None]
+"""Called at each check of a connection that is silent in spite of a Ping."""
 Handler = collections.abc.Callable[
     [messages.Hello, messages.EnvelopeBody],
     collections.abc.Awaitable[messages.EnvelopeBody],
@@ -68,6 +80,18 @@
     idle_timeout: float = 300
 
 
+class TrackedRequest(typing.NamedTuple):
+    """A pending request that the peer should reply to without delay.
+
+    Attributes:
+      body: the request.
+      deadline: loop time at which it times out.
+    """
+
+    body: messages.EnvelopeBody
+    deadline: float
+
+
 class Connection(asyncio.Protocol):
     """Sends requests and handles those of the peer.
 
@@ -82,15 +106,27 @@
       handler_tasks: tasks of the requests received, by stream.
       partial_frame_since: loop time at which an incomplete frame began, or 0.
       last_request_at: loop time of the last request sent.
-      tracked_requests: streams of the pending requests that the peer should
-        reply to without delay.
+      tracked_requests: the pending requests that the peer should reply to
+        without delay, by stream.
       non_idempotent_calls: those of them that keep waiting when the peer is
         unresponsive.
       last_received_at: loop time of the last byte received, or of the first
         tracked request if that is later.
       unresponsive: whether the peer has stopped responding on an open
         connection.
-      ping_sent: whether a Ping was sent since the last byte was received.
+      retired: whether a newer connection has replaced it; it closes after its
+        last pending request.
+      superseded: whether the peer has replaced it, so that requests which still
+        arrive are dropped.
+      queried_calls: streams of the calls that the peer is asked about on
+        another connection; they outlast this one.
+      ping_sent_at: loop time of a Ping since which no byte was received, or 0.
+      round_trip: seconds that the exchange of Hellos took.
+      silence_share: share of the calls' patience that `silence` uses.
+      on_silent: called while the connection is silent; None if its calls cannot
+        be asked about elsewhere.
+      patience_ms: patience that `waits` was found for.
+      waits: how long it may be silent.
       liveness_check: calls check_liveness; contains this connection while
         requests are tracked.
     """
@@ -101,6 +137,7 @@
         limits: Limits,
         handler: Handler | None = None,
         liveness_check: "periodic.PeriodicCheck[Connection] | None" = None,
+        on_silent: OnSilent | None = None,
     ):
         self.loop = asyncio.get_running_loop()
         self.local_hello = local_hello
@@ -117,11 +154,19 @@
         self.closed = False
         self.partial_frame_since = 0.0
         self.last_request_at = self.loop.time()
-        self.tracked_requests: set[int] = set()
+        self.tracked_requests: dict[int, TrackedRequest] = {}
         self.non_idempotent_calls: set[int] = set()
         self.last_received_at = self.last_request_at
         self.unresponsive = False
-        self.ping_sent = False
+        self.retired = False
+        self.superseded = False
+        self.queried_calls: set[int] = set()
+        self.ping_sent_at = 0.0
+        self.round_trip = 0.0
+        self.silence_share = 0.0
+        self.on_silent = on_silent
+        self.patience_ms = 0
+        self.waits = silence.DEFAULT_WAITS
         self.liveness_check = liveness_check or periodic.PeriodicCheck(
             PING_AFTER_SECONDS, Connection.check_liveness
         )
@@ -129,6 +174,7 @@
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Sets up the connection; the connecting side sends its Hello first."""
         self.transport = transport
+        self.last_request_at = self.loop.time()
         sockets.set_options(transport)
         if self.handler is None:
             self.send_hello()
@@ -161,6 +207,9 @@
                 f" {body.role} of host {body.host}"
             )
         self.peer_hello = body
+        self.round_trip = self.loop.time() - self.last_request_at
+        if not (self.local_hello.takes_queries and body.takes_queries):
+            self.on_silent = None
         if self.handler is not None:
             self.send_hello()
         if not self.handshake_done.done():
@@ -244,10 +293,15 @@
     def start_handler(self, envelope: messages.Envelope) -> None:
         """Starts the task that handles a request.
 
+        A request on a superseded connection is dropped: the peer no longer
+        waits for a reply here.
+
         Raises:
           errors.PeerProtocolError: the peer has too many requests in progress,
             or one on the same stream.
         """
+        if self.superseded:
+            return
         stream = envelope.stream
         if (
             stream in self.handler_tasks
@@ -299,8 +353,10 @@
 
     def is_known_to_peer(self, body: messages.EnvelopeBody) -> bool:
         """Returns whether the peer's version knows a kind of request."""
-        is_notice = type(body) is messages.QuarantineNotice
-        return not is_notice or self.peer_hello.takes_notices
+        kind = type(body)
+        if kind is messages.QuarantineNotice:
+            return self.peer_hello.takes_notices
+        return kind is not messages.CallQuery or self.peer_hello.takes_queries
 
     async def send_request(
         self, body: messages.EnvelopeBody, timeout: float
@@ -308,7 +364,8 @@
         """Sends a request and returns its reply within timeout seconds.
 
         Raises:
-          errors.PeerUnreachableError: no byte of the request was sent.
+          errors.PeerUnreachableError: no byte of the request was sent, or the
+            peer has refused it for good in reply to a query.
           errors.PeerBrokenError: it was sent, but no reply can come any more,
             or the peer replied with a Failure.
           TimeoutError: it was sent, but no reply came in time.
@@ -325,7 +382,7 @@
         future = self.loop.create_future()
         self.pending_requests[stream] = future
         if is_tracked(body):
-            self.track_request(stream, body)
+            self.track_request(stream, body, self.last_request_at + timeout)
         timer = self.loop.call_later(timeout, fail_with_timeout, future)
         try:
             reply = await future
@@ -336,33 +393,84 @@
             timer.cancel()
             del self.pending_requests[stream]
             self.untrack_request(stream)
-            if self.unresponsive and not self.pending_requests:
-                self.close(UNRESPONSIVE_MESSAGE)
+            if self.retired or self.unresponsive:
+                self.close_if_unused()
         if isinstance(reply, messages.Failure):
             raise errors.PeerBrokenError(reply.text)
         return reply
 
-    def track_request(self, stream: int, body: messages.EnvelopeBody) -> None:
+    def close_if_unused(self) -> None:
+        """Closes a connection that gets no new requests after its last one."""
+        if not self.pending_requests:
+            self.close(
+                UNRESPONSIVE_MESSAGE if self.unresponsive else "replaced"
+            )
+
+    def retire(self) -> None:
+        """Notes that a newer connection has replaced this one."""
+        self.retired = True
+        self.close_if_unused()
+
+    def track_request(
+        self, stream: int, body: messages.EnvelopeBody, deadline: float
+    ) -> None:
         """Adds a request; the liveness check runs while there are any."""
-        if not self.tracked_requests:
+        is_first = not self.tracked_requests
+        if is_first:
             self.last_received_at = self.last_request_at
-            self.ping_sent = False
-        self.tracked_requests.add(stream)
-        if isinstance(body, messages.Call) and not body.idempotent:
-            self.non_idempotent_calls.add(stream)
+            self.ping_sent_at = 0.0
+        self.tracked_requests[stream] = TrackedRequest(body, deadline)
+        if isinstance(body, messages.Call):
+            if not body.idempotent:
+                self.non_idempotent_calls.add(stream)
+            if self.on_silent is not None:
+                self.adapt_waits(body.patience_ms, is_first)
         self.liveness_check.add(self)
 
+    def adapt_waits(self, patience_ms: int, is_first: bool) -> None:
+        """Adapts the waits to the call with the least patience.
+
+        Args:
+          patience_ms: patience of a new call, 0 if it has none.
+          is_first: whether no other request is tracked.
+        """
+        is_shorter = not self.patience_ms or patience_ms < self.patience_ms
+        if patience_ms == self.patience_ms or not (
+            is_first or (patience_ms and is_shorter)
+        ):
+            return
+        self.patience_ms = patience_ms
+        self.waits = silence.find_waits(
+            self.silence_share, patience_ms, self.round_trip
+        )
+        # The check is shared by all connections and stays at the shortest
+        # interval that any of them has needed.
+        self.liveness_check.interval = min(
+            self.liveness_check.interval, self.waits.check_interval
+        )
+
+    def tolerate_silence(self) -> None:
+        """Doubles the waits, as the peer was slow and not gone.
+
+        Otherwise a peer under heavy load would be connected to again and again.
+        """
+        self.silence_share *= 2
+        self.waits = silence.find_waits(
+            self.silence_share, self.patience_ms, self.round_trip
+        )
+
     def untrack_request(self, stream: int) -> None:
         """Removes a request that has ended."""
-        self.tracked_requests.discard(stream)
+        self.tracked_requests.pop(stream, None)
         self.non_idempotent_calls.discard(stream)
+        self.queried_calls.discard(stream)
         if not self.tracked_requests:
             self.liveness_check.discard(self)
 
     def record_received(self) -> None:
         """Records that bytes of the peer have been received."""
         self.last_received_at = self.loop.time()
-        self.ping_sent = False
+        self.ping_sent_at = 0.0
 
     def check_liveness(self) -> None:
         """Sends a Ping on a silent connection, or marks it as unresponsive.
@@ -375,12 +483,20 @@
         if self.closed or self.unresponsive:
             self.liveness_check.discard(self)
             return
-        silent_seconds = self.loop.time() - self.last_received_at
+        now = self.loop.time()
+        silent_seconds = now - self.last_received_at
         if silent_seconds >= UNRESPONSIVE_AFTER_SECONDS:
             self.mark_unresponsive()
             return
-        if silent_seconds >= PING_AFTER_SECONDS and not self.ping_sent:
-            self.ping_sent = True
+        if self.ping_sent_at:
+            # Counted from the Ping, which is late if this process was stalled.
+            if (
+                self.on_silent is not None
+                and now - self.ping_sent_at >= self.waits.reply_within
+            ):
+                self.on_silent(self)
+        elif silent_seconds >= self.waits.ping_after:
+            self.ping_sent_at = now
             ping = messages.Envelope(stream=PING_STREAM, body=messages.Ping())
             self.send(ping)
 
@@ -402,7 +518,11 @@
             waiting=len(self.non_idempotent_calls),
         )
         for stream, future in self.pending_requests.items():
-            if stream not in self.non_idempotent_calls and not future.done():
+            is_kept = (
+                stream in self.non_idempotent_calls
+                or stream in self.queried_calls
+            )
+            if not is_kept and not future.done():
                 future.set_exception(
                     errors.PeerBrokenError(UNRESPONSIVE_MESSAGE)
                 )
@@ -479,8 +599,8 @@
         self.liveness_check.discard(self)
         if self.transport is not None:
             self.close_transport(self.transport)
-        for future in self.pending_requests.values():
-            if not future.done():
+        for stream, future in self.pending_requests.items():
+            if not future.done() and stream not in self.queried_calls:
                 future.set_exception(errors.PeerBrokenError(reason))
         for task in list(self.handler_tasks.values()):
             task.cancel()
@@ -493,7 +613,7 @@
     that the pings would cost more than the renewals.
     """
     match body:
-        case messages.Call():
+        case messages.Call() | messages.CallQuery():
             return True
         case messages.LeaseRenew(hold_ms=0):
             return True
--- a/mangobay/errors.py
+++ b/mangobay/errors.py
@@ -54,6 +54,10 @@
     """The request could not be sent: no byte of it was written."""
 
 
+class CallRefusedError(PeerUnreachableError):
+    """The call was sent, but the peer refused it for good before it arrived."""
+
+
 class PeerBrokenError(PeerError):
     """The request was sent but no reply can come: its outcome is unknown."""
 
--- a/mangobay/nodegauges.py
+++ b/mangobay/nodegauges.py
@@ -1,8 +1,9 @@
 """The gauges of a node's current state."""
 
+import functools
 import typing
 
-from mangobay import metrics
+from mangobay import callresolution, metrics
 
 if typing.TYPE_CHECKING:
     from mangobay import basenode
@@ -57,6 +58,39 @@
                 node.executor.guard.refused_count if node.executor.guard else 0
             ),
         ),
+        metrics.Gauge(
+            name="silent_connections",
+            help="Silent connections to other nodes that were replaced since "
+            "the start.",
+            read_value=lambda: node.peer_client.resolver.replaced_count,
+        ),
+        *(
+            metrics.Gauge(
+                name=f"queried_calls_{result.value}",
+                help="Calls on such connections since the start, by what the "
+                "other node told of them.",
+                read_value=functools.partial(
+                    node.peer_client.resolver.counts.__getitem__, result
+                ),
+            )
+            for result in callresolution.Resolution
+        ),
+        metrics.Gauge(
+            name="remembered_calls",
+            help="Ended calls of other nodes that this node can be asked about.",
+            read_value=lambda: len(node.call_memory.ended),
+        ),
+        metrics.Gauge(
+            name="remembered_reply_bytes",
+            help="Memory of the replies of these calls.",
+            read_value=lambda: node.call_memory.kept_bytes,
+        ),
+        metrics.Gauge(
+            name="query_refusals",
+            help="Calls of other nodes refused by their queries since the "
+            "start.",
+            read_value=lambda: node.call_memory.refused_count,
+        ),
         metrics.Gauge(
             name="announced_rate_limit",
             help="Requests per second that the backend server here accepts "
--- a/mangobay/peers.py
+++ b/mangobay/peers.py
@@ -2,10 +2,13 @@
 
 import asyncio
 import dataclasses
+import functools
+import itertools
 import random
 import typing
 
 from mangobay import (
+    callresolution,
     connections,
     errors,
     listening,
@@ -20,6 +23,12 @@
 """Delay in seconds after a failed connection attempt; doubled each time."""
 MAX_BACKOFF_SECONDS = 0.5
 """Maximum delay in seconds, within which a recovered host is found again."""
+SUPERSEDED_SECONDS = 5.0
+"""Time after which a connection closes that its peer has replaced.
+
+It gives the peer time to ask about all calls on it, also over a third
+connection.  A connection that has gone silent would otherwise stay open.
+"""
 CLOSE_TIMEOUT_SECONDS = 1.0
 """Maximum wait in seconds for closed connections to end."""
 
@@ -39,7 +48,8 @@
         """Returns the reply to one request within timeout seconds.
 
         Raises:
-          errors.PeerUnreachableError: no byte of the request was sent.
+          errors.PeerUnreachableError: no byte of the request was sent, or the
+            peer has refused it for good in reply to a query.
           errors.PeerBrokenError: it was sent, but no reply can come any more.
           TimeoutError: it was sent, but no reply came in time.
         """
@@ -84,6 +94,8 @@
       peers: the peers by address.
       sweep_timer: timer of close_idle_connections.
       liveness_check: checks the connections that have pending calls.
+      silence_share: share of the calls' patience that `silence` uses.
+      resolver: asks peers about the calls on silent connections.
     """
 
     def __init__(
@@ -93,6 +105,7 @@
         identity: tls.Identity | None = None,
         limits: Limits | None = None,
         rng: random.Random | None = None,
+        silence_share: float = 0.0,
     ):
         self.hello = hello
         self.identity = identity
@@ -106,6 +119,8 @@
                 connections.Connection.check_liveness,
             )
         )
+        self.silence_share = silence_share
+        self.resolver = callresolution.CallResolver()
 
     async def send_request(
         self,
@@ -118,7 +133,8 @@
         Sends Cancel when the calling task is cancelled or the timeout passes.
 
         Raises:
-          errors.PeerUnreachableError: no byte of the request was sent.
+          errors.PeerUnreachableError: no byte of the request was sent, or the
+            peer has refused it for good in reply to a query.
           errors.PeerBrokenError: it was sent, but no reply can come any more.
           TimeoutError: it was sent, but no reply came in time.
         """
@@ -176,7 +192,7 @@
         loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(self.limits.connect_timeout):
-                connection = await self.open_connection(address)
+                connection = await self.open_connection(address, peer)
         except (OSError, errors.PeerError) as error:
             peer.consecutive_failures += 1
             backoff = min(
@@ -198,19 +214,47 @@
         finally:
             peer.connect_task = None
         peer.consecutive_failures = 0
+        if peer.connection is not None:
+            peer.connection.retire()
         peer.connection = connection
         if self.sweep_timer is None:
             self.close_idle_connections()
         return connection
 
+    async def find_newer_connection(
+        self,
+        address: options.Address,
+        peer: Peer,
+        silent: connections.Connection,
+    ) -> connections.Connection:
+        """Returns a usable connection that is not a given silent one.
+
+        Raises:
+          errors.PeerUnreachableError: connecting failed, or takes too long.
+        """
+        newest = peer.connection
+        is_usable = not newest.closed and not newest.unresponsive
+        if newest is not silent and is_usable:
+            return newest
+        timeout = self.limits.connect_timeout
+        return await self.acquire_connection(address, peer, timeout)
+
     async def open_connection(
-        self, address: options.Address
+        self, address: options.Address, peer: Peer
     ) -> connections.Connection:
         """Returns a new connection after the exchange of Hellos."""
         context = self.identity.get_client_context() if self.identity else None
+        find_newer = functools.partial(
+            self.find_newer_connection, address, peer
+        )
         _, connection = await asyncio.get_running_loop().create_connection(
             lambda: connections.Connection(
-                self.hello, self.limits, liveness_check=self.liveness_check
+                self.hello,
+                self.limits,
+                liveness_check=self.liveness_check,
+                on_silent=lambda silent: self.resolver.resolve(
+                    silent, find_newer
+                ),
             ),
             address.ip,
             address.port,
@@ -221,6 +265,7 @@
         except BaseException:
             connection.close()
             raise
+        connection.silence_share = self.silence_share
         return connection
 
     def close_idle_connections(self) -> None:
@@ -245,6 +290,7 @@
         """Closes all connections."""
         if self.sweep_timer is not None:
             self.sweep_timer.cancel()
+        await self.resolver.close()
         pending: list[asyncio.Future] = []
         for peer in self.peers.values():
             if peer.connect_task is not None:
@@ -263,12 +309,14 @@
 
     Attributes:
       listener: the listener that accepted it.
+      number: its number in the order in which connections were accepted.
       hello_timer: closes the connection if no Hello comes in time.
     """
 
     def __init__(self, listener: "Listener"):
         super().__init__(listener.hello, listener.limits, listener.handler)
         self.listener = listener
+        self.number = next(listener.connection_numbers)
         self.hello_timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.Transport) -> None:
@@ -294,6 +342,15 @@
         self.hello_timer.cancel()
         self.listener.connections.add(self)
 
+    def supersede(self) -> None:
+        """Drops requests that arrive from now on, and closes it after a while.
+
+        It is closed without flushing, since nobody reads what it sends.
+        """
+        if not self.superseded:
+            self.superseded = True
+            self.loop.call_later(SUPERSEDED_SECONDS, self.transport.abort)
+
     def connection_lost(self, exc: Exception | None) -> None:
         """Fails the pending requests and removes it from the listener."""
         super().connection_lost(exc)
@@ -319,6 +376,7 @@
       connections: connections whose handshake is done.
       accepted_count: number of open connections, including those whose
         handshake is not done.
+      connection_numbers: numbers for connections.
       sweep_timer: timer of close_stalled_connections.
     """
 
@@ -337,8 +395,9 @@
         self.identity = identity
         self.limits = limits or Limits()
         self.server: asyncio.Server | None = None
-        self.connections: set[connections.Connection] = set()
+        self.connections: set[InboundConnection] = set()
         self.accepted_count = 0
+        self.connection_numbers = itertools.count()
         self.sweep_timer: asyncio.TimerHandle | None = None
 
     async def start(self) -> None:
@@ -384,6 +443,37 @@
             self.limits.frame_timeout / 2, self.close_stalled_connections
         )
 
+    def supersede_older(self, hello: messages.Hello) -> None:
+        """Drops what still arrives on older connections of the same process.
+
+        A process that asks about a call uses its older connections no more, but
+        what it has sent on them may arrive much later.
+
+        Args:
+          hello: the Hello of one of its connections.
+        """
+        same_process = [
+            connection
+            for connection in self.connections
+            if connection.peer_hello.incarnation == hello.incarnation
+        ]
+        numbers = [
+            connection.number
+            for connection in same_process
+            if connection.peer_hello is hello
+        ]
+        for connection in same_process:
+            if connection.number < max(numbers, default=0):
+                connection.supersede()
+
+    def detach_handler(self, task: asyncio.Task) -> None:
+        """Lets the task of a request go on when its connection ends."""
+        for connection in self.connections:
+            for stream, handler_task in connection.handler_tasks.items():
+                if handler_task is task:
+                    del connection.handler_tasks[stream]
+                    return
+
     def count_running_requests(self) -> int:
         """Returns how many requests are being handled."""
         return sum(
