--- a/mangobay/callquery.py
+++ b/mangobay/callquery.py
@@ -21,6 +21,11 @@
 own clock.  A reply to a later query reaches no caller, so that a call which is
 forgotten after this time is never told to be not run.
 """
+FORGET_INTERVAL_SECONDS = 1.0
+"""Seconds between two searches for ended calls to forget.
+
+A search at each end of a call would cost more than the rest of the recording.
+"""
 REPLY_OVERHEAD_BYTES = 1024
 """Memory counted for a reply besides its body."""
 
@@ -72,6 +77,7 @@
       kept_replies: ids of the ended calls whose replies are kept, in the order
         of their ends.
       kept_bytes: memory of these replies.
+      forget_at: loop time of the next search for calls to forget.
       forgotten_until: loop time until which a call that is not known may be one
         that was forgotten before its deadline.
       refused_count: calls refused by queries since the start.
@@ -89,6 +95,7 @@
         )
         self.kept_replies: collections.deque[ids.CallId] = collections.deque()
         self.kept_bytes = 0
+        self.forget_at = 0.0
         self.forgotten_until = 0.0
         self.refused_count = 0
 
@@ -167,7 +174,10 @@
         self, call_id: ids.CallId, expires_at: float, reply: messages.Reply
     ) -> None:
         """Records an ended call, and forgets others to stay within bounds."""
-        self.forget_expired()
+        now = asyncio.get_running_loop().time()
+        if now >= self.forget_at:
+            self.forget_at = now + FORGET_INTERVAL_SECONDS
+            self.forget_expired(now)
         while len(self.ended) >= self.config.calls:
             oldest = self.forget_oldest()
             self.forgotten_until = max(self.forgotten_until, oldest.expires_at)
@@ -182,13 +192,12 @@
         while self.kept_bytes > self.config.reply_bytes:
             self.drop_oldest_reply()
 
-    def forget_expired(self) -> None:
+    def forget_expired(self, now: float) -> None:
         """Forgets the calls for which nobody waits any more.
 
         A call with a later deadline keeps those that ended after it; the number
         of calls is bounded in any case.
         """
-        now = asyncio.get_running_loop().time()
         while self.ended:
             oldest = self.ended[next(iter(self.ended))]
             if oldest.expires_at > now:
--- a/mangobay/callresolution.py
+++ b/mangobay/callresolution.py
@@ -132,17 +132,20 @@
         for stream, future in list(connection.pending_requests.items()):
             if future.done() or stream in connection.queried_calls:
                 continue
-            request = connection.tracked_requests.get(stream)
-            is_call = request and isinstance(request.body, messages.Call)
+            body, deadline = connection.tracked_requests.get(
+                stream, (None, 0.0)
+            )
+            is_call = isinstance(body, messages.Call)
             if is_call and is_same_process:
                 connection.queried_calls.add(stream)
                 task = self.start(
-                    self.query(connection, request, future, connect)
+                    self.query(connection, body, deadline, future, connect)
                 )
                 future.add_done_callback(lambda _, task=task: task.cancel())
                 queried_count += 1
                 continue
-            self.counts[Resolution.UNRESOLVED] += bool(is_call)
+            if is_call:
+                self.counts[Resolution.UNRESOLVED] += 1
             future.set_exception(errors.PeerBrokenError("replaced"))
         self.replaced_count += 1
         logs.log_event(
@@ -156,7 +159,8 @@
     async def query(
         self,
         silent: connections.Connection,
-        request: connections.TrackedRequest,
+        call: messages.Call,
+        deadline: float,
         future: asyncio.Future[messages.EnvelopeBody],
         connect: Connect,
     ) -> None:
@@ -164,7 +168,8 @@
 
         Args:
           silent: the connection on which the call was sent.
-          request: the call.
+          call: the call.
+          deadline: loop time at which it times out.
           future: receives its reply.  When it is done otherwise, as the reply
             came after all or the caller gave up, this task is cancelled.
           connect: returns the connection for the query.
@@ -172,7 +177,7 @@
         reply = None
         failure = errors.PeerBrokenError("unresolved")
         try:
-            reply = await self.send_query(silent, request, connect)
+            reply = await self.send_query(silent, call, deadline, connect)
         except TimeoutError as error:
             failure = error
         except errors.PeerError:
@@ -185,7 +190,8 @@
     async def send_query(
         self,
         silent: connections.Connection,
-        request: connections.TrackedRequest,
+        call: messages.Call,
+        deadline: float,
         connect: Connect,
     ) -> messages.EnvelopeBody:
         """Returns the reply to a query, which is sent until there is one.
@@ -206,14 +212,14 @@
                     != silent.peer_hello.incarnation
                 ):
                     break
-                seconds_left = max(request.deadline - loop.time(), 0.001)
+                seconds_left = max(deadline - loop.time(), 0.001)
                 query = messages.CallQuery(
-                    call_id=request.body.call_id,
+                    call_id=call.call_id,
                     time_left_ms=int(seconds_left * 1000),
                 )
                 return await newer.send_request(query, seconds_left)
             except errors.PeerError:
-                if request.body.idempotent:
+                if call.idempotent:
                     raise
             await asyncio.sleep(RETRY_SECONDS)
         raise errors.PeerBrokenError("the peer was restarted")
--- a/mangobay/connections.py
+++ b/mangobay/connections.py
@@ -7,7 +7,6 @@
 import asyncio
 import collections.abc
 import dataclasses
-import typing
 
 from mangobay import (
     eager,
@@ -45,6 +44,11 @@
 PING_STREAM = 0
 """Stream of Hello and Ping; requests have higher ones."""
 
+TrackedRequest = tuple[messages.EnvelopeBody, float]
+"""A request and the loop time of its deadline.
+
+A plain tuple, as one is made for each call.
+"""
 OnSilent = collections.abc.Callable[["Connection"], None]
 """Called at each check of a connection that is silent in spite of a Ping."""
 Handler = collections.abc.Callable[
@@ -80,18 +84,6 @@
     idle_timeout: float = 300
 
 
-class TrackedRequest(typing.NamedTuple):
-    """A pending request that the peer should reply to without delay.
-
-    Attributes:
-      body: the request.
-      deadline: loop time at which it times out.
-    """
-
-    body: messages.EnvelopeBody
-    deadline: float
-
-
 class Connection(asyncio.Protocol):
     """Sends requests and handles those of the peer.
 
@@ -125,6 +117,8 @@
       silence_share: share of the calls' patience that `silence` uses.
       on_silent: called while the connection is silent; None if its calls cannot
         be asked about elsewhere.
+      usual_silence: moving mean of the seconds without a byte while requests
+        are tracked.
       patience_ms: patience that `waits` was found for.
       waits: how long it may be silent.
       liveness_check: calls check_liveness; contains this connection while
@@ -166,6 +160,7 @@
         self.silence_share = 0.0
         self.on_silent = on_silent
         self.patience_ms = 0
+        self.usual_silence = 0.0
         self.waits = silence.DEFAULT_WAITS
         self.liveness_check = liveness_check or periodic.PeriodicCheck(
             PING_AFTER_SECONDS, Connection.check_liveness
@@ -419,7 +414,7 @@
         if is_first:
             self.last_received_at = self.last_request_at
             self.ping_sent_at = 0.0
-        self.tracked_requests[stream] = TrackedRequest(body, deadline)
+        self.tracked_requests[stream] = (body, deadline)
         if isinstance(body, messages.Call):
             if not body.idempotent:
                 self.non_idempotent_calls.add(stream)
@@ -469,7 +464,12 @@
 
     def record_received(self) -> None:
         """Records that bytes of the peer have been received."""
-        self.last_received_at = self.loop.time()
+        now = self.loop.time()
+        if self.tracked_requests:
+            self.usual_silence += silence.USUAL_WEIGHT * (
+                now - self.last_received_at - self.usual_silence
+            )
+        self.last_received_at = now
         self.ping_sent_at = 0.0
 
     def check_liveness(self) -> None:
@@ -487,6 +487,9 @@
         silent_seconds = now - self.last_received_at
         if silent_seconds >= UNRESPONSIVE_AFTER_SECONDS:
             self.mark_unresponsive()
+            # The check was too late to notice the silence before.
+            if self.on_silent is not None and not self.closed:
+                self.on_silent(self)
             return
         if self.ping_sent_at:
             # Counted from the Ping, which is late if this process was stalled.
@@ -495,7 +498,7 @@
                 and now - self.ping_sent_at >= self.waits.reply_within
             ):
                 self.on_silent(self)
-        elif silent_seconds >= self.waits.ping_after:
+        elif silent_seconds >= self.waits.ping_after_usual(self.usual_silence):
             self.ping_sent_at = now
             ping = messages.Envelope(stream=PING_STREAM, body=messages.Ping())
             self.send(ping)
--- a/mangobay/silence.py
+++ b/mangobay/silence.py
@@ -21,6 +21,14 @@
 A node under full load handles its sockets every 10 to 15 ms, and one whose host
 runs at a sixth of its speed every 60 to 90 ms.
 """
+USUAL_WEIGHT = 0.25
+"""Weight of the newest silence in the usual one."""
+USUAL_FACTOR = 2.0
+"""Multiple of the usual silence after which a Ping is sent at the earliest.
+
+Where a connection has few calls at once, each silence is as long as a call, and
+a Ping for each call would cost as much CPU time as a small call.
+"""
 CHECKS_PER_WAIT = 2
 """Checks of a connection within its shortest wait; more cost CPU time."""
 
@@ -42,6 +50,16 @@
         """Seconds between two checks of the connection."""
         return self.ping_after / CHECKS_PER_WAIT
 
+    def ping_after_usual(self, usual_silence: float) -> float:
+        """Returns the seconds of silence before a Ping.
+
+        Args:
+          usual_silence: seconds that silences last on the connection while
+            calls wait.
+        """
+        usual = min(USUAL_FACTOR * usual_silence, DEFAULT_PING_AFTER)
+        return max(self.ping_after, usual)
+
 
 DEFAULT_WAITS = Waits()
 
--- a/tests/silencefakes.py
+++ b/tests/silencefakes.py
@@ -7,6 +7,8 @@
 from mangobay.generated import messages, settings
 
 LOOPBACK = options.Address("127.0.0.1", 0)
+LONG_SECONDS = 0.22
+"""Time of a call that is longer than the wait before a Ping."""
 CONFIG = settings.NodeSilence(
     queries=True, share=0.3, calls=1000, reply_bytes=100_000
 )
@@ -113,6 +115,8 @@
         try:
             if call.operation == "slow":
                 await self.release.wait()
+            if call.operation == "long":
+                await asyncio.sleep(LONG_SECONDS)
         except asyncio.CancelledError:
             self.aborted.append(call.operation)
             raise
