A replaced connection closes at the called node once it is not used any more

Cause: the close of the calling node never arrives on a connection that has gone silent, so each would count against the limit of connections. Change: it is closed after 5 s, but not while a call from it runs, as the peer may have replaced a connection that was only slow. Connections are those of the same process only if the host, which the certificate proves, is the same too.

Result: test_replaced_connection_is_closed_at_the_called_node.

--- a/mangobay/peers.py
+++ b/mangobay/peers.py
@@ -24,10 +24,11 @@
 MAX_BACKOFF_SECONDS = 0.5
 """Maximum delay in seconds, within which a recovered host is found again."""
 SUPERSEDED_SECONDS = 5.0
-"""Time after which a connection closes that its peer has replaced.
+"""Seconds between two checks whether a connection that its peer has replaced is
+still used.
 
-It gives the peer time to ask about all calls on it, also over a third
-connection.  A connection that has gone silent would otherwise stay open.
+It would otherwise stay open: on a connection that has gone silent, the close of
+the peer never arrives.
 """
 CLOSE_TIMEOUT_SECONDS = 1.0
 """Maximum wait in seconds for closed connections to end."""
@@ -343,13 +344,21 @@
         self.listener.connections.add(self)
 
     def supersede(self) -> None:
-        """Drops requests that arrive from now on, and closes it after a while.
-
-        It is closed without flushing, since nobody reads what it sends.
-        """
+        """Drops requests that arrive from now on, and closes it after a while."""
         if not self.superseded:
             self.superseded = True
-            self.loop.call_later(SUPERSEDED_SECONDS, self.transport.abort)
+            self.loop.call_later(SUPERSEDED_SECONDS, self.close_superseded)
+
+    def close_superseded(self) -> None:
+        """Closes it, unless it still handles requests.
+
+        The peer may wait for their replies here, if the connection was only
+        slow.  It is closed without flushing, as it may be dead.
+        """
+        if self.handler_tasks:
+            self.loop.call_later(SUPERSEDED_SECONDS, self.close_superseded)
+            return
+        self.transport.abort()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Fails the pending requests and removes it from the listener."""
@@ -456,6 +465,7 @@
             connection
             for connection in self.connections
             if connection.peer_hello.incarnation == hello.incarnation
+            and connection.peer_hello.host == hello.host
         ]
         numbers = [
             connection.number
--- a/tests/test_silentconnections.py
+++ b/tests/test_silentconnections.py
@@ -125,6 +125,18 @@
         assert (await task).body == b"slow"
         assert setup.called.runs == ["first", "slow"]
 
+    async def test_replaced_connection_is_closed_at_the_called_node(
+        self, setup, monkeypatch
+    ):
+        """Guards against dead connections that use up the limit of a node."""
+        monkeypatch.setattr(peers, "SUPERSEDED_SECONDS", 0.05)
+        setup.proxy.links[0].silence()
+        with pytest.raises(errors.CallRefusedError):
+            await setup.send(call("lost"))
+        await nodes.wait_until(
+            lambda: len(setup.called.listener.connections) == 1
+        )
+
     async def test_reply_that_was_lost_is_sent_again(self, setup):
         setup.proxy.links[0].replies.clear()
         assert (await setup.send(call("book"))).body == b"book"
