--- a/tests/test_silentconnections.py
+++ b/tests/test_silentconnections.py
@@ -8,7 +8,14 @@
 import pytest
 import silencefakes
 
-from mangobay import callquery, callresolution, connections, errors, peers
+from mangobay import (
+    callquery,
+    callresolution,
+    connections,
+    errors,
+    peers,
+    silence,
+)
 from mangobay.generated import messages
 
 CALLER = messages.Hello(
@@ -75,6 +82,26 @@
     return await Setup().start(stack)
 
 
+class TestWaits:
+    """The decision how long a connection may be silent."""
+
+    @pytest.mark.parametrize("patience_ms", [1, 100, 500, 1000, 10_000])
+    @pytest.mark.parametrize("round_trip", [0.0, 0.11])
+    def test_slow_and_distant_nodes_have_time_to_reply(
+        self, patience_ms, round_trip
+    ):
+        """Guards against taking a node at a sixth of its speed for gone."""
+        waits = silence.find_waits(0.3, patience_ms, round_trip)
+        slow_iteration = 6 * 0.015
+        assert waits.reply_within >= round_trip + slow_iteration
+        assert round_trip < waits.ping_after <= silence.DEFAULT_PING_AFTER
+        assert waits.ping_after_usual(100.0) == silence.DEFAULT_PING_AFTER
+
+    def test_waits_follow_the_target_latency(self):
+        short, long = (silence.find_waits(0.3, ms, 0.0) for ms in (400, 800))
+        assert short.ping_after < long.ping_after
+
+
 class TestSilentConnection:
     """A connection that stops working without a reset."""
 
