Operations and messages say which responses may be large

A node held every response whole, since nothing told it which routes have responses that exceed its memory. Routes of the kind download now set large_responses on their operations, and the messages between nodes get the fields with which a reply can be sent in parts. All are additions with new numbers; nothing sets them yet. The extended test of download routes failed before: 'Route' has no attribute 'large_responses'.

--- a/mangobay/routes.py
+++ b/mangobay/routes.py
@@ -55,6 +55,8 @@
       weighted_services: the services that get the requests.
       max_attempts: most backend servers that one request is sent to.
       public: whether its requests need no key, although there are workspaces.
+      large_responses: whether responses may be too large to be held in memory
+        whole.
     """
 
     name: str
@@ -67,6 +69,7 @@
     weighted_services: tuple[WeightedService, ...]
     max_attempts: int
     public: bool = False
+    large_responses: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -326,6 +329,18 @@
         deadline_ms=int(route.timeout * 1000),
         tries=min(route.max_attempts - 1, MAX_TRIES),
         target_ms=int(min(route.target_latency, MAX_TIMEOUT_SECONDS) * 1000),
+        large_responses=route.large_responses,
+    )
+
+
+def without_large_responses(document: Document) -> Document:
+    """Returns a document whose responses are all passed on whole."""
+    return dataclasses.replace(
+        document,
+        routes=tuple(
+            dataclasses.replace(route, large_responses=False)
+            for route in document.routes
+        ),
     )
 
 
--- a/schema/messages.capnp
+++ b/schema/messages.capnp
@@ -79,6 +79,8 @@
   takesNotices @5 :Bool;
   # It knows QuarantineNotice; older processes end a connection on which one
   # comes.
+  takesParts @6 :Bool;
+  # It knows ReplyPart; older processes get whole replies.
 }
 
 struct ServerState {
@@ -124,6 +126,8 @@
   # Of the caller at the root of the tree; empty without one.
   serverStates @22 :List(ServerState);
   # What the sender knows of the receiver's backend server; at most one.
+  streamed @23 :Bool;
+  # The sender takes a large response in parts.
 }
 
 struct Reply {
@@ -153,6 +157,24 @@
   # Of the receiver's backend server, if limited or leaving; at most one.
   endIds @17 :List(Text);
   # Ends of backend servers under the call, and under the calls of its run.
+  streamed @18 :Bool;
+  # The body follows in ReplyPart messages on the same stream.  Its length, if
+  # known, is the last header.
+}
+
+struct ReplyPart {
+  # The next bytes of a streamed body.
+  data @0 :Data;
+  last @1 :Bool;
+  # No further part follows.
+  cutOff @2 :Bool;
+  # The body is incomplete; only in a last part.
+}
+
+struct ReplyCredit {
+  # The receiver of a streamed body has consumed bytes of it: the sender may
+  # send as many more.
+  bytes @0 :UInt32;
 }
 
 struct Cancel {
@@ -403,6 +425,8 @@
   tries @10 :UInt16;
   targetMs @11 :UInt32;
   # An answer within it has its full worth, milliseconds; 0: none is set.
+  largeResponses @12 :Bool;
+  # Responses may be too large to be held in memory whole.
 }
 
 struct TableUpdate {
@@ -718,5 +742,7 @@
     tokenReply @26 :TokenReply;
     quarantineNotice @27 :QuarantineNotice;
     quarantineState @28 :QuarantineState;
+    replyPart @29 :ReplyPart;
+    replyCredit @30 :ReplyCredit;
   }
 }
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -103,7 +103,13 @@
         document = documents.parse_document(
             configuration_with_cell("route_type", "download")
         )
-        assert document.routes[0].retry_safety is routes.RetrySafety.SAFE
+        route = document.routes[0]
+        assert route.retry_safety is routes.RetrySafety.SAFE
+        assert route.large_responses
+        operation = routes.RouteState(route).next_operation("GET")
+        assert operation.large_responses
+        whole = routes.without_large_responses(document)
+        assert not whole.routes[0].large_responses
 
     @pytest.mark.parametrize(
         ("broken", "where"),
