Connections between nodes carry large replies in parts

A reply was one frame, so its whole body was in memory at both nodes, and every other reply on the connection waited behind it. The body of a streamed reply now follows in parts of at most 32 KiB; the receiver gives credit for what it has read, so that at most 256 KiB are in flight or unread, and parts wait while the write buffer is full. A process that does not announce takesParts is not asked for them.

--- a/mangobay/connections.py
+++ b/mangobay/connections.py
@@ -8,7 +8,17 @@
 import collections.abc
 import dataclasses
 
-from mangobay import eager, errors, logs, periodic, sockets, tls, wire
+from mangobay import (
+    eager,
+    errors,
+    logs,
+    periodic,
+    replyparts,
+    responsestream,
+    sockets,
+    tls,
+    wire,
+)
 from mangobay.generated import messages
 
 PROTOCOL_VERSION = 2
@@ -80,6 +90,8 @@
       disconnected: future that is done once the connection has ended.
       pending_requests: futures of the requests sent, by stream.
       handler_tasks: tasks of the requests received, by stream.
+      bodies: the bodies of large replies, both ways.
+      write_gate: closed while the write buffer is full.
       partial_frame_since: loop time at which an incomplete frame began, or 0.
       last_request_at: loop time of the last request sent.
       tracked_requests: streams of the pending requests that the peer should
@@ -113,6 +125,8 @@
         self.decoder = wire.FrameDecoder(limits.max_frame_bytes)
         self.pending_requests: dict[int, asyncio.Future] = {}
         self.handler_tasks: dict[int, asyncio.Task] = {}
+        self.bodies = replyparts.PeerBodies(self)
+        self.write_gate = responsestream.WriteGate()
         self.last_stream = 0
         self.closed = False
         self.partial_frame_since = 0.0
@@ -133,6 +147,14 @@
         if self.handler is None:
             self.send_hello()
 
+    def pause_writing(self) -> None:
+        """Stops the parts of large replies while the write buffer is full."""
+        self.write_gate.close()
+
+    def resume_writing(self) -> None:
+        """Resumes the parts of large replies."""
+        self.write_gate.open()
+
     def send_hello(self) -> None:
         """Sends this process's Hello."""
         hello = dataclasses.replace(
@@ -231,6 +253,10 @@
                 pass
             case _ if envelope.stream in self.pending_requests:
                 self.resolve_request(envelope)
+            case messages.ReplyCredit():
+                self.bodies.add_credit(envelope.stream, envelope.body.bytes)
+            case _ if envelope.stream in self.bodies.receivers:
+                self.bodies.receive(envelope)
             case _ if self.handler is not None:
                 self.start_handler(envelope)
             # Otherwise it is the reply to a cancelled request: dropped.
@@ -238,8 +264,13 @@
     def resolve_request(self, envelope: messages.Envelope) -> None:
         """Resolves the pending request of the stream with its reply."""
         future = self.pending_requests[envelope.stream]
-        if not future.done():
-            future.set_result(envelope.body)
+        if future.done():
+            self.bodies.receive(envelope)
+            return
+        reply = envelope.body
+        if type(reply) is messages.Reply and reply.streamed:
+            reply = self.bodies.start_receiving(envelope.stream, reply)
+        future.set_result(reply)
 
     def start_handler(self, envelope: messages.Envelope) -> None:
         """Starts the task that handles a request.
@@ -276,6 +307,8 @@
         """
         try:
             reply = await self.handler(self.peer_hello, body)
+            if type(reply) is responsestream.StreamedReply:
+                reply = await self.bodies.send(stream, reply)
         except errors.MangobayError as error:
             reply = messages.Failure(text=str(error))
         except Exception as error:  # noqa: BLE001
@@ -318,6 +351,8 @@
             raise errors.PeerUnreachableError(
                 "the peer is too old to know this message"
             )
+        if type(body) is messages.Call and not self.peer_hello.takes_parts:
+            body.streamed = False
         self.last_request_at = self.loop.time()
         self.last_stream += 1
         stream = self.last_stream
@@ -331,11 +366,13 @@
             reply = await future
         except (TimeoutError, asyncio.CancelledError):
             self.send(messages.Envelope(stream=stream, body=messages.Cancel()))
+            self.bodies.abandon(stream)
             raise
         finally:
             timer.cancel()
             del self.pending_requests[stream]
-            self.untrack_request(stream)
+            if stream not in self.bodies.receivers:
+                self.untrack_request(stream)
             if self.unresponsive and not self.pending_requests:
                 self.close(UNRESPONSIVE_MESSAGE)
         if isinstance(reply, messages.Failure):
@@ -410,6 +447,7 @@
                     stream=stream, body=messages.Cancel()
                 )
                 self.send(cancel)
+        self.bodies.cut_off(UNRESPONSIVE_MESSAGE)
         if not self.non_idempotent_calls:
             self.close(UNRESPONSIVE_MESSAGE)
 
@@ -482,6 +520,7 @@
         for future in self.pending_requests.values():
             if not future.done():
                 future.set_exception(errors.PeerBrokenError(reason))
+        self.bodies.cut_off(reason)
         for task in list(self.handler_tasks.values()):
             task.cancel()
 
--- a/mangobay/errors.py
+++ b/mangobay/errors.py
@@ -90,6 +90,10 @@
     """The response is larger than the settings allow."""
 
 
+class ResponseCutOffError(MangobayError):
+    """A large response ended before its end, after its head was passed on."""
+
+
 class BackendTimeoutError(BackendError):
     """The deadline passed; the attempt records whether a byte was sent."""
 
--- a/mangobay/peers.py
+++ b/mangobay/peers.py
@@ -69,6 +69,7 @@
             return True
         return (
             not self.connection.pending_requests
+            and not self.connection.bodies.receivers
             and self.connection.last_request_at < since
         )
 
