The client of the backend server returns large responses early

It collected every response whole. For a request that allows it, a successful response above 64 KiB is now returned with its head; its body is read from the parser as it comes, and reading stops while 64 KiB are unread. The connection is reused only after the end. A backend server that sends nothing for 10 s while it may is cut off.

--- a/mangobay/backend.py
+++ b/mangobay/backend.py
@@ -3,6 +3,7 @@
 import collections.abc
 import dataclasses
 
+from mangobay import responsestream
 from mangobay.generated import messages
 
 BeforeSend = collections.abc.Callable[[], collections.abc.Awaitable[None]]
@@ -43,6 +44,8 @@
       idempotent: Whether it may use any kept-alive connection.
       deadline: Loop time sent to the backend server as a timeout.
       abort_at: Loop time at which the request is aborted.
+      streamed: Whether a large response is returned before its end; then the
+        times hold for its head.
     """
 
     method: str
@@ -52,6 +55,7 @@
     idempotent: bool
     deadline: float
     abort_at: float
+    streamed: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -75,13 +79,15 @@
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class Response:
-    """A complete response of a backend server.
+    """A response of a backend server, complete unless it has a stream.
 
     Attributes:
-      seconds: Time from sending the request to the complete response.
+      seconds: Time from sending the request to the complete response, or to
+        the head of a large one.
       shed: Whether the backend server says that it did not run the request.
       server_state: What the backend server says about itself, None if that
         cannot be told from the response.
+      stream: The body of a large response, None if `body` is complete.
     """
 
     status: int
@@ -90,3 +96,4 @@
     seconds: float
     shed: bool
     server_state: ServerState | None = None
+    stream: responsestream.Body | None = None
--- a/mangobay/httpparse.py
+++ b/mangobay/httpparse.py
@@ -79,6 +79,15 @@
             else b"".join(self.body_parts)
         )
 
+    def take_body(self) -> bytes:
+        """Returns the body received since the last call, and drops it.
+
+        `body_size` still counts it.
+        """
+        taken = self.body
+        self.body_parts.clear()
+        return taken
+
 
 class Parser:
     """Turns bytes into messages; subclasses read the start line.
--- a/mangobay/leanclient.py
+++ b/mangobay/leanclient.py
@@ -9,10 +9,12 @@
 import collections
 import collections.abc
 import dataclasses
+import functools
 import math
 
 from mangobay import (
     backend,
+    backendbody,
     errors,
     httpheaders,
     httpparse,
@@ -61,11 +63,13 @@
       attempt_id: id that the response must carry; empty accepts any response.
       future: receives the response.
       started_at: loop time of the first byte of the request.
+      streamed: whether a large response is delivered before its end.
     """
 
     attempt_id: ids.AttemptId
     future: asyncio.Future
     started_at: float
+    streamed: bool = False
 
 
 class Connection(leanhttp.BaseConnection):
@@ -76,6 +80,8 @@
       max_response_bytes: limit of a response body.
       pending: the request that awaits its response, None while idle.
       message: the response being received, None before its head is complete.
+      large_body: the body of a large response that was delivered before its
+        end, None for other responses.
       head_only: carries a HEAD request, whose response never has a body.
       reusable: another request may follow.
       idle_since: loop time of the last response.
@@ -87,6 +93,7 @@
         "head_only",
         "idle_since",
         "keep_alive",
+        "large_body",
         "message",
         "header_names",
         "parser",
@@ -108,6 +115,7 @@
         self.max_response_bytes = max_response_bytes
         self.pending: PendingRequest | None = None
         self.message: httpparse.Message | None = None
+        self.large_body: backendbody.BackendBody | None = None
         self.reusable = not head_only
         self.idle_since = loop.time()
         self.keep_alive = float("inf")
@@ -131,7 +139,7 @@
         for message in new_messages:
             self.handle_head(message)
         if self.message is not None:
-            self.check_size(self.message)
+            self.receive_body(self.message)
         if self.parser.error is not None:
             detail = f"malformed response: {self.parser.error}"
             self.fail(errors.BackendBrokenError(detail))
@@ -153,6 +161,32 @@
         if message.complete or self.head_only:
             self.deliver_response()
 
+    def receive_body(self, message: httpparse.Message) -> None:
+        """Takes the received part of a body."""
+        if self.large_body is not None:
+            self.large_body.receive()
+        elif self.should_stream(message):
+            self.deliver_head(message)
+        else:
+            self.check_size(message)
+
+    def should_stream(self, message: httpparse.Message) -> bool:
+        """Returns whether to deliver a response before its end."""
+        return (
+            self.pending.streamed
+            and not self.head_only
+            and not self.pending.future.done()
+            and backendbody.is_large(message)
+        )
+
+    def deliver_head(self, message: httpparse.Message) -> None:
+        """Completes the pending request with a response that continues."""
+        self.large_body = backendbody.BackendBody(self, message, self.loop)
+        self.large_body.receive()
+        response = self.make_response(message, b"")
+        response.stream = self.large_body.body
+        self.pending.future.set_result(response)
+
     def check_size(self, message: httpparse.Message) -> bool:
         """Returns whether a response is within the limit; fails it if not."""
         if message.body_size <= self.max_response_bytes:
@@ -167,24 +201,50 @@
     def deliver_response(self) -> None:
         """Completes the pending request with its response."""
         message, pending = self.message, self.pending
-        if message is None or pending is None or not self.check_size(message):
+        if message is None or pending is None:
             return
-        self.message = self.pending = None
-        now = self.loop.time()
-        self.idle_since = now
-        self.update_keep_alive(message)
-        response = backend.Response(
+        if pending.streamed and self.deliver_in_parts(message):
+            return
+        if not self.check_size(message):
+            return
+        body = b"" if self.head_only else message.body
+        response = self.make_response(message, body)
+        self.end_response(message)
+        if not pending.future.done():
+            pending.future.set_result(response)
+
+    def deliver_in_parts(self, message: httpparse.Message) -> bool:
+        """Completes a large response; returns False for any other."""
+        if self.large_body is None and self.should_stream(message):
+            self.deliver_head(message)
+        large_body, self.large_body = self.large_body, None
+        if large_body is None:
+            return False
+        large_body.receive()
+        self.end_response(message)
+        large_body.body.finish()
+        return True
+
+    def make_response(
+        self, message: httpparse.Message, body: bytes
+    ) -> backend.Response:
+        """Returns the response to the pending request."""
+        return backend.Response(
             status=message.status,
             headers=leanhttp.end_to_end_headers(
                 message, self.header_names.private
             ),
-            body=b"" if self.head_only else message.body,
-            seconds=now - pending.started_at,
+            body=body,
+            seconds=self.loop.time() - self.pending.started_at,
             shed=self.header_names.not_run in message.headers,
             server_state=parse_server_state(message, self.header_names),
         )
-        if not pending.future.done():
-            pending.future.set_result(response)
+
+    def end_response(self, message: httpparse.Message) -> None:
+        """Ends the exchange; the connection may carry another request."""
+        self.message = self.pending = None
+        self.idle_since = self.loop.time()
+        self.update_keep_alive(message)
 
     def update_keep_alive(self, message: httpparse.Message) -> None:
         """Updates whether and for how long the connection may be reused."""
@@ -220,11 +280,22 @@
     def fail(self, error: errors.BackendError) -> None:
         """Fails the pending request and closes the connection."""
         pending, self.pending = self.pending, None
+        large_body, self.large_body = self.large_body, None
         self.message = None
         self.abort()
+        if large_body is not None:
+            large_body.body.cut_off(str(error))
         if pending is not None and not pending.future.done():
             pending.future.set_exception(error)
 
+    def drop(self) -> None:
+        """Closes the connection; its response is no longer wanted."""
+        large_body, self.large_body = self.large_body, None
+        self.message = self.pending = None
+        self.abort()
+        if large_body is not None:
+            large_body.body.abandon()
+
     def abort(self) -> None:
         """Closes the connection immediately."""
         self.reusable = False
@@ -276,8 +347,10 @@
         request: backend.Request,
         attempt: backend.Attempt,
     ) -> backend.Response:
-        """Sends a request and returns its complete response.
+        """Sends a request and returns its response.
 
+        The response is complete, unless the request allows a stream and the
+        response is large; it holds the connection until the end of its body.
         Cancelling the task closes the connection, which also stops the work of
         the backend server.
 
@@ -303,8 +376,12 @@
                 )
             return await self.round_trip(connection, request, attempt)
         finally:
-            self.inflight -= 1
-            self.release_connection(address, connection)
+            if connection is None or connection.large_body is None:
+                self.end_request(address, connection)
+            else:
+                connection.large_body.body.add_end_callback(
+                    functools.partial(self.end_request, address, connection)
+                )
 
     async def round_trip(
         self,
@@ -316,15 +393,16 @@
         loop = asyncio.get_running_loop()
         now = loop.time()
         future = loop.create_future()
-        pending = PendingRequest(self.attempt_id_of(request), future, now)
+        pending = PendingRequest(
+            self.attempt_id_of(request), future, now, request.streamed
+        )
         attempt.sent = True
         connection.send(self.encode_request(request, now), pending)
         timer = loop.call_at(request.abort_at, fail_with_timeout, future)
         try:
             return await future
         except (asyncio.CancelledError, errors.BackendTimeoutError):
-            connection.pending = None
-            connection.abort()
+            connection.drop()
             raise
         finally:
             timer.cancel()
@@ -388,6 +466,13 @@
             raise errors.BackendUnreachableError(str(error)) from None
         return connection
 
+    def end_request(
+        self, address: options.Address, connection: Connection | None
+    ) -> None:
+        """Counts the end of a request, and releases its connection."""
+        self.inflight -= 1
+        self.release_connection(address, connection)
+
     def release_connection(
         self, address: options.Address, connection: Connection | None
     ) -> None:
--- a/tests/test_leanclient.py
+++ b/tests/test_leanclient.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from mangobay import backend, errors, leanclient, options
+from mangobay import backend, errors, leanclient, options, responsestream
 from mangobay.generated import messages
 
 HEADER_NAMES = leanclient.BackendHeaderNames(
@@ -86,6 +86,7 @@
             idempotent=idempotent,
             deadline=now + seconds,
             abort_at=now + seconds,
+            streamed=kwargs.get("streamed", False),
         )
         return await self.client.send(self.address, request, self.attempt)
 
@@ -266,3 +267,51 @@
             with pytest.raises(errors.BackendUnreachableError):
                 await server.send()
             assert not server.attempt.sent
+
+
+class TestLargeResponses:
+    """Responses that are returned before their end."""
+
+    LARGE = b"x" * (responsestream.WHOLE_BYTES + 1)
+
+    async def test_the_connection_is_reused_after_the_end(self):
+        """It carries the next request amid a body, or leaks; 1000 is no limit.
+
+        A response of the whole size is returned with its body as before.
+        """
+        whole = response_bytes(b"y" * 1000)
+        head, large = response_bytes(self.LARGE).split(b"\r\n\r\n")
+        async with ScriptedBackendServer(
+            [head + b"\r\n\r\n", large[:-1], large[-1:]], [whole]
+        ) as server:
+            response = await server.send(streamed=True)
+            assert response.body == b""
+            assert response.stream.length == len(self.LARGE)
+            assert server.client.inflight == 1
+            received = b""
+            while data := await response.stream.read(50_000):
+                received += data
+            assert received == self.LARGE
+            assert server.client.inflight == 0
+            again = await server.send("a2", streamed=True)
+            assert (again.stream, len(again.body)) == (None, 1000)
+            assert server.connections == 1
+
+    async def test_a_stalled_backend_server_is_cut_off(self, monkeypatch):
+        """Its body never ends, and its slot is never released."""
+        monkeypatch.setattr(responsestream, "STALL_SECONDS", 0.1)
+        halted = response_bytes(self.LARGE)[:-1]
+        async with ScriptedBackendServer([halted, b""], []) as server:
+            response = await server.send(streamed=True)
+            with pytest.raises(errors.ResponseCutOffError):
+                while await response.stream.read(50_000):
+                    await asyncio.sleep(0)
+            assert server.client.inflight == 0
+
+    async def test_whole_responses_stay_bounded(self):
+        """A process that takes no parts gets a response of any size."""
+        async with ScriptedBackendServer(
+            [response_bytes(self.LARGE)]
+        ) as server:
+            with pytest.raises(errors.ResponseTooLargeError):
+                await server.send()
