The server for callers writes large responses as they are read

A response was encoded whole into the write buffer. One with a stream is now written as fast as its caller reads, in its turn among pipelined responses: with its length if that is known, else in chunks, and to HTTP/1.0 up to the end of the connection.

--- a/mangobay/leanhttp.py
+++ b/mangobay/leanhttp.py
@@ -11,7 +11,7 @@
 import http
 import typing
 
-from mangobay import httpheaders
+from mangobay import httpheaders, responsestream
 from mangobay.generated import messages
 
 MAX_LINE_BYTES = 16 * 1024
@@ -86,11 +86,19 @@
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class Response:
-    """A complete response; `encode_response` adds its Content-Length."""
+    """A response; `encode_response` adds its Content-Length.
+
+    Attributes:
+      status: its status.
+      headers: its headers, without those of its framing.
+      body: the complete body.
+      stream: the body of a large response in place of `body`, else None.
+    """
 
     status: int
     headers: Headers = ()
     body: bytes = b""
+    stream: responsestream.Body | None = None
 
 
 @functools.lru_cache(maxsize=4096)
--- a/mangobay/leanserver.py
+++ b/mangobay/leanserver.py
@@ -14,6 +14,8 @@
     options,
     periodic,
     refusals,
+    responsestream,
+    responsewriter,
 )
 
 Handler = collections.abc.Callable[
@@ -66,12 +68,15 @@
       task: handles the request; None until the body is complete.
       response_bytes: the encoded response; empty until it is available.
       should_close: the connection is closed after the response.
+      turn: set once a large response may be written, after the responses to
+        the requests before; None for other responses.
     """
 
     message: httpparse.Message | None
     task: asyncio.Task | None = None
     response_bytes: bytes = b""
     should_close: bool = False
+    turn: asyncio.Event | None = None
 
 
 class Connection(leanhttp.BaseConnection):
@@ -85,6 +90,8 @@
         or 0.
       closing: no further requests are accepted.
       half_close_timer: set once the connection is half-closed; closes it.
+      write_gate: closed while the write buffer is full; None before the first
+        large response.
     """
 
     __slots__ = (
@@ -96,6 +103,7 @@
         "listener",
         "parser",
         "remote",
+        "write_gate",
     )
 
     def __init__(self, listener: "Listener"):
@@ -109,6 +117,7 @@
         self.request_started_at = 0.0
         self.closing = False
         self.half_close_timer: asyncio.TimerHandle | None = None
+        self.write_gate: responsestream.WriteGate | None = None
 
     def connection_made(self, transport) -> None:
         """Registers the connection; closes it if there are too many."""
@@ -140,12 +149,16 @@
         Responses that are not read take up memory of this process.
         """
         super().pause_writing()
+        if self.write_gate is not None:
+            self.write_gate.close()
         if self.transport is not None:
             self.transport.pause_reading()
 
     def resume_writing(self) -> None:
         """Resumes reading."""
         super().resume_writing()
+        if self.write_gate is not None:
+            self.write_gate.open()
         if self.transport is not None and not self.closing:
             self.transport.resume_reading()
 
@@ -243,11 +256,49 @@
         if self.listener.leaving and newest is exchange:
             exchange.should_close = True
             self.closing = True
+        if response.stream is not None:
+            await self.write_stream(exchange, response)
+            return
         exchange.response_bytes = leanhttp.encode_response(
             response, exchange.should_close, request.method == "HEAD"
         )
         self.flush()
 
+    async def write_stream(
+        self, exchange: Exchange, response: leanhttp.Response
+    ) -> None:
+        """Writes a large response once those before it are written."""
+        exchange.turn = asyncio.Event()
+        try:
+            self.flush()
+            await exchange.turn.wait()
+            if self.write_gate is None:
+                self.write_gate = responsestream.WriteGate()
+                self.write_gate.closed = self.writing_paused
+            writer = responsewriter.ResponseWriter(
+                self.transport, self.write_gate
+            )
+            framing = responsewriter.choose_framing(
+                response.stream, self.parser.is_http10()
+            )
+            if framing is responsewriter.Framing.CLOSE:
+                exchange.should_close = self.closing = True
+            complete = await writer.write(
+                response, framing, exchange.should_close
+            )
+        finally:
+            response.stream.abandon()
+        if complete:
+            self.end_stream(exchange)
+
+    def end_stream(self, exchange: Exchange) -> None:
+        """Continues after a large response."""
+        self.exchanges.popleft()
+        if exchange.should_close:
+            self.close()
+        else:
+            self.flush()
+
     def send_error(self, error: httpparse.ParseError) -> None:
         """Responds to malformed input after the responses that are due."""
         self.closing = True
@@ -284,6 +335,8 @@
             transport.write(
                 encoded[0] if len(encoded) == 1 else b"".join(encoded)
             )
+        if self.exchanges and self.exchanges[0].turn is not None:
+            self.exchanges[0].turn.set()
         if should_close:
             self.close()
         elif (
--- a/tests/test_leanserver.py
+++ b/tests/test_leanserver.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from mangobay import httpparse, leanhttp, leanserver, options
+from mangobay import httpparse, leanhttp, leanserver, options, responsestream
 
 LOOPBACK = options.Address("127.0.0.1", 0)
 
@@ -372,3 +372,83 @@
         recorder.release_events["/1"].set()
         assert (await read_response(reader))[1] == b"/1"
         writer.close()
+
+
+class LargeResponses:
+    """A handler that answers `/large` with a body that the test feeds."""
+
+    def __init__(self):
+        self.body = responsestream.Body(None, self)
+        self.was_abandoned = False
+
+    def consumed(self, byte_count):
+        pass
+
+    def abandoned(self):
+        self.was_abandoned = True
+
+    async def handle(self, request, connection):
+        if request.path == "/large":
+            return leanhttp.Response(status=200, stream=self.body)
+        return leanhttp.Response(status=200, body=request.path.encode())
+
+
+class TestLargeResponses:
+    """Responses that are written before their end."""
+
+    @pytest.fixture
+    async def large(self):
+        return LargeResponses()
+
+    @pytest.fixture
+    async def recorder(self, large):
+        return large
+
+    async def test_responses_keep_the_order_of_requests(self, listener, large):
+        """A response stands amid the body of the one before."""
+        reader, writer = await connect(listener)
+        writer.write(get("/1") + get("/large") + get("/3"))
+        large.body.feed(b"ab")
+        await asyncio.sleep(0.05)
+        large.body.feed(b"c")
+        large.body.finish()
+        assert (await read_response(reader))[1] == b"/1"
+        head = (await reader.readuntil(b"\r\n\r\n")).lower()
+        assert b"transfer-encoding: chunked" in head
+        chunks = b"2\r\nab\r\n1\r\nc\r\n0\r\n\r\n"
+        assert await reader.readexactly(len(chunks)) == chunks
+        assert (await read_response(reader))[1] == b"/3"
+        writer.close()
+
+    @pytest.mark.parametrize("complete", [True, False])
+    async def test_http_10_tells_the_end_by_the_connection(
+        self, listener, large, complete
+    ):
+        """A caller without chunks takes a body that was cut off for whole."""
+        reader, writer = await connect(listener)
+        writer.write(b"GET /large HTTP/1.0\r\n\r\n")
+        large.body.feed(b"part")
+        assert b"chunked" not in await reader.readuntil(b"\r\n\r\n")
+        assert await reader.readexactly(4) == b"part"
+        if complete:
+            large.body.finish()
+            assert await reader.read() == b""
+        else:
+            large.body.cut_off("test")
+            with pytest.raises(ConnectionResetError):
+                await reader.read()
+        writer.close()
+
+    async def test_a_caller_that_never_reads_is_disconnected(
+        self, listener, large, monkeypatch
+    ):
+        """It keeps a slot of the backend server for ever."""
+        monkeypatch.setattr(responsestream, "STALL_SECONDS", 0.1)
+        _, writer = await small_buffer_connection(*listener.address)
+        writer.write(get("/large"))
+        large.body.feed(bytes(16 * 1024 * 1024))
+        async with asyncio.timeout(5):
+            while not large.was_abandoned:
+                await asyncio.sleep(0.01)
+        assert not listener.connections
+        writer.close()
