Large responses pass through nodes with bounded memory

Responses of download routes were held whole by both nodes, and refused above answer_bytes. Calls of such routes now allow a stream; the slot and the call stay in progress at the backend server's node until the response has ended, without counting the time in which the caller kept it from being read. The setting large_responses in [limits] disables it, and gauges show how many are open, the bytes held, and how they ended.

--- a/mangobay/basenode.py
+++ b/mangobay/basenode.py
@@ -102,6 +102,7 @@
             data_centre=self.process.data_centre,
             incarnation=self.process.incarnation,
             role=ROLE,
+            takes_parts=config.limits.large_responses,
         )
         limits = peers.Limits(
             max_frame_bytes=config.limits.frame_bytes,
--- a/mangobay/dispatch.py
+++ b/mangobay/dispatch.py
@@ -20,6 +20,7 @@
     ownerattempts,
     peers,
     remotetraffic,
+    responsestream,
     retrybudget,
     retrypolicy,
     routing,
@@ -395,7 +396,7 @@
             remote_bytes += (
                 remotetraffic.CALL_OVERHEAD_BYTES
                 + len(request.body)
-                + len(reply.body)
+                + responsestream.size_of(reply)
             )
         if remote_bytes:
             self.dependencies.executor.remote_traffic.record_bytes(
@@ -428,6 +429,7 @@
             deadline_ms=max(int(seconds_left * 1000), 1),
             tries=lent,
             idempotent=operation.idempotent,
+            streamed=operation.large_responses,
             key=request.key
             if request.requires_owner
             else ids.IdempotencyKey(""),
@@ -481,7 +483,7 @@
         inflight=reply.inflight,
         limit=reply.limit,
         status=reply.status,
-        response_bytes=len(reply.body),
+        response_bytes=responsestream.size_of(reply),
         remote_bytes=reply.crossing,
         late=0 < request.operation.target_ms < seconds * 1000,
     )
--- a/mangobay/execution.py
+++ b/mangobay/execution.py
@@ -7,8 +7,10 @@
 import typing
 
 from mangobay import (
+    admission,
     admissionrequest,
     backend,
+    backendbody,
     calls,
     errors,
     httpheaders,
@@ -18,6 +20,7 @@
     logs,
     options,
     remotetraffic,
+    responsestream,
     retryallowance,
     runguard,
     shutdown,
@@ -79,12 +82,14 @@
       parents: calls that run at the backend server, by id. They may make child
         calls.
       unkeyed_tasks: tasks of non-idempotent calls without a key.
+      guard_tasks: tasks in which `guard` learns from large responses.
       open_calls: number of calls without a reply yet.
       sent_count: number of requests sent to the backend server.
       remote_traffic: bytes that child calls transfer to other data centres.
       state_updater: acts on what is learned about the backend server.
       guard: keeps requests from the backend server under which others have
         ended; None if they are not quarantined.
+      large_responses: whether large responses are passed on in parts.
     """
 
     def __init__(
@@ -102,11 +107,13 @@
         self.shutdown = shutdown.ShutdownSchedule()
         self.parents: dict[ids.CallId, calls.Parent] = {}
         self.unkeyed_tasks: set[asyncio.Task] = set()
+        self.guard_tasks: set[asyncio.Task] = set()
         self.open_calls = 0
         self.sent_count = 0
         self.remote_traffic = remotetraffic.RemoteTraffic()
         self.state_updater = stateupdates.ServerStateUpdater(local_services)
         self.guard: runguard.RunGuard | None = None
+        self.large_responses = False
 
     @property
     def idle(self) -> bool:
@@ -305,17 +312,22 @@
                 call, local_service, running_call, attempt, deadline
             )
         finally:
-            del self.parents[call.call_id]
-            now = asyncio.get_running_loop().time()
-            self.remote_traffic.record_run_end(call.operation, now)
-            permit.release(
-                now - started_at,
-                ok=calls.is_success(reply),
-                child_wait_seconds=running_call.child_wait_seconds_at(now),
-                backend_shed=reply.reason == Reason.BACKEND_SHED,
-                downstream_threshold=running_call.downstream_threshold,
-            )
-        if self.guard is not None:
+            body = responsestream.body_of(reply)
+            if body is None:
+                self.end_run(call, reply, running_call, permit, started_at)
+            else:
+                body.add_end_callback(
+                    functools.partial(
+                        self.end_streamed_run,
+                        call,
+                        reply,
+                        local_service,
+                        running_call,
+                        permit,
+                        started_at,
+                    )
+                )
+        if self.guard is not None and body is None:
             await self.guard.end(
                 call, reply, local_service, running_call, started_at
             )
@@ -329,6 +341,65 @@
         )
         return reply
 
+    def end_run(
+        self,
+        call: messages.Call,
+        reply: messages.Reply,
+        running_call: retryallowance.RunningCall,
+        permit: admission.Permit,
+        started_at: float,
+        paused_seconds: float = 0.0,
+    ) -> None:
+        """Releases the slot of a call that has ended at the backend server.
+
+        Args:
+          call: the call.
+          reply: its reply.
+          running_call: its child calls.
+          permit: its slot.
+          started_at: loop time at which it was sent.
+          paused_seconds: time in which the caller kept a large response from
+            being read; it tells nothing about the backend server.
+        """
+        del self.parents[call.call_id]
+        now = asyncio.get_running_loop().time()
+        self.remote_traffic.record_run_end(call.operation, now)
+        permit.release(
+            now - started_at - paused_seconds,
+            ok=calls.is_success(reply),
+            child_wait_seconds=running_call.child_wait_seconds_at(now),
+            backend_shed=reply.reason == Reason.BACKEND_SHED,
+            downstream_threshold=running_call.downstream_threshold,
+        )
+
+    def end_streamed_run(
+        self,
+        call: messages.Call,
+        reply: responsestream.StreamedReply,
+        local_service: localservices.LocalService,
+        running_call: retryallowance.RunningCall,
+        permit: admission.Permit,
+        started_at: float,
+    ) -> None:
+        """Does the same at the end of a large response, and learns from it."""
+        state = reply.source.state
+        result = reply
+        if state is not responsestream.State.COMPLETE:
+            result = calls.unknown_reply(Reason.INCOMPLETE_ANSWER)
+        paused_seconds = backendbody.paused_seconds(reply.source)
+        self.end_run(
+            call, result, running_call, permit, started_at, paused_seconds
+        )
+        if self.guard is None or state is responsestream.State.ABANDONED:
+            return
+        task = asyncio.create_task(
+            self.guard.end(
+                call, result, local_service, running_call, started_at
+            )
+        )
+        self.guard_tasks.add(task)
+        task.add_done_callback(self.guard_tasks.discard)
+
     async def send_to_backend(
         self,
         call: messages.Call,
@@ -347,6 +418,7 @@
             idempotent=call.idempotent,
             deadline=deadline,
             abort_at=deadline + overrun,
+            streamed=self.large_responses and call.streamed and call.idempotent,
         )
         try:
             response = await self.backend_client.send(
@@ -362,7 +434,13 @@
         finally:
             self.sent_count += attempt.sent
         self.state_updater.observe(local_service, response)
-        return self.reply_of(response, running_call)
+        reply = self.reply_of(response, running_call)
+        if response.stream is None:
+            return reply
+        if reply.outcome is not Outcome.ANSWERED:
+            response.stream.abandon()
+            return reply
+        return responsestream.StreamedReply.make(reply, response.stream)
 
     def reply_of(
         self,
--- a/mangobay/gateway.py
+++ b/mangobay/gateway.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import functools
 import typing
 
 from mangobay import (
@@ -21,6 +22,7 @@
     quotaclient,
     refusals,
     requestlog,
+    responsestream,
     retryallowance,
     routes,
     shutdown,
@@ -99,10 +101,20 @@
         )
         attempt_id = ids.AttemptId(header_value)
         self.call_ids_by_attempt[attempt_id] = call.call_id
+        body = None
         try:
-            return await super().admit_and_run(call, *args)
+            reply = await super().admit_and_run(call, *args)
+            body = responsestream.body_of(reply)
+            return reply
         finally:
-            self.call_ids_by_attempt.pop(attempt_id, None)
+            if body is None:
+                self.call_ids_by_attempt.pop(attempt_id, None)
+            else:
+                body.add_end_callback(
+                    functools.partial(
+                        self.call_ids_by_attempt.pop, attempt_id, None
+                    )
+                )
 
     def headers(
         self, call: messages.Call, local_service: localservices.LocalService
@@ -240,7 +252,10 @@
             self.access.give_back(entry.workspace, entry.token)
         if reply.outcome is Outcome.ANSWERED:
             return leanhttp.Response(
-                status=reply.status, headers=reply.headers, body=reply.body
+                status=reply.status,
+                headers=reply.headers,
+                body=reply.body,
+                stream=responsestream.body_of(reply),
             )
         return refusals.from_reply(reply)
 
--- a/mangobay/nodegauges.py
+++ b/mangobay/nodegauges.py
@@ -1,8 +1,9 @@
 """The gauges of a node's current state."""
 
+import functools
 import typing
 
-from mangobay import metrics
+from mangobay import metrics, responsestream
 
 if typing.TYPE_CHECKING:
     from mangobay import basenode
@@ -78,6 +79,27 @@
                 default=0,
             ),
         ),
+        metrics.Gauge(
+            name="large_responses_open",
+            help="Large responses that pass through this node now.",
+            read_value=lambda: len(responsestream.statistics.open_bodies),
+        ),
+        metrics.Gauge(
+            name="large_responses_unread_bytes",
+            help="Bytes of large responses held by this node.",
+            read_value=lambda: responsestream.statistics.unread_bytes,
+        ),
+        *(
+            metrics.Gauge(
+                name=f"large_responses_{state.value}",
+                help="Large responses since the start, by how they ended.",
+                read_value=functools.partial(
+                    responsestream.statistics.end_counts.__getitem__, state
+                ),
+            )
+            for state in responsestream.State
+            if state is not responsestream.State.OPEN
+        ),
         metrics.Gauge(
             name="leaving",
             help="1 while this node leaves.",
--- a/mangobay/routednode.py
+++ b/mangobay/routednode.py
@@ -90,6 +90,7 @@
             only_address(config.backend.address),
         )
         self.executor.state_updater.retire = self.heartbeat_receiver.retire
+        self.executor.large_responses = config.limits.large_responses
 
     def make_edges(self) -> None:
         """Creates the gateway and the HTTP listeners."""
@@ -193,6 +194,8 @@
         document = self.adapter.decode(
             routespublisher.decompress_document(change)
         )
+        if not self.config.limits.large_responses:
+            document = routes.without_large_responses(document)
         self.gateway.table = routes.RouteTable(document)
         self.metrics.retain_workspaces(
             {workspace.name for workspace in document.workspaces or ()}
--- a/tests/platformfakes.py
+++ b/tests/platformfakes.py
@@ -46,6 +46,7 @@
 peer = {ip}:{PEER}
 ready = {ip}:{READY}
 heartbeats = {ip}:{HEARTBEATS}
+metrics = {ip}:{METRICS}
 [control]
 hosts = {seeds}
 seeds = {seeds}
--- a/tests/test_execution.py
+++ b/tests/test_execution.py
@@ -1,19 +1,23 @@
 """Execution of calls, with a scripted client for the backend server."""
 
 import asyncio
+import unittest.mock
 
 import pytest
 
 from mangobay import (
     backend,
+    backendbody,
     calls,
     errors,
     execution,
     httpheaders,
+    httpparse,
     ids,
     knownstates,
     localservices,
     options,
+    responsestream,
 )
 from mangobay.generated import messages
 
@@ -40,6 +44,7 @@
         downstream_threshold=0,
     ):
         self.released_ok.append(ok)
+        self.released_seconds = seconds
         self.downstream_thresholds.append(downstream_threshold)
 
 
@@ -415,3 +420,59 @@
         )
         reply = await executor.serve(request)
         assert bool(reply.server_states) is applies
+
+
+@pytest.mark.looptime
+class TestLargeResponses:
+    """The slot of a response that is passed on before its end."""
+
+    async def serve(self):
+        """Returns an executor, its permit and the body of a large response."""
+        message = httpparse.Message(status=200, body_parts=[bytes(100_000)])
+        connection = unittest.mock.Mock()
+        loop = asyncio.get_running_loop()
+        source = backendbody.BackendBody(connection, message, loop)
+
+        async def respond(attempt):
+            attempt.sent = True
+            return backend.Response(
+                status=200,
+                headers=[],
+                body=b"",
+                seconds=0.1,
+                shed=False,
+                stream=source.body,
+            )
+
+        executor = make_executor(respond)
+        reply = await executor.serve(call())
+        assert reply.tries_left == 5
+        permit = executor.local_services.find("stock").admission.permit
+        assert not permit.released_ok
+        assert not executor.idle
+        return source, permit, executor
+
+    async def test_it_is_held_until_the_end(self):
+        """Slow callers are taken for a slow backend server."""
+        source, permit, executor = await self.serve()
+        await asyncio.sleep(2.0)
+        source.receive()
+        await asyncio.sleep(7.0)
+        while source.body.unread_bytes:
+            await source.body.read(responsestream.PART_BYTES)
+        await asyncio.sleep(1.0)
+        source.body.finish()
+        assert permit.released_ok == [True]
+        assert permit.released_seconds == pytest.approx(3.0, abs=0.1)
+        assert executor.idle
+
+    @pytest.mark.parametrize("ending", ["abandon", "cut_off"])
+    async def test_a_response_without_its_end_releases_it(self, ending):
+        """The slots of responses that broke off are lost."""
+        source, permit, executor = await self.serve()
+        if ending == "cut_off":
+            source.body.cut_off("test")
+        else:
+            source.body.abandon()
+        assert permit.released_ok == [False]
+        assert executor.idle
