--- a/bench/soak/dialect.py
+++ b/bench/soak/dialect.py
@@ -72,12 +72,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Route:
-    """One route of a configuration; `timeout` in seconds."""
+    """One route of a configuration; `timeout` in seconds.
+
+    `large` tells that its responses may be large; they are repeatable then.
+    """
 
     hostname: str
     service: ids.ServiceName
     repeatable: bool
     timeout: float
+    large: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/mangobay/connections.py
+++ b/mangobay/connections.py
@@ -255,11 +255,12 @@
                 self.resolve_request(envelope)
             case messages.ReplyCredit():
                 self.bodies.add_credit(envelope.stream, envelope.body.bytes)
-            case _ if envelope.stream in self.bodies.receivers:
-                self.bodies.receive(envelope)
             case _ if self.handler is not None:
                 self.start_handler(envelope)
-            # Otherwise it is the reply to a cancelled request: dropped.
+            case _:
+                # A part of a large reply, or dropped: the reply to a cancelled
+                # request.
+                self.bodies.receive(envelope)
 
     def resolve_request(self, envelope: messages.Envelope) -> None:
         """Resolves the pending request of the stream with its reply."""
--- a/mangobay/execution.py
+++ b/mangobay/execution.py
@@ -312,11 +312,10 @@
                 call, local_service, running_call, attempt, deadline
             )
         finally:
-            body = responsestream.body_of(reply)
-            if body is None:
+            if not reply.streamed:
                 self.end_run(call, reply, running_call, permit, started_at)
             else:
-                body.add_end_callback(
+                reply.source.add_end_callback(
                     functools.partial(
                         self.end_streamed_run,
                         call,
@@ -327,7 +326,7 @@
                         started_at,
                     )
                 )
-        if self.guard is not None and body is None:
+        if self.guard is not None and not reply.streamed:
             await self.guard.end(
                 call, reply, local_service, running_call, started_at
             )
@@ -418,7 +417,7 @@
             idempotent=call.idempotent,
             deadline=deadline,
             abort_at=deadline + overrun,
-            streamed=self.large_responses and call.streamed and call.idempotent,
+            streamed=call.streamed and call.idempotent and self.large_responses,
         )
         try:
             response = await self.backend_client.send(
--- a/mangobay/leanclient.py
+++ b/mangobay/leanclient.py
@@ -183,7 +183,8 @@
         """Completes the pending request with a response that continues."""
         self.large_body = backendbody.BackendBody(self, message, self.loop)
         self.large_body.receive()
-        response = self.make_response(message, b"")
+        seconds = self.loop.time() - self.pending.started_at
+        response = self.make_response(message, b"", seconds)
         response.stream = self.large_body.body
         self.pending.future.set_result(response)
 
@@ -207,9 +208,12 @@
             return
         if not self.check_size(message):
             return
+        self.message = self.pending = None
+        now = self.loop.time()
+        self.idle_since = now
+        self.update_keep_alive(message)
         body = b"" if self.head_only else message.body
-        response = self.make_response(message, body)
-        self.end_response(message)
+        response = self.make_response(message, body, now - pending.started_at)
         if not pending.future.done():
             pending.future.set_result(response)
 
@@ -221,31 +225,27 @@
         if large_body is None:
             return False
         large_body.receive()
-        self.end_response(message)
+        self.message = self.pending = None
+        self.idle_since = self.loop.time()
+        self.update_keep_alive(message)
         large_body.body.finish()
         return True
 
     def make_response(
-        self, message: httpparse.Message, body: bytes
+        self, message: httpparse.Message, body: bytes, seconds: float
     ) -> backend.Response:
-        """Returns the response to the pending request."""
+        """Returns the response that takes so long, with a body."""
         return backend.Response(
             status=message.status,
             headers=leanhttp.end_to_end_headers(
                 message, self.header_names.private
             ),
             body=body,
-            seconds=self.loop.time() - self.pending.started_at,
+            seconds=seconds,
             shed=self.header_names.not_run in message.headers,
             server_state=parse_server_state(message, self.header_names),
         )
 
-    def end_response(self, message: httpparse.Message) -> None:
-        """Ends the exchange; the connection may carry another request."""
-        self.message = self.pending = None
-        self.idle_since = self.loop.time()
-        self.update_keep_alive(message)
-
     def update_keep_alive(self, message: httpparse.Message) -> None:
         """Updates whether and for how long the connection may be reused."""
         if message.should_close or not self.transport:
@@ -377,7 +377,8 @@
             return await self.round_trip(connection, request, attempt)
         finally:
             if connection is None or connection.large_body is None:
-                self.end_request(address, connection)
+                self.inflight -= 1
+                self.release_connection(address, connection)
             else:
                 connection.large_body.body.add_end_callback(
                     functools.partial(self.end_request, address, connection)
--- a/mangobay/responsestream.py
+++ b/mangobay/responsestream.py
@@ -237,12 +237,12 @@
 
 def body_of(reply: messages.Reply) -> Body | None:
     """Returns the body of a streamed reply, None for a whole one."""
-    return reply.source if type(reply) is StreamedReply else None
+    return reply.source if reply.streamed else None
 
 
 def size_of(reply: messages.Reply) -> int:
     """Returns the size of a reply's body in bytes, 0 if it is not known."""
-    if type(reply) is StreamedReply:
+    if reply.streamed:
         return reply.source.length or 0
     return len(reply.body)
 
