Large responses free their memory as they are read, and say why they broke off

A chunk of up to 256 KiB from the backend server stayed in memory until its last byte was read, while the next one was received.

A response that was cut off left only a line without its request. The entry node now logs it with its attempt, the other node with its operation. A node that leaves waits until the other node has taken the rest of its large replies; tests/test_replyparts.py guards it.

--- a/mangobay/execution.py
+++ b/mangobay/execution.py
@@ -385,6 +385,16 @@
         result = reply
         if state is not responsestream.State.COMPLETE:
             result = calls.unknown_reply(Reason.INCOMPLETE_ANSWER)
+        if state is responsestream.State.CUT_OFF:
+            logs.log_event(
+                logs.Component.CALL,
+                "large response of the backend server cut off",
+                service=call.service,
+                operation=call.operation,
+                caller=call.caller,
+                why=reply.source.cut_off_reason,
+                received_bytes=reply.source.received_bytes,
+            )
         paused_seconds = backendbody.paused_seconds(reply.source)
         self.end_run(
             call, result, running_call, permit, started_at, paused_seconds
--- a/mangobay/gateway.py
+++ b/mangobay/gateway.py
@@ -247,6 +247,12 @@
             )
             return refusals.from_reply(reply)
         reply = await self.dispatch(entry, attempt_id, parent)
+        if reply.streamed:
+            reply.source.add_end_callback(
+                functools.partial(
+                    self.log.log_cut_off, attempt_id, entry.call, reply
+                )
+            )
         self.record_outcome(entry, parent, reply)
         if entry.token is not None and reply.outcome is Outcome.NOT_RUN:
             self.access.give_back(entry.workspace, entry.token)
--- a/mangobay/peers.py
+++ b/mangobay/peers.py
@@ -393,9 +393,13 @@
 
     @property
     def pending_responses(self) -> int:
-        """Number of connections with bytes not yet passed to the kernel."""
+        """Number of connections with bytes not yet passed to the kernel.
+
+        The peer may not have given credit for the rest of a large reply.
+        """
         return sum(
-            connection.has_unsent_bytes for connection in self.connections
+            connection.has_unsent_bytes or bool(connection.bodies.senders)
+            for connection in self.connections
         )
 
     async def close(self, grace: float = 0) -> None:
--- a/mangobay/requestlog.py
+++ b/mangobay/requestlog.py
@@ -9,7 +9,7 @@
 import asyncio
 import math
 
-from mangobay import calls, ids, logs, routes
+from mangobay import calls, ids, logs, responsestream, routes
 from mangobay.generated import messages
 
 LINES_PER_SECOND = 50.0
@@ -95,6 +95,31 @@
             dropped=self.reset_dropped(),
         )
 
+    def log_cut_off(
+        self,
+        attempt: ids.AttemptId,
+        call: calls.Request,
+        reply: responsestream.StreamedReply,
+    ) -> None:
+        """Logs a large response whose caller did not get its end."""
+        body = reply.source
+        if body.state is not responsestream.State.CUT_OFF:
+            return
+        if not self.take_token():
+            return
+        logs.log_event(
+            logs.Component.CALL,
+            "large response cut off",
+            attempt=attempt,
+            route=call.operation.name,
+            service=call.operation.service,
+            host=reply.host,
+            why=body.cut_off_reason,
+            received_bytes=body.received_bytes,
+            length=body.length,
+            dropped=self.reset_dropped(),
+        )
+
     def take_token(self) -> bool:
         """Takes a token for a line; returns False if the line is dropped."""
         now = asyncio.get_running_loop().time()
--- a/mangobay/responsestream.py
+++ b/mangobay/responsestream.py
@@ -13,7 +13,7 @@
 import typing
 import weakref
 
-from mangobay import errors, logs
+from mangobay import errors
 from mangobay.generated import messages
 
 WHOLE_BYTES = 64 * 1024
@@ -86,6 +86,7 @@
       length: its size in bytes, None if the response does not tell.
       producer: where its bytes come from.
       state: how far it has got.
+      cut_off_reason: why it was cut off, empty if it was not.
       received_bytes: bytes received so far.
       unread_bytes: bytes received and not yet read.
       chunks: those bytes.
@@ -96,6 +97,7 @@
     __slots__ = (
         "__weakref__",
         "chunks",
+        "cut_off_reason",
         "end_callbacks",
         "length",
         "producer",
@@ -109,9 +111,10 @@
         self.length = length
         self.producer = producer
         self.state = State.OPEN
+        self.cut_off_reason = ""
         self.received_bytes = 0
         self.unread_bytes = 0
-        self.chunks: collections.deque[memoryview] = collections.deque()
+        self.chunks: collections.deque[bytes] = collections.deque()
         self.waiter: asyncio.Future | None = None
         self.end_callbacks: list[collections.abc.Callable[[], object]] = []
         statistics.open_bodies.add(self)
@@ -135,7 +138,9 @@
             self.producer.abandoned()
             return
         self.unread_bytes += len(data)
-        self.chunks.append(memoryview(data))
+        # One large chunk would stay in memory until its last byte is read.
+        for start in range(0, len(data), PART_BYTES):
+            self.chunks.append(data[start : start + PART_BYTES])
         self.wake()
 
     def finish(self) -> None:
@@ -149,13 +154,7 @@
         """Ends the body before its end, and drops what is not read."""
         if self.state is not State.OPEN:
             return
-        logs.log_event(
-            logs.Component.CALL,
-            "large response cut off",
-            why=reason,
-            received_bytes=self.received_bytes,
-            length=self.length,
-        )
+        self.cut_off_reason = reason
         self.discard(State.CUT_OFF)
         self.end(State.CUT_OFF)
 
@@ -211,7 +210,7 @@
         self.unread_bytes -= len(chunk)
         if self.state is State.OPEN:
             self.producer.consumed(len(chunk))
-        return bytes(chunk)
+        return chunk
 
 
 class StreamedReply(messages.Reply):
--- a/tests/test_large_responses.py
+++ b/tests/test_large_responses.py
@@ -303,6 +303,9 @@
         assert await opened.read_head() == 200
         await self.check_cut_off(opened)
         assert fleet.serving.run_counts["cut"] == 1
+        log = pathlib.Path(fleet.folder, f"n{number}.log").read_text()
+        lines = [line for line in log.splitlines() if '"cut"' in line]
+        assert "large response cut off" in lines[-1]
         await platformfakes.wait_until(lambda: released(fleet), 2.0)
 
     async def test_more_bytes_than_the_length(self, fleet):
--- a/tests/test_replyparts.py
+++ b/tests/test_replyparts.py
@@ -86,6 +86,8 @@
             reply = await both.call()
             await wait_until(lambda: reply.source.unread_bytes == WINDOW)
             await asyncio.sleep(0.05)
+            # Otherwise a node that leaves cuts the rest off.
+            assert both.listener.pending_responses
             sent = both.sources[0].body.received_bytes
             assert sent <= WINDOW + 2 * len(BLOCK)
             assert (await both.call(streamed=False)).body == b"whole"
