--- a/mangobay/leanserver.py
+++ b/mangobay/leanserver.py
@@ -291,6 +291,13 @@
         if complete:
             self.end_stream(exchange)
 
+    def is_streaming(self) -> bool:
+        """Returns whether a large response is being written."""
+        if not self.exchanges:
+            return False
+        turn = self.exchanges[0].turn
+        return turn is not None and turn.is_set()
+
     def end_stream(self, exchange: Exchange) -> None:
         """Continues after a large response."""
         self.exchanges.popleft()
@@ -369,6 +376,7 @@
         write side is closed, and further input is discarded.
         """
         self.closing = True
+        cuts_stream = self.is_streaming()
         for exchange in self.exchanges:
             if exchange.task is not None:
                 exchange.task.cancel()
@@ -376,6 +384,10 @@
         transport = self.transport
         if transport is None or self.half_close_timer is not None:
             return
+        if cuts_stream:
+            # An orderly end would complete a response without a length.
+            transport.abort()
+            return
         self.half_close_timer = self.loop.call_later(
             HALF_CLOSE_SECONDS, transport.close
         )
--- a/mangobay/responsewriter.py
+++ b/mangobay/responsewriter.py
@@ -10,6 +10,8 @@
 
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 """Value of SO_LINGER with which closing a socket resets the connection."""
+ORDERLY_CLOSE = struct.pack("ii", 0, 0)
+"""Value of SO_LINGER with which closing a socket ends the connection orderly."""
 LAST_CHUNK = b"0\r\n\r\n"
 
 
@@ -79,6 +81,10 @@
 
         Otherwise the connection is reset.
         """
+        if framing is Framing.CLOSE:
+            # The kernel closes the socket of a process that is killed; only a
+            # reset then shows the caller that the response is incomplete.
+            self.set_linger(RESET_ON_CLOSE)
         self.transport.write(encode_head(response, framing, should_close))
         try:
             while data := await response.stream.read(responsestream.PART_BYTES):
@@ -86,6 +92,9 @@
                     encode_chunk(data) if framing is Framing.CHUNKED else data
                 )
                 await self.wait_until_read()
+            if framing is Framing.CLOSE:
+                await self.drain()
+                self.set_linger(ORDERLY_CLOSE)
         except (errors.ResponseCutOffError, TimeoutError):
             self.reset()
             return False
@@ -109,10 +118,24 @@
         if self.transport.is_closing():
             raise errors.ResponseCutOffError("the caller has disconnected")
 
-    def reset(self) -> None:
-        """Resets the connection, which the caller can't take for an end."""
+    async def drain(self) -> None:
+        """Returns once the write buffer is empty.
+
+        Raises:
+          errors.ResponseCutOffError: the caller sends and reads no more.
+          TimeoutError: the caller reads too slowly.
+        """
+        self.transport.set_write_buffer_limits(high=0)
+        await self.wait_until_read()
+
+    def set_linger(self, value: bytes) -> None:
+        """Sets how closing the socket ends the connection."""
         sock = self.transport.get_extra_info("socket")
         # The socket of a caller that has disconnected is closed already.
         with contextlib.suppress(OSError):
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, value)
+
+    def reset(self) -> None:
+        """Resets the connection, which the caller can't take for an end."""
+        self.set_linger(RESET_ON_CLOSE)
         self.transport.abort()
--- a/tests/test_leanserver.py
+++ b/tests/test_leanserver.py
@@ -3,6 +3,7 @@
 import asyncio
 import gc
 import socket
+import struct
 
 import pytest
 
@@ -451,3 +452,39 @@
             while not large.was_abandoned or listener.connections:
                 await asyncio.sleep(0.01)
         writer.close()
+
+    async def open_http_10_stream(self, listener, large):
+        """Returns the connection of a caller amid a body without a length."""
+        reader, writer = await connect(listener)
+        writer.write(b"GET /large HTTP/1.0\r\n\r\n")
+        large.body.feed(b"part")
+        await reader.readuntil(b"\r\n\r\n")
+        assert await reader.readexactly(4) == b"part"
+        return reader, writer
+
+    async def test_a_shutdown_is_no_end_of_a_body(self, listener, large):
+        """A caller without chunks takes a body cut by a shutdown for whole."""
+        reader, writer = await self.open_http_10_stream(listener, large)
+        await listener.close()
+        with pytest.raises(ConnectionResetError):
+            await reader.read()
+        writer.close()
+
+    async def test_a_killed_process_resets_a_body(self, listener, large):
+        """The kernel ends the connection orderly when the process is killed.
+
+        The option must be cleared at the end, or complete bodies are reset.
+        """
+        reader, writer = await self.open_http_10_stream(listener, large)
+        (connection,) = listener.connections
+        sock = connection.transport.get_extra_info("socket")
+
+        def linger():
+            value = sock.getsockopt(socket.SOL_SOCKET, socket.SO_LINGER, 8)
+            return struct.unpack("ii", value)
+
+        assert linger() == (1, 0)
+        large.body.finish()
+        assert await reader.read() == b""
+        assert linger()[0] == 0
+        writer.close()
