--- a/mangobay/leanserver.py
+++ b/mangobay/leanserver.py
@@ -155,11 +155,17 @@
             self.transport.pause_reading()
 
     def resume_writing(self) -> None:
-        """Resumes reading."""
+        """Resumes reading.
+
+        While a large response is written, only reading notices that its caller
+        disconnects, so it resumes also if no more requests are accepted.
+        """
         super().resume_writing()
         if self.write_gate is not None:
             self.write_gate.open()
-        if self.transport is not None and not self.closing:
+        if self.transport is not None and (
+            not self.closing or self.is_streaming()
+        ):
             self.transport.resume_reading()
 
     def data_received(self, data: bytes) -> None:
--- a/tests/test_leanserver.py
+++ b/tests/test_leanserver.py
@@ -488,3 +488,25 @@
         assert await reader.read() == b""
         assert linger()[0] == 0
         writer.close()
+
+    async def test_a_caller_that_leaves_after_its_last_request(
+        self, listener, large
+    ):
+        """Its response is kept while the backend server sends nothing.
+
+        The write buffer was full before, which pauses reading.
+        """
+        reader, writer = await small_buffer_connection(*listener.address)
+        writer.write(get("/large", "Connection: close\r\n"))
+        sent_bytes = 16 * 1024 * 1024
+        large.body.feed(bytes(sent_bytes))
+        async with asyncio.timeout(10):
+            received_bytes = 0
+            while received_bytes < sent_bytes:
+                received_bytes += len(await reader.read(64 * 1024))
+            while large.body.unread_bytes:
+                await asyncio.sleep(0.01)
+        writer.close()
+        async with asyncio.timeout(0.5):
+            while not large.was_abandoned:
+                await asyncio.sleep(0.01)
