Requests behind a large response on a connection wait for its end

A second large response behind a slow one held its slot without being read until its credit expired, and its reset destroyed complete responses before it. Requests behind one that may be large are dispatched after it. A body that is cut off before its head gets status 502, and an incomplete response with a length or chunks ends the connection orderly.

--- a/mangobay/gateway.py
+++ b/mangobay/gateway.py
@@ -230,6 +230,8 @@
         try:
             self.check_accepting(parent)
             entry = self.make_entry(request, attempt_id, connection)
+            if entry.route.large_responses:
+                connection.hold_pipelining()
             if entry.workspace is not None and not entry.route.public:
                 entry.token = await self.access.acquire_token(
                     entry.workspace, entry.route
--- a/mangobay/leanserver.py
+++ b/mangobay/leanserver.py
@@ -70,6 +70,7 @@
       should_close: the connection is closed after the response.
       turn: set once a large response may be written, after the responses to
         the requests before; None for other responses.
+      framing: framing of a large response whose turn has come.
     """
 
     message: httpparse.Message | None
@@ -77,6 +78,7 @@
     response_bytes: bytes = b""
     should_close: bool = False
     turn: asyncio.Event | None = None
+    framing: responsewriter.Framing | None = None
 
 
 class Connection(leanhttp.BaseConnection):
@@ -92,6 +94,9 @@
       half_close_timer: set once the connection is half-closed; closes it.
       write_gate: closed while the write buffer is full; None before the first
         large response.
+      starting: the request whose handler is being started, else None.
+      holder: the request behind which no other is dispatched until its
+        response is written; None if there is none.
     """
 
     __slots__ = (
@@ -100,9 +105,11 @@
         "half_close_timer",
         "closing",
         "exchanges",
+        "holder",
         "listener",
         "parser",
         "remote",
+        "starting",
         "write_gate",
     )
 
@@ -118,6 +125,8 @@
         self.closing = False
         self.half_close_timer: asyncio.TimerHandle | None = None
         self.write_gate: responsestream.WriteGate | None = None
+        self.starting: Exchange | None = None
+        self.holder: Exchange | None = None
 
     def connection_made(self, transport) -> None:
         """Registers the connection; closes it if there are too many."""
@@ -142,6 +151,7 @@
             if exchange.task is not None:
                 exchange.task.cancel()
         self.exchanges.clear()
+        self.holder = None
 
     def pause_writing(self) -> None:
         """Pauses reading while the caller does not read its responses.
@@ -208,8 +218,48 @@
             self.transport.write(leanhttp.CONTINUE_RESPONSE)
 
     def dispatch(self, exchange: Exchange) -> None:
-        """Starts handling a complete request."""
+        """Handles a complete request, at once unless another one holds it."""
         self.request_started_at = 0.0
+        if (
+            len(self.exchanges) > MAX_PIPELINED_REQUESTS
+            and self.transport is not None
+        ):
+            self.transport.pause_reading()
+        if self.holder is None:
+            self.start(exchange)
+
+    def hold_pipelining(self) -> None:
+        """Dispatches no further request until the response is written.
+
+        Handlers call it before their first wait if their response may be large.
+        A large response that is not read until those before it are written
+        would keep its slot at the backend server, and would time out.
+        """
+        self.holder = self.starting
+
+    def release_held(self, exchange: Exchange) -> None:
+        """Dispatches the requests behind a request if it holds them."""
+        if self.holder is exchange:
+            # Handlers start at once only outside of tasks.
+            self.loop.call_soon(self.dispatch_held)
+
+    def dispatch_held(self) -> None:
+        """Dispatches requests in their order until one holds the others."""
+        self.holder = None
+        for exchange in list(self.exchanges):
+            if self.holder is not None:
+                return
+            message = exchange.message
+            if (
+                exchange.task is None
+                and not exchange.response_bytes
+                and message is not None
+                and message.complete
+            ):
+                self.start(exchange)
+
+    def start(self, exchange: Exchange) -> None:
+        """Starts the handler of a complete request."""
         message = exchange.message
         request = leanhttp.Request(
             method=message.method,
@@ -218,14 +268,11 @@
             raw_headers=message.raw_headers,
             body=message.body,
         )
-        if (
-            len(self.exchanges) > MAX_PIPELINED_REQUESTS
-            and self.transport is not None
-        ):
-            self.transport.pause_reading()
+        self.starting = exchange
         exchange.task = eager.start_task(
             self.loop, self.respond(exchange, request)
         )
+        self.starting = None
 
     def check_body_size(self) -> None:
         """Rejects a body above the limit before all of it is received."""
@@ -269,6 +316,7 @@
             response, exchange.should_close, request.method == "HEAD"
         )
         self.flush()
+        self.release_held(exchange)
 
     async def write_stream(
         self, exchange: Exchange, response: leanhttp.Response
@@ -278,24 +326,37 @@
         try:
             self.flush()
             await exchange.turn.wait()
-            if self.write_gate is None:
-                self.write_gate = responsestream.WriteGate()
-                self.write_gate.closed = self.writing_paused
-            writer = responsewriter.ResponseWriter(
-                self.transport, self.write_gate
-            )
+            if response.stream.state is responsestream.State.CUT_OFF:
+                self.replace_stream(exchange)
+                return
             framing = responsewriter.choose_framing(
                 response.stream, self.parser.is_http10()
             )
             if framing is responsewriter.Framing.CLOSE:
                 exchange.should_close = self.closing = True
-            complete = await writer.write(
+            exchange.framing = framing
+            complete = await self.make_writer().write(
                 response, framing, exchange.should_close
             )
         finally:
             response.stream.abandon()
-        if complete:
-            self.end_stream(exchange)
+        self.end_stream(exchange, complete)
+
+    def make_writer(self) -> responsewriter.ResponseWriter:
+        """Returns the writer of a large response."""
+        if self.write_gate is None:
+            self.write_gate = responsestream.WriteGate()
+            self.write_gate.closed = self.writing_paused
+        return responsewriter.ResponseWriter(self.transport, self.write_gate)
+
+    def replace_stream(self, exchange: Exchange) -> None:
+        """Responds with an error in place of a body that was cut off."""
+        exchange.turn = None
+        exchange.response_bytes = leanhttp.encode_response(
+            leanhttp.Response(status=502), exchange.should_close, False
+        )
+        self.flush()
+        self.release_held(exchange)
 
     def is_streaming(self) -> bool:
         """Returns whether a large response is being written."""
@@ -304,13 +365,14 @@
         turn = self.exchanges[0].turn
         return turn is not None and turn.is_set()
 
-    def end_stream(self, exchange: Exchange) -> None:
-        """Continues after a large response."""
+    def end_stream(self, exchange: Exchange, complete: bool) -> None:
+        """Continues after a large response, or closes the connection."""
         self.exchanges.popleft()
-        if exchange.should_close:
+        if exchange.should_close or not complete:
             self.close()
         else:
             self.flush()
+            self.release_held(exchange)
 
     def send_error(self, error: httpparse.ParseError) -> None:
         """Responds to malformed input after the responses that are due."""
@@ -382,7 +444,10 @@
         write side is closed, and further input is discarded.
         """
         self.closing = True
-        cuts_stream = self.is_streaming()
+        cuts_unframed = (
+            self.is_streaming()
+            and self.exchanges[0].framing is responsewriter.Framing.CLOSE
+        )
         for exchange in self.exchanges:
             if exchange.task is not None:
                 exchange.task.cancel()
@@ -390,8 +455,8 @@
         transport = self.transport
         if transport is None or self.half_close_timer is not None:
             return
-        if cuts_stream:
-            # An orderly end would complete a response without a length.
+        if cuts_unframed:
+            # An orderly end would complete the response.
             transport.abort()
             return
         self.half_close_timer = self.loop.call_later(
--- a/mangobay/responsewriter.py
+++ b/mangobay/responsewriter.py
@@ -79,7 +79,10 @@
     ) -> bool:
         """Writes a response; returns whether it was written completely.
 
-        Otherwise the connection is reset.
+        An incomplete response must not look complete.  With a length or chunks
+        it does not, so the connection ends orderly, and earlier responses that
+        the caller has not read yet are not lost; otherwise, and if the caller
+        does not read, the connection is reset.
         """
         if framing is Framing.CLOSE:
             # The kernel closes the socket of a process that is killed; only a
@@ -95,11 +98,15 @@
             if framing is Framing.CLOSE:
                 await self.drain()
                 self.set_linger(ORDERLY_CLOSE)
-        except (errors.ResponseCutOffError, TimeoutError):
+        except errors.ResponseCutOffError:
+            await self.end_incomplete(framing)
+            return False
+        except TimeoutError:
             self.reset()
             return False
         except asyncio.CancelledError:
-            self.reset()
+            if framing is Framing.CLOSE:
+                self.reset()
             raise
         if framing is Framing.CHUNKED:
             self.transport.write(LAST_CHUNK)
@@ -118,6 +125,16 @@
         if self.transport.is_closing():
             raise errors.ResponseCutOffError("the caller has disconnected")
 
+    async def end_incomplete(self, framing: Framing) -> None:
+        """Sends what is written, or resets the connection."""
+        if framing is Framing.CLOSE:
+            self.reset()
+            return
+        try:
+            await self.drain()
+        except (errors.ResponseCutOffError, TimeoutError):
+            self.reset()
+
     async def drain(self) -> None:
         """Returns once the write buffer is empty.
 
--- a/tests/test_large_responses.py
+++ b/tests/test_large_responses.py
@@ -262,6 +262,18 @@
         await asyncio.sleep(RELEASE_SECONDS)
         assert await released(fleet)
 
+    async def test_a_pipelined_one_waits_for_the_one_before(self, fleet):
+        """It holds a slot without being read, and is cut off for that."""
+        opened = await download(fleet, ENTRY_NODE, "one")
+        assert await opened.read_head() == 200
+        opened.writer.write(platformfakes.request_bytes(SERVICE, "two", 8000))
+        await asyncio.sleep(0.3)
+        assert fleet.serving.open_responses == 1
+        assert "two" not in fleet.serving.run_counts
+        assert await opened.read_rest() == (MANY_BYTES, True)
+        assert await opened.read_head() == 200
+        opened.disconnect()
+
     async def test_memory_does_not_grow_with_the_response(self, fleet):
         """A node buffers what its callers have not read."""
         processes = [
--- a/tests/test_leanserver.py
+++ b/tests/test_leanserver.py
@@ -381,6 +381,7 @@
     def __init__(self):
         self.body = responsestream.Body(None, self)
         self.was_abandoned = False
+        self.paths: list[str] = []
 
     def consumed(self, byte_count):
         pass
@@ -389,7 +390,9 @@
         self.was_abandoned = True
 
     async def handle(self, request, connection):
+        self.paths.append(request.path)
         if request.path == "/large":
+            connection.hold_pipelining()
             return leanhttp.Response(status=200, stream=self.body)
         return leanhttp.Response(status=200, body=request.path.encode())
 
@@ -510,3 +513,54 @@
         async with asyncio.timeout(0.5):
             while not large.was_abandoned:
                 await asyncio.sleep(0.01)
+
+    async def test_requests_behind_it_are_not_dispatched(self, listener, large):
+        """Large responses that wait for their turn keep slots and time out."""
+        reader, writer = await connect(listener)
+        writer.write(get("/1") + get("/large") + get("/2"))
+        await asyncio.sleep(0.05)
+        writer.write(get("/3"))
+        await asyncio.sleep(0.05)
+        assert large.paths == ["/1", "/large"]
+        large.body.feed(b"ab")
+        large.body.finish()
+        await reader.readuntil(b"0\r\n\r\n")
+        assert (await read_response(reader))[1] == b"/2"
+        assert (await read_response(reader))[1] == b"/3"
+        assert large.paths == ["/1", "/large", "/2", "/3"]
+        writer.close()
+
+    async def test_cut_off_before_the_head_gets_status_502(
+        self, listener, large
+    ):
+        """Its caller gets an incomplete response, and the next one is lost."""
+        large.body.cut_off("test")
+        reader, writer = await connect(listener)
+        writer.write(get("/large") + get("/2"))
+        head, _ = await read_response(reader)
+        assert head.startswith("HTTP/1.1 502")
+        assert (await read_response(reader))[1] == b"/2"
+        writer.close()
+
+    async def test_cut_off_keeps_the_response_before(self, recorder):
+        """A reset destroys a complete response that is not read yet."""
+        size = 4 * 1024 * 1024
+
+        async def handle(request, connection):
+            if request.path == "/1":
+                return leanhttp.Response(status=200, body=bytes(size))
+            return await recorder.handle(request, connection)
+
+        listener = leanserver.Listener(LOOPBACK, handle, leanserver.Limits())
+        await listener.start()
+        reader, writer = await small_buffer_connection(*listener.address)
+        writer.write(get("/1") + get("/large"))
+        recorder.body.feed(b"ab")
+        await asyncio.sleep(0.1)
+        recorder.body.cut_off("test")
+        await asyncio.sleep(0.1)
+        assert (await read_response(reader))[1] == bytes(size)
+        rest = await reader.read()
+        assert rest.startswith(b"HTTP/1.1 ") and b"0\r\n\r\n" not in rest
+        writer.close()
+        await listener.close()
