--- a/mangobay/responsestream.py
+++ b/mangobay/responsestream.py
@@ -89,7 +89,7 @@
       cut_off_reason: why it was cut off, empty if it was not.
       received_bytes: bytes received so far.
       unread_bytes: bytes received and not yet read.
-      chunks: those bytes.
+      chunks: those bytes, in parts of at most PART_BYTES.
       waiter: future of a read that waits for bytes.
       end_callbacks: called once no more bytes come.
     """
@@ -114,7 +114,7 @@
         self.cut_off_reason = ""
         self.received_bytes = 0
         self.unread_bytes = 0
-        self.chunks: collections.deque[bytes] = collections.deque()
+        self.chunks: collections.deque[bytearray] = collections.deque()
         self.waiter: asyncio.Future | None = None
         self.end_callbacks: list[collections.abc.Callable[[], object]] = []
         statistics.open_bodies.add(self)
@@ -138,11 +138,22 @@
             self.producer.abandoned()
             return
         self.unread_bytes += len(data)
-        # One large chunk would stay in memory until its last byte is read.
-        for start in range(0, len(data), PART_BYTES):
-            self.chunks.append(data[start : start + PART_BYTES])
+        self.append(data)
         self.wake()
 
+    def append(self, data: bytes) -> None:
+        """Adds bytes to the chunks.
+
+        One large chunk would stay in memory until its last byte is read, and
+        each of many small ones takes more memory than its bytes.
+        """
+        start = 0
+        if self.chunks:
+            start = PART_BYTES - len(self.chunks[-1])
+            self.chunks[-1] += data[:start]
+        for begin in range(start, len(data), PART_BYTES):
+            self.chunks.append(bytearray(data[begin : begin + PART_BYTES]))
+
     def finish(self) -> None:
         """Ends the body; it is complete if its length matches."""
         if self.length is not None and self.received_bytes != self.length:
@@ -203,15 +214,21 @@
                 raise errors.ResponseCutOffError("the response was cut off")
             self.discard(State.COMPLETE)
             return b""
-        chunk = self.chunks.popleft()
-        if len(chunk) > max_bytes:
-            self.chunks.appendleft(chunk[max_bytes:])
-            chunk = chunk[:max_bytes]
+        chunk = self.take_chunk(max_bytes)
         self.unread_bytes -= len(chunk)
         if self.state is State.OPEN:
             self.producer.consumed(len(chunk))
         return chunk
 
+    def take_chunk(self, max_bytes: int) -> bytes:
+        """Removes and returns the first bytes."""
+        first = self.chunks[0]
+        if len(first) <= max_bytes:
+            return bytes(self.chunks.popleft())
+        chunk = bytes(first[:max_bytes])
+        del first[:max_bytes]
+        return chunk
+
 
 class StreamedReply(messages.Reply):
     """A reply whose body has not been received completely.
--- a/tests/test_replyparts.py
+++ b/tests/test_replyparts.py
@@ -1,6 +1,7 @@
 """Large replies over real connections between processes."""
 
 import asyncio
+import tracemalloc
 
 import pytest
 
@@ -108,6 +109,38 @@
             assert both.connection().closed
 
 
+class TestChunks:
+    """How a body holds its unread bytes."""
+
+    async def test_small_chunks_take_no_more_memory_than_large_ones(self):
+        """Parts of two bytes take twenty times the memory of their bytes."""
+        source = Source(len(BLOCK) + WINDOW)
+        expected = bytearray(BLOCK)
+        tracemalloc.start()
+        try:
+            for number in range(WINDOW // 2):
+                source.body.feed(number.to_bytes(4, "big")[2:])
+            held_bytes, _ = tracemalloc.get_traced_memory()
+        finally:
+            tracemalloc.stop()
+        assert held_bytes < 1.25 * WINDOW
+        for number in range(WINDOW // 2):
+            expected += number.to_bytes(4, "big")[2:]
+        received = bytearray()
+        while source.body.unread_bytes:
+            # An odd size splits chunks.
+            received += await source.body.read(1001)
+        assert received == expected
+
+    async def test_small_chunks_are_read_together(self):
+        """Each part of two bytes becomes a message of its own."""
+        source = Source(2 * len(BLOCK))
+        for _ in range(1000):
+            source.body.feed(b"ab")
+        assert await source.body.read(len(BLOCK)) == BLOCK
+        assert await source.body.read(len(BLOCK)) == b"ab" * 1000
+
+
 class TestEnds:
     """How a body ends at both processes."""
 
