--- a/mangobay/backendbody.py
+++ b/mangobay/backendbody.py
@@ -19,6 +19,7 @@
     return (
         size > responsestream.WHOLE_BYTES
         and message.status < FIRST_ERROR_STATUS
+        and message.status not in httpparse.NO_BODY_STATUSES
     )
 
 
--- a/tests/test_leanclient.py
+++ b/tests/test_leanclient.py
@@ -315,3 +315,11 @@
         ) as server:
             with pytest.raises(errors.ResponseTooLargeError):
                 await server.send()
+
+    async def test_a_status_without_body_is_passed_on_whole(self):
+        """Its Content-Length announces bytes that never come."""
+        head = response_bytes(self.LARGE).partition(b"\r\n\r\n")[0]
+        head = head.replace(b" 200 OK", b" 204 No Content")
+        async with ScriptedBackendServer([head + b"\r\n\r\n"]) as server:
+            response = await server.send(streamed=True)
+            assert (response.status, response.stream) == (204, None)
