--- a/mangobay/httpparse.py
+++ b/mangobay/httpparse.py
@@ -49,6 +49,7 @@
       body_parts: the body in the pieces in which it was received.
       body_size: bytes of the body received so far.
       content_length: value of Content-Length, 0 without that header.
+      is_http10: the request is HTTP/1.0; False in a response.
       should_close: the connection is closed after the message.
       until_eof: the body of the response ends when the connection closes.
       complete: the end of the message has been received.
@@ -66,6 +67,7 @@
     body_parts: list[bytes] = dataclasses.field(default_factory=list)
     body_size: int = 0
     content_length: int = 0
+    is_http10: bool = False
     should_close: bool = False
     until_eof: bool = False
     complete: bool = False
@@ -237,13 +239,10 @@
         )
         if not message.target.startswith(TARGET_PREFIXES):
             raise ParseError(400, "request target must be a path or HTTP URL")
-        if "Host" not in message.headers and not self.is_http10():
+        message.is_http10 = self.native_parser.get_http_version() == "1.0"
+        if "Host" not in message.headers and not message.is_http10:
             raise ParseError(400, "Host header is missing")
 
-    def is_http10(self) -> bool:
-        """Returns whether the request is HTTP/1.0, which lacks Host."""
-        return self.native_parser.get_http_version() == "1.0"
-
 
 class ResponseParser(Parser):
     """Parses the responses of one connection."""
--- a/mangobay/leanserver.py
+++ b/mangobay/leanserver.py
@@ -330,7 +330,7 @@
                 self.replace_stream(exchange)
                 return
             framing = responsewriter.choose_framing(
-                response.stream, self.parser.is_http10()
+                response.stream, exchange.message.is_http10
             )
             if framing is responsewriter.Framing.CLOSE:
                 exchange.should_close = self.closing = True
--- a/tests/test_leanserver.py
+++ b/tests/test_leanserver.py
@@ -564,3 +564,19 @@
         assert rest.startswith(b"HTTP/1.1 ") and b"0\r\n\r\n" not in rest
         writer.close()
         await listener.close()
+
+    @pytest.mark.parametrize("is_http10", [True, False])
+    async def test_the_next_request_does_not_change_the_framing(
+        self, listener, large, is_http10
+    ):
+        """An HTTP/1.0 caller gets chunks if it has sent HTTP/1.1 after that."""
+        versions = (b"1.0", b"1.1") if is_http10 else (b"1.1", b"1.0")
+        reader, writer = await connect(listener)
+        for path, version in zip(("/large", "/2"), versions, strict=True):
+            request = get(path, "Connection: keep-alive\r\n")
+            writer.write(request.replace(b"HTTP/1.1", b"HTTP/" + version))
+        large.body.feed(b"ab")
+        large.body.finish()
+        head = (await reader.readuntil(b"\r\n\r\n")).lower()
+        assert (b"chunked" in head) is not is_http10
+        writer.close()
