Callers that read large responses slowly but steadily are served

A caller at 50 kB/s was disconnected, as the kernel's send buffer grew to megabytes and hid its progress. The send buffer is bounded, and the time is the setting stall_timeout, 60 s by default, from which the wait for credit follows.

--- a/mangobay/backendbody.py
+++ b/mangobay/backendbody.py
@@ -9,6 +9,9 @@
 """Unread bytes from which nothing more is read from the backend server."""
 RESUME_BYTES = PAUSE_BYTES // 2
 """Unread bytes below which reading resumes."""
+STALL_SECONDS = 10.0
+"""Time in seconds in which a backend server has to send something while it
+may."""
 FIRST_ERROR_STATUS = 300
 """Responses with such a status and above are passed on whole."""
 
@@ -67,9 +70,7 @@
 
     def start_stall_timer(self) -> asyncio.TimerHandle:
         """Starts the timer of the next check for progress."""
-        return self.loop.call_later(
-            responsestream.STALL_SECONDS / 2, self.check_progress
-        )
+        return self.loop.call_later(STALL_SECONDS / 2, self.check_progress)
 
     def receive(self) -> None:
         """Passes on the bytes that the parser has collected."""
@@ -107,10 +108,7 @@
     def check_progress(self) -> None:
         """Cuts the body off if the backend server has stalled."""
         silent_seconds = self.loop.time() - self.last_received_at
-        if (
-            self.paused_since is None
-            and silent_seconds >= responsestream.STALL_SECONDS
-        ):
+        if self.paused_since is None and silent_seconds >= STALL_SECONDS:
             self.body.cut_off("the backend server has stalled")
             self.connection.drop()
             return
--- a/mangobay/basenode.py
+++ b/mangobay/basenode.py
@@ -108,6 +108,7 @@
             max_frame_bytes=config.limits.frame_bytes,
             max_connections=config.limits.connections,
             frame_timeout=config.limits.header_timeout,
+            stall_timeout=config.limits.stall_timeout,
         )
         identity = tls.load_identity(config.tls)
         self.peer_client = peers.PeerClient(
--- a/mangobay/connections.py
+++ b/mangobay/connections.py
@@ -67,6 +67,8 @@
         handled at once.
       idle_timeout: seconds without a request after which the connecting side
         closes a connection.
+      stall_timeout: seconds in which the caller of a large reply has to read
+        something.
     """
 
     max_frame_bytes: int = wire.DEFAULT_MAX_FRAME_BYTES
@@ -76,6 +78,7 @@
     max_unsent_bytes: int = 4 * 1024 * 1024
     max_streams: int = 20_000
     idle_timeout: float = 300
+    stall_timeout: float = responsestream.STALL_SECONDS
 
 
 class Connection(asyncio.Protocol):
@@ -125,7 +128,7 @@
         self.decoder = wire.FrameDecoder(limits.max_frame_bytes)
         self.pending_requests: dict[int, asyncio.Future] = {}
         self.handler_tasks: dict[int, asyncio.Task] = {}
-        self.bodies = replyparts.PeerBodies(self)
+        self.bodies = replyparts.PeerBodies(self, limits.stall_timeout)
         self.write_gate = responsestream.WriteGate()
         self.last_stream = 0
         self.closed = False
--- a/mangobay/leanserver.py
+++ b/mangobay/leanserver.py
@@ -50,6 +50,8 @@
       read_timeout: seconds from the first byte of a request to its last.
       idle_timeout: seconds until a connection without requests is closed.
       max_connections: connections that may be open at the same time.
+      stall_timeout: seconds in which the caller of a large response has to
+        read something.
     """
 
     max_line_bytes: int = leanhttp.MAX_LINE_BYTES
@@ -57,6 +59,7 @@
     read_timeout: float = 10.0
     idle_timeout: float = 75.0
     max_connections: int = 2048
+    stall_timeout: float = responsestream.STALL_SECONDS
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -347,7 +350,9 @@
         if self.write_gate is None:
             self.write_gate = responsestream.WriteGate()
             self.write_gate.closed = self.writing_paused
-        return responsewriter.ResponseWriter(self.transport, self.write_gate)
+        return responsewriter.ResponseWriter(
+            self.transport, self.write_gate, self.listener.limits.stall_timeout
+        )
 
     def replace_stream(self, exchange: Exchange) -> None:
         """Responds with an error in place of a body that was cut off."""
--- a/mangobay/replyparts.py
+++ b/mangobay/replyparts.py
@@ -10,9 +10,13 @@
 """Most bytes of a body between two nodes that are in flight or unread."""
 CREDIT_BYTES = 64 * 1024
 """Consumed bytes after which a receiver gives credit for as many more."""
-CREDIT_SECONDS = 3 * responsestream.STALL_SECONDS
-"""Time in seconds without credit after which a sender gives a body up; longer
-than a caller that reads at the lowest accepted rate takes for CREDIT_BYTES."""
+CREDIT_STALLS = 3
+"""Time without credit after which a sender gives a body up, as a multiple of the
+time in which the caller has to read something.
+
+The receiver passes on CREDIT_BYTES and a part in at most three such times: its
+write buffer takes at least 48 KiB each time that it has room again.
+"""
 LENGTH_HEADER = "Content-Length"
 
 
@@ -33,16 +37,22 @@
 
     Attributes:
       credit: bytes that the receiver takes now.
+      credit_seconds: time to wait for more.
       credit_waiter: future of the wait for more.
     """
 
     def __init__(
-        self, connection: PeerConnection, stream: int, body: responsestream.Body
+        self,
+        connection: PeerConnection,
+        stream: int,
+        body: responsestream.Body,
+        credit_seconds: float,
     ):
         self.connection = connection
         self.stream = stream
         self.body = body
         self.credit = WINDOW_BYTES
+        self.credit_seconds = credit_seconds
         self.credit_waiter: asyncio.Future | None = None
 
     def add_credit(self, byte_count: int) -> None:
@@ -56,7 +66,7 @@
         try:
             while data := await self.body.read(responsestream.PART_BYTES):
                 if self.must_wait(len(data)):
-                    async with asyncio.timeout(CREDIT_SECONDS):
+                    async with asyncio.timeout(self.credit_seconds):
                         await self.wait_for_credit(len(data))
                         await self.connection.write_gate.wait()
                 self.credit -= len(data)
@@ -185,10 +195,12 @@
     Attributes:
       senders: senders of replies to the peer, by stream.
       receivers: receivers of replies of the peer, by stream.
+      stall_timeout: seconds in which a caller has to read something.
     """
 
-    def __init__(self, connection: PeerConnection):
+    def __init__(self, connection: PeerConnection, stall_timeout: float):
         self.connection = connection
+        self.stall_timeout = stall_timeout
         self.senders: dict[int, PartSender] = {}
         self.receivers: dict[int, PartReceiver] = {}
 
@@ -230,7 +242,12 @@
         self, stream: int, reply: responsestream.StreamedReply
     ) -> messages.ReplyPart:
         """Sends a reply up to its last part, which it returns."""
-        sender = PartSender(self.connection, stream, reply.source)
+        sender = PartSender(
+            self.connection,
+            stream,
+            reply.source,
+            CREDIT_STALLS * self.stall_timeout,
+        )
         self.senders[stream] = sender
         try:
             sender.send(encode_head(reply))
--- a/mangobay/responsestream.py
+++ b/mangobay/responsestream.py
@@ -23,9 +23,8 @@
 
 Replies of other calls wait behind a part on the same connection.
 """
-STALL_SECONDS = 10.0
-"""Time in seconds in which a caller has to read what fills its connection, and
-in which a backend server has to send something while it may."""
+STALL_SECONDS = 60.0
+"""Default time in seconds in which a caller has to read some of its response."""
 
 
 class State(enum.Enum):
--- a/mangobay/responsewriter.py
+++ b/mangobay/responsewriter.py
@@ -12,6 +12,12 @@
 """Value of SO_LINGER with which closing a socket resets the connection."""
 ORDERLY_CLOSE = struct.pack("ii", 0, 0)
 """Value of SO_LINGER with which closing a socket ends the connection orderly."""
+SEND_BUFFER_BYTES = 128 * 1024
+"""Send buffer of a connection with a large response, in bytes.
+
+The kernel reports room once a third of the buffer is free.  It would let the
+buffer grow to megabytes, of which a slow caller reads a third in minutes.
+"""
 LAST_CHUNK = b"0\r\n\r\n"
 
 
@@ -66,13 +72,19 @@
     Attributes:
       transport: the connection of the caller.
       gate: closed while the write buffer of the connection is full.
+      stall_timeout: seconds in which the caller has to read something.
     """
 
     def __init__(
-        self, transport: asyncio.Transport, gate: responsestream.WriteGate
+        self,
+        transport: asyncio.Transport,
+        gate: responsestream.WriteGate,
+        stall_timeout: float,
     ):
         self.transport = transport
         self.gate = gate
+        self.stall_timeout = stall_timeout
+        self.set_option(socket.SO_SNDBUF, SEND_BUFFER_BYTES)
 
     async def write(
         self, response: leanhttp.Response, framing: Framing, should_close: bool
@@ -87,7 +99,7 @@
         if framing is Framing.CLOSE:
             # The kernel closes the socket of a process that is killed; only a
             # reset then shows the caller that the response is incomplete.
-            self.set_linger(RESET_ON_CLOSE)
+            self.set_option(socket.SO_LINGER, RESET_ON_CLOSE)
         self.transport.write(encode_head(response, framing, should_close))
         try:
             while data := await response.stream.read(responsestream.PART_BYTES):
@@ -97,7 +109,7 @@
                 await self.wait_until_read()
             if framing is Framing.CLOSE:
                 await self.drain()
-                self.set_linger(ORDERLY_CLOSE)
+                self.set_option(socket.SO_LINGER, ORDERLY_CLOSE)
         except errors.ResponseCutOffError:
             await self.end_incomplete(framing)
             return False
@@ -120,7 +132,7 @@
           TimeoutError: the caller reads too slowly.
         """
         if self.gate.closed:
-            async with asyncio.timeout(responsestream.STALL_SECONDS):
+            async with asyncio.timeout(self.stall_timeout):
                 await self.gate.wait()
         if self.transport.is_closing():
             raise errors.ResponseCutOffError("the caller has disconnected")
@@ -145,14 +157,14 @@
         self.transport.set_write_buffer_limits(high=0)
         await self.wait_until_read()
 
-    def set_linger(self, value: bytes) -> None:
-        """Sets how closing the socket ends the connection."""
+    def set_option(self, option: int, value: int | bytes) -> None:
+        """Sets an option of the socket."""
         sock = self.transport.get_extra_info("socket")
         # The socket of a caller that has disconnected is closed already.
         with contextlib.suppress(OSError):
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, value)
+            sock.setsockopt(socket.SOL_SOCKET, option, value)
 
     def reset(self) -> None:
         """Resets the connection, which the caller can't take for an end."""
-        self.set_linger(RESET_ON_CLOSE)
+        self.set_option(socket.SO_LINGER, RESET_ON_CLOSE)
         self.transport.abort()
--- a/mangobay/routednode.py
+++ b/mangobay/routednode.py
@@ -115,6 +115,7 @@
             max_body_bytes=config.limits.body_bytes,
             read_timeout=config.limits.header_timeout,
             max_connections=config.limits.connections,
+            stall_timeout=config.limits.stall_timeout,
         )
         self.outside_listener = leanserver.Listener(
             config.listen.outside, self.gateway.handle, limits
--- a/tests/test_leanclient.py
+++ b/tests/test_leanclient.py
@@ -6,7 +6,14 @@
 
 import pytest
 
-from mangobay import backend, errors, leanclient, options, responsestream
+from mangobay import (
+    backend,
+    backendbody,
+    errors,
+    leanclient,
+    options,
+    responsestream,
+)
 from mangobay.generated import messages
 
 HEADER_NAMES = leanclient.BackendHeaderNames(
@@ -299,7 +306,7 @@
 
     async def test_a_stalled_backend_server_is_cut_off(self, monkeypatch):
         """Its body never ends, and its slot is never released."""
-        monkeypatch.setattr(responsestream, "STALL_SECONDS", 0.1)
+        monkeypatch.setattr(backendbody, "STALL_SECONDS", 0.1)
         halted = response_bytes(self.LARGE)[:-1]
         async with ScriptedBackendServer([halted, b""], []) as server:
             response = await server.send(streamed=True)
--- a/tests/test_leanserver.py
+++ b/tests/test_leanserver.py
@@ -444,10 +444,10 @@
         writer.close()
 
     async def test_a_caller_that_never_reads_is_disconnected(
-        self, listener, large, monkeypatch
+        self, listener, large
     ):
         """It keeps a slot of the backend server for ever."""
-        monkeypatch.setattr(responsestream, "STALL_SECONDS", 0.1)
+        listener.limits.stall_timeout = 0.1
         _, writer = await small_buffer_connection(*listener.address)
         writer.write(get("/large"))
         large.body.feed(bytes(16 * 1024 * 1024))
@@ -580,3 +580,21 @@
         head = (await reader.readuntil(b"\r\n\r\n")).lower()
         assert (b"chunked" in head) is not is_http10
         writer.close()
+
+    async def test_a_caller_that_reads_slowly_and_steadily_is_served(
+        self, listener, large
+    ):
+        """Its progress is seen only once the kernel has sent megabytes.
+
+        It reads less than 1 MB/s and has 1 s to read something.
+        """
+        listener.limits.stall_timeout = 1.0
+        reader, writer = await connect(listener)
+        writer.write(get("/large"))
+        large.body.feed(bytes(32 * 1024 * 1024))
+        for _ in range(50):
+            await asyncio.sleep(0.1)
+            assert await reader.read(80_000)
+            assert not large.was_abandoned
+        assert large.body.state is responsestream.State.OPEN
+        writer.transport.abort()
--- a/tests/test_replyparts.py
+++ b/tests/test_replyparts.py
@@ -38,13 +38,18 @@
       received: calls that the listener got.
     """
 
-    def __init__(self, length=None, takes_parts=True):
+    def __init__(self, length=None, takes_parts=True, stall_timeout=10.0):
         hello = messages.Hello(host="here", takes_parts=takes_parts)
         self.length = length
         self.sources = []
         self.received = []
         self.client = peers.PeerClient(hello)
-        self.listener = peers.Listener(LOOPBACK, hello, self.handle)
+        self.listener = peers.Listener(
+            LOOPBACK,
+            hello,
+            self.handle,
+            limits=peers.Limits(stall_timeout=stall_timeout),
+        )
 
     async def __aenter__(self):
         await self.listener.start()
@@ -185,10 +190,9 @@
                 while await reply.source.read(len(BLOCK)):
                     pass
 
-    async def test_a_sender_without_credit_gives_up(self, monkeypatch):
+    async def test_a_sender_without_credit_gives_up(self):
         """A receiver that halts keeps a slot of the backend server."""
-        monkeypatch.setattr(replyparts, "CREDIT_SECONDS", 0.1)
-        async with Peers() as both:
+        async with Peers(stall_timeout=0.05) as both:
             reply = await both.call()
             await wait_until(lambda: both.sources[0].was_abandoned)
             with pytest.raises(errors.ResponseCutOffError):
