--- a/tests/test_large_responses.py
+++ b/tests/test_large_responses.py
@@ -344,6 +344,29 @@
         finally:
             process.send_signal(signal.SIGCONT)
 
+    @pytest.mark.parametrize("signal_number", [signal.SIGKILL, signal.SIGTERM])
+    async def test_the_end_of_a_node_is_no_end_of_a_body(
+        self, fleet, signal_number
+    ):
+        """A caller without chunks takes the part that it has got for whole."""
+        fleet.serving.declared = None
+        sock = socket.create_connection(
+            (fleet.ip(ENTRY_NODE), platformfakes.OUTSIDE)
+        )
+        reader, writer = await asyncio.open_connection(sock=sock)
+        request = platformfakes.request_bytes(SERVICE, "old", 8000)
+        writer.write(request.replace(b"HTTP/1.1", b"HTTP/1.0", 1))
+        head = await reader.readuntil(b"\r\n\r\n")
+        assert b" 200 " in head and b"chunked" not in head.lower()
+        await asyncio.sleep(0.2)
+        fleet.processes[f"n{ENTRY_NODE}"].send_signal(signal_number)
+        async with asyncio.timeout(platformfakes.WAIT_SECONDS):
+            with pytest.raises(ConnectionResetError):
+                # Reads slower than a stopping node waits for its callers.
+                while await reader.read(16 * 1024):
+                    await asyncio.sleep(0.05)
+        writer.transport.abort()
+
     async def test_the_entry_node_goes_down(self, fleet):
         """The slot stays with a response that nobody passes on."""
         opened = await download(fleet, ENTRY_NODE, "lost")
