--- a/mangobay/basenode.py
+++ b/mangobay/basenode.py
@@ -104,11 +104,13 @@
             incarnation=self.process.incarnation,
             role=ROLE,
             takes_queries=config.silence.queries,
+            takes_parts=config.limits.large_responses,
         )
         limits = peers.Limits(
             max_frame_bytes=config.limits.frame_bytes,
             max_connections=config.limits.connections,
             frame_timeout=config.limits.header_timeout,
+            stall_timeout=config.limits.stall_timeout,
         )
         identity = tls.load_identity(config.tls)
         self.peer_client = peers.PeerClient(
--- a/mangobay/callquery.py
+++ b/mangobay/callquery.py
@@ -184,7 +184,8 @@
         reply_bytes = len(reply.body) + REPLY_OVERHEAD_BYTES
         ended = EndedCall(expires_at, None, reply_bytes)
         self.ended[call_id] = ended
-        if reply_bytes > self.config.reply_bytes:
+        if reply.streamed or reply_bytes > self.config.reply_bytes:
+            # The body of a streamed reply is passed on only once.
             return
         ended.reply = reply
         self.kept_replies.append(call_id)
--- a/mangobay/connections.py
+++ b/mangobay/connections.py
@@ -13,6 +13,8 @@
     errors,
     logs,
     periodic,
+    replyparts,
+    responsestream,
     silence,
     sockets,
     tls,
@@ -73,6 +75,8 @@
         handled at once.
       idle_timeout: seconds without a request after which the connecting side
         closes a connection.
+      stall_timeout: seconds in which the caller of a large reply has to read
+        something.
     """
 
     max_frame_bytes: int = wire.DEFAULT_MAX_FRAME_BYTES
@@ -82,6 +86,7 @@
     max_unsent_bytes: int = 4 * 1024 * 1024
     max_streams: int = 20_000
     idle_timeout: float = 300
+    stall_timeout: float = responsestream.STALL_SECONDS
 
 
 class Connection(asyncio.Protocol):
@@ -96,6 +101,8 @@
       disconnected: future that is done once the connection has ended.
       pending_requests: futures of the requests sent, by stream.
       handler_tasks: tasks of the requests received, by stream.
+      bodies: the bodies of large replies, both ways.
+      write_gate: closed while the write buffer is full.
       partial_frame_since: loop time at which an incomplete frame began, or 0.
       last_request_at: loop time of the last request sent.
       tracked_requests: the pending requests that the peer should reply to
@@ -144,6 +151,8 @@
         self.decoder = wire.FrameDecoder(limits.max_frame_bytes)
         self.pending_requests: dict[int, asyncio.Future] = {}
         self.handler_tasks: dict[int, asyncio.Task] = {}
+        self.bodies = replyparts.PeerBodies(self, limits.stall_timeout)
+        self.write_gate = responsestream.WriteGate()
         self.last_stream = 0
         self.closed = False
         self.partial_frame_since = 0.0
@@ -174,6 +183,14 @@
         if self.handler is None:
             self.send_hello()
 
+    def pause_writing(self) -> None:
+        """Stops the parts of large replies while the write buffer is full."""
+        self.write_gate.close()
+
+    def resume_writing(self) -> None:
+        """Resumes the parts of large replies."""
+        self.write_gate.open()
+
     def send_hello(self) -> None:
         """Sends this process's Hello."""
         hello = dataclasses.replace(
@@ -275,15 +292,25 @@
                 pass
             case _ if envelope.stream in self.pending_requests:
                 self.resolve_request(envelope)
+            case messages.ReplyCredit():
+                self.bodies.add_credit(envelope.stream, envelope.body.bytes)
             case _ if self.handler is not None:
                 self.start_handler(envelope)
-            # Otherwise it is the reply to a cancelled request: dropped.
+            case _:
+                # A part of a large reply, or dropped: the reply to a cancelled
+                # request.
+                self.bodies.receive(envelope)
 
     def resolve_request(self, envelope: messages.Envelope) -> None:
         """Resolves the pending request of the stream with its reply."""
         future = self.pending_requests[envelope.stream]
-        if not future.done():
-            eager.set_result(self.loop, future, envelope.body)
+        if future.done():
+            self.bodies.receive(envelope)
+            return
+        reply = envelope.body
+        if type(reply) is messages.Reply and reply.streamed:
+            reply = self.bodies.start_receiving(envelope.stream, reply)
+        eager.set_result(self.loop, future, reply)
 
     def start_handler(self, envelope: messages.Envelope) -> None:
         """Starts the task that handles a request.
@@ -325,6 +352,8 @@
         """
         try:
             reply = await self.handler(self.peer_hello, body)
+            if type(reply) is responsestream.StreamedReply:
+                reply = await self.bodies.send(stream, reply)
         except errors.MangobayError as error:
             reply = messages.Failure(text=str(error))
         except Exception as error:  # noqa: BLE001
@@ -370,6 +399,8 @@
             raise errors.PeerUnreachableError(
                 "the peer is too old to know this message"
             )
+        if type(body) is messages.Call and not self.peer_hello.takes_parts:
+            body.streamed = False
         self.last_request_at = self.loop.time()
         self.last_stream += 1
         stream = self.last_stream
@@ -383,11 +414,13 @@
             reply = await future
         except (TimeoutError, asyncio.CancelledError):
             self.send(messages.Envelope(stream=stream, body=messages.Cancel()))
+            self.bodies.abandon(stream)
             raise
         finally:
             timer.cancel()
             del self.pending_requests[stream]
-            self.untrack_request(stream)
+            if stream not in self.bodies.receivers:
+                self.untrack_request(stream)
             if self.retired or self.unresponsive:
                 self.close_if_unused()
         if isinstance(reply, messages.Failure):
@@ -396,7 +429,7 @@
 
     def close_if_unused(self) -> None:
         """Closes a connection that gets no new requests after its last one."""
-        if not self.pending_requests:
+        if not self.pending_requests and not self.bodies.receivers:
             self.close(
                 UNRESPONSIVE_MESSAGE if self.unresponsive else "replaced"
             )
@@ -461,6 +494,8 @@
         self.queried_calls.discard(stream)
         if not self.tracked_requests:
             self.liveness_check.discard(self)
+        if self.retired:
+            self.close_if_unused()
 
     def record_received(self) -> None:
         """Records that bytes of the peer have been received."""
@@ -533,6 +568,7 @@
                     stream=stream, body=messages.Cancel()
                 )
                 self.send(cancel)
+        self.bodies.cut_off(UNRESPONSIVE_MESSAGE)
         if not self.non_idempotent_calls:
             self.close(UNRESPONSIVE_MESSAGE)
 
@@ -605,6 +641,7 @@
         for stream, future in self.pending_requests.items():
             if not future.done() and stream not in self.queried_calls:
                 future.set_exception(errors.PeerBrokenError(reason))
+        self.bodies.cut_off(reason)
         for task in list(self.handler_tasks.values()):
             task.cancel()
 
--- a/mangobay/gateway.py
+++ b/mangobay/gateway.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import functools
 import typing
 
 from mangobay import (
@@ -21,6 +22,7 @@
     quotaclient,
     refusals,
     requestlog,
+    responsestream,
     retryallowance,
     routes,
     shutdown,
@@ -99,10 +101,20 @@
         )
         attempt_id = ids.AttemptId(header_value)
         self.call_ids_by_attempt[attempt_id] = call.call_id
+        body = None
         try:
-            return await super().admit_and_run(call, *args)
+            reply = await super().admit_and_run(call, *args)
+            body = responsestream.body_of(reply)
+            return reply
         finally:
-            self.call_ids_by_attempt.pop(attempt_id, None)
+            if body is None:
+                self.call_ids_by_attempt.pop(attempt_id, None)
+            else:
+                body.add_end_callback(
+                    functools.partial(
+                        self.call_ids_by_attempt.pop, attempt_id, None
+                    )
+                )
 
     def headers(
         self, call: messages.Call, local_service: localservices.LocalService
@@ -220,6 +232,8 @@
         try:
             self.check_accepting(parent)
             entry = self.make_entry(request, attempt_id, connection)
+            if entry.route.large_responses:
+                connection.hold_pipelining()
             if entry.workspace is not None and not entry.route.public:
                 entry.token = await self.access.acquire_token(
                     entry.workspace, entry.route, entry.seconds_waited
@@ -237,12 +251,21 @@
             )
             return refusals.from_reply(reply)
         reply = await self.dispatch(entry, attempt_id, parent)
+        if reply.streamed:
+            reply.source.add_end_callback(
+                functools.partial(
+                    self.log.log_cut_off, attempt_id, entry.call, reply
+                )
+            )
         self.record_outcome(entry, parent, reply)
         if entry.token is not None and reply.outcome is Outcome.NOT_RUN:
             self.access.give_back(entry.workspace, entry.token)
         if reply.outcome is Outcome.ANSWERED:
             return leanhttp.Response(
-                status=reply.status, headers=reply.headers, body=reply.body
+                status=reply.status,
+                headers=reply.headers,
+                body=reply.body,
+                stream=responsestream.body_of(reply),
             )
         return refusals.from_reply(reply)
 
--- a/mangobay/leanserver.py
+++ b/mangobay/leanserver.py
@@ -14,6 +14,8 @@
     options,
     periodic,
     refusals,
+    responsestream,
+    responsewriter,
 )
 
 Handler = collections.abc.Callable[
@@ -48,6 +50,8 @@
       read_timeout: seconds from the first byte of a request to its last.
       idle_timeout: seconds until a connection without requests is closed.
       max_connections: connections that may be open at the same time.
+      stall_timeout: seconds in which the caller of a large response has to
+        read something.
     """
 
     max_line_bytes: int = leanhttp.MAX_LINE_BYTES
@@ -55,6 +59,7 @@
     read_timeout: float = 10.0
     idle_timeout: float = 75.0
     max_connections: int = 2048
+    stall_timeout: float = responsestream.STALL_SECONDS
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -66,12 +71,17 @@
       task: handles the request; None until the body is complete.
       response_bytes: the encoded response; empty until it is available.
       should_close: the connection is closed after the response.
+      turn: set once a large response may be written, after the responses to
+        the requests before; None for other responses.
+      framing: framing of a large response whose turn has come.
     """
 
     message: httpparse.Message | None
     task: asyncio.Task | None = None
     response_bytes: bytes = b""
     should_close: bool = False
+    turn: asyncio.Event | None = None
+    framing: responsewriter.Framing | None = None
 
 
 class Connection(leanhttp.BaseConnection):
@@ -85,6 +95,11 @@
         or 0.
       closing: no further requests are accepted.
       half_close_timer: set once the connection is half-closed; closes it.
+      write_gate: closed while the write buffer is full; None before the first
+        large response.
+      starting: the request whose handler is being started, else None.
+      holder: the request behind which no other is dispatched until its
+        response is written; None if there is none.
     """
 
     __slots__ = (
@@ -93,9 +108,12 @@
         "half_close_timer",
         "closing",
         "exchanges",
+        "holder",
         "listener",
         "parser",
         "remote",
+        "starting",
+        "write_gate",
     )
 
     def __init__(self, listener: "Listener"):
@@ -109,6 +127,9 @@
         self.request_started_at = 0.0
         self.closing = False
         self.half_close_timer: asyncio.TimerHandle | None = None
+        self.write_gate: responsestream.WriteGate | None = None
+        self.starting: Exchange | None = None
+        self.holder: Exchange | None = None
 
     def connection_made(self, transport) -> None:
         """Registers the connection; closes it if there are too many."""
@@ -133,6 +154,7 @@
             if exchange.task is not None:
                 exchange.task.cancel()
         self.exchanges.clear()
+        self.holder = None
 
     def pause_writing(self) -> None:
         """Pauses reading while the caller does not read its responses.
@@ -140,13 +162,23 @@
         Responses that are not read take up memory of this process.
         """
         super().pause_writing()
+        if self.write_gate is not None:
+            self.write_gate.close()
         if self.transport is not None:
             self.transport.pause_reading()
 
     def resume_writing(self) -> None:
-        """Resumes reading."""
+        """Resumes reading.
+
+        While a large response is written, only reading notices that its caller
+        disconnects, so it resumes also if no more requests are accepted.
+        """
         super().resume_writing()
-        if self.transport is not None and not self.closing:
+        if self.write_gate is not None:
+            self.write_gate.open()
+        if self.transport is not None and (
+            not self.closing or self.is_streaming()
+        ):
             self.transport.resume_reading()
 
     def data_received(self, data: bytes) -> None:
@@ -189,8 +221,48 @@
             self.transport.write(leanhttp.CONTINUE_RESPONSE)
 
     def dispatch(self, exchange: Exchange) -> None:
-        """Starts handling a complete request."""
+        """Handles a complete request, at once unless another one holds it."""
         self.request_started_at = 0.0
+        if (
+            len(self.exchanges) > MAX_PIPELINED_REQUESTS
+            and self.transport is not None
+        ):
+            self.transport.pause_reading()
+        if self.holder is None:
+            self.start(exchange)
+
+    def hold_pipelining(self) -> None:
+        """Dispatches no further request until the response is written.
+
+        Handlers call it before their first wait if their response may be large.
+        A large response that is not read until those before it are written
+        would keep its slot at the backend server, and would time out.
+        """
+        self.holder = self.starting
+
+    def release_held(self, exchange: Exchange) -> None:
+        """Dispatches the requests behind a request if it holds them."""
+        if self.holder is exchange:
+            # Handlers start at once only outside of tasks.
+            self.loop.call_soon(self.dispatch_held)
+
+    def dispatch_held(self) -> None:
+        """Dispatches requests in their order until one holds the others."""
+        self.holder = None
+        for exchange in list(self.exchanges):
+            if self.holder is not None:
+                return
+            message = exchange.message
+            if (
+                exchange.task is None
+                and not exchange.response_bytes
+                and message is not None
+                and message.complete
+            ):
+                self.start(exchange)
+
+    def start(self, exchange: Exchange) -> None:
+        """Starts the handler of a complete request."""
         message = exchange.message
         request = leanhttp.Request(
             method=message.method,
@@ -199,14 +271,11 @@
             raw_headers=message.raw_headers,
             body=message.body,
         )
-        if (
-            len(self.exchanges) > MAX_PIPELINED_REQUESTS
-            and self.transport is not None
-        ):
-            self.transport.pause_reading()
+        self.starting = exchange
         exchange.task = eager.start_task(
             self.loop, self.respond(exchange, request)
         )
+        self.starting = None
 
     def check_body_size(self) -> None:
         """Rejects a body above the limit before all of it is received."""
@@ -243,10 +312,72 @@
         if self.listener.leaving and newest is exchange:
             exchange.should_close = True
             self.closing = True
+        if response.stream is not None:
+            await self.write_stream(exchange, response)
+            return
         exchange.response_bytes = leanhttp.encode_response(
             response, exchange.should_close, request.method == "HEAD"
         )
         self.flush()
+        self.release_held(exchange)
+
+    async def write_stream(
+        self, exchange: Exchange, response: leanhttp.Response
+    ) -> None:
+        """Writes a large response once those before it are written."""
+        exchange.turn = asyncio.Event()
+        try:
+            self.flush()
+            await exchange.turn.wait()
+            if response.stream.state is responsestream.State.CUT_OFF:
+                self.replace_stream(exchange)
+                return
+            framing = responsewriter.choose_framing(
+                response.stream, exchange.message.is_http10
+            )
+            if framing is responsewriter.Framing.CLOSE:
+                exchange.should_close = self.closing = True
+            exchange.framing = framing
+            complete = await self.make_writer().write(
+                response, framing, exchange.should_close
+            )
+        finally:
+            response.stream.abandon()
+        self.end_stream(exchange, complete)
+
+    def make_writer(self) -> responsewriter.ResponseWriter:
+        """Returns the writer of a large response."""
+        if self.write_gate is None:
+            self.write_gate = responsestream.WriteGate()
+            self.write_gate.closed = self.writing_paused
+        return responsewriter.ResponseWriter(
+            self.transport, self.write_gate, self.listener.limits.stall_timeout
+        )
+
+    def replace_stream(self, exchange: Exchange) -> None:
+        """Responds with an error in place of a body that was cut off."""
+        exchange.turn = None
+        exchange.response_bytes = leanhttp.encode_response(
+            leanhttp.Response(status=502), exchange.should_close, False
+        )
+        self.flush()
+        self.release_held(exchange)
+
+    def is_streaming(self) -> bool:
+        """Returns whether a large response is being written."""
+        if not self.exchanges:
+            return False
+        turn = self.exchanges[0].turn
+        return turn is not None and turn.is_set()
+
+    def end_stream(self, exchange: Exchange, complete: bool) -> None:
+        """Continues after a large response, or closes the connection."""
+        self.exchanges.popleft()
+        if exchange.should_close or not complete:
+            self.close()
+        else:
+            self.flush()
+            self.release_held(exchange)
 
     def send_error(self, error: httpparse.ParseError) -> None:
         """Responds to malformed input after the responses that are due."""
@@ -284,6 +415,8 @@
             transport.write(
                 encoded[0] if len(encoded) == 1 else b"".join(encoded)
             )
+        if self.exchanges and self.exchanges[0].turn is not None:
+            self.exchanges[0].turn.set()
         if should_close:
             self.close()
         elif (
@@ -316,6 +449,10 @@
         write side is closed, and further input is discarded.
         """
         self.closing = True
+        cuts_unframed = (
+            self.is_streaming()
+            and self.exchanges[0].framing is responsewriter.Framing.CLOSE
+        )
         for exchange in self.exchanges:
             if exchange.task is not None:
                 exchange.task.cancel()
@@ -323,6 +460,10 @@
         transport = self.transport
         if transport is None or self.half_close_timer is not None:
             return
+        if cuts_unframed:
+            # An orderly end would complete the response.
+            transport.abort()
+            return
         self.half_close_timer = self.loop.call_later(
             HALF_CLOSE_SECONDS, transport.close
         )
--- a/mangobay/nodegauges.py
+++ b/mangobay/nodegauges.py
@@ -3,7 +3,7 @@
 import functools
 import typing
 
-from mangobay import callresolution, clock, metrics
+from mangobay import callresolution, clock, metrics, responsestream
 
 if typing.TYPE_CHECKING:
     from mangobay import basenode
@@ -158,6 +158,27 @@
                 node.dispatcher.dependencies.retry_budget.refused_count
             ),
         ),
+        metrics.Gauge(
+            name="large_responses_open",
+            help="Large responses that pass through this node now.",
+            read_value=lambda: len(responsestream.statistics.open_bodies),
+        ),
+        metrics.Gauge(
+            name="large_responses_unread_bytes",
+            help="Bytes of large responses held by this node.",
+            read_value=lambda: responsestream.statistics.unread_bytes,
+        ),
+        *(
+            metrics.Gauge(
+                name=f"large_responses_{state.value}",
+                help="Large responses since the start, by how they ended.",
+                read_value=functools.partial(
+                    responsestream.statistics.end_counts.__getitem__, state
+                ),
+            )
+            for state in responsestream.State
+            if state is not responsestream.State.OPEN
+        ),
         metrics.Gauge(
             name="leaving",
             help="1 while this node leaves.",
--- a/mangobay/routednode.py
+++ b/mangobay/routednode.py
@@ -90,6 +90,7 @@
             only_address(config.backend.address),
         )
         self.executor.state_updater.retire = self.heartbeat_receiver.retire
+        self.executor.large_responses = config.limits.large_responses
 
     def make_edges(self) -> None:
         """Creates the gateway and the HTTP listeners."""
@@ -114,6 +115,7 @@
             max_body_bytes=config.limits.body_bytes,
             read_timeout=config.limits.header_timeout,
             max_connections=config.limits.connections,
+            stall_timeout=config.limits.stall_timeout,
         )
         self.outside_listener = leanserver.Listener(
             config.listen.outside, self.gateway.handle, limits
@@ -193,6 +195,8 @@
         document = self.adapter.decode(
             routespublisher.decompress_document(change)
         )
+        if not self.config.limits.large_responses:
+            document = routes.without_large_responses(document)
         self.gateway.table = routes.RouteTable(document)
         self.metrics.retain_workspaces(
             {workspace.name for workspace in document.workspaces or ()}
--- a/schema/messages.capnp
+++ b/schema/messages.capnp
@@ -81,6 +81,8 @@
   # comes.
   takesQueries @6 :Bool;
   # It answers CallQuery, and may send it.
+  takesParts @7 :Bool;
+  # It knows ReplyPart; older processes get whole replies.
 }
 
 struct ServerState {
@@ -142,6 +144,8 @@
   # Of the caller at the root of the tree; empty without one.
   serverStates @22 :List(ServerState);
   # What the sender knows of the receiver's backend server; at most one.
+  streamed @23 :Bool;
+  # The sender takes a large response in parts.
 }
 
 struct Reply {
@@ -175,6 +179,24 @@
   # Of a failed run: call trees below this level lack retries further down.
   load @19 :List(LoadReport);
   # Of the receiver's backend server, if it reports a pace; at most one.
+  streamed @20 :Bool;
+  # The body follows in ReplyPart messages on the same stream.  Its length, if
+  # known, is the last header.
+}
+
+struct ReplyPart {
+  # The next bytes of a streamed body.
+  data @0 :Data;
+  last @1 :Bool;
+  # No further part follows.
+  cutOff @2 :Bool;
+  # The body is incomplete; only in a last part.
+}
+
+struct ReplyCredit {
+  # The receiver of a streamed body has consumed bytes of it: the sender may
+  # send as many more.
+  bytes @0 :UInt32;
 }
 
 struct Cancel {
@@ -433,6 +455,8 @@
   tries @10 :UInt16;
   targetMs @11 :UInt32;
   # An answer within it has its full worth, milliseconds; 0: none is set.
+  largeResponses @12 :Bool;
+  # Responses may be too large to be held in memory whole.
 }
 
 struct TableUpdate {
@@ -751,5 +775,7 @@
     quarantineNotice @27 :QuarantineNotice;
     quarantineState @28 :QuarantineState;
     callQuery @29 :CallQuery;
+    replyPart @30 :ReplyPart;
+    replyCredit @31 :ReplyCredit;
   }
 }
--- a/tests/test_leanserver.py
+++ b/tests/test_leanserver.py
@@ -3,10 +3,11 @@
 import asyncio
 import gc
 import socket
+import struct
 
 import pytest
 
-from mangobay import httpparse, leanhttp, leanserver, options
+from mangobay import httpparse, leanhttp, leanserver, options, responsestream
 
 LOOPBACK = options.Address("127.0.0.1", 0)
 
@@ -372,3 +373,228 @@
         recorder.release_events["/1"].set()
         assert (await read_response(reader))[1] == b"/1"
         writer.close()
+
+
+class LargeResponses:
+    """A handler that answers `/large` with a body that the test feeds."""
+
+    def __init__(self):
+        self.body = responsestream.Body(None, self)
+        self.was_abandoned = False
+        self.paths: list[str] = []
+
+    def consumed(self, byte_count):
+        pass
+
+    def abandoned(self):
+        self.was_abandoned = True
+
+    async def handle(self, request, connection):
+        self.paths.append(request.path)
+        if request.path == "/large":
+            connection.hold_pipelining()
+            return leanhttp.Response(status=200, stream=self.body)
+        return leanhttp.Response(status=200, body=request.path.encode())
+
+
+class TestLargeResponses:
+    """Responses that are written before their end."""
+
+    @pytest.fixture
+    async def large(self):
+        return LargeResponses()
+
+    @pytest.fixture
+    async def recorder(self, large):
+        return large
+
+    async def test_responses_keep_the_order_of_requests(self, listener, large):
+        """A response stands amid the body of the one before."""
+        reader, writer = await connect(listener)
+        writer.write(get("/1") + get("/large") + get("/3"))
+        large.body.feed(b"ab")
+        await asyncio.sleep(0.05)
+        large.body.feed(b"c")
+        large.body.finish()
+        assert (await read_response(reader))[1] == b"/1"
+        head = (await reader.readuntil(b"\r\n\r\n")).lower()
+        assert b"transfer-encoding: chunked" in head
+        chunks = b"2\r\nab\r\n1\r\nc\r\n0\r\n\r\n"
+        assert await reader.readexactly(len(chunks)) == chunks
+        assert (await read_response(reader))[1] == b"/3"
+        writer.close()
+
+    @pytest.mark.parametrize("complete", [True, False])
+    async def test_http_10_tells_the_end_by_the_connection(
+        self, listener, large, complete
+    ):
+        """A caller without chunks takes a body that was cut off for whole."""
+        reader, writer = await connect(listener)
+        writer.write(b"GET /large HTTP/1.0\r\n\r\n")
+        large.body.feed(b"part")
+        assert b"chunked" not in await reader.readuntil(b"\r\n\r\n")
+        assert await reader.readexactly(4) == b"part"
+        if complete:
+            large.body.finish()
+            assert await reader.read() == b""
+        else:
+            large.body.cut_off("test")
+            with pytest.raises(ConnectionResetError):
+                await reader.read()
+        writer.close()
+
+    async def test_a_caller_that_never_reads_is_disconnected(
+        self, listener, large
+    ):
+        """It keeps a slot of the backend server for ever."""
+        listener.limits.stall_timeout = 0.1
+        _, writer = await small_buffer_connection(*listener.address)
+        writer.write(get("/large"))
+        large.body.feed(bytes(16 * 1024 * 1024))
+        async with asyncio.timeout(5):
+            while not large.was_abandoned or listener.connections:
+                await asyncio.sleep(0.01)
+        writer.close()
+
+    async def open_http_10_stream(self, listener, large):
+        """Returns the connection of a caller amid a body without a length."""
+        reader, writer = await connect(listener)
+        writer.write(b"GET /large HTTP/1.0\r\n\r\n")
+        large.body.feed(b"part")
+        await reader.readuntil(b"\r\n\r\n")
+        assert await reader.readexactly(4) == b"part"
+        return reader, writer
+
+    async def test_a_shutdown_is_no_end_of_a_body(self, listener, large):
+        """A caller without chunks takes a body cut by a shutdown for whole."""
+        reader, writer = await self.open_http_10_stream(listener, large)
+        await listener.close()
+        with pytest.raises(ConnectionResetError):
+            await reader.read()
+        writer.close()
+
+    async def test_a_killed_process_resets_a_body(self, listener, large):
+        """The kernel ends the connection orderly when the process is killed.
+
+        The option must be cleared at the end, or complete bodies are reset.
+        """
+        reader, writer = await self.open_http_10_stream(listener, large)
+        (connection,) = listener.connections
+        sock = connection.transport.get_extra_info("socket")
+
+        def linger():
+            value = sock.getsockopt(socket.SOL_SOCKET, socket.SO_LINGER, 8)
+            return struct.unpack("ii", value)
+
+        assert linger() == (1, 0)
+        large.body.finish()
+        assert await reader.read() == b""
+        assert linger()[0] == 0
+        writer.close()
+
+    async def test_a_caller_that_leaves_after_its_last_request(
+        self, listener, large
+    ):
+        """Its response is kept while the backend server sends nothing.
+
+        The write buffer was full before, which pauses reading.
+        """
+        reader, writer = await small_buffer_connection(*listener.address)
+        writer.write(get("/large", "Connection: close\r\n"))
+        sent_bytes = 16 * 1024 * 1024
+        large.body.feed(bytes(sent_bytes))
+        async with asyncio.timeout(10):
+            received_bytes = 0
+            while received_bytes < sent_bytes:
+                received_bytes += len(await reader.read(64 * 1024))
+            while large.body.unread_bytes:
+                await asyncio.sleep(0.01)
+        writer.close()
+        async with asyncio.timeout(0.5):
+            while not large.was_abandoned:
+                await asyncio.sleep(0.01)
+
+    async def test_requests_behind_it_are_not_dispatched(self, listener, large):
+        """Large responses that wait for their turn keep slots and time out."""
+        reader, writer = await connect(listener)
+        writer.write(get("/1") + get("/large") + get("/2"))
+        await asyncio.sleep(0.05)
+        writer.write(get("/3"))
+        await asyncio.sleep(0.05)
+        assert large.paths == ["/1", "/large"]
+        large.body.feed(b"ab")
+        large.body.finish()
+        await reader.readuntil(b"0\r\n\r\n")
+        assert (await read_response(reader))[1] == b"/2"
+        assert (await read_response(reader))[1] == b"/3"
+        assert large.paths == ["/1", "/large", "/2", "/3"]
+        writer.close()
+
+    async def test_cut_off_before_the_head_gets_status_502(
+        self, listener, large
+    ):
+        """Its caller gets an incomplete response, and the next one is lost."""
+        large.body.cut_off("test")
+        reader, writer = await connect(listener)
+        writer.write(get("/large") + get("/2"))
+        head, _ = await read_response(reader)
+        assert head.startswith("HTTP/1.1 502")
+        assert (await read_response(reader))[1] == b"/2"
+        writer.close()
+
+    async def test_cut_off_keeps_the_response_before(self, recorder):
+        """A reset destroys a complete response that is not read yet."""
+        size = 4 * 1024 * 1024
+
+        async def handle(request, connection):
+            if request.path == "/1":
+                return leanhttp.Response(status=200, body=bytes(size))
+            return await recorder.handle(request, connection)
+
+        listener = leanserver.Listener(LOOPBACK, handle, leanserver.Limits())
+        await listener.start()
+        reader, writer = await small_buffer_connection(*listener.address)
+        writer.write(get("/1") + get("/large"))
+        recorder.body.feed(b"ab")
+        await asyncio.sleep(0.1)
+        recorder.body.cut_off("test")
+        await asyncio.sleep(0.1)
+        assert (await read_response(reader))[1] == bytes(size)
+        rest = await reader.read()
+        assert rest.startswith(b"HTTP/1.1 ") and b"0\r\n\r\n" not in rest
+        writer.close()
+        await listener.close()
+
+    @pytest.mark.parametrize("is_http10", [True, False])
+    async def test_the_next_request_does_not_change_the_framing(
+        self, listener, large, is_http10
+    ):
+        """An HTTP/1.0 caller gets chunks if it has sent HTTP/1.1 after that."""
+        versions = (b"1.0", b"1.1") if is_http10 else (b"1.1", b"1.0")
+        reader, writer = await connect(listener)
+        for path, version in zip(("/large", "/2"), versions, strict=True):
+            request = get(path, "Connection: keep-alive\r\n")
+            writer.write(request.replace(b"HTTP/1.1", b"HTTP/" + version))
+        large.body.feed(b"ab")
+        large.body.finish()
+        head = (await reader.readuntil(b"\r\n\r\n")).lower()
+        assert (b"chunked" in head) is not is_http10
+        writer.close()
+
+    async def test_a_caller_that_reads_slowly_and_steadily_is_served(
+        self, listener, large
+    ):
+        """Its progress is seen only once the kernel has sent megabytes.
+
+        It reads less than 1 MB/s and has 1 s to read something.
+        """
+        listener.limits.stall_timeout = 1.0
+        reader, writer = await connect(listener)
+        writer.write(get("/large"))
+        large.body.feed(bytes(32 * 1024 * 1024))
+        for _ in range(50):
+            await asyncio.sleep(0.1)
+            assert await reader.read(80_000)
+            assert not large.was_abandoned
+        assert large.body.state is responsestream.State.OPEN
+        writer.transport.abort()
