The retry window uses three quarters of the ratio

Calls that retried runs make again are counted at the node that makes them and never refused, so with 0.95 of the ratio they added up to 0.21 of the requests.

--- a/mangobay/retrybudget.py
+++ b/mangobay/retrybudget.py
@@ -21,9 +21,11 @@
 A smaller bucket holds no reserve for critical calls, and most of what the
 window allows is lost, since it cannot be saved.
 """
-WINDOW_MARGIN = 0.95
+WINDOW_MARGIN = 0.75
 """Share of the ratio that is used over the window.
 
+The calls that retried runs make again are counted and not refused, and a node
+whose runs are mostly retried makes more of them than its own requests pay for.
 Callers that move from one node to another count at both for a while.
 """
 MIN_BURST = 1.0
