--- a/mangobay/leanclient.py
+++ b/mangobay/leanclient.py
@@ -45,10 +45,7 @@
 REPORT_LOG_INTERVAL = 60.0
 """Seconds between two log lines about invalid load reports."""
 LOAD_REPORT = re.compile(
-    r"(\d+)S(\d+)S(\d+)(?:S(\d+(?:\.\d+)?))?".replace(
-        "S", r"(?:\s*[,;/]\s*|\s+)"
-    ),
-    re.ASCII,
+    r"(\d+)\s*,\s*(\d+)\s*,\s*(\d+)(?:\s*,\s*(\d+(?:\.\d+)?))?", re.ASCII
 )
 """Running, waiting, slots and pace; only the pace may have decimals."""
 
