Callers of trees that lack retries are told to come back after the shortage

How long a shortage lasts is not known; Retry-After is now as long as it has lasted, a second at least. Trees that are let through to find its end are those of the highest levels, so there are no random probes beside them.

Test of the decision without a network: tests/test_routing.py.

--- a/mangobay/hosts.py
+++ b/mangobay/hosts.py
@@ -36,7 +36,7 @@
 It applies when calls are rare.  A single failure diverts calls only briefly,
 and about seven responses are enough for an estimate.
 """
-RETRY_THRESHOLD_SECONDS = 1.0
+RETRY_SHORTAGE_SECONDS = 1.0
 """Seconds for which no call trees begin that lacked retries.
 
 Trees of the highest levels still begin and renew the threshold, so that it ends
@@ -421,6 +421,21 @@
     reported_at: float
 
 
+@dataclasses.dataclass(slots=True)
+class RetryShortage:
+    """Call trees of an operation lack retries downstream.
+
+    Attributes:
+      threshold: Level below which they do, from the newest reply.
+      reported_at: Loop time of the reply.
+      since: Loop time of the first of these replies.
+    """
+
+    threshold: int
+    reported_at: float
+    since: float
+
+
 class ServiceHosts:
     """Hosts of one service.
 
@@ -434,8 +449,7 @@
       outliers: Ejects hosts that fail repeatedly.
       downstream_thresholds: Thresholds above zero by operation.  They are
         shared by all hosts, which call the same downstream services.
-      retry_thresholds: Levels by operation below which call trees lack
-        retries downstream.
+      retry_shortages: Operations whose call trees lack retries downstream.
       response_sizes: Mean response size in bytes by operation.
       fresh_hosts: The host with the newest load report among the preferred
         hosts (True) and among the others.
@@ -454,7 +468,7 @@
         self.downstream_thresholds: dict[
             ids.OperationName, ReportedThreshold
         ] = {}
-        self.retry_thresholds: dict[ids.OperationName, ReportedThreshold] = {}
+        self.retry_shortages: dict[ids.OperationName, RetryShortage] = {}
         self.response_sizes: dict[ids.OperationName, float] = {}
         self.fresh_hosts: dict[bool, Host] = {}
 
@@ -470,9 +484,7 @@
                 observation.response_bytes - mean
             )
         if observation.retry_threshold:
-            self.retry_thresholds[observation.operation] = ReportedThreshold(
-                observation.retry_threshold, now
-            )
+            self.record_retry_shortage(observation, now)
         if observation.downstream_threshold:
             self.downstream_thresholds[observation.operation] = (
                 ReportedThreshold(observation.downstream_threshold, now)
@@ -494,17 +506,29 @@
             levels.REMOTE_DECAY_POWER,
         )
 
-    def retry_threshold_at(
+    def record_retry_shortage(
+        self, observation: Observation, now: float
+    ) -> None:
+        """Records that call trees of an operation lack retries downstream."""
+        operation = observation.operation
+        current = self.find_retry_shortage(operation, now)
+        self.retry_shortages[operation] = RetryShortage(
+            threshold=observation.retry_threshold,
+            reported_at=now,
+            since=current.since if current else now,
+        )
+
+    def find_retry_shortage(
         self, operation: ids.OperationName, now: float
-    ) -> int:
-        """Returns the level below which call trees need not begin."""
-        reported = self.retry_thresholds.get(operation)
-        if reported is None:
-            return levels.ADMIT_ALL
-        if now - reported.reported_at > RETRY_THRESHOLD_SECONDS:
-            del self.retry_thresholds[operation]
-            return levels.ADMIT_ALL
-        return reported.threshold
+    ) -> RetryShortage | None:
+        """Returns the shortage of an operation, None if there is none."""
+        shortage = self.retry_shortages.get(operation)
+        if shortage is None:
+            return None
+        if now - shortage.reported_at > RETRY_SHORTAGE_SECONDS:
+            del self.retry_shortages[operation]
+            return None
+        return shortage
 
     def update(self, view: messages.ServiceView, now: float) -> None:
         """Updates the hosts from a view and keeps their observed state."""
--- a/mangobay/routing.py
+++ b/mangobay/routing.py
@@ -180,13 +180,10 @@
         downstream_threshold = service_hosts.downstream_threshold_at(
             operation, now, self.reopen_time
         )
-        if not begun and service_hosts.retry_thresholds:
-            downstream_threshold = max(
-                downstream_threshold,
-                service_hosts.retry_threshold_at(operation, now),
-            )
         if downstream_threshold > level:
             self.maybe_refuse_early(downstream_threshold, criteria)
+        if not begun and service_hosts.retry_shortages:
+            self.check_retries(service_hosts, criteria)
         return self.choose_host(service_hosts, criteria).member
 
     def record_call_start(
@@ -465,6 +462,33 @@
         wait = max(MIN_RETRY_AFTER, share * self.reopen_time)
         raise EarlyRefusalError(wait * (0.5 + self.rng.random()), threshold)
 
+    def check_retries(
+        self, service_hosts: hosts.ServiceHosts, criteria: PickCriteria
+    ) -> None:
+        """Refuses to begin a call tree that would lack retries.
+
+        How long the shortage will last is not known; as long again as it has
+        lasted is a fair guess.  Callers who come back sooner are mostly refused
+        again.
+
+        Raises:
+          EarlyRefusalError: The call tree must not begin.
+        """
+        shortage = service_hosts.find_retry_shortage(
+            criteria.operation, criteria.now
+        )
+        if (
+            shortage is None
+            or criteria.level >= shortage.threshold
+            or not self.early_refusal
+        ):
+            return
+        lasted = criteria.now - shortage.since
+        wait = max(hosts.RETRY_SHORTAGE_SECONDS, lasted)
+        raise EarlyRefusalError(
+            wait * (1 + 0.5 * self.rng.random()), shortage.threshold
+        )
+
     def threshold(self, host: hosts.Host, now: float) -> int:
         """Returns the lowest level that the host is expected to admit."""
         return host.threshold_at(now, self.reopen_time)
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -296,9 +296,22 @@
         with pytest.raises(routing.EarlyRefusalError):
             pick(router, operation=price)
         assert pick(router, operation=price, begun=True) == "a"
-        await asyncio.sleep(hosts.RETRY_THRESHOLD_SECONDS + 0.1)
+        await asyncio.sleep(hosts.RETRY_SHORTAGE_SECONDS + 0.1)
         assert pick(router, operation=price) == "a"
 
+    async def test_callers_are_told_to_come_back_after_a_shortage(self):
+        """Callers come back while retries still lack, and are refused again."""
+        router = make_router(fakes.member("a"))
+        observation = dataclasses.replace(
+            fakes.ANSWERED, status=500, retry_threshold=3 * 256
+        )
+        for _ in range(12):
+            complete_call(router, ids.HostId("a"), observation)
+            await asyncio.sleep(0.5)
+        with pytest.raises(routing.EarlyRefusalError) as refused:
+            pick(router)
+        assert 5.0 < refused.value.retry_after < 10.0
+
     async def test_critical_calls_are_never_refused_early(self):
         router = make_router(fakes.member("a"))
         complete_call(router, ids.HostId("a"), refusal(3 * 256))
