--- a/mangobay/operatorapi.py
+++ b/mangobay/operatorapi.py
@@ -250,7 +250,9 @@
     async def get_quarantine(self, request: web.Request) -> web.Response:
         """Returns the suspected requests of a service; needs no leader."""
         service = ids.ServiceName(request.match_info["service"])
-        return web.json_response(await self.quarantine_admin.list(service))
+        return web.json_response(
+            await self.quarantine_admin.list_requests(service)
+        )
 
     async def post_release(self, request: web.Request) -> web.Response:
         """Releases a quarantined request; this is idempotent."""
--- a/mangobay/quarantineadmin.py
+++ b/mangobay/quarantineadmin.py
@@ -85,7 +85,7 @@
         self.transport = transport
         self.sending = asyncio.Semaphore(MAX_PARALLEL_REQUESTS)
 
-    async def list(self, service: ids.ServiceName) -> dict:
+    async def list_requests(self, service: ids.ServiceName) -> dict:
         """Returns the JSON object of the suspected requests of a service.
 
         Raises:
--- a/mangobay/quarantinepage.py
+++ b/mangobay/quarantinepage.py
@@ -51,7 +51,7 @@
     service = ids.ServiceName(match["service"])
     match (method, match["digest"]):
         case ("GET", None):
-            return json_response(200, await admin.list(service))
+            return json_response(200, await admin.list_requests(service))
         case ("POST", str(text)):
             digest = quarantineadmin.parse_digest(text)
             return json_response(200, await admin.release(service, digest, ""))
--- a/tests/test_quarantineadmin.py
+++ b/tests/test_quarantineadmin.py
@@ -72,7 +72,7 @@
         nodes = Nodes(3)
         nodes.record_ends(0, "e1", "e2")
         nodes.record_ends(1, "e2", "e3")
-        listed = await nodes.admin.list("stock")
+        listed = await nodes.admin.list_requests("stock")
         (request,) = listed["requests"]
         assert request["request"] == HEX
         assert (request["ends"], request["nodes"], listed["asked"]) == (3, 2, 3)
@@ -81,12 +81,12 @@
         """An incomplete list looks like a complete one."""
         nodes = Nodes(3)
         nodes.cut = {2}
-        listed = await nodes.admin.list("stock")
+        listed = await nodes.admin.list_requests("stock")
         assert listed["unreached"] == ["h1"]
 
     async def test_unknown_service(self):
         with pytest.raises(errors.NotFoundError):
-            await Nodes(1).admin.list("nosuch")
+            await Nodes(1).admin.list_requests("nosuch")
 
 
 class TestRelease:
