Queries about calls on silent connections: three faults found in review

A refusal that reaches a caller after the deadline of its call is not taken as not run: the called node may have forgotten that it ran. Large responses on a connection that is replaced are cut off visibly; they hung, since nothing checked that connection any more. A query about a running call with a large response ends with the run and does not abort the sending of the response, and a replaced connection stays until it is sent.

--- a/mangobay/callquery.py
+++ b/mangobay/callquery.py
@@ -17,9 +17,8 @@
 MARGIN_SECONDS = 1.0
 """Time past its deadline for which an ended call is remembered.
 
-The calling node waits for a reply until the deadline and a short grace, by its
-own clock.  A reply to a later query reaches no caller, so that a call which is
-forgotten after this time is never told to be not run.
+The calling node takes no reply to a query after the deadline, so that a call
+which is forgotten after this time is never told to be not run.
 """
 FORGET_INTERVAL_SECONDS = 1.0
 """Seconds between two searches for ended calls to forget.
@@ -73,6 +72,7 @@
       connections: the connections of other nodes.
       running: tasks of the calls without a reply, by call id.
       waiting_queries: number of queries that wait for a running call.
+      ends: futures that are done when such a call has ended.
       ended: calls that have ended, in the order of their ends.
       kept_replies: ids of the ended calls whose replies are kept, in the order
         of their ends.
@@ -90,6 +90,7 @@
         self.waiting_queries: collections.Counter[ids.CallId] = (
             collections.Counter()
         )
+        self.ends: dict[ids.CallId, asyncio.Future[None]] = {}
         self.ended: collections.OrderedDict[ids.CallId, EndedCall] = (
             collections.OrderedDict()
         )
@@ -112,6 +113,9 @@
         finally:
             del self.running[call_id]
             self.record_end(call_id, expires_at, reply)
+            end = self.ends.pop(call_id, None)
+            if end is not None:
+                end.set_result(None)
         return reply
 
     def expiry(self, milliseconds_left: int) -> float:
@@ -158,17 +162,23 @@
         """Waits for the end of a running call.
 
         The call is aborted once the last query about it is cancelled, as its
-        caller has then disconnected or given up.
+        caller has then disconnected or given up.  Its task may go on after its
+        end, to send a large response.
         """
         self.connections.detach_handler(task)
         self.waiting_queries[call_id] += 1
+        end = self.ends.get(call_id)
+        if end is None:
+            end = asyncio.get_running_loop().create_future()
+            self.ends[call_id] = end
         try:
-            await asyncio.wait({task})
+            await asyncio.shield(end)
         finally:
             self.waiting_queries[call_id] -= 1
             if not self.waiting_queries[call_id]:
                 del self.waiting_queries[call_id]
-                task.cancel()
+                if self.running.get(call_id) is task:
+                    task.cancel()
 
     def record_end(
         self, call_id: ids.CallId, expires_at: float, reply: messages.Reply
--- a/mangobay/callresolution.py
+++ b/mangobay/callresolution.py
@@ -147,6 +147,8 @@
             if is_call:
                 self.counts[Resolution.UNRESOLVED] += 1
             future.set_exception(errors.PeerBrokenError("replaced"))
+        # Nothing else would notice that no more parts of them come.
+        connection.bodies.cut_off("replaced")
         self.replaced_count += 1
         logs.log_event(
             logs.Component.PEER,
@@ -178,6 +180,9 @@
         failure = errors.PeerBrokenError("unresolved")
         try:
             reply = await self.send_query(silent, call, deadline, connect)
+            if asyncio.get_running_loop().time() >= deadline:
+                # The called node may have forgotten a call that has run.
+                reply, failure = None, TimeoutError()
         except TimeoutError as error:
             failure = error
         except errors.PeerError:
--- a/mangobay/peers.py
+++ b/mangobay/peers.py
@@ -356,7 +356,7 @@
         The peer may wait for their replies here, if the connection was only
         slow.  It is closed without flushing, as it may be dead.
         """
-        if self.handler_tasks:
+        if self.handler_tasks or self.bodies.senders:
             self.loop.call_later(SUPERSEDED_SECONDS, self.close_superseded)
             return
         self.transport.abort()
--- a/tests/test_silentconnections.py
+++ b/tests/test_silentconnections.py
@@ -305,6 +305,50 @@
         assert list(node.memory.ended) == [last.call_id]
         assert not node.memory.may_be_forgotten()
 
+    async def test_query_does_not_wait_for_the_body(self):
+        """A query waits until a large response has been sent."""
+        node = silencefakes.CalledNode(CALLED)
+        message = call("book")
+        started, finish = asyncio.Event(), asyncio.Event()
+
+        async def serve(_):
+            started.set()
+            await finish.wait()
+            return messages.Reply(outcome=Outcome.ANSWERED, streamed=True)
+
+        async def handle():
+            await node.memory.run(message, serve)
+            await asyncio.sleep(3.0)
+
+        task = asyncio.create_task(handle())
+        await started.wait()
+        query = asyncio.create_task(self.ask(node, message))
+        await asyncio.sleep(0)
+        finish.set()
+        reply = await asyncio.wait_for(query, 1.0)
+        assert reply.outcome is Outcome.UNKNOWN
+        assert not task.done()
+        task.cancel()
+
+    async def test_a_late_refusal_is_not_believed(self, monkeypatch):
+        """The called node has forgotten by then that the call has run."""
+        resolver = callresolution.CallResolver()
+
+        async def send_query(silent, message, deadline, connect):
+            await asyncio.sleep(0.05)
+            return messages.Reply(
+                outcome=Outcome.NOT_RUN,
+                reason=messages.Reason.CONNECTION_FAILED,
+            )
+
+        monkeypatch.setattr(resolver, "send_query", send_query)
+        loop = asyncio.get_running_loop()
+        future = loop.create_future()
+        await resolver.query(
+            None, call("book"), loop.time() + 0.01, future, None
+        )
+        assert isinstance(future.exception(), TimeoutError)
+
     async def test_refused_id_is_not_run_on_any_connection(self):
         node = silencefakes.CalledNode(CALLED)
         message = call("book")
