Review case 3: two uploads within the limits end a node over its memory

Cause: request bodies are held whole, in up to three copies, and nothing bounds their sum; the limit of a body comes from the manifest alone.

Done: a script with four sidecars and five core machines, in which the stand-in of the platform kills a process above the 300 MB of a sidecar.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,111 +1,195 @@
-"""An upstream drains, and a liveness report with missing fields follows."""
+"""Clients send uploads within the limits; nodes have 300 MB of memory."""
 
 import asyncio
-import json
 import pathlib
+import signal
 import sys
-import time
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent))
 
-from standins import case, fleet, manifests, messages  # noqa: E402
-
-DRAIN_SECONDS = 2.0
+from standins import case, fleet, manifests, messages, upstream  # noqa: E402
+
+MEMORY_MB = 300
+"""Memory of a sidecar, on the page of the site."""
+LARGEST_BODY_BYTES = 60_000_000
+"""Below `max_body_bytes`, which is 67,108,864."""
+USUAL_BODY_BYTES = 360_000
+"""The largest upload of the site's own clients."""
+UPLOADS = 2
+BOOKINGS = 12
+ALLOWED_CUTS = 3
+POLL_SECONDS = 0.002
+RESTART_SECONDS = 0.5
 STABLE_SECONDS = 3.0
-REPORT_AFTER_SECONDS = 1.0
-LOAD_SECONDS = 6.0
-REQUEST_GAP_SECONDS = 0.05
-FOREIGN_SEQUENCE = 1000
-SERVICES = ["roster", "placement"]
+WORK_SECONDS = 2.0
+DEADLINE_MS = 5000
+SERVICES = ["documents", "placement"]
 
 
 def make(log):
     """Returns the deployment: five core machines and four sidecars."""
-    return fleet.Fleet(log, ["roster", "roster", "placement", "placement"])
+    return fleet.Fleet(log, [*SERVICES, *SERVICES])
 
 
-async def send_foreign_report(machine, deployment, log) -> None:
-    """Sends a report without an address, a zone and a version.
+def memory_mb(machine) -> float:
+    """Returns the memory that the process of a machine uses, in MB."""
+    status = pathlib.Path(f"/proc/{machine.process.pid}/status").read_text()
+    for line in status.splitlines():
+        if line.startswith("VmRSS:"):
+            return int(line.split()[1]) * 1024 / 1e6
+    return 0.0
 
-    It names the upstream of the machine, which another writer has seen ready.
-    """
-    server = deployment.upstreams[machine.name]
-    body = {
-        "born": server.born,
-        "info": {"service": server.service, "slots": server.slots},
-        "status": {"state": "ready", "sequence": FOREIGN_SEQUENCE},
-    }
-    response = await messages.call_rpc(
-        machine.ip,
-        deployment.ports.control,
-        "instances.heartbeat",
-        body,
-        subject=server.instance,
-    )
-    log.add(
-        f"another writer reports {json.dumps(body)} to {machine.name}:"
-        f" {response.status if response else 'no response'}"
-    )
 
+class Platform:
+    """Ends a process that uses more memory than its machine has.
 
-async def send_load(deployment, seconds: float) -> None:
-    """Sends requests to every node until the time is over."""
-    tasks = []
-    end_at = time.monotonic() + seconds
-    number = 0
-    while time.monotonic() < end_at:
-        machine = deployment.sidecars[number % len(deployment.sidecars)]
-        tasks.append(
-            asyncio.create_task(
-                deployment.request(machine, "/crew/1", f"load-{number}")
+    Attributes:
+      peaks: the most memory that was seen, by machine.
+      ends: the machines whose process was ended.
+    """
+
+    def __init__(self, deployment, log):
+        self.deployment = deployment
+        self.log = log
+        self.peaks: dict[str, float] = {}
+        self.ends: list[str] = []
+
+    async def watch(self) -> None:
+        """Looks at the memory of all sidecars until cancelled."""
+        while True:
+            for machine in self.deployment.sidecars:
+                if machine.process.poll() is None:
+                    await self.look_at(machine)
+            await asyncio.sleep(POLL_SECONDS)
+
+    async def look_at(self, machine) -> None:
+        """Ends the process of a machine if it uses too much memory."""
+        used = memory_mb(machine)
+        self.peaks[machine.name] = max(self.peaks.get(machine.name, 0), used)
+        if used <= MEMORY_MB:
+            return
+        self.log.add(f"{machine.name} uses {used:.0f} MB and is killed")
+        self.deployment.send_signal(machine, signal.SIGKILL)
+        self.ends.append(machine.name)
+        await asyncio.to_thread(machine.process.wait)
+        await asyncio.sleep(RESTART_SECONDS)
+        self.deployment.start(machine)
+
+
+class Client:
+    """A client whose connection has served a request before."""
+
+    def __init__(self, deployment, machine, number, log):
+        self.deployment = deployment
+        self.machine = machine
+        self.number = number
+        self.log = log
+
+    async def connect(self) -> bool:
+        """Opens the connection; returns whether a first request is served."""
+        self.reader, self.writer = await asyncio.open_connection(
+            self.machine.ip, self.deployment.ports.outbound
+        )
+        answer = await self.send(f"first-{self.number}")
+        return answer is not None and answer.status == 200
+
+    async def send(self, attempt) -> messages.Message | None:
+        """Sends a booking; returns its answer, None if there is none."""
+        self.log.add(f"client sends {attempt} to {self.machine.name}")
+        self.writer.write(
+            messages.encode(
+                "POST /place/1 HTTP/1.1",
+                {
+                    "Host": "front.example",
+                    "X-Mangobay-Attempt-Id": attempt,
+                    "X-Mangobay-Deadline-Ms": str(DEADLINE_MS),
+                },
+                b"booking",
             )
         )
-        number += 1
-        await asyncio.sleep(REQUEST_GAP_SECONDS)
-    await asyncio.gather(*tasks)
+        answer = None
+        try:
+            async with asyncio.timeout(DEADLINE_MS / 1000 + 1):
+                answer = await messages.read_message(self.reader)
+        except (OSError, TimeoutError, asyncio.IncompleteReadError) as error:
+            self.log.add(f"{attempt}: {error!r}")
+        status = answer.status if answer else "no answer"
+        self.log.add(f"client gets {status} for {attempt}")
+        return answer
+
+
+async def send_upload(deployment, machine, number, log) -> None:
+    """Sends an upload on a connection of its own."""
+    size = LARGEST_BODY_BYTES if case.has_trouble() else USUAL_BODY_BYTES
+    data = messages.encode(
+        "POST /upload/1 HTTP/1.1",
+        {
+            "Host": "front.example",
+            "X-Mangobay-Attempt-Id": f"upload-{number}",
+            "X-Mangobay-Deadline-Ms": str(DEADLINE_MS),
+        },
+        bytes(size),
+    )
+    log.add(f"client sends upload-{number} of {size} bytes to {machine.name}")
+    answer = await messages.exchange(
+        machine.ip, deployment.ports.outbound, data, DEADLINE_MS / 1000
+    )
+    status = answer.status if answer else "no answer"
+    log.add(f"client gets {status} for upload-{number}")
 
 
 async def play(deployment, log) -> case.Verdict:
-    """Drains an upstream under load, and looks what still reaches it."""
-    await deployment.start_all()
+    """Sends uploads beside bookings, and looks which bookings are answered."""
+    await deployment.start_all(work_seconds=WORK_SECONDS)
     manifest = manifests.manifest(
-        2, [manifests.route("/crew/", "roster")], SERVICES
+        2,
+        [
+            manifests.route("/place/", "placement"),
+            manifests.route("/upload/", "documents", "upload"),
+        ],
+        SERVICES,
     )
     response = await deployment.order(manifest, "0")
     if response is None or response.status != 200:
         return case.Verdict.NOT_RUN
     await deployment.wait_until_ready()
     await asyncio.sleep(STABLE_SECONDS)
-    load = asyncio.create_task(send_load(deployment, LOAD_SECONDS))
-    await asyncio.sleep(1.0)
+    platform = Platform(deployment, log)
+    watch = asyncio.create_task(platform.watch())
     machine = deployment.sidecars[0]
-    server = deployment.upstreams[machine.name]
-    if not server.runs:
+    clients = [Client(deployment, machine, n, log) for n in range(BOOKINGS)]
+    served = await asyncio.gather(*(client.connect() for client in clients))
+    if not all(served):
         return case.Verdict.NOT_RUN
-    server.state = "draining"
-    if not await server.beat():
-        return case.Verdict.NOT_RUN
-    log.add(f"{server.instance} drains, confirmed")
-    await asyncio.sleep(REPORT_AFTER_SECONDS)
-    if case.has_trouble():
-        await send_foreign_report(machine, deployment, log)
-    await load
-    return judge(server, log)
-
-
-def judge(server, log) -> case.Verdict:
-    """Returns whether a request came later than `drain` after the ack."""
-    late = [
-        run
-        for run in server.runs
-        if run.at > server.acked_leaving_at + DRAIN_SECONDS
+    bookings = [
+        asyncio.create_task(client.send(f"booking-{client.number}"))
+        for client in clients
     ]
-    for run in late:
-        seconds = run.at - server.acked_leaving_at
-        log.add(f"{run.attempt} came {seconds:.2f} s after the confirmation")
-    log.add(f"{len(late)} requests came later than {DRAIN_SECONDS} s after it")
-    return case.Verdict.BROKEN if late else case.Verdict.HELD
+    await asyncio.sleep(0.3)
+    await asyncio.gather(
+        *(send_upload(deployment, machine, n, log) for n in range(UPLOADS))
+    )
+    answers = await asyncio.gather(*bookings)
+    await asyncio.sleep(1.0)
+    watch.cancel()
+    for name, peak in platform.peaks.items():
+        log.add(f"{name} used {peak:.0f} MB at its peak")
+    return judge(deployment, log, answers)
+
+
+def judge(deployment, log, answers) -> case.Verdict:
+    """Returns whether kept connections were closed with a booking passed on."""
+    cut = 0
+    for number, answer in enumerate(answers):
+        attempt = f"booking-{number}"
+        run = upstream.find_run(deployment.upstreams.values(), attempt)
+        if answer is None and run is not None:
+            cut += 1
+            log.add(f"{attempt} was passed on and has no answer: {run.ended}")
+    log.add(f"{cut} bookings were passed on and never answered")
+    broken = cut > ALLOWED_CUTS
+    return case.Verdict.BROKEN if broken else case.Verdict.HELD
 
 
 if __name__ == "__main__":
