--- a/review/2/case.py
+++ b/review/2/case.py
@@ -24,12 +24,14 @@
 async def send_foreign_report(machine, deployment, log) -> None:
     """Sends the report of another writer to the node of a machine.
 
-    Its field `slots` is -1, as writers put it that know no limit.
+    It has no address, zone and version, and its field `slots` is -1, as writers
+    put it that know no limit.
     """
     server = deployment.upstreams[machine.name]
     body = server.make_beat()
-    body["info"]["slots"] = -1
-    log.add(f"another writer reports to {machine.name}: {body['info']}")
+    del body["address"]
+    body["info"] = {"service": server.service, "slots": -1}
+    log.add(f"another writer reports to {machine.name}: {body}")
     await server.send_beat(body)
 
 
