--- a/review/1/case.py
+++ b/review/1/case.py
@@ -134,28 +134,34 @@
         await asyncio.sleep(REJECTED_SECONDS - EXTRA_SECONDS)
 
 
-async def play(deployment, log) -> case.Verdict:
-    """Sends bookings, and counts how often each was run."""
-    for machine in deployment.sidecars:
-        deployment.make_upstream(
-            machine, kind=GreyUpstream, slots=SLOTS, work_seconds=WORK_SECONDS
+class TestSecondCopies:
+    """Bookings at upstreams whose rejections have a late second copy."""
+
+    async def test_no_booking_runs_twice(self, deployment, log) -> case.Verdict:
+        """Sends bookings, and counts how often each was run."""
+        for machine in deployment.sidecars:
+            deployment.make_upstream(
+                machine,
+                kind=GreyUpstream,
+                slots=SLOTS,
+                work_seconds=WORK_SECONDS,
+            )
+        await deployment.start_all()
+        manifest = manifests.manifest(
+            2, [manifests.route("/book/", "abo", max_attempts=1)], SERVICES
         )
-    await deployment.start_all()
-    manifest = manifests.manifest(
-        2, [manifests.route("/book/", "abo", max_attempts=1)], SERVICES
-    )
-    response = await deployment.order(manifest, "0")
-    if response is None or response.status != 200:
-        return case.Verdict.NOT_RUN
-    await deployment.wait_until_ready()
-    await asyncio.sleep(STABLE_SECONDS)
-    statuses: dict[str, int] = {}
-    await asyncio.gather(
-        make_trouble(deployment, log),
-        *(send_bookings(deployment, n, statuses) for n in range(CLIENTS)),
-    )
-    await asyncio.sleep(2.0)
-    return judge(deployment, log, statuses)
+        response = await deployment.order(manifest, "0")
+        if response is None or response.status != 200:
+            return case.Verdict.NOT_RUN
+        await deployment.wait_until_ready()
+        await asyncio.sleep(STABLE_SECONDS)
+        statuses: dict[str, int] = {}
+        await asyncio.gather(
+            make_trouble(deployment, log),
+            *(send_bookings(deployment, n, statuses) for n in range(CLIENTS)),
+        )
+        await asyncio.sleep(2.0)
+        return judge(deployment, log, statuses)
 
 
 def judge(deployment, log, statuses) -> case.Verdict:
@@ -188,4 +194,4 @@
 
 
 if __name__ == "__main__":
-    case.run(FOLDER, make, play)
+    case.run(FOLDER, make, TestSecondCopies().test_no_booking_runs_twice)
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -35,37 +35,44 @@
     await server.send_beat(body)
 
 
-async def play(deployment, log) -> case.Verdict:
-    """Moves a route after the report, and looks who runs its requests."""
-    await deployment.start_all()
-    first = manifests.manifest(
-        2, [manifests.route("/book/", "roster")], SERVICES
-    )
-    response = await deployment.order(first, "0")
-    if response is None or response.status != 200:
-        return case.Verdict.NOT_RUN
-    await deployment.wait_until_ready()
-    await asyncio.sleep(STABLE_SECONDS)
-    for number, machine in enumerate(deployment.sidecars):
-        answer = await deployment.request(
-            machine, "/book/1", f"before-{number}"
+class TestForeignReport:
+    """A manifest after the liveness report of another writer."""
+
+    async def test_the_manifest_takes_effect(
+        self, deployment, log
+    ) -> case.Verdict:
+        """Moves a route after the report, and looks who runs its requests."""
+        await deployment.start_all()
+        first = manifests.manifest(
+            2, [manifests.route("/book/", "roster")], SERVICES
         )
-        if answer is None or answer.status != 200:
+        response = await deployment.order(first, "0")
+        if response is None or response.status != 200:
             return case.Verdict.NOT_RUN
-    told = deployment.sidecars[0]
-    if case.has_trouble():
-        await send_foreign_report(told, deployment, log)
-    await asyncio.sleep(STABLE_SECONDS)
-    second = manifests.manifest(
-        5, [manifests.route("/book/", "placement")], SERVICES
-    )
-    response = await deployment.order(second, "r2")
-    confirmed_at = time.monotonic()
-    if response is None or response.status != 200:
-        return case.Verdict.NOT_RUN
-    await asyncio.sleep(CONFIG_APPLY_SECONDS + 0.5)
-    log.add(f"{time.monotonic() - confirmed_at:.1f} s after the confirmation")
-    return await judge(deployment, log)
+        await deployment.wait_until_ready()
+        await asyncio.sleep(STABLE_SECONDS)
+        for number, machine in enumerate(deployment.sidecars):
+            answer = await deployment.request(
+                machine, "/book/1", f"before-{number}"
+            )
+            if answer is None or answer.status != 200:
+                return case.Verdict.NOT_RUN
+        told = deployment.sidecars[0]
+        if case.has_trouble():
+            await send_foreign_report(told, deployment, log)
+        await asyncio.sleep(STABLE_SECONDS)
+        second = manifests.manifest(
+            5, [manifests.route("/book/", "placement")], SERVICES
+        )
+        response = await deployment.order(second, "r2")
+        confirmed_at = time.monotonic()
+        if response is None or response.status != 200:
+            return case.Verdict.NOT_RUN
+        await asyncio.sleep(CONFIG_APPLY_SECONDS + 0.5)
+        log.add(
+            f"{time.monotonic() - confirmed_at:.1f} s after the confirmation"
+        )
+        return await judge(deployment, log)
 
 
 async def judge(deployment, log) -> case.Verdict:
@@ -90,4 +97,4 @@
 
 
 if __name__ == "__main__":
-    case.run(FOLDER, make, play)
+    case.run(FOLDER, make, TestForeignReport().test_the_manifest_takes_effect)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -11,7 +11,7 @@
 from standins import case, fleet, manifests, messages, upstream  # noqa: E402
 
 MEMORY_MB = 300
-"""Memory of a sidecar, on the page of the site."""
+"""Memory of a sidecar, on the page of the site; taken for MiB, the larger."""
 LARGEST_BODY_BYTES = 60_000_000
 """Below `max_body_bytes`, which is 67,108,864."""
 USUAL_BODY_BYTES = 360_000
@@ -33,11 +33,11 @@
 
 
 def memory_mb(machine) -> float:
-    """Returns the memory that the process of a machine uses, in MB."""
+    """Returns the memory that the process of a machine uses, in MiB."""
     status = pathlib.Path(f"/proc/{machine.process.pid}/status").read_text()
     for line in status.splitlines():
         if line.startswith("VmRSS:"):
-            return int(line.split()[1]) * 1024 / 1e6
+            return int(line.split()[1]) / 1024
     return 0.0
 
 
@@ -69,7 +69,7 @@
         self.peaks[machine.name] = max(self.peaks.get(machine.name, 0), used)
         if used <= MEMORY_MB:
             return
-        self.log.add(f"{machine.name} uses {used:.0f} MB and is killed")
+        self.log.add(f"{machine.name} uses {used:.0f} MiB and is killed")
         self.deployment.send_signal(machine, signal.SIGKILL)
         self.ends.append(machine.name)
         await asyncio.to_thread(machine.process.wait)
@@ -139,43 +139,48 @@
     log.add(f"client gets {status} for upload-{number}")
 
 
-async def play(deployment, log) -> case.Verdict:
-    """Sends uploads beside bookings, and looks which bookings are answered."""
-    await deployment.start_all(work_seconds=WORK_SECONDS)
-    manifest = manifests.manifest(
-        2,
-        [
-            manifests.route("/place/", "placement"),
-            manifests.route("/upload/", "documents", "upload"),
-        ],
-        SERVICES,
-    )
-    response = await deployment.order(manifest, "0")
-    if response is None or response.status != 200:
-        return case.Verdict.NOT_RUN
-    await deployment.wait_until_ready()
-    await asyncio.sleep(STABLE_SECONDS)
-    platform = Platform(deployment, log)
-    watch = asyncio.create_task(platform.watch())
-    machine = deployment.sidecars[0]
-    clients = [Client(deployment, machine, n, log) for n in range(BOOKINGS)]
-    served = await asyncio.gather(*(client.connect() for client in clients))
-    if not all(served):
-        return case.Verdict.NOT_RUN
-    bookings = [
-        asyncio.create_task(client.send(f"booking-{client.number}"))
-        for client in clients
-    ]
-    await asyncio.sleep(0.3)
-    await asyncio.gather(
-        *(send_upload(deployment, machine, n, log) for n in range(UPLOADS))
-    )
-    answers = await asyncio.gather(*bookings)
-    await asyncio.sleep(1.0)
-    watch.cancel()
-    for name, peak in platform.peaks.items():
-        log.add(f"{name} used {peak:.0f} MB at its peak")
-    return judge(deployment, log, answers)
+class TestLargeUploads:
+    """Uploads within the limits beside bookings."""
+
+    async def test_every_booking_is_answered(
+        self, deployment, log
+    ) -> case.Verdict:
+        """Sends uploads beside bookings, and looks which bookings are answered."""
+        await deployment.start_all(work_seconds=WORK_SECONDS)
+        manifest = manifests.manifest(
+            2,
+            [
+                manifests.route("/place/", "placement"),
+                manifests.route("/upload/", "documents", "upload"),
+            ],
+            SERVICES,
+        )
+        response = await deployment.order(manifest, "0")
+        if response is None or response.status != 200:
+            return case.Verdict.NOT_RUN
+        await deployment.wait_until_ready()
+        await asyncio.sleep(STABLE_SECONDS)
+        platform = Platform(deployment, log)
+        watch = asyncio.create_task(platform.watch())
+        machine = deployment.sidecars[0]
+        clients = [Client(deployment, machine, n, log) for n in range(BOOKINGS)]
+        served = await asyncio.gather(*(client.connect() for client in clients))
+        if not all(served):
+            return case.Verdict.NOT_RUN
+        bookings = [
+            asyncio.create_task(client.send(f"booking-{client.number}"))
+            for client in clients
+        ]
+        await asyncio.sleep(0.3)
+        await asyncio.gather(
+            *(send_upload(deployment, machine, n, log) for n in range(UPLOADS))
+        )
+        answers = await asyncio.gather(*bookings)
+        await asyncio.sleep(1.0)
+        watch.cancel()
+        for name, peak in platform.peaks.items():
+            log.add(f"{name} used {peak:.0f} MiB at its peak")
+        return judge(deployment, log, answers)
 
 
 def judge(deployment, log, answers) -> case.Verdict:
@@ -193,4 +198,4 @@
 
 
 if __name__ == "__main__":
-    case.run(FOLDER, make, play)
+    case.run(FOLDER, make, TestLargeUploads().test_every_booking_is_answered)
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -49,39 +49,44 @@
     await server.send_beat(body)
 
 
-async def play(deployment, log) -> case.Verdict:
-    """Restarts a node while its upstream leaves, and looks what reaches it.
-
-    The upstream reports, that report is late, it deregisters, and serves on.
-    """
-    await deployment.start_all()
-    manifest = manifests.manifest(
-        2, [manifests.route("/crew/", "roster")], SERVICES
-    )
-    response = await deployment.order(manifest, "0")
-    if response is None or response.status != 200:
-        return case.Verdict.NOT_RUN
-    await deployment.wait_until_ready()
-    await asyncio.sleep(STABLE_SECONDS)
-    machine = deployment.sidecars[0]
-    server = deployment.upstreams[machine.name]
-    load = asyncio.create_task(send_load(deployment))
-    await asyncio.sleep(1.0)
-    if not server.runs:
-        return case.Verdict.NOT_RUN
-    server.beat_task.cancel()
-    if case.has_trouble():
-        deployment.send_signal(machine, signal.SIGKILL)
-        await asyncio.to_thread(machine.process.wait)
-        deployment.start(machine)
-    started_at = time.monotonic()
-    log.add("a report is sent, which will be late")
-    late = asyncio.create_task(deliver_late(server, server.make_beat()))
-    while not await server.deregister():
-        await asyncio.sleep(RETRY_SECONDS)
-    await late
-    await load
-    return judge(server, started_at, log)
+class TestRestartedNode:
+    """An upstream that deregisters at a node that has just restarted."""
+
+    async def test_nothing_reaches_it_after_drain(
+        self, deployment, log
+    ) -> case.Verdict:
+        """Restarts a node while its upstream leaves, and looks what reaches it.
+
+        The upstream reports, that report is late, it deregisters, and serves on.
+        """
+        await deployment.start_all()
+        manifest = manifests.manifest(
+            2, [manifests.route("/crew/", "roster")], SERVICES
+        )
+        response = await deployment.order(manifest, "0")
+        if response is None or response.status != 200:
+            return case.Verdict.NOT_RUN
+        await deployment.wait_until_ready()
+        await asyncio.sleep(STABLE_SECONDS)
+        machine = deployment.sidecars[0]
+        server = deployment.upstreams[machine.name]
+        load = asyncio.create_task(send_load(deployment))
+        await asyncio.sleep(1.0)
+        if not server.runs:
+            return case.Verdict.NOT_RUN
+        server.beat_task.cancel()
+        if case.has_trouble():
+            deployment.send_signal(machine, signal.SIGKILL)
+            await asyncio.to_thread(machine.process.wait)
+            deployment.start(machine)
+        started_at = time.monotonic()
+        log.add("a report is sent, which will be late")
+        late = asyncio.create_task(deliver_late(server, server.make_beat()))
+        while not await server.deregister():
+            await asyncio.sleep(RETRY_SECONDS)
+        await late
+        await load
+        return judge(server, started_at, log)
 
 
 def judge(server, started_at: float, log) -> case.Verdict:
@@ -102,4 +107,6 @@
 
 
 if __name__ == "__main__":
-    case.run(FOLDER, make, play)
+    case.run(
+        FOLDER, make, TestRestartedNode().test_nothing_reaches_it_after_drain
+    )
--- a/review/standins/case.py
+++ b/review/standins/case.py
@@ -5,6 +5,7 @@
 import enum
 import os
 import pathlib
+import signal
 import sys
 import traceback
 
@@ -39,6 +40,8 @@
       make: returns the deployment, given the record.
       play: plays the case on it.
     """
+    # What was started is ended also if the case is told to stop.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(Verdict.NOT_RUN))
     log = record.Record(folder / "record.txt")
     log.add("with the disruption" if has_trouble() else "TROUBLE=0")
     verdict = Verdict.NOT_RUN
--- a/review/standins/upstream.py
+++ b/review/standins/upstream.py
@@ -89,7 +89,7 @@
     async def report(self) -> None:
         """Sends liveness reports; a failed one is sent again soon."""
         while True:
-            acked = await self.beat()
+            acked = await self.beat(routine=True)
             await asyncio.sleep(HEARTBEAT_SECONDS if acked else 0.3)
 
     def make_beat(self) -> dict:
@@ -111,12 +111,17 @@
             },
         }
 
-    async def beat(self) -> bool:
+    async def beat(self, routine: bool = False) -> bool:
         """Sends a liveness report; returns whether it was confirmed."""
-        return await self.send_beat(self.make_beat())
+        return await self.send_beat(self.make_beat(), routine)
 
-    async def send_beat(self, body: dict) -> bool:
-        """Sends a given liveness report; returns whether it was confirmed."""
+    async def send_beat(self, body: dict, routine: bool = False) -> bool:
+        """Sends a given liveness report; returns whether it was confirmed.
+
+        Args:
+          body: the report.
+          routine: whether it is left out of the record if it is confirmed.
+        """
         response = await messages.call_rpc(
             self.ip,
             self.control_port,
@@ -126,10 +131,11 @@
             timeout=BEAT_TIMEOUT,
         )
         acked = response is not None and 200 <= response.status < 300
-        self.log.add(
-            f"{self.instance} reports {json.dumps(body['status'])}:"
-            f" {response.status if response else 'no response'}"
-        )
+        if not (routine and acked):
+            self.log.add(
+                f"{self.instance} reports {json.dumps(body['status'])}:"
+                f" {response.status if response else 'no response'}"
+            )
         leaving = body["status"]["state"] == "draining"
         if acked and leaving and not self.acked_leaving_at:
             self.acked_leaving_at = time.monotonic()
