--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -20,6 +20,11 @@
 EXIT_SECONDS = 3.0
 READY_SECONDS = 25.0
 ORDER_TIMEOUT = 1.0
+CLEAR_RESPONSE_SECONDS = 30.0
+"""Seconds after which an order without a clear response is given up.
+
+On a busy machine the processes of a deployment take over 10 s to start.
+"""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -221,8 +226,8 @@
     async def order(
         self, manifest: dict[str, typing.Any], base: str
     ) -> messages.Message | None:
-        """Sends a manifest until there is a clear response, or for 10 s."""
-        give_up_at = time.monotonic() + 10.0
+        """Sends a manifest until there is a clear response or the time is up."""
+        give_up_at = time.monotonic() + CLEAR_RESPONSE_SECONDS
         while time.monotonic() < give_up_at:
             for core in self.cores:
                 response = await messages.call_rpc(
