--- a/review/1/case.py
+++ b/review/1/case.py
@@ -19,16 +19,17 @@
 STABLE_SECONDS = 3.0
 SLOTS = 125
 WORK_SECONDS = 0.16
-REJECTED_SHARE = 0.2
+REJECTED_SHARE = 0.3
 REJECTED_SECONDS = 8.5
 EXTRA_SHARE = 0.03
-EXTRA_SERVERS = 3
+TROUBLED_SERVERS = 3
+"""Upstreams of the service that reject requests and repeat answers."""
 EXTRA_SECONDS = 5.0
 MAX_ROUNDS = 7
 MIN_ROUNDS = 2
 END_SECONDS = 10.0
 """Seconds that are left for the last requests and the record."""
-CLIENTS = 24
+CLIENTS = 36
 PAUSE_SECONDS = 0.12
 SEED = 61
 
@@ -124,16 +125,15 @@
 
 
 async def make_trouble(deployment, rounds: int, log) -> None:
-    """Lets the upstreams of a service reject requests and repeat answers."""
+    """Lets some upstreams of a service reject requests and repeat answers."""
     servers = [
         deployment.upstreams[machine.name]
         for machine in deployment.sidecars
         if machine.service == "abo"
-    ]
+    ][:TROUBLED_SERVERS]
     for _ in range(rounds):
         for server in servers:
             server.rejects = True
-        for server in servers[:EXTRA_SERVERS]:
             server.copies = case.has_trouble()
         log.add("some requests are rejected, some answers come twice")
         await asyncio.sleep(EXTRA_SECONDS)
