Parser: count the bytes in the read that completes a head

Cause of `trailer`: `Parser.feed` decided once for each read whether to count it, so that the bytes behind a head in the same read were not counted, and a count equal to the limit passed. Reads of 262144, 113233 and 262144 bytes give the figure. Reads are now parsed in pieces of 32 KiB, and the limit itself is an error. `test_bytes_in_the_read_that_completes_the_head` failed before in 4 of 6 cases.

--- a/mangobay/httpparse.py
+++ b/mangobay/httpparse.py
@@ -21,6 +21,12 @@
 SINGLETON_HEADERS = ("Content-Length", "Host")
 """Headers that must not repeat: two servers could read different requests from
 the same bytes (request smuggling)."""
+PIECE_BYTES = 32 * 1024
+"""Bytes that are parsed at a time.
+
+What follows the end of a head or of a body is counted from the next piece on, as
+llhttp does not tell where either ends.
+"""
 TARGET_PREFIXES = ("/", "http://", "https://")
 NO_BODY_STATUSES = frozenset({204, 304})
 """Statuses of responses that never have a body."""
@@ -137,6 +143,17 @@
             return []
         self.new_messages = []
         self.message_completed = False
+        if len(data) <= PIECE_BYTES:
+            self.parse(data)
+            return self.new_messages
+        for start in range(0, len(data), PIECE_BYTES):
+            self.parse(data[start : start + PIECE_BYTES])
+            if self.error is not None:
+                break
+        return self.new_messages
+
+    def parse(self, data: bytes) -> None:
+        """Parses at most PIECE_BYTES."""
         if not self.in_head:
             # Reset by the first byte of a body or of the next head.
             self.framing_bytes += len(data)
@@ -153,9 +170,8 @@
             self.error = ParseError(400, str(error))
         else:
             self.check_partial_line(data)
-            if self.framing_bytes > MAX_FRAMING_BYTES:
+            if self.framing_bytes >= MAX_FRAMING_BYTES:
                 self.error = ParseError(400, "too many bytes without content")
-        return self.new_messages
 
     def close(self) -> None:
         """Releases the llhttp parser, which refers back to this object."""
--- a/tests/test_httpparse.py
+++ b/tests/test_httpparse.py
@@ -7,6 +7,8 @@
 from mangobay import httpparse
 
 LINE_BYTES = 1000
+UNCOUNTED_BYTES = 32 * 1024
+"""Bytes behind a head that may go uncounted, an eighth of the limit."""
 HOST = b"Host: h\r\n"
 CHUNKED = HOST + b"Transfer-Encoding: chunked\r\n"
 
@@ -142,6 +144,23 @@
         assert parser.error is None
         assert [message.body for message in messages] == [body, body]
 
+    @pytest.mark.parametrize("first_bytes", [50, 113_233, 262_144])
+    @pytest.mark.parametrize("trailer", [b"0\r\nX: ", b"1;x="])
+    def test_bytes_in_the_read_that_completes_the_head(
+        self, first_bytes, trailer
+    ):
+        """Bytes behind a head are not counted if they come in its read."""
+        parser = httpparse.ResponseParser(LINE_BYTES)
+        head = b"HTTP/1.1 200 OK\r\n" + CHUNKED + b"\r\n" + trailer
+        padding = b"a" * max(first_bytes - len(head), 0)
+        total = first_bytes
+        parser.feed(head + padding)
+        while parser.error is None:
+            parser.feed(b"a" * 1000)
+            total += 1000
+        limit = httpparse.MAX_FRAMING_BYTES + UNCOUNTED_BYTES
+        assert total <= limit + len(head) + 1000
+
 
 class TestFragmentation:
     """Messages received in arbitrary pieces."""
