Client: no attempt is repeated over the connection that brought its failure

Cause: a rejected call is sent to the same backend server again with the id of the client's attempt, often over the connection that has just brought the rejection. A late second copy of the rejection then carries the id that is expected, counts as the response, and the call is refused or sent a third time while it runs.

Change: a connection keeps the ids of the requests that it has brought a response of 300 or more to, which are those that may be sent again (rejections, 421, 5xx). The pool passes such a connection over for the same id and leaves it to others. At 256 ids the connection is closed after its response. A response with the head of another message behind it in the same read no longer returns its connection to the pool. Why it works: a copy can only come on the connection of the first response, where the id is not awaited any more, and the copy of an id that is not awaited is skipped already.

--- a/mangobay/leanclient.py
+++ b/mangobay/leanclient.py
@@ -34,6 +34,13 @@
 """Responses with lower statuses are interim responses."""
 MAX_INTERIM_RESPONSES = 64
 """Interim responses to one request; a server may send them without end."""
+FIRST_REPEATABLE_STATUS = 300
+"""Requests with responses from this status on may be sent again."""
+MAX_FAILED_ATTEMPTS = 256
+"""Failed attempts after which a connection is closed.
+
+It keeps the id of each.
+"""
 MAX_LOAD_REPORT_LENGTH = 64
 """Characters of the longest load report that is parsed."""
 MAX_CACHED_REPORTS = 4096
@@ -114,6 +121,9 @@
       large_body: the body of a large response that was delivered before its
         end, None for other responses.
       head_only: carries a HEAD request, whose response never has a body.
+      failed_attempts: ids of requests that may be sent again after their
+        response; never over this connection, where a second copy of the
+        response could not be told apart from the response to the next attempt.
       reusable: another request may follow.
       idle_since: loop time of the last response.
       keep_alive: idle timeout in seconds that the backend server announced.
@@ -123,6 +133,7 @@
 
     __slots__ = (
         "max_response_bytes",
+        "failed_attempts",
         "head_only",
         "idle_since",
         "keep_alive",
@@ -153,6 +164,7 @@
         self.pending: PendingRequest | None = None
         self.message: httpparse.Message | None = None
         self.large_body: backendbody.BackendBody | None = None
+        self.failed_attempts: set[ids.AttemptId] = set()
         self.reusable = not head_only
         self.idle_since = loop.time()
         self.keep_alive = float("inf")
@@ -261,6 +273,7 @@
         now = self.loop.time()
         self.idle_since = now
         self.update_keep_alive(message)
+        self.record_failed_attempt(pending.attempt_id, message)
         body = b"" if self.head_only else message.body
         pending.response = self.make_response(
             message, body, now - pending.started_at
@@ -299,6 +312,16 @@
             ),
         )
 
+    def record_failed_attempt(
+        self, attempt_id: ids.AttemptId, message: httpparse.Message
+    ) -> None:
+        """Keeps the id of a request that may be sent again."""
+        if message.status < FIRST_REPEATABLE_STATUS or not attempt_id:
+            return
+        self.failed_attempts.add(attempt_id)
+        if len(self.failed_attempts) >= MAX_FAILED_ATTEMPTS:
+            self.reusable = False
+
     def hand_over_response(self, pending: PendingRequest) -> None:
         """Passes a complete response to the task that awaits it.
 
@@ -312,6 +335,9 @@
         """Updates whether and for how long the connection may be reused."""
         if message.should_close or not self.transport:
             self.reusable = False
+        elif self.parser.message is not None:
+            # Bytes of another message have followed the response.
+            self.reusable = False
         elif self.transport.get_write_buffer_size():
             # The response came before the request body was fully written.
             self.reusable = False
@@ -528,11 +554,15 @@
             max_idle_seconds = min(
                 max_idle_seconds, backend.NON_IDEMPOTENT_REUSE_SECONDS
             )
-        while idle_connections and not head_only:
-            connection = idle_connections.pop()
-            if connection.is_usable(loop.time(), max_idle_seconds):
+        if not head_only:
+            connection = take_usable(
+                idle_connections,
+                self.attempt_id_of(request),
+                loop.time(),
+                max_idle_seconds,
+            )
+            if connection is not None:
                 return connection
-            connection.abort()
         try:
             async with asyncio.timeout_at(request.abort_at):
                 _, connection = await loop.create_connection(
@@ -582,6 +612,36 @@
         self.idle_connections.clear()
 
 
+def take_usable(
+    idle_connections: collections.deque[Connection],
+    attempt_id: ids.AttemptId,
+    now: float,
+    max_idle_seconds: float,
+) -> Connection | None:
+    """Removes and returns the most recently used connection for a request.
+
+    Connections that may not be used any more are closed.
+
+    Args:
+      idle_connections: idle connections, most recently used last.
+      attempt_id: id of the request.
+      now: loop time.
+      max_idle_seconds: seconds for which an idle connection may be used.
+    """
+    kept = []
+    found = None
+    while idle_connections and found is None:
+        connection = idle_connections.pop()
+        if not connection.is_usable(now, max_idle_seconds):
+            connection.abort()
+        elif attempt_id in connection.failed_attempts:
+            kept.append(connection)
+        else:
+            found = connection
+    idle_connections.extend(reversed(kept))
+    return found
+
+
 def parse_server_state(
     message: httpparse.Message, names: BackendHeaderNames
 ) -> backend.ServerState | None:
--- a/tests/test_leanclient.py
+++ b/tests/test_leanclient.py
@@ -34,11 +34,16 @@
     """Responds by a script: bytes to send, None to close, RESET to reset.
 
     `{id}` in the bytes is replaced by the attempt id of the request.
+
+    Attributes:
+      sends_copies: whether a second copy of each response comes on the same
+        connection, at the point where the next response is expected.
     """
 
     RESET = "reset"
 
-    def __init__(self, *script):
+    def __init__(self, *script, sends_copies=False):
+        self.sends_copies = sends_copies
         self.script = list(script)
         self.heads = []
         self.connections = 0
@@ -57,10 +62,12 @@
 
     async def serve(self, reader, writer):
         self.connections += 1
+        copy = b""
         try:
             while self.script:
                 head = (await reader.readuntil(b"\r\n\r\n")).decode()
                 self.heads.append(head)
+                writer.write(copy)
                 attempt_id = head.partition("Attempt: ")[2].partition("\r\n")[0]
                 for step in self.script.pop(0):
                     if step is None:
@@ -73,7 +80,9 @@
                         )
                         writer.transport.abort()
                         return
-                    writer.write(step.replace(b"{id}", attempt_id.encode()))
+                    response = step.replace(b"{id}", attempt_id.encode())
+                    writer.write(response)
+                    copy = response if self.sends_copies else b""
                     await asyncio.sleep(0.01)
         except (asyncio.IncompleteReadError, ConnectionError):
             return
@@ -228,6 +237,90 @@
             assert (await server.send()).shed
 
 
+def rejection(extra=b""):
+    """Returns a rejection with the placeholder of the attempt id."""
+    return (
+        b"HTTP/1.1 503 Full\r\nAttempt: {id}\r\nNot-Run: 1\r\n"
+        + extra
+        + b"Content-Length: 0\r\n\r\n"
+    )
+
+
+class TestRepeatedAttempts:
+    """A request that is sent again with its id, after a late second copy."""
+
+    REJECTED_COPY = rejection().replace(b"{id}", b"a1")
+
+    async def test_copy_of_a_rejection_is_not_taken_for_the_response(self):
+        """A booking runs and is reported as rejected."""
+        script = [[rejection()], [response_bytes()]]
+        async with ScriptedBackendServer(*script, sends_copies=True) as server:
+            assert (await server.send()).shed
+            response = await server.send()
+            assert response.status == 200
+            assert server.connections == 2
+
+    async def test_other_requests_use_the_connection(self):
+        """Each rejection costs a connection."""
+        script = [[rejection()], [response_bytes()], [response_bytes()]]
+        async with ScriptedBackendServer(*script) as server:
+            await server.send("a1")
+            await server.send("a2")
+            await server.send("a3")
+            assert server.connections == 1
+
+    @pytest.mark.parametrize(
+        "before",
+        [
+            pytest.param([REJECTED_COPY], id="copy"),
+            pytest.param([REJECTED_COPY, REJECTED_COPY], id="two copies"),
+            pytest.param(
+                [b"HTTP/1.1 102 Processing\r\n\r\n", REJECTED_COPY],
+                id="interim response and copy",
+            ),
+            pytest.param(
+                [REJECTED_COPY, b"HTTP/1.1 100 Continue\r\n\r\n"],
+                id="copy and interim response",
+            ),
+            pytest.param([REJECTED_COPY + b"\r\n\r\n"], id="empty lines"),
+        ],
+    )
+    async def test_copy_before_the_response_of_another_request(self, before):
+        """The copy of an earlier rejection is taken for the response."""
+        script = [[rejection()], [*before, response_bytes(b"own")]]
+        async with ScriptedBackendServer(*script) as server:
+            await server.send("a1")
+            assert (await server.send("a2")).body == b"own"
+            assert server.connections == 1
+
+    @pytest.mark.parametrize("status", [b"500 Failed", b"421 Misdirected"])
+    async def test_failures_are_not_followed_by_the_same_request(self, status):
+        """The copy of a failure is taken for the response to the retry."""
+        failure = rejection().replace(b"503 Full", status)
+        script = [[failure], [response_bytes()]]
+        async with ScriptedBackendServer(*script, sends_copies=True) as server:
+            await server.send()
+            assert (await server.send()).status == 200
+
+    async def test_copy_that_begins_with_the_response(self):
+        """The rest of a copy is read as part of the next response."""
+        half = self.REJECTED_COPY[:40]
+        script = [[response_bytes() + half], [response_bytes()]]
+        async with ScriptedBackendServer(*script) as server:
+            await server.send("a1")
+            await server.send("a1")
+            assert server.connections == 2
+
+    async def test_number_of_kept_ids_is_bounded(self, monkeypatch):
+        """A connection that gets rejections only grows without end."""
+        monkeypatch.setattr(leanclient, "MAX_FAILED_ATTEMPTS", 2)
+        script = [[rejection()], [rejection()], [response_bytes()]]
+        async with ScriptedBackendServer(*script) as server:
+            for number in range(3):
+                await server.send(f"a{number}")
+            assert server.connections == 2
+
+
 class TestServerState:
     """What backend servers say about themselves in responses."""
 
