Node: a report of another writer ends neither the renewals nor anything else

Cause, in two halves. `parse_heartbeat` checked the type of a value and not its range. The number went into the next renewal of the lease, which could not be encoded; the exception was none of ours and ended `ControlClient.run`, a task that nobody watched.

A control host ends if one of its tasks does, as before: `Control.run`.

The stand-ins of the tests and of the soak now send whole reports, as the users' upstreams do.

Failed before: `test_invalid_heartbeat_changes_nothing` (the new cases), `test_accepted_heartbeat_can_be_encoded`, `test_unexpected_exception_does_not_end_the_renewals`.

--- a/bench/soak/backends.py
+++ b/bench/soak/backends.py
@@ -278,6 +278,7 @@
         current.sequence += 1
         said = dialect.Beat(
             instance=current.instance,
+            address=f"{self.place.ip}:{self.speech.ports.backend}",
             born_ms=current.born_ms,
             sequence=current.sequence,
             service=self.place.service,
--- a/bench/soak/dialect.py
+++ b/bench/soak/dialect.py
@@ -62,6 +62,7 @@
     """What a backend server says of itself."""
 
     instance: ids.InstanceId
+    address: str
     born_ms: int
     sequence: int
     service: ids.ServiceName
--- a/mangobay/controlclient.py
+++ b/mangobay/controlclient.py
@@ -347,6 +347,11 @@
             )
             self.search.record_silence(host)
             return False
+        except Exception as error:  # noqa: BLE001
+            # Without renewals the node would serve outdated routes for good.
+            self.log_failed_renewal(host, sent_at, repr(error))
+            self.search.record_silence(host)
+            return False
 
     async def send_renewal(
         self, host: options.Address, renewal: messages.LeaseRenew
--- a/mangobay/heartbeats.py
+++ b/mangobay/heartbeats.py
@@ -25,6 +25,7 @@
 
     Attributes:
       instance: Instance id; a later incarnation may reuse it.
+      address: Where it accepts requests.
       start_unix_ms: Start of the incarnation, Unix milliseconds.
       sequence: Number that increases with each heartbeat of the incarnation.
       service: Service that it serves.
@@ -35,6 +36,7 @@
     """
 
     instance: ids.InstanceId
+    address: options.Address
     start_unix_ms: int
     sequence: int
     service: ids.ServiceName
@@ -49,8 +51,8 @@
     ACCEPTED = "taken"
     STALE = "older"
     """A newer one was accepted before: acknowledged, but ignored."""
-    WRONG_SERVICE = "foreign"
-    """It names another service than the one on this host."""
+    FOREIGN = "foreign"
+    """It names another service or address than those on this host."""
 
 
 class Announcer(typing.Protocol):
@@ -86,8 +88,8 @@
 
     Attributes:
       service: Service that it serves.
-      address: Address for its requests.  It comes from the settings, since an
-        address in a heartbeat could divert requests.
+      address: Address for its requests, from the settings; a heartbeat with
+        another one is not of this backend server.
       current: Newest incarnation, or None before the first heartbeat.
     """
 
@@ -104,8 +106,11 @@
 
     def receive(self, heartbeat: Heartbeat) -> HeartbeatResult:
         """Applies a heartbeat unless a newer one was applied before."""
-        if heartbeat.service != self.service:
-            return HeartbeatResult.WRONG_SERVICE
+        if (heartbeat.service, heartbeat.address) != (
+            self.service,
+            self.address,
+        ):
+            return HeartbeatResult.FOREIGN
         if not self.is_newer(heartbeat):
             return HeartbeatResult.STALE
         previous = self.current
--- a/mangobay/node.py
+++ b/mangobay/node.py
@@ -10,6 +10,7 @@
     httpserver,
     localapi,
     logs,
+    supervision,
 )
 
 
@@ -87,13 +88,15 @@
         self.control.views.subscribe(self.quarantine_exchange.update_views)
         self.control.views.subscribe(self.once.update_views)
         self.control.draining.subscribe(self.leave_if_draining)
-        for coroutine in (
-            self.control.run(),
-            self.local_services.run_expiry(),
-            self.once.run_expiry(),
-            self.outcome_log.run(),
+        for job in (
+            self.control.run,
+            self.local_services.run_expiry,
+            self.once.run_expiry,
+            self.outcome_log.run,
         ):
-            self.tasks.append(asyncio.create_task(coroutine))
+            self.tasks.append(
+                asyncio.create_task(supervision.keep_running(job))
+            )
         logs.log_event(logs.Component.NODE, "started", host=self.process.host)
 
     async def leave(self) -> None:
--- a/mangobay/routednode.py
+++ b/mangobay/routednode.py
@@ -20,6 +20,7 @@
     requestlog,
     routes,
     routespublisher,
+    supervision,
 )
 from mangobay.generated import messages, settings
 
@@ -181,12 +182,14 @@
         self.control.views.subscribe(self.set_node_count)
         self.control.routes.subscribe(self.apply_routes)
         self.control.draining.subscribe(self.leave_if_draining)
-        for coroutine in (
-            self.control.run(),
-            self.local_services.run_expiry(),
-            self.outcome_log.run(),
+        for job in (
+            self.control.run,
+            self.local_services.run_expiry,
+            self.outcome_log.run,
         ):
-            self.tasks.append(asyncio.create_task(coroutine))
+            self.tasks.append(
+                asyncio.create_task(supervision.keep_running(job))
+            )
         logs.log_event(logs.Component.NODE, "started", host=self.process.host)
 
     def set_node_count(
--- a/tests/platformfakes.py
+++ b/tests/platformfakes.py
@@ -215,9 +215,19 @@
     async def send_heartbeat(self):
         self.sequence += 1
         body = {
+            "address": f"{self.ip}:{BACKEND}",
             "born": self.born,
-            "info": {"service": self.service, "slots": 50},
-            "status": {"state": self.state, "sequence": self.sequence},
+            "info": {
+                "service": self.service,
+                "version": "v1",
+                "zone": "z",
+                "slots": 50,
+            },
+            "status": {
+                "state": self.state,
+                "sequence": self.sequence,
+                "cold_remaining": "0ms",
+            },
         }
         call = "instances.heartbeat"
         return await call_rpc(self.ip, HEARTBEATS, call, body, f"i-{self.ip}")
--- a/tests/test_controlclient.py
+++ b/tests/test_controlclient.py
@@ -144,6 +144,23 @@
             assert client.tables.value.revision == entry.index
             assert client.views.value["quotes"].active
 
+    async def test_unexpected_exception_does_not_end_the_renewals(
+        self, client, transport
+    ):
+        """A renewal that cannot be encoded ends the task that renews."""
+        send_request = transport.send_request
+        failures = iter([ValueError("out of range"), OverflowError()])
+
+        async def fail_twice(*arguments):
+            for error in failures:
+                raise error
+            return await send_request(*arguments)
+
+        transport.send_request = fail_twice
+        async with controlfakes.running_task(client):
+            await asyncio.sleep(2)
+            assert client.lease.is_valid()
+
     async def test_idle_node_renews_at_the_interval(self, client, transport):
         async with controlfakes.running_task(client):
             client.serves = [messages.ServedService(name="quotes", slots=70)]
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -1,12 +1,15 @@
 """The platform adapter: its formats, and that only it knows them."""
 
+import dataclasses
 import json
 import pathlib
 import platform as standard_platform
 import re
 
+import hypothesis
 import pytest
-from adapter import documents, handlers, jsonvalues, platformnames
+from adapter import documents, handlers, jsonvalues, liveness, platformnames
+from hypothesis import strategies
 
 from mangobay import (
     heartbeats,
@@ -402,14 +405,24 @@
         assert booking is messages.Importance.CRITICAL
 
 
+ADDRESS = "10.0.0.1:80"
+INFO = {"service": "a", "version": "v1", "zone": "z", "slots": 8}
+STATUS = {"state": "ready", "sequence": 4, "cold_remaining": "0ms"}
+ODD_SLOTS = (-1, 0, 2**32, 2**70, 10**400, True, "8", None)
+ODD_VALUES = strategies.one_of(
+    strategies.none(),
+    strategies.booleans(),
+    strategies.integers(),
+    strategies.integers(min_value=-(2**80), max_value=2**80),
+    strategies.floats(),
+    strategies.text(strategies.characters(codec=None), max_size=5),
+    strategies.lists(strategies.integers(), max_size=2),
+)
+
+
 def heartbeat(**changes):
     """Returns a heartbeat request."""
-    body = {
-        "address": "10.0.0.1:80",
-        "born": 5,
-        "info": {"service": "a", "version": "v1", "zone": "z", "slots": 8},
-        "status": {"state": "ready", "sequence": 4, "cold_remaining": "0ms"},
-    }
+    body = {"address": ADDRESS, "born": 5, "info": INFO, "status": STATUS}
     body.update(changes)
     return rpc_request("instances.heartbeat", "i-1", body)
 
@@ -500,14 +513,46 @@
             {"status": {"state": "asleep", "sequence": 9}},
             {"status": {"state": "ready", "sequence": "9"}},
             {"born": 1.5},
+            {"born": -1},
             {"info": {"service": "other", "slots": 8}},
+            *({"info": INFO | {"slots": slots}} for slots in ODD_SLOTS),
+            {"info": INFO | {"service": "b"}},
+            {"info": INFO | {"version": ["v1"]}},
+            {"info": INFO | {"zone": 7}},
+            {"info": INFO | {"zone": "\ud800"}},
+            {"info": {name: INFO[name] for name in ("service", "slots")}},
+            {"status": {"state": "ready", "sequence": 9}},
+            {"address": None},
+            {"address": 7},
+            {"address": "10.0.0.2:80"},
         ],
     )
     async def test_invalid_heartbeat_changes_nothing(self, broken):
+        """A report of another writer is applied in part, or outdates others."""
+        broken = {"status": STATUS | {"sequence": 9}} | broken
         assert await self.send(heartbeat()) == 200
+        before = dataclasses.replace(self.receiver.current)
         assert await self.send(heartbeat(**broken)) == 400
+        assert self.receiver.current == before
         assert self.local_services.announcement.instance == "i-1"
 
+    @hypothesis.given(strategies.data())
+    async def test_accepted_heartbeat_can_be_encoded(self, data):
+        """A value that cannot be encoded ends the renewal of the lease."""
+        value = data.draw(ODD_VALUES)
+        part = data.draw(strategies.sampled_from(["info", "status", "body"]))
+        body = {"info": dict(INFO), "status": dict(STATUS), "address": ADDRESS}
+        fields = body if part == "body" else body[part]
+        fields[data.draw(strategies.sampled_from(sorted(fields)))] = value
+        request = rpc_request("instances.heartbeat", "i-1", body)
+        try:
+            parsed = liveness.parse_heartbeat(request, "i-1")
+        except jsonvalues.FormatError:
+            return
+        served = messages.ServedService(name=parsed.service, slots=parsed.slots)
+        renewal = messages.LeaseRenew(serves=[served])
+        messages.encode_envelope(messages.Envelope(body=renewal))
+
     async def test_undecodable_body_is_rejected(self):
         call = rpc_request("instances.heartbeat", "i-1", b"\xff{")
         assert await self.send(call) == 400
