Heartbeats: an incarnation that drains is not put back in use

A draining server does not come back: the protocol lets it deregister and exit, and a new start is a new incarnation. So draining is now as final as deregistering, for the incarnation; the confirmation binds whatever is reported later.

`test_draining_is_final` failed before.

--- a/mangobay/heartbeats.py
+++ b/mangobay/heartbeats.py
@@ -76,11 +76,12 @@
 
     Attributes:
       last_heartbeat: Its newest heartbeat.
-      deregistered: Whether it deregistered or was retired, which is final.
+      leaving: Whether it drains, has deregistered or was retired, which is
+        final.
     """
 
     last_heartbeat: Heartbeat
-    deregistered: bool = False
+    leaving: bool = False
 
 
 class HeartbeatReceiver:
@@ -117,11 +118,11 @@
         is_new = previous is None or not is_same_incarnation(
             previous.last_heartbeat, heartbeat
         )
-        deregistered = not is_new and previous.deregistered
-        self.current = Incarnation(
-            last_heartbeat=heartbeat, deregistered=deregistered
+        leaving = heartbeat.state is not State.READY or (
+            not is_new and previous.leaving
         )
-        if deregistered or heartbeat.state is not State.READY:
+        self.current = Incarnation(last_heartbeat=heartbeat, leaving=leaving)
+        if leaving:
             self.withdraw(heartbeat, previous)
             return HeartbeatResult.ACCEPTED
         if is_new:
@@ -176,7 +177,7 @@
 
     def retire_incarnation(self, incarnation: Incarnation) -> None:
         """Stops sending requests to an incarnation for good."""
-        incarnation.deregistered = True
+        incarnation.leaving = True
         heartbeat = incarnation.last_heartbeat
         if self.announcer.retire(self.service, incarnation_of(heartbeat)):
             self.log_change("backend server leaves", heartbeat)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -536,6 +536,16 @@
         assert self.receiver.current == before
         assert self.local_services.announcement.instance == "i-1"
 
+    @pytest.mark.parametrize("sequence", [6, 2**62])
+    async def test_draining_is_final(self, sequence):
+        """A later report of another writer puts a draining server back."""
+        await self.send(heartbeat())
+        await self.send(
+            heartbeat(status=STATUS | {"state": "draining", "sequence": 5})
+        )
+        await self.send(heartbeat(status=STATUS | {"sequence": sequence}))
+        assert self.local_services.announcement is None
+
     @hypothesis.given(strategies.data())
     async def test_accepted_heartbeat_can_be_encoded(self, data):
         """A value that cannot be encoded ends the renewal of the lease."""
