Heartbeats: a deregistration is remembered before the first heartbeat

Cause: `HeartbeatReceiver.deregister` returned without keeping anything if it knew no incarnation of the sender, or another one, and the handler confirmed all the same.

Change: the receiver keeps the latest start of the incarnations of an instance that have deregistered (of 64 instances), and takes no heartbeat of these or of earlier ones; if the sender does not say when it started, those that had started when it deregistered. A server with another id, or a later start, is not concerned.

`test_deregistration_comes_before_the_first_heartbeat` and `test_deregistration_overtakes_the_heartbeat_of_a_new_start` failed before.

--- a/mangobay/heartbeats.py
+++ b/mangobay/heartbeats.py
@@ -5,12 +5,18 @@
 at the address.  So only the newest heartbeat of the newest incarnation counts.
 """
 
+import collections
 import dataclasses
 import enum
+import time
 import typing
 
 from mangobay import ids, localservices, logs, options
 
+MAX_DEREGISTRATIONS = 64
+"""Deregistrations that are kept; the oldest one is forgotten."""
+MILLISECONDS_PER_SECOND = 1000
+
 
 class State(enum.Enum):
     """The state that a backend server reports."""
@@ -92,6 +98,9 @@
       address: Address for its requests, from the settings; a heartbeat with
         another one is not of this backend server.
       current: Newest incarnation, or None before the first heartbeat.
+      deregistrations: Latest start of the incarnations that have deregistered,
+        Unix milliseconds, by instance id.  Heartbeats that they sent before may
+        arrive later, also the first one.
     """
 
     def __init__(
@@ -104,6 +113,9 @@
         self.service = service
         self.address = address
         self.current: Incarnation | None = None
+        self.deregistrations: collections.OrderedDict[ids.InstanceId, int] = (
+            collections.OrderedDict()
+        )
 
     def receive(self, heartbeat: Heartbeat) -> HeartbeatResult:
         """Applies a heartbeat unless a newer one was applied before."""
@@ -125,6 +137,9 @@
         if leaving:
             self.withdraw(heartbeat, previous)
             return HeartbeatResult.ACCEPTED
+        if self.has_deregistered(heartbeat):
+            self.retire_incarnation(self.current)
+            return HeartbeatResult.ACCEPTED
         if is_new:
             # The previous incarnation's service times and concurrency limit
             # don't apply to a new process.
@@ -151,14 +166,30 @@
           start_unix_ms: Start of its incarnation, or None if not given.
         """
         current = self.current
-        if current is None or current.last_heartbeat.instance != instance:
-            return
-        if (
+        is_known = (
+            current is not None and current.last_heartbeat.instance == instance
+        )
+        if start_unix_ms is None:
+            start_unix_ms = (
+                current.last_heartbeat.start_unix_ms
+                if is_known
+                else unix_milliseconds()
+            )
+        self.deregistrations[instance] = max(
+            start_unix_ms, self.deregistrations.pop(instance, 0)
+        )
+        if len(self.deregistrations) > MAX_DEREGISTRATIONS:
+            self.deregistrations.popitem(last=False)
+        if is_known and self.has_deregistered(current.last_heartbeat):
+            self.retire_incarnation(current)
+
+    def has_deregistered(self, heartbeat: Heartbeat) -> bool:
+        """Returns whether the sender of a heartbeat has deregistered."""
+        start_unix_ms = self.deregistrations.get(heartbeat.instance)
+        return (
             start_unix_ms is not None
-            and start_unix_ms != current.last_heartbeat.start_unix_ms
-        ):
-            return
-        self.retire_incarnation(current)
+            and heartbeat.start_unix_ms <= start_unix_ms
+        )
 
     def retire(self, announcement: localservices.Announcement) -> None:
         """Stops using an incarnation for good, since it is leaving.
@@ -212,6 +243,11 @@
         )
 
 
+def unix_milliseconds() -> int:
+    """Returns the time of the clock, Unix milliseconds."""
+    return int(time.time() * MILLISECONDS_PER_SECOND)
+
+
 def incarnation_of(heartbeat: Heartbeat) -> ids.BackendIncarnation:
     """Returns the incarnation that sent a heartbeat."""
     return ids.BackendIncarnation(
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -600,6 +600,40 @@
         await self.send(heartbeat(born=6))
         assert self.local_services.announcement is not None
 
+    @pytest.mark.parametrize("body", [b"", b'{"born": 5}'])
+    async def test_deregistration_comes_before_the_first_heartbeat(self, body):
+        """A confirmed deregistration is forgotten by a restarted node."""
+        deregistration = rpc_request("instances.deregister", "i-1", body)
+        assert await self.send(deregistration) == 200
+        assert await self.send(heartbeat()) == 200
+        assert self.local_services.announcement is None
+
+    async def test_deregistration_overtakes_the_heartbeat_of_a_new_start(self):
+        """A late heartbeat of a later incarnation puts it back in use."""
+        await self.send(heartbeat())
+        deregistration = rpc_request(
+            "instances.deregister", "i-1", b'{"born": 6}'
+        )
+        assert await self.send(deregistration) == 200
+        await self.send(heartbeat(born=6))
+        assert self.local_services.announcement is None
+
+    async def test_another_server_may_come_after_a_deregistration(self):
+        """A deregistration keeps every later server from being used."""
+        deregistration = rpc_request("instances.deregister", "i-0", b"")
+        await self.send(deregistration)
+        await self.send(heartbeat())
+        assert self.local_services.announcement is not None
+
+    async def test_number_of_deregistrations_is_bounded(self):
+        """Deregistrations of unknown servers fill the memory."""
+        for number in range(2 * heartbeats.MAX_DEREGISTRATIONS):
+            await self.send(
+                rpc_request("instances.deregister", f"i-{number}", b"")
+            )
+        kept = len(self.receiver.deregistrations)
+        assert kept == heartbeats.MAX_DEREGISTRATIONS
+
     async def test_retired_incarnation_stays_withdrawn(self):
         """A late heartbeat puts a backend server that is leaving back in use."""
         await self.send(heartbeat())
