Node: after a restart it asks a server that ran before whether it leaves

What was seen: a node that had confirmed a deregistration and was restarted took the server back by a late heartbeat; some 1860 requests reached it.

Cause: what a confirmation promised was remembered by less than what gave it: by one process, which has no disk.

Change: an incarnation that is older than the process is announced once its health check, which fails while a server leaves, does not fail. Later incarnations are announced at once. The stand-ins of tests and soak answer health checks as the protocol says.

--- a/bench/soak/backends.py
+++ b/bench/soak/backends.py
@@ -325,6 +325,9 @@
         head = await wire.read_head(reader)
         at = asyncio.get_running_loop().time()
         await self.awake.wait()
+        if head.first.startswith(f"GET {self.speech.health_path} "):
+            self.answer_health_check(writer)
+            return True
         told = self.speech.told(head.fields)
         current = self.current
         arrival = history.Arrival(
@@ -362,6 +365,11 @@
             arrival.outcome = outcome
             arrival.ended = asyncio.get_running_loop().time()
 
+    def answer_health_check(self, writer: asyncio.StreamWriter) -> None:
+        """Says whether this incarnation stays."""
+        status = 503 if self.current.draining else 200
+        writer.write(wire.encode(f"HTTP/1.1 {status} Health", {}, b""))
+
     async def refuse(self, arrival, status, reader, writer, head) -> None:
         """Says that a request was not run."""
         arrival.digest = digest(await wire.read_body(reader, head))
--- a/bench/soak/dialect.py
+++ b/bench/soak/dialect.py
@@ -111,6 +111,7 @@
       publish: a whole request that puts routes in force, by version, the
         version it builds on (0: none), and routes.
       describe: a whole request that reads the configuration back.
+      health_path: of the health checks of backend servers.
       version: the version in the answer to `describe`.
       ready: a whole request that asks a node whether it takes callers.
       settings: the text of a settings file, by tree, host, seeds and folder.
@@ -129,6 +130,7 @@
     beat: collections.abc.Callable[[Beat], bytes]
     publish: collections.abc.Callable[[int, int, list[Route]], bytes]
     describe: bytes
+    health_path: str
     version: collections.abc.Callable[[bytes], int]
     ready: bytes
     settings: collections.abc.Callable[
--- a/mangobay/heartbeats.py
+++ b/mangobay/heartbeats.py
@@ -5,7 +5,9 @@
 at the address.  So only the newest heartbeat of the newest incarnation counts.
 """
 
+import asyncio
 import collections
+import collections.abc
 import dataclasses
 import enum
 import time
@@ -16,6 +18,10 @@
 MAX_DEREGISTRATIONS = 64
 """Deregistrations that are kept; the oldest one is forgotten."""
 MILLISECONDS_PER_SECOND = 1000
+WaitUntilUsable = collections.abc.Callable[
+    [], collections.abc.Coroutine[None, None, None]
+]
+"""Returns once a backend server that ran before this process may be used."""
 
 
 class State(enum.Enum):
@@ -101,6 +107,11 @@
       deregistrations: Latest start of the incarnations that have deregistered,
         Unix milliseconds, by instance id.  Heartbeats that they sent before may
         arrive later, also the first one.
+      started_unix_ms: Start of this process.  What earlier incarnations have
+        said to another process of this node is not known.
+      wait_until_usable: Waits until such an incarnation may be used; None uses
+        it at once.
+      check: The task that waits for it; None if there is none.
     """
 
     def __init__(
@@ -116,6 +127,9 @@
         self.deregistrations: collections.OrderedDict[ids.InstanceId, int] = (
             collections.OrderedDict()
         )
+        self.started_unix_ms = unix_milliseconds()
+        self.wait_until_usable: WaitUntilUsable | None = None
+        self.check: asyncio.Task | None = None
 
     def receive(self, heartbeat: Heartbeat) -> HeartbeatResult:
         """Applies a heartbeat unless a newer one was applied before."""
@@ -141,10 +155,35 @@
             self.retire_incarnation(self.current)
             return HeartbeatResult.ACCEPTED
         if is_new:
+            self.stop_check()
             # The previous incarnation's service times and concurrency limit
             # don't apply to a new process.
             self.announcer.withdraw(self.service, planned=False)
             self.log_change("backend server starts", heartbeat)
+            if (
+                self.wait_until_usable is not None
+                and heartbeat.start_unix_ms <= self.started_unix_ms
+            ):
+                self.check = asyncio.create_task(self.announce_when_usable())
+        if self.check is None:
+            self.announce(heartbeat)
+        return HeartbeatResult.ACCEPTED
+
+    async def announce_when_usable(self) -> None:
+        """Announces an incarnation once it may be used."""
+        await self.wait_until_usable()
+        self.check = None
+        if not self.current.leaving:
+            self.announce(self.current.last_heartbeat)
+
+    def stop_check(self) -> None:
+        """Stops waiting until an incarnation may be used."""
+        if self.check is not None:
+            self.check.cancel()
+            self.check = None
+
+    def announce(self, heartbeat: Heartbeat) -> None:
+        """Announces the backend server, or renews its announcement."""
         self.announcer.announce(
             localservices.Announcement(
                 service=self.service,
@@ -154,7 +193,6 @@
                 incarnation=incarnation_of(heartbeat),
             )
         )
-        return HeartbeatResult.ACCEPTED
 
     def deregister(
         self, instance: ids.InstanceId, start_unix_ms: int | None
@@ -209,6 +247,7 @@
     def retire_incarnation(self, incarnation: Incarnation) -> None:
         """Stops sending requests to an incarnation for good."""
         incarnation.leaving = True
+        self.stop_check()
         heartbeat = incarnation.last_heartbeat
         if self.announcer.retire(self.service, incarnation_of(heartbeat)):
             self.log_change("backend server leaves", heartbeat)
@@ -227,6 +266,7 @@
         self, heartbeat: Heartbeat, previous: Incarnation | None
     ) -> None:
         """Stops sending requests to the backend server."""
+        self.stop_check()
         if self.announcer.withdraw(self.service) and previous is not None:
             self.log_change("backend server leaves", heartbeat)
 
--- a/mangobay/routednode.py
+++ b/mangobay/routednode.py
@@ -11,6 +11,7 @@
     gateway,
     heartbeats,
     ids,
+    incarnationcheck,
     leanclient,
     leanserver,
     logs,
@@ -90,9 +91,30 @@
             ids.ServiceName(config.backend.service),
             only_address(config.backend.address),
         )
+        self.heartbeat_receiver.wait_until_usable = (
+            incarnationcheck.IncarnationCheck(
+                self.backend,
+                self.heartbeat_receiver.address,
+                self.find_health_path,
+            ).wait_until_it_stays
+        )
         self.executor.state_updater.retire = self.heartbeat_receiver.retire
         self.executor.large_responses = config.limits.large_responses
 
+    def find_health_path(self) -> str | None:
+        """Returns the path of the health check of the backend server here.
+
+        None while the routes do not name its service.
+        """
+        table = self.gateway.table
+        if table is None:
+            return None
+        service = self.heartbeat_receiver.service
+        for each in table.document.services:
+            if each.name == service:
+                return each.health_path
+        return None
+
     def make_quarantine(self) -> None:
         """Creates the guard of the backend server, unless it is off."""
         super().make_quarantine()
@@ -274,6 +296,7 @@
     async def close_peers(self) -> None:
         """Stops the node's tasks and closes its connections to others."""
         await self.peer_listener.close()
+        self.heartbeat_receiver.stop_check()
         await self.cancel_tasks()
         await self.close_connections()
 
--- a/tests/platformfakes.py
+++ b/tests/platformfakes.py
@@ -201,6 +201,7 @@
         self.born = 1
         self.sequence = 0
         self.state = "ready"
+        self.leaving = False
         self.heartbeat_task = None
 
     async def start(self):
@@ -235,6 +236,7 @@
     async def deregister(self):
         """Sends no more heartbeats; returns the response."""
         self.heartbeat_task.cancel()
+        self.leaving = True
         call = "instances.deregister"
         body = {"born": self.born}
         return await call_rpc(self.ip, HEARTBEATS, call, body, f"i-{self.ip}")
@@ -243,6 +245,9 @@
         try:
             while True:
                 head = (await reader.readuntil(b"\r\n\r\n")).decode().lower()
+                if head.startswith("get /h http"):
+                    writer.write(self.health_response())
+                    continue
                 attempt_id = head.partition("attempt-id: ")[2].split()[0]
                 self.heads.append(head)
                 self.arrivals.append(
@@ -261,6 +266,11 @@
             # The test has ended; asyncio would log the cancellation.
             return
 
+    def health_response(self):
+        """Returns the response to a health check."""
+        status = b"503 Leaving" if self.leaving else b"200 OK"
+        return b"HTTP/1.1 " + status + b"\r\nContent-Length: 0\r\n\r\n"
+
     async def respond(self, writer, attempt_id):
         """Writes the response to a request."""
         writer.write(response_bytes(attempt_id, 200, self.extra_headers))
--- a/tests/test_large_requests.py
+++ b/tests/test_large_requests.py
@@ -55,6 +55,9 @@
         try:
             while True:
                 head = (await reader.readuntil(b"\r\n\r\n")).decode().lower()
+                if head.startswith("get /h http"):
+                    writer.write(self.health_response())
+                    continue
                 attempt_id = head.partition("attempt-id: ")[2].split()[0]
                 if self.rejections:
                     self.rejections -= 1
