--- a/bench/largeresponses.py
+++ b/bench/largeresponses.py
@@ -87,6 +87,7 @@
         """Sends one heartbeat to the node."""
         heartbeat = dialect.Beat(
             instance=ids.InstanceId("i-1"),
+            address=f"{self.place.ip}:{self.speech.ports.backend}",
             born_ms=1,
             sequence=sequence,
             service=self.place.service,
