--- a/mangobay/leanclient.py
+++ b/mangobay/leanclient.py
@@ -241,6 +241,7 @@
             self.handle_head(message)
         if self.message is not None:
             self.receive_body(self.message)
+        self.drop_skipped_body()
         if self.parser.error is not None:
             detail = f"malformed response: {self.parser.error}"
             self.fail(errors.BackendBrokenError(detail))
@@ -264,6 +265,12 @@
         if message.complete or self.head_only:
             self.deliver_response()
 
+    def drop_skipped_body(self) -> None:
+        """Drops the body of a response that belongs to no request."""
+        skipped = self.parser.message
+        if skipped is not None and skipped is not self.message:
+            skipped.take_body()
+
     def count_interim(self) -> None:
         """Counts an interim response; fails the request if there are too many."""
         if self.pending is None:
--- a/tests/test_leanclient.py
+++ b/tests/test_leanclient.py
@@ -311,6 +311,20 @@
             await server.send("a1")
             assert server.connections == 2
 
+    async def test_endless_copy_takes_no_memory(self):
+        """A copy that is skipped is held up to the deadline of the request."""
+        piece = bytes(100_000)
+        head = b"HTTP/1.1 200 OK\r\nAttempt: other\r\nContent-Length: 9000000\r\n\r\n"
+        script = [[response_bytes()], [head, *[piece] * 5]]
+        async with ScriptedBackendServer(*script) as server:
+            await server.send("a1")
+            [connection] = server.client.idle_connections[server.address]
+            with pytest.raises(errors.BackendTimeoutError):
+                await server.send("a2", seconds=0.5)
+            skipped = connection.parser.message
+            assert skipped.body_size == 500_000
+            assert skipped.body_parts == []
+
     async def test_number_of_kept_ids_is_bounded(self, monkeypatch):
         """A connection that gets rejections only grows without end."""
         monkeypatch.setattr(leanclient, "MAX_FAILED_ATTEMPTS", 2)
