--- a/tests/test_leanserver.py
+++ b/tests/test_leanserver.py
@@ -2,12 +2,20 @@
 
 import asyncio
 import gc
+import random
 import socket
 import struct
 
 import pytest
 
-from mangobay import httpparse, leanhttp, leanserver, options, responsestream
+from mangobay import (
+    errors,
+    httpparse,
+    leanhttp,
+    leanserver,
+    options,
+    responsestream,
+)
 
 LOOPBACK = options.Address("127.0.0.1", 0)
 
@@ -620,3 +628,193 @@
             assert not large.was_abandoned
         assert large.body.state is responsestream.State.OPEN
         writer.transport.abort()
+
+
+class ReadingHandler:
+    """Reads the rest of each request, and responds with its size.
+
+    Attributes:
+      bodies: the bodies that were read to their end, by path.
+      early: paths that get a response before their body is read.
+      released: set once the handler may go on to read.
+    """
+
+    def __init__(self):
+        self.bodies = {}
+        self.early = set()
+        self.released = asyncio.Event()
+        self.released.set()
+
+    async def handle(self, request, connection):
+        del connection
+        if request.path in self.early:
+            return leanhttp.Response(status=503)
+        body = request.body
+        await self.released.wait()
+        while request.rest is not None:
+            try:
+                part = await request.rest.read(10_000)
+            except errors.ResponseCutOffError:
+                return leanhttp.Response(status=502)
+            if not part:
+                break
+            body += part
+            await asyncio.sleep(0)
+        self.bodies[request.path] = body
+        return leanhttp.Response(status=200, body=str(len(body)).encode())
+
+
+@pytest.fixture
+async def reading():
+    return ReadingHandler()
+
+
+@pytest.fixture
+async def large(reading):
+    started = leanserver.Listener(
+        LOOPBACK, reading.handle, leanserver.Limits(max_body_bytes=5_000_000)
+    )
+    started.continues_bodies = True
+    await started.start()
+    yield started
+    await started.close()
+
+
+def post(path, body, chunk_bytes=0):
+    """Returns the bytes of a request, in chunks of a size unless it is 0."""
+    head = f"POST {path} HTTP/1.1\r\nHost: h\r\n"
+    if not chunk_bytes:
+        return f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body
+    chunks = [
+        leanhttp.encode_chunk(body[start : start + chunk_bytes])
+        for start in range(0, len(body), chunk_bytes)
+    ]
+    framing = "Transfer-Encoding: chunked\r\n\r\n"
+    return f"{head}{framing}".encode() + b"".join([*chunks, b"0\r\n\r\n"])
+
+
+def random_body(rng, size):
+    """Returns a body that no other request has."""
+    return rng.randbytes(16) * (size // 16) + bytes(size % 16)
+
+
+class TestLargeRequests:
+    """Requests that are handled before their end."""
+
+    @pytest.mark.parametrize("seed", range(12))
+    async def test_pipelined_requests_of_all_sizes(self, large, reading, seed):
+        """Bytes of one request are taken for those of its neighbour."""
+        rng = random.Random(seed)
+        sizes = [
+            rng.choice([0, 1, 65_535, 65_536, 65_537, 300_000, 1_000_000])
+            for _ in range(12)
+        ]
+        bodies = {
+            f"/{number}": random_body(rng, size)
+            for number, size in enumerate(sizes)
+        }
+        data = b"".join(
+            post(path, body, rng.choice([0, 7_000, 100_000]))
+            for path, body in bodies.items()
+        )
+        reader, writer = await connect(large)
+
+        async def send():
+            start = 0
+            while start < len(data):
+                length = rng.choice([1, 1_000, 50_000, 500_000])
+                writer.write(data[start : start + length])
+                await writer.drain()
+                await asyncio.sleep(0)
+                start += length
+
+        sending = asyncio.create_task(send())
+        async with asyncio.timeout(20):
+            answers = [(await read_response(reader))[1] for _ in sizes]
+        await sending
+        assert answers == [str(size).encode() for size in sizes]
+        assert reading.bodies == bodies
+        assert large.large_requests == 0
+        assert large.replay_budget.kept_bytes == 0
+        writer.close()
+
+    async def test_is_not_read_while_its_handler_waits(self, large, reading):
+        """A body that nobody reads fills the memory."""
+        reading.released.clear()
+        reader, writer = await connect(large)
+        writer.write(post("/1", bytes(4_000_000)))
+        await asyncio.sleep(0.3)
+        [connection] = large.connections
+        rest = connection.exchanges[0].rest
+        assert 0 < rest.received_bytes < 1_000_000
+        reading.released.set()
+        assert (await read_response(reader))[1] == b"4000000"
+        writer.close()
+
+    async def test_response_before_the_end_closes_the_connection(
+        self, large, reading
+    ):
+        """The rest of a refused body is read as the next request."""
+        reading.early.add("/1")
+        reader, writer = await connect(large)
+        writer.write(post("/1", bytes(4_000_000))[:100_000])
+        head, _ = await read_response(reader)
+        assert " 503 " in head
+        assert "Connection: close" in head
+        assert await reader.read() == b""
+        writer.close()
+
+    async def test_caller_that_stalls_gets_a_response(
+        self, large, reading, monkeypatch
+    ):
+        """A caller that stalls holds its slot up to the deadline."""
+        monkeypatch.setattr(leanserver, "BODY_STALL_SECONDS", 0.1)
+        reader, writer = await connect(large)
+        writer.write(post("/1", bytes(4_000_000))[:100_000])
+        async with asyncio.timeout(10):
+            head, _ = await read_response(reader)
+        assert " 502 " in head
+        assert reading.bodies == {}
+        writer.close()
+
+    async def test_handler_that_waits_is_no_stall_of_the_caller(
+        self, large, reading, monkeypatch
+    ):
+        """A caller is given up for the time in which it was not read."""
+        monkeypatch.setattr(leanserver, "BODY_STALL_SECONDS", 0.1)
+        reading.released.clear()
+        reader, writer = await connect(large)
+        writer.write(post("/1", bytes(4_000_000)))
+        await asyncio.sleep(2 * leanserver.SWEEP_SECONDS)
+        reading.released.set()
+        assert (await read_response(reader))[1] == b"4000000"
+        writer.close()
+
+    async def test_number_of_large_requests_is_bounded(
+        self, large, reading, monkeypatch
+    ):
+        """Many large requests together fill the memory."""
+        monkeypatch.setattr(leanserver, "MAX_LARGE_REQUESTS", 1)
+        reading.released.clear()
+        first_reader, first = await connect(large)
+        first.write(post("/1", bytes(1_000_000)))
+        await asyncio.sleep(0.1)
+        reader, writer = await connect(large)
+        writer.write(post("/2", bytes(1_000_000)))
+        head, _ = await read_response(reader)
+        assert " 503 " in head
+        assert "Retry-After" in head
+        reading.released.set()
+        assert (await read_response(first_reader))[1] == b"1000000"
+        assert "/2" not in reading.bodies
+        first.close()
+        writer.close()
+
+    async def test_chunked_body_above_the_limit(self, large, reading):
+        """The limit of bodies ends where a body is passed on."""
+        reader, writer = await connect(large)
+        writer.write(post("/1", bytes(6_000_000), 100_000))
+        head, _ = await read_response(reader)
+        assert " 413 " in head
+        assert reading.bodies == {}
+        writer.close()
