Soak: the memory of each process is a check

200 MB, what the smallest machines of the users give a node. The check reads the peak of each process twice a second.

--- a/bench/soak/bounds.py
+++ b/bench/soak/bounds.py
@@ -37,6 +37,7 @@
       rate_factor: by which they may exceed the rate.
       rate_slack: requests that may come besides.
       told_after: until a host that passed on a state must act on it.
+      memory: bytes that a process may use.
       ended: backend servers that one request may end before it is known.
       ends_known: until every node that may run it knows it.
       dark_known: the same for servers that fall silent.
@@ -71,6 +72,7 @@
     rate_factor: float = 1.5
     rate_slack: int = 5
     told_after: float = 0.5
+    memory: int = 200_000_000
     ended: int = 3
     ends_known: float = 1.0
     dark_known: float = 3.0
--- a/bench/soak/history.py
+++ b/bench/soak/history.py
@@ -287,6 +287,7 @@
       drains: of backend servers.
       limits: that backend servers named.
       crashes: ends of backend servers under a request.
+      peaks: most memory of any process of a host, bytes.
       services: on each node's host.
       calm: every fault is over, and every process was started again.
       over: callers end.
@@ -305,6 +306,7 @@
     drains: list[Drain] = dataclasses.field(default_factory=list)
     limits: list[RateLimit] = dataclasses.field(default_factory=list)
     crashes: list[Crash] = dataclasses.field(default_factory=list)
+    peaks: dict[ids.HostId, int] = dataclasses.field(default_factory=dict)
     services: dict[ids.HostId, ids.ServiceName] = dataclasses.field(
         default_factory=dict
     )
--- a/bench/soak/judge.py
+++ b/bench/soak/judge.py
@@ -48,6 +48,7 @@
     Check("DRAIN", statechecks.nothing_after_leaving),
     Check("DRAIN", systemchecks.leaving_nodes_say_so),
     Check("Fault", systemchecks.processes_end_as_told),
+    Check("Fault", systemchecks.memory_is_bounded),
     Check(
         "An accepted configuration is in force everywhere in seconds, and "
         "never reverts",
--- a/bench/soak/systemchecks.py
+++ b/bench/soak/systemchecks.py
@@ -38,6 +38,14 @@
             yield broken("processes", event.at, host, what)
 
 
+def memory_is_bounded(view: checks.View) -> checks.Found:
+    """No process uses more memory than its host has for it."""
+    for host, peak in view.seen.peaks.items():
+        if peak > view.target.memory:
+            what = f"it used {peak} bytes"
+            yield broken("memory", view.seen.over, host, what)
+
+
 def is_good_exit(view: checks.View, event: history.Event) -> bool:
     """Returns whether a process ended with a code that fits how it was told."""
     if event.detail != CUT_EXIT:
--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -1,6 +1,7 @@
 """The processes of one run, each host with an IP number of its own."""
 
 import asyncio
+import contextlib
 import dataclasses
 import pathlib
 import random
@@ -16,6 +17,8 @@
 )
 SEEDS = 3
 """Control hosts that found the group; further ones join it."""
+MEMORY_INTERVAL = 0.5
+"""Seconds between two looks at the memory of the processes."""
 EXIT_SECONDS = 5.0
 """Longest wait for the end of a process that was killed."""
 
@@ -151,6 +154,19 @@
         self.stopping.discard(host)
         self.note(host, history.Action.EXIT, str(code))
 
+    async def watch_memory(self) -> None:
+        """Records the peak memory of every process until cancelled."""
+        while True:
+            for host, started in list(self.fleet.started.items()):
+                path = pathlib.Path(f"/proc/{started.process.pid}/status")
+                with contextlib.suppress(OSError):
+                    _, found, rest = path.read_text().partition("VmHWM:")
+                    if found:
+                        peak = int(rest.split()[0]) * 1024
+                        known = self.seen.peaks.get(host, 0)
+                        self.seen.peaks[host] = max(known, peak)
+            await asyncio.sleep(MEMORY_INTERVAL)
+
     async def start_all(self) -> None:
         """Starts every host; returns once all of them listen.
 
@@ -158,6 +174,7 @@
           launcher.LaunchError: one does not.
         """
         ports = self.speech.ports
+        self.watching.add(asyncio.create_task(self.watch_memory()))
         for place in self.places.values():
             await self.start(place.name)
         for place in self.places.values():
--- a/tests/test_soak_systemchecks.py
+++ b/tests/test_soak_systemchecks.py
@@ -51,6 +51,17 @@
         assert not found(systemchecks.processes_end_as_told, events=made)
 
 
+class TestMemory:
+    """`systemchecks.memory_is_bounded`."""
+
+    @pytest.mark.parametrize(
+        ("peak", "count"), [(2 * 10**8, 0), (2 * 10**8 + 1, 1)]
+    )
+    def test_more_than_the_bound_is_found(self, peak, count):
+        breaks = found(systemchecks.memory_is_bounded, peaks={"node-1": peak})
+        assert len(breaks) == count
+
+
 class TestConfiguration:
     """The checks of the configuration."""
 
