--- a/mangobay/calls.py
+++ b/mangobay/calls.py
@@ -109,11 +109,6 @@
     retry_threshold: int = 0
     rest: "requestbody.RequestBody | None" = None
 
-    @property
-    def is_replayable(self) -> bool:
-        """Whether another attempt can send the whole body."""
-        return self.rest is None or self.rest.is_replayable
-
     @property
     def body_bytes(self) -> int:
         """Size of the body, as far as it is known."""
--- a/mangobay/dispatch.py
+++ b/mangobay/dispatch.py
@@ -257,7 +257,7 @@
 
         A retry is charged to the retry budget and to the call's allowance.
         """
-        if not request.is_replayable:
+        if request.rest is not None and not request.rest.is_replayable:
             return None
         now = asyncio.get_running_loop().time()
         has_response = reply.outcome is Outcome.ANSWERED
