--- a/mangobay/httpparse.py
+++ b/mangobay/httpparse.py
@@ -109,10 +109,10 @@
     Attributes:
       max_line_bytes: limit of the start line, and of each header.
       error: why parsing has stopped; None while there was no error.
-      new_messages: messages whose heads were completed by the last `feed`.
+      new_messages: messages whose heads were completed by the last piece.
       message: the message that is being received, None between messages.
       in_head: the start line or the headers of `message` are incomplete.
-      message_completed: a message was completed by the last `feed`.
+      message_completed: a message was completed by the last piece.
       partial_line_bytes: length of the last line, which is not ended yet.
       framing_bytes: bytes outside of heads since the last byte of a body.
       header_count: headers and trailers of `message` so far.
@@ -139,21 +139,16 @@
 
     def feed(self, data: bytes) -> list[Message]:
         """Parses bytes; returns the messages whose heads they complete."""
+        if len(data) > PIECE_BYTES:
+            return [
+                message
+                for start in range(0, len(data), PIECE_BYTES)
+                for message in self.feed(data[start : start + PIECE_BYTES])
+            ]
         if self.error is not None:
             return []
         self.new_messages = []
         self.message_completed = False
-        if len(data) <= PIECE_BYTES:
-            self.parse(data)
-            return self.new_messages
-        for start in range(0, len(data), PIECE_BYTES):
-            self.parse(data[start : start + PIECE_BYTES])
-            if self.error is not None:
-                break
-        return self.new_messages
-
-    def parse(self, data: bytes) -> None:
-        """Parses at most PIECE_BYTES."""
         if not self.in_head:
             # Reset by the first byte of a body or of the next head.
             self.framing_bytes += len(data)
@@ -172,6 +167,7 @@
             self.check_partial_line(data)
             if self.framing_bytes >= MAX_FRAMING_BYTES:
                 self.error = ParseError(400, "too many bytes without content")
+        return self.new_messages
 
     def close(self) -> None:
         """Releases the llhttp parser, which refers back to this object."""
--- a/mangobay/leanclient.py
+++ b/mangobay/leanclient.py
@@ -329,7 +329,8 @@
         now = self.loop.time()
         self.idle_since = now
         self.update_keep_alive(message)
-        self.record_failed_attempt(pending.attempt_id, message)
+        if message.status >= FIRST_REPEATABLE_STATUS:
+            self.record_failed_attempt(pending.attempt_id)
         body = b"" if self.head_only else message.body
         pending.response = self.make_response(
             message, body, now - pending.started_at
@@ -368,11 +369,9 @@
             ),
         )
 
-    def record_failed_attempt(
-        self, attempt_id: ids.AttemptId, message: httpparse.Message
-    ) -> None:
+    def record_failed_attempt(self, attempt_id: ids.AttemptId) -> None:
         """Keeps the id of a request that may be sent again."""
-        if message.status < FIRST_REPEATABLE_STATUS or not attempt_id:
+        if not attempt_id:
             return
         self.failed_attempts.add(attempt_id)
         if len(self.failed_attempts) >= MAX_FAILED_ATTEMPTS:
--- a/mangobay/leanserver.py
+++ b/mangobay/leanserver.py
@@ -227,9 +227,9 @@
 
     def is_holding_much(self) -> bool:
         """Returns whether the requests use too much memory to read further."""
-        count = len(self.exchanges)
-        if not count:
+        if not self.exchanges:
             return False
+        count = len(self.exchanges)
         newest = self.exchanges[-1]
         if newest.rest is not None:
             return newest.rest.unread_bytes >= requestbody.PAUSE_BYTES
@@ -273,7 +273,7 @@
             self.request_started_at = 0.0
         else:
             self.update_request_start(receiving is not None or new_messages)
-        if self.is_holding_much():
+        if self.exchanges and self.is_holding_much():
             self.pause_reading()
 
     def update_request_start(self, has_message: object) -> None:
@@ -305,6 +305,9 @@
         )
         self.exchanges.append(exchange)
         self.closing = self.closing or exchange.should_close
+        if message.complete and not message.body_size:
+            self.dispatch(exchange)
+            return
         self.receive_body(exchange)
         if message.complete or exchange.response_bytes:
             return
@@ -375,7 +378,7 @@
         """Starts the handler of a complete request."""
         message = exchange.message
         body = message.body
-        if self.is_large(message):
+        if len(body) > requestbody.PREFIX_BYTES and self.is_large(message):
             if self.listener.large_requests >= MAX_LARGE_REQUESTS:
                 self.refuse(exchange)
                 return
