--- a/mangobay/leanserver.py
+++ b/mangobay/leanserver.py
@@ -272,15 +272,16 @@
         if new_messages and not self.parser.in_head:
             self.request_started_at = 0.0
         else:
-            self.update_request_start(receiving is not None or new_messages)
+            has_message = receiving is not None or bool(new_messages)
+            self.update_request_start(has_message)
         if self.exchanges and self.is_holding_much():
             self.pause_reading()
 
-    def update_request_start(self, has_message: object) -> None:
+    def update_request_start(self, has_message: bool) -> None:
         """Updates when an incomplete head began.
 
         Args:
-          has_message: true if the last bytes belong to a message whose head is
+          has_message: whether the last bytes belong to a message whose head is
             complete; empty lines alone count as the start of a head.
         """
         is_head = self.parser.in_head or not has_message
@@ -646,7 +647,11 @@
 
     def is_body_slow(self, now: float) -> bool:
         """Returns whether the caller sends the body of a request too slowly."""
-        if not self.is_receiving_body() or self.half_close_timer is not None:
+        if (
+            not self.is_receiving_body()
+            or self.reading_paused
+            or self.half_close_timer is not None
+        ):
             return False
         newest = self.exchanges[-1]
         if (
@@ -654,10 +659,7 @@
             and now - newest.received_at > MAX_PREFIX_SECONDS
         ):
             return True
-        return (
-            now - self.body_received_at > BODY_STALL_SECONDS
-            and not self.reading_paused
-        )
+        return now - self.body_received_at > BODY_STALL_SECONDS
 
     def time_out_body(self) -> None:
         """Gives up a request whose body does not come.
