Tests: large requests begin once both services are served

Traced: the first small request came 30 ms before the backend server of its service was announced (no_backend, then announced, in the node's log). The fixture waited for one of the two services only.

--- a/tests/test_large_requests.py
+++ b/tests/test_large_requests.py
@@ -251,9 +251,15 @@
             return response.status == 200
 
         async def served():
-            name = f"try-{next(names)}"
-            response = await started.request(ENTRY_NODE, SERVICE, name)
-            return response.status == 200
+            statuses = [
+                (
+                    await started.request(
+                        ENTRY_NODE, service, f"try-{next(names)}"
+                    )
+                ).status
+                for service in (SERVICE, OTHER_SERVICE)
+            ]
+            return statuses == [200, 200]
 
         await platformfakes.wait_until(accepted)
         await platformfakes.wait_until(served)
