--- a/bench/soak/bounds.py
+++ b/bench/soak/bounds.py
@@ -14,6 +14,7 @@
       stable: after a disruption, until a process is held to its bounds again.
       loss_slack: a request sent this shortly before a close crossed it.
       config_apply: until an acknowledged configuration is in force.
+      rollback: until a process that went by a configuration must do so.
       max_skew: by which disturbances of a minority of the control hosts may
         stretch `config_apply`.
       drain: until a backend server that leaves gets nothing more.
@@ -50,6 +51,7 @@
     stable: float = 3.0
     loss_slack: float = 0.2
     config_apply: float = 2.0
+    rollback: float = 0.25
     max_skew: float = 5.0
     drain: float = 2.0
     freed: float = 0.5
--- a/bench/soak/dialect.py
+++ b/bench/soak/dialect.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import dataclasses
+import enum
 import pathlib
 
 from mangobay import ids
@@ -85,6 +86,19 @@
     large: bool = False
 
 
+class Flaw(enum.Enum):
+    """What makes a configuration invalid."""
+
+    UNKNOWN_SERVICE = "a route names an unknown service"
+    NEGATIVE_WEIGHT = "a weight is below 0"
+    NO_TIMEOUT = "a timeout is 0"
+    LONG_TIMEOUT = "a timeout is over ten minutes"
+    NO_ATTEMPTS = "a route has no attempts"
+    UNKNOWN_TYPE = "a route is of an unknown type"
+    OLD_VERSION = "its version is the current one"
+    CUT_SHORT = "its end is missing"
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Launch:
     """How a program is started: its command line and its environment."""
@@ -110,6 +124,8 @@
       beat: a whole request that tells a node of its backend server.
       publish: a whole request that puts routes in force, by version, the
         version it builds on (0: none), and routes.
+      publish_flawed: the same for an invalid configuration, by flaw as well.
+      content: what identifies the configuration in a body, but for its form.
       describe: a whole request that reads the configuration back.
       health_path: of the health checks of backend servers.
       version: the version in the answer to `describe`.
@@ -129,6 +145,10 @@
     attempt: collections.abc.Callable[[Fields], str]
     beat: collections.abc.Callable[[Beat], bytes]
     publish: collections.abc.Callable[[int, int, list[Route]], bytes]
+    publish_flawed: collections.abc.Callable[
+        [int, int, list[Route], Flaw], bytes
+    ]
+    content: collections.abc.Callable[[bytes], str]
     describe: bytes
     health_path: str
     version: collections.abc.Callable[[bytes], int]
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -4,7 +4,7 @@
 import random
 import typing
 
-from bench.soak import backends
+from bench.soak import backends, dialect
 from mangobay import ids
 
 
@@ -74,6 +74,37 @@
     race: bool
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class InvalidOrder:
+    """An operator sends an invalid configuration."""
+
+    at: float
+    flaw: dialect.Flaw
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class RivalOrders:
+    """Two operators send different configurations under one number."""
+
+    at: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class RepeatedOrder:
+    """An operator sends acknowledged configurations again."""
+
+    at: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Wipe:
+    """SIGKILL of a control host, and a start with an empty disk."""
+
+    at: float
+    host: ids.HostId
+    down: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Replace:
     """A backend server leaves, ends, and another one starts in its place."""
@@ -165,6 +196,10 @@
     | Sever
     | Limit
     | Crash
+    | InvalidOrder
+    | RivalOrders
+    | RepeatedOrder
+    | Wipe
 )
 
 
@@ -175,13 +210,32 @@
     controls: tuple[ids.HostId, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Final:
+    """Every process is killed right after a change was acknowledged.
+
+    Attributes:
+      wiped: control hosts whose disks are empty after it.
+    """
+
+    wiped: tuple[ids.HostId, ...]
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Plan:
-    """The faults of one run; `seconds` is when the last may begin."""
+    """The faults of one run.
+
+    Attributes:
+      seed: from which they are drawn.
+      seconds: in which they begin, but for the final one.
+      faults: in the order of time.
+      final: what happens once all of them are over, None for nothing.
+    """
 
     seed: int
     seconds: float
     faults: tuple[Fault, ...]
+    final: Final | None = None
 
 
 WEIGHTS = {
@@ -205,6 +259,12 @@
 """Seconds between two limits."""
 MEAN_CRASH_GAP = 5.0
 """Seconds between two series of requests that end backend servers."""
+MEAN_ORDER_GAP = 1.0
+"""Seconds between two orders that are invalid, rivals, or sent again."""
+MEAN_WIPE_GAP = 5.0
+"""Seconds between two emptied disks."""
+FINAL_SHARE = 0.5
+"""Of the runs with unplanned faults, those that end with a final one."""
 LEAVING_SHARE = 0.25
 """Of these series, those whose callers leave at once."""
 MEAN_MINORITY_GAP = 6.0
@@ -233,11 +293,59 @@
     found += draw_links(seed, seconds, hosts)
     found += draw_limits(seed, seconds, hosts)
     found += draw_crashes(seed, seconds, hosts)
+    found += draw_orders(seed, seconds)
+    final = None
     if seed % PLANNED_SEEDS:
         found += draw_minorities(seed, seconds, hosts)
+        wipes, final = draw_lost_disks(seed, hosts)
+        found += wipes
     found = [fault for fault in found if fault.at < seconds]
     found.sort(key=lambda fault: fault.at)
-    return Plan(seed=seed, seconds=seconds, faults=tuple(found))
+    return Plan(seed=seed, seconds=seconds, faults=tuple(found), final=final)
+
+
+def draw_orders(seed: int, seconds: float) -> list[Fault]:
+    """Returns the orders that are invalid, rivals, or sent again."""
+    lots = random.Random(f"orders {seed}")
+    at = FIRST
+    found: list[Fault] = []
+    while at < seconds:
+        at += lots.expovariate(1 / MEAN_ORDER_GAP)
+        begin = round(at, 2)
+        flaw = lots.choice(tuple(dialect.Flaw))
+        found.append(
+            lots.choice(
+                (
+                    InvalidOrder(at=begin, flaw=flaw),
+                    RivalOrders(at=begin),
+                    RepeatedOrder(at=begin),
+                )
+            )
+        )
+    return found
+
+
+def draw_lost_disks(
+    seed: int, hosts: Hosts
+) -> tuple[list[Fault], Final | None]:
+    """Returns wiped disks, and the final fault.
+
+    All together wipe no more disks than may be lost at the same time.
+    """
+    lots = random.Random(f"disks {seed}")
+    chosen = lots.sample(hosts.controls, (len(hosts.controls) - 1) // 2)
+    final = None
+    if lots.random() < FINAL_SHARE:
+        count = lots.randint(0, len(chosen))
+        final = Final(wiped=tuple(chosen[:count]))
+        chosen = chosen[count:]
+    at = FIRST
+    wipes: list[Fault] = []
+    for host in chosen:
+        at += lots.expovariate(1 / MEAN_WIPE_GAP)
+        down = round(lots.uniform(0.0, 1.0), 2)
+        wipes.append(Wipe(at=round(at, 2), host=host, down=down))
+    return wipes, final
 
 
 def draw_links(seed: int, seconds: float, hosts: Hosts) -> list[Fault]:
--- a/bench/soak/history.py
+++ b/bench/soak/history.py
@@ -4,6 +4,7 @@
 import enum
 import math
 
+from bench.soak import dialect
 from mangobay import ids
 
 
@@ -40,6 +41,7 @@
     THAW = "SIGCONT"
     EXIT = "exit"
     TEAR = "torn write"
+    WIPE = "emptied disk"
 
 
 PROMISES = frozenset({408, 421, 429, 503})
@@ -161,7 +163,18 @@
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class Change:
-    """One configuration sent by an operator; status 0 is no clear answer."""
+    """One configuration sent by an operator; status 0 is no clear answer.
+
+    Attributes:
+      version: its number.
+      base: the version that it builds on.
+      host: the control host that it was sent to.
+      sent: loop time.
+      ended: loop time of the answer.
+      status: of the answer.
+      content: digest of the configuration.
+      flaw: what makes it invalid, None for nothing.
+    """
 
     version: int
     base: int
@@ -169,6 +182,13 @@
     sent: float
     ended: float
     status: int
+    content: str = ""
+    flaw: dialect.Flaw | None = None
+
+    @property
+    def order(self) -> tuple[int, int, str]:
+        """What is the same each time that a configuration is sent again."""
+        return self.version, self.base, self.content
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -180,6 +200,7 @@
     ended: float
     version: int
     last: bool = False
+    content: str = ""
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
--- a/bench/soak/judge.py
+++ b/bench/soak/judge.py
@@ -56,6 +56,10 @@
     ),
     Check("CONFIG", systemchecks.configuration_is_not_old),
     Check("CONFIG", systemchecks.refused_changes_are_not_in_force),
+    Check("CONFIG", systemchecks.invalid_changes_are_refused),
+    Check("CONFIG", systemchecks.accepted_changes_stay_accepted),
+    Check("CONFIG", systemchecks.content_is_as_sent),
+    Check("CONFIG", systemchecks.routes_do_not_revert),
     Check("CONFIG", systemchecks.routes_are_in_force),
     Check("RECOVER", systemchecks.requests_are_served_again),
 )
--- a/bench/soak/operators.py
+++ b/bench/soak/operators.py
@@ -1,6 +1,7 @@
 """Operators that change the configuration, read it back and try it out."""
 
 import asyncio
+import dataclasses
 import itertools
 import random
 
@@ -22,6 +23,16 @@
 """Most times that a change without a clear answer is sent."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Order:
+    """A configuration to be sent; `flaw` is what makes it invalid."""
+
+    version: int
+    base: int
+    data: bytes
+    flaw: dialect.Flaw | None = None
+
+
 class NoConfigurationError(Exception):
     """The first configuration was not accepted."""
 
@@ -35,6 +46,7 @@
       controls: the control hosts.
       nodes: the other hosts.
       newest: the newest acknowledged version.
+      acknowledged: what was acknowledged, oldest first.
       versions: numbers for further versions.
     """
 
@@ -46,6 +58,7 @@
         self.nodes = [place for place in places if place.service]
         self.lots = random.Random(f"operators {seed}")
         self.newest = 0
+        self.acknowledged: list[Order] = []
         self.versions = itertools.count(1)
 
     async def first(self) -> None:
@@ -72,27 +85,62 @@
             await asyncio.gather(*orders)
             await asyncio.sleep(gap)
 
-    async def change(self, version: int, base: int) -> None:
-        """Sends a change until there is a clear answer."""
+    async def publish_rivals(self) -> None:
+        """Sends two configurations under one number, on the same version."""
+        version, base = next(self.versions), self.newest
+        await asyncio.gather(
+            *[self.change(version, base, rival) for rival in range(RACE_FACTOR)]
+        )
+
+    async def publish_flawed(self, flaw: dialect.Flaw) -> None:
+        """Sends an invalid configuration on top of the newest one."""
+        base = self.newest
+        is_old = flaw is dialect.Flaw.OLD_VERSION
+        version = base if is_old else next(self.versions)
+        data = self.speech.publish_flawed(
+            version, base, routes(version, rival=RACE_FACTOR), flaw
+        )
+        await self.send(Order(version=version, base=base, data=data, flaw=flaw))
+
+    async def resend(self) -> None:
+        """Sends the newest acknowledged order again, and an older one."""
+        newest, older = (
+            self.acknowledged[-1],
+            self.lots.choice(self.acknowledged),
+        )
+        await asyncio.gather(self.send(newest), self.send(older))
+
+    async def change(self, version: int, base: int, rival: int = 0) -> None:
+        """Sends a change; rivals have other content under the same number."""
+        data = self.speech.publish(version, base, routes(version, rival))
+        await self.send(Order(version=version, base=base, data=data))
+
+    async def send(self, order: Order) -> None:
+        """Sends an order until there is a clear answer."""
         loop = asyncio.get_running_loop()
-        data = self.speech.publish(version, base, routes(version))
+        _, _, body = order.data.partition(b"\r\n\r\n")
+        content = self.speech.content(body)
         for _ in range(SEND_AGAIN):
             host = self.lots.choice(self.controls)
             change = history.Change(
-                version=version,
-                base=base,
+                version=order.version,
+                base=order.base,
                 host=host.name,
                 sent=loop.time(),
                 ended=loop.time(),
                 status=0,
+                content=content,
+                flaw=order.flaw,
             )
             self.seen.changes.append(change)
             port = self.speech.ports.operator
-            status, _ = await wire.exchange(host.ip, port, data)
+            status, _ = await wire.exchange(host.ip, port, order.data)
             change.ended = loop.time()
             change.status = status
-            if status == 200:
-                self.newest = max(self.newest, version)
+            if status == 200 and not order.flaw:
+                self.newest = max(self.newest, order.version)
+                if order not in self.acknowledged:
+                    self.acknowledged.append(order)
             if status in CLEAR:
                 return
             await asyncio.sleep(RETRY_SECONDS)
@@ -134,6 +182,7 @@
                 ended=loop.time(),
                 version=version,
                 last=last,
+                content=self.speech.content(body) if version else "",
             )
         )
         return bool(version)
@@ -192,8 +241,8 @@
     return f"since{version}.example"
 
 
-def routes(version: int) -> list[dialect.Route]:
-    """Returns the routes of a version."""
+def routes(version: int, rival: int = 0) -> list[dialect.Route]:
+    """Returns the routes of a version; rivals differ in one."""
     found = [
         dialect.Route(
             hostname=callers.hostname(service, repeatable),
@@ -205,6 +254,8 @@
         for repeatable in (True, False)
     ]
     names = {marker(version): version}
+    if rival:
+        names[f"rival{rival}.example"] = version
     for kept in range(max(1, version - KEPT_ROUTES), version + 1):
         names[kept_marker(kept)] = kept
     return found + [
--- a/bench/soak/play.py
+++ b/bench/soak/play.py
@@ -22,6 +22,8 @@
 WARM_SECONDS = 1.5
 SETTLE_SECONDS = 3.0
 """After the last fault is over, before the bound on recovery is looked at."""
+LAST_CHANGES = 5
+"""Most changes that are sent before everything ends."""
 LAG_SECONDS = 0.05
 LEAVE_SECONDS = 0.01
 """After which callers leave that do not wait for their answer."""
@@ -106,6 +108,10 @@
                 await made.kill(host)
                 made.tear(host, left)
                 await self.start(host, down)
+            case faults.Wipe(host=host, down=down):
+                await made.kill(host)
+                made.wipe(host)
+                await self.start(host, down)
             case faults.Freeze(host=host, seconds=seconds):
                 await self.freeze(host, seconds)
             case _:
@@ -114,8 +120,6 @@
     async def bring_about_outside(self, fault: faults.Fault) -> None:
         """Brings about a fault of callers, backend servers or operators."""
         match fault:
-            case faults.Publish(count=count, gap=gap, race=race):
-                await self.boss.publish(count, gap, race)
             case faults.Replace(host=host):
                 await self.servers[host].replace(bounds.TARGET.drain + 1)
             case faults.Limit(host=host, rate=rate, seconds=seconds):
@@ -130,6 +134,20 @@
                         client.drop(history.End.LEFT)
             case faults.Sever(host=host):
                 await self.servers[host].sever()
+            case _:
+                await self.bring_about_order(fault)
+
+    async def bring_about_order(self, fault: faults.Fault) -> None:
+        """Sends the configurations of a fault."""
+        match fault:
+            case faults.Publish(count=count, gap=gap, race=race):
+                await self.boss.publish(count, gap, race)
+            case faults.InvalidOrder(flaw=flaw):
+                await self.boss.publish_flawed(flaw)
+            case faults.RivalOrders():
+                await self.boss.publish_rivals()
+            case faults.RepeatedOrder():
+                await self.boss.resend()
 
     async def repeat_crashing_request(self, fault: faults.Crash) -> None:
         """Sends a request that ends backend servers to nodes in turn."""
@@ -200,6 +218,20 @@
             await asyncio.sleep(seconds)
             self.made.signal(host, history.Action.THAW)
 
+    async def end_all(self, final: faults.Final) -> None:
+        """Kills every process right after a change was acknowledged."""
+        await self.mend()
+        newest = self.boss.newest
+        for _ in range(LAST_CHANGES):
+            await self.boss.publish(1, 0.0, race=False)
+            if self.boss.newest > newest:
+                break
+        async with asyncio.TaskGroup() as group:
+            for host in self.made.places:
+                group.create_task(self.made.kill(host))
+        for host in final.wiped:
+            self.made.wipe(host)
+
     async def mend(self) -> None:
         """Starts whatever does not run."""
         for host in self.made.places:
@@ -246,6 +278,7 @@
             await server.__aenter__()
         try:
             await boss.first()
+            made.end_bootstrap()
             await asyncio.sleep(WARM_SECONDS)
             clients = callers_of(run, made)
             jobs = [client.run() for client in clients]
@@ -253,6 +286,8 @@
             tasks += [asyncio.create_task(job) for job in jobs]
             player = Player(made, servers, boss, clients)
             await player.play(plan)
+            if plan.final is not None:
+                await player.end_all(plan.final)
             await player.mend()
             seen.calm = loop.time()
             await asyncio.sleep(bounds.TARGET.recovery + SETTLE_SECONDS)
--- a/bench/soak/report.py
+++ b/bench/soak/report.py
@@ -79,6 +79,7 @@
         "",
         "faults, planned (from the start of the callers)",
         *(f"  {fault}" for fault in played.plan.faults),
+        f"  {played.plan.final}",
         "",
         "processes, as it happened",
         *(event_line(event, zero) for event in seen.events),
@@ -105,6 +106,7 @@
     return (
         f"  {change.sent - zero:8.3f} to {change.ended - zero:.3f}"
         f" {change.host}: {change.version} on {change.base}: {change.status}"
+        f" {change.content} {change.flaw.value if change.flaw else ''}"
     )
 
 
--- a/bench/soak/systemchecks.py
+++ b/bench/soak/systemchecks.py
@@ -65,8 +65,12 @@
 
 
 def accepted(view: checks.View) -> list[history.Change]:
-    """Returns the acknowledgements of changes."""
-    return [each for each in view.seen.changes if each.status == ACCEPTED]
+    """Returns the acknowledgements of valid changes."""
+    return [
+        each
+        for each in view.seen.changes
+        if each.status == ACCEPTED and not each.flaw
+    ]
 
 
 def configuration_is_kept(view: checks.View) -> checks.Found:
@@ -103,29 +107,100 @@
 def refused_changes_are_not_in_force(view: checks.View) -> checks.Found:
     """A refused change is never read back; of two rivals one is accepted."""
     refused = {
-        each.version for each in view.seen.changes if each.status in REFUSED
+        (each.version, each.content)
+        for each in view.seen.changes
+        if each.status in REFUSED
     }
     for reading in view.seen.readings:
-        if reading.version in refused:
+        if (reading.version, reading.content) in refused:
             what = f"read {reading.version}, which was refused"
             yield broken(
                 "configuration races", reading.ended, reading.host, what
             )
-    rivals: dict[int, set[int]] = collections.defaultdict(set)
+    rivals: dict[int, set[tuple[int, str]]] = collections.defaultdict(set)
     for each in accepted(view):
-        rivals[each.base].add(each.version)
+        rivals[each.base].add((each.version, each.content))
         if len(rivals[each.base]) > 1:
             what = f"{sorted(rivals[each.base])} accepted on {each.base}"
             yield broken("configuration races", each.ended, each.host, what)
 
 
+def invalid_changes_are_refused(view: checks.View) -> checks.Found:
+    """No control host accepts an invalid configuration."""
+    for each in view.seen.changes:
+        if each.flaw and each.status == ACCEPTED:
+            what = f"{each.version} was accepted: {each.flaw.value}"
+            yield broken("invalid configuration", each.ended, each.host, what)
+
+
+def accepted_changes_stay_accepted(view: checks.View) -> checks.Found:
+    """A change that is sent again after its acknowledgement is not refused."""
+    since: dict[tuple[int, int, str], float] = {}
+    for each in accepted(view):
+        since[each.order] = min(since.get(each.order, math.inf), each.ended)
+    for each in view.seen.changes:
+        if (
+            each.status in REFUSED
+            and not each.flaw
+            and since.get(each.order, math.inf) < each.sent
+        ):
+            what = f"{each.version} was accepted, and then {each.status}"
+            yield broken("configuration again", each.ended, each.host, what)
+
+
+def content_is_as_sent(view: checks.View) -> checks.Found:
+    """What is read back under a number is what was sent under it."""
+    sent: dict[int, set[str]] = collections.defaultdict(set)
+    acknowledged: dict[int, set[str]] = collections.defaultdict(set)
+    for each in view.seen.changes:
+        if not each.flaw:
+            sent[each.version].add(each.content)
+    for each in accepted(view):
+        acknowledged[each.version].add(each.content)
+    for reading in view.seen.readings:
+        version = reading.version
+        allowed = acknowledged.get(version) or sent[version]
+        if version and reading.content not in allowed:
+            what = f"{version} has another content than was sent"
+            yield broken(
+                "configuration content", reading.ended, reading.host, what
+            )
+
+
+def routes_do_not_revert(view: checks.View) -> checks.Found:
+    """A process that has served a route goes on to know it."""
+    starts: dict[ids.HostId, list[float]] = collections.defaultdict(list)
+    for event in view.seen.events:
+        if event.action is history.Action.START:
+            starts[event.host].append(event.at)
+    known: dict[ids.HostId, tuple[int, float]] = {}
+    for probe in sorted(view.seen.probes, key=lambda each: each.ended):
+        version, ended = known.get(probe.host, (0, 0.0))
+        if any(ended < at < probe.ended for at in starts[probe.host]):
+            version = 0
+        if probe.status == ACCEPTED and probe.version > version:
+            known[probe.host] = probe.version, probe.ended
+        elif (
+            probe.kept
+            and probe.status == NO_ROUTE
+            and probe.version <= version
+            and probe.sent > ended + view.target.rollback + view.seen.lag
+        ):
+            what = f"refuses {probe.version}, has served {version}"
+            yield broken("routes reverted", probe.ended, probe.host, what)
+
+
 def routes_are_in_force(view: checks.View) -> checks.Found:
     """Nodes go by a configuration some time after it was acknowledged."""
     for probe in view.seen.probes:
         if not view.spans.steady(probe.host, probe.sent):
             continue
         # Rivals without an answer may be in force as well.
-        sent = [each for each in view.seen.changes if each.sent < probe.ended]
+        sent = [
+            each
+            for each in view.seen.changes
+            if each.sent < probe.ended and not each.flaw
+        ]
         newest = max((each.version for each in sent), default=0)
         latest = required_version(view, probe.sent)
         refuses = probe.status == NO_ROUTE
--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -5,6 +5,7 @@
 import dataclasses
 import pathlib
 import random
+import shutil
 import signal
 
 from bench import launcher
@@ -114,6 +115,14 @@
         """The hosts that faults may befall."""
         return hosts_of(self.places.values())
 
+    def end_bootstrap(self) -> None:
+        """Tells every process that starts from now on that a group exists."""
+        founders = [each.ip for each in self.places.values() if each.founds]
+        for place in self.places.values():
+            later = dataclasses.replace(place, founds=False)
+            text = self.speech.settings(self.tree, later, founders, self.folder)
+            self.settings_of(place).write_text(text)
+
     def settings_of(self, place: dialect.Place) -> pathlib.Path:
         """Returns the path of a host's settings."""
         return self.folder / f"{place.name}.ini"
@@ -229,6 +238,13 @@
                 file.write(data[: min(left, len(data) // 2)])
             self.note(host, history.Action.TEAR, f"{left} bytes")
 
+    def wipe(self, host: ids.HostId) -> None:
+        """Empties the disk of a control host that does not run."""
+        path = self.speech.entries(self.folder, self.places[host]).parent
+        if host not in self.fleet.started:
+            shutil.rmtree(path, ignore_errors=True)
+            self.note(host, history.Action.WIPE)
+
     def log_lines(self, word: str) -> list[str]:
         """Returns the lines of all processes that hold a word."""
         found = []
--- a/tests/soakfakes.py
+++ b/tests/soakfakes.py
@@ -82,7 +82,7 @@
     return history.Event(at=at, host=host, action=action, detail=detail)
 
 
-def change(version, base, at=100.0, status=200):
+def change(version, base, at=100.0, status=200, content="", flaw=None):
     """Returns a change that was answered at once."""
     return history.Change(
         version=version,
@@ -91,13 +91,20 @@
         sent=at,
         ended=at + 0.1,
         status=status,
+        content=content,
+        flaw=flaw,
     )
 
 
-def reading(version, at, last=False):
+def reading(version, at, last=False, content=""):
     """Returns a configuration that was read back."""
     return history.Reading(
-        host=CONTROL, sent=at, ended=at + 0.1, version=version, last=last
+        host=CONTROL,
+        sent=at,
+        ended=at + 0.1,
+        version=version,
+        last=last,
+        content=content,
     )
 
 
--- a/tests/test_soak_systemchecks.py
+++ b/tests/test_soak_systemchecks.py
@@ -3,7 +3,7 @@
 import pytest
 import soakfakes
 
-from bench.soak import checks, history, systemchecks
+from bench.soak import checks, dialect, history, systemchecks
 
 Action = history.Action
 
@@ -126,6 +126,60 @@
         assert len(breaks) == count
 
 
+class TestOrders:
+    """Configurations that are invalid, sent again, or rivals of a number."""
+
+    @pytest.mark.parametrize(("status", "count"), [(200, 1), (400, 0), (0, 0)])
+    def test_an_accepted_invalid_one_is_found(self, status, count):
+        """A control host puts an invalid configuration in force."""
+        flaw = dialect.Flaw.NO_TIMEOUT
+        changes = [soakfakes.change(2, 1, status=status, flaw=flaw)]
+        check = systemchecks.invalid_changes_are_refused
+        assert len(found(check, changes=changes)) == count
+
+    @pytest.mark.parametrize(
+        ("content", "status", "count"),
+        [("a", 412, 1), ("a", 0, 0), ("a", 200, 0), ("b", 412, 0)],
+    )
+    def test_a_refused_repetition_is_found(self, content, status, count):
+        """An acknowledged change is refused when it is sent again."""
+        changes = [
+            soakfakes.change(2, 1, at=100, content="a"),
+            soakfakes.change(2, 1, at=105, status=status, content=content),
+        ]
+        check = systemchecks.accepted_changes_stay_accepted
+        assert len(found(check, changes=changes)) == count
+
+    @pytest.mark.parametrize(("content", "count"), [("a", 0), ("b", 1)])
+    def test_other_content_under_a_number_is_found(self, content, count):
+        """The loser of a race is read back under the winner's number."""
+        changes = [
+            soakfakes.change(2, 1, content="a"),
+            soakfakes.change(2, 1, status=412, content="b"),
+        ]
+        readings = [soakfakes.reading(2, 105, content=content)]
+        for check in (
+            systemchecks.content_is_as_sent,
+            systemchecks.refused_changes_are_not_in_force,
+        ):
+            breaks = found(check, changes=changes, readings=readings)
+            assert len(breaks) == count
+
+    @pytest.mark.parametrize(
+        ("version", "at", "started", "count"),
+        [(2, 102, 0, 1), (2, 100.2, 0, 0), (3, 102, 0, 0), (2, 102, 101, 0)],
+    )
+    def test_a_node_that_goes_back_is_found(self, version, at, started, count):
+        """A process refuses a route that it has served."""
+        probes = [
+            soakfakes.probe(2, 100, 200),
+            soakfakes.probe(version, at, 404, kept=True),
+        ]
+        events = [soakfakes.event(started, Action.START)]
+        check = systemchecks.routes_do_not_revert
+        assert len(found(check, probes=probes, events=events)) == count
+
+
 class TestDisturbedGroup:
     """`systemchecks.routes_are_in_force` while control hosts are away."""
 
