Soak: routes that move, and heartbeats of other writers

The soak did not show it: it had no such heartbeats, and it asked only whether added routes are refused with 404. A node without news answers 503 there, and goes on to send requests of a moved route to its former service.

Each version now has one route for another service, and what runs its requests is compared with the versions that may be in force.

--- a/bench/soak/backends.py
+++ b/bench/soak/backends.py
@@ -270,8 +270,12 @@
             await self.awake.wait()
             await self.tell()
 
-    async def tell(self) -> bool:
-        """Tells the node of itself; returns whether it was acknowledged."""
+    async def tell(self, slots: int = SLOTS) -> bool:
+        """Tells the node of itself; returns whether it was acknowledged.
+
+        Args:
+          slots: number of slots that it names.
+        """
         if self.server is None:
             return False
         current = self.current
@@ -283,7 +287,7 @@
             sequence=current.sequence,
             service=self.place.service,
             data_centre=self.place.data_centre,
-            slots=SLOTS,
+            slots=slots,
             draining=current.draining,
         )
         port = self.speech.ports.heartbeats
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -96,6 +96,15 @@
     at: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class OddReport:
+    """A node gets a heartbeat of another writer, with impossible slots."""
+
+    at: float
+    host: ids.HostId
+    slots: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Wipe:
     """SIGKILL of a control host, and a start with an empty disk."""
@@ -200,6 +209,7 @@
     | RivalOrders
     | RepeatedOrder
     | Wipe
+    | OddReport
 )
 
 
@@ -261,6 +271,10 @@
 """Seconds between two series of requests that end backend servers."""
 MEAN_ORDER_GAP = 1.0
 """Seconds between two orders that are invalid, rivals, or sent again."""
+MEAN_REPORT_GAP = 5.0
+"""Seconds between two heartbeats of other writers."""
+IMPOSSIBLE_SLOTS = (-1, 2**32, 2**70)
+"""Slots that no message between processes can hold."""
 MEAN_WIPE_GAP = 5.0
 """Seconds between two emptied disks."""
 FINAL_SHARE = 0.5
@@ -294,6 +308,7 @@
     found += draw_limits(seed, seconds, hosts)
     found += draw_crashes(seed, seconds, hosts)
     found += draw_orders(seed, seconds)
+    found += draw_odd_reports(seed, seconds, hosts)
     final = None
     if seed % PLANNED_SEEDS:
         found += draw_minorities(seed, seconds, hosts)
@@ -325,6 +340,19 @@
     return found
 
 
+def draw_odd_reports(seed: int, seconds: float, hosts: Hosts) -> list[Fault]:
+    """Returns the heartbeats of other writers."""
+    lots = random.Random(f"odd reports {seed}")
+    at = FIRST
+    found: list[Fault] = []
+    while at < seconds:
+        at += lots.expovariate(1 / MEAN_REPORT_GAP)
+        host = lots.choice(hosts.nodes)
+        slots = lots.choice(IMPOSSIBLE_SLOTS)
+        found.append(OddReport(at=round(at, 2), host=host, slots=slots))
+    return found
+
+
 def draw_lost_disks(
     seed: int, hosts: Hosts
 ) -> tuple[list[Fault], Final | None]:
--- a/bench/soak/history.py
+++ b/bench/soak/history.py
@@ -212,6 +212,7 @@
       host: of the node that is asked.
       version: that has the route.
       kept: later versions have the route as well.
+      moved: every version has the route, for another service.
       sent: loop time.
       ended: loop time of the answer; a run may end before it comes.
       status: of the answer, 0 without one.
@@ -222,6 +223,7 @@
     version: int
     sent: float
     kept: bool = False
+    moved: bool = False
     ended: float = math.inf
     status: int = 0
 
--- a/bench/soak/judge.py
+++ b/bench/soak/judge.py
@@ -61,6 +61,7 @@
     Check("CONFIG", systemchecks.content_is_as_sent),
     Check("CONFIG", systemchecks.routes_do_not_revert),
     Check("CONFIG", systemchecks.routes_are_in_force),
+    Check("CONFIG", systemchecks.moved_routes_are_in_force),
     Check("RECOVER", systemchecks.requests_are_served_again),
 )
 
--- a/bench/soak/operators.py
+++ b/bench/soak/operators.py
@@ -19,6 +19,8 @@
 LAST_TRIES = 30
 RETRY_SECONDS = 0.2
 CLEAR = frozenset({200, 400, 409, 412, 413, 422})
+MOVED = "moved.example"
+"""Host name of the route that each version has for another service."""
 SEND_AGAIN = 20
 """Most times that a change without a clear answer is sent."""
 
@@ -166,6 +168,7 @@
         """Tries the newest route at one node."""
         while True:
             await self.probe(place, kept=True)
+            await self.probe_moved(place)
             await asyncio.sleep(PROBE_SECONDS)
 
     async def read(self, place: dialect.Place, last: bool = False) -> bool:
@@ -209,26 +212,42 @@
         version = self.newest
         if not kept:
             version = max(1, version - self.lots.choice((0, 0, 1)))
-        loop = asyncio.get_running_loop()
-        sent = loop.time()
-        name = "kept" if kept else "probe"
-        attempt = ids.AttemptId(f"{name}-{place.name}-{sent:.6f}")
-        fields = {
-            "Host": kept_marker(version) if kept else marker(version),
-            **self.speech.request_fields(attempt, 1.0),
-        }
-        data = wire.encode("GET /plain/0 HTTP/1.1", fields, None)
-        port = self.speech.ports.outside
-        probe = history.Probe(
-            attempt=attempt,
+        hostname = kept_marker(version) if kept else marker(version)
+        probe = self.make_probe("kept" if kept else "probe", place, version)
+        probe.kept = kept
+        await self.send_probe(probe, place, hostname)
+
+    async def probe_moved(self, place: dialect.Place) -> None:
+        """Tries the route that each version has for another service."""
+        probe = self.make_probe("moved", place, self.newest)
+        probe.moved = True
+        await self.send_probe(probe, place, MOVED)
+
+    def make_probe(
+        self, name: str, place: dialect.Place, version: int
+    ) -> history.Probe:
+        """Returns a probe that is sent now."""
+        sent = asyncio.get_running_loop().time()
+        return history.Probe(
+            attempt=ids.AttemptId(f"{name}-{place.name}-{sent:.6f}"),
             host=place.name,
             version=version,
             sent=sent,
-            kept=kept,
         )
+
+    async def send_probe(
+        self, probe: history.Probe, place: dialect.Place, hostname: str
+    ) -> None:
+        """Sends a probe to a node."""
+        fields = {
+            "Host": hostname,
+            **self.speech.request_fields(probe.attempt, 1.0),
+        }
+        data = wire.encode("GET /plain/0 HTTP/1.1", fields, None)
+        port = self.speech.ports.outside
         self.seen.probes.append(probe)
         probe.status, _ = await wire.exchange(place.ip, port, data)
-        probe.ended = loop.time()
+        probe.ended = asyncio.get_running_loop().time()
 
 
 def marker(version: int) -> str:
@@ -236,6 +255,11 @@
     return f"v{version}.example"
 
 
+def moved_service(version: int) -> ids.ServiceName:
+    """Returns the service of the route `MOVED` in a version."""
+    return world.SERVICES[version % len(world.SERVICES)]
+
+
 def kept_marker(version: int) -> str:
     """Returns the host name of the route that is there since a version."""
     return f"since{version}.example"
@@ -253,7 +277,7 @@
         for service in world.SERVICES
         for repeatable in (True, False)
     ]
-    names = {marker(version): version}
+    names = {marker(version): version, MOVED: version}
     if rival:
         names[f"rival{rival}.example"] = version
     for kept in range(max(1, version - KEPT_ROUTES), version + 1):
@@ -261,7 +285,7 @@
     return found + [
         dialect.Route(
             hostname=hostname,
-            service=world.SERVICES[number % len(world.SERVICES)],
+            service=moved_service(number),
             repeatable=True,
             timeout=1.0,
         )
--- a/bench/soak/play.py
+++ b/bench/soak/play.py
@@ -134,6 +134,8 @@
                         client.drop(history.End.LEFT)
             case faults.Sever(host=host):
                 await self.servers[host].sever()
+            case faults.OddReport(host=host, slots=slots):
+                await self.servers[host].tell(slots)
             case _:
                 await self.bring_about_order(fault)
 
--- a/bench/soak/systemchecks.py
+++ b/bench/soak/systemchecks.py
@@ -3,7 +3,7 @@
 import collections
 import math
 
-from bench.soak import checks, history
+from bench.soak import checks, history, operators
 from mangobay import ids
 
 GOOD_EXITS = frozenset({"0", "-15", "-9"})
@@ -175,6 +175,8 @@
             starts[event.host].append(event.at)
     known: dict[ids.HostId, tuple[int, float]] = {}
     for probe in sorted(view.seen.probes, key=lambda each: each.ended):
+        if probe.moved:
+            continue
         version, ended = known.get(probe.host, (0, 0.0))
         if any(ended < at < probe.ended for at in starts[probe.host]):
             version = 0
@@ -193,7 +195,7 @@
 def routes_are_in_force(view: checks.View) -> checks.Found:
     """Nodes go by a configuration some time after it was acknowledged."""
     for probe in view.seen.probes:
-        if not view.spans.steady(probe.host, probe.sent):
+        if probe.moved or not view.spans.steady(probe.host, probe.sent):
             continue
         # Rivals without an answer may be in force as well.
         sent = [
@@ -217,6 +219,27 @@
         yield broken("configuration in force", probe.ended, probe.host, what)
 
 
+def moved_routes_are_in_force(view: checks.View) -> checks.Found:
+    """A route that was moved is served by a service of a version in force."""
+    for probe in view.seen.probes:
+        if not probe.moved or not view.spans.steady(probe.host, probe.sent):
+            continue
+        latest = required_version(view, probe.sent)
+        allowed = {
+            operators.moved_service(each.version)
+            for each in view.seen.changes
+            if each.sent < probe.ended
+            and each.version >= latest
+            and not each.flaw
+        }
+        for arrival in view.arrivals.get(probe.attempt, []):
+            if arrival.ran and arrival.service not in allowed:
+                what = f"{arrival.service} ran it, in force is {latest}"
+                yield broken(
+                    "configuration in force", probe.ended, probe.host, what
+                )
+
+
 def required_version(view: checks.View, at: float) -> int:
     """Returns the oldest version that steady nodes may go by at a time.
 
--- a/tests/soakfakes.py
+++ b/tests/soakfakes.py
@@ -108,14 +108,15 @@
     )
 
 
-def probe(version, at, status, kept=False):
-    """Returns a request on the route of one version, or one that is kept."""
+def probe(version, at, status, kept=False, moved=False):
+    """Returns a request on the route of one version, or of several."""
     return history.Probe(
         attempt=ids.AttemptId(f"probe-{at}"),
         host=NODE,
         version=version,
         sent=at,
         kept=kept,
+        moved=moved,
         ended=at + 0.1,
         status=status,
     )
--- a/tests/test_soak_systemchecks.py
+++ b/tests/test_soak_systemchecks.py
@@ -3,7 +3,7 @@
 import pytest
 import soakfakes
 
-from bench.soak import checks, dialect, history, systemchecks
+from bench.soak import checks, dialect, history, operators, systemchecks
 
 Action = history.Action
 
@@ -180,6 +180,31 @@
         assert len(found(check, probes=probes, events=events)) == count
 
 
+class TestMovedRoutes:
+    """`systemchecks.moved_routes_are_in_force`."""
+
+    @pytest.mark.parametrize(
+        ("version", "at", "count"), [(1, 105, 1), (1, 101, 0), (2, 105, 0)]
+    )
+    def test_a_run_by_the_former_service_is_found(self, version, at, count):
+        """A node that gets no news sends requests to the former service."""
+        probe = soakfakes.probe(2, at, 200, moved=True)
+        run = soakfakes.arrival(
+            probe.attempt, service=operators.moved_service(version)
+        )
+        changes = [
+            soakfakes.change(1, 0, at=90),
+            soakfakes.change(2, 1, at=100),
+        ]
+        breaks = found(
+            systemchecks.moved_routes_are_in_force,
+            changes=changes,
+            probes=[probe],
+            arrivals=[run],
+        )
+        assert len(breaks) == count
+
+
 class TestDisturbedGroup:
     """`systemchecks.routes_are_in_force` while control hosts are away."""
 
