Tests: connections accepted while their listener closes

What a caller reads, by the iterations of the event loop between its connect and the close (HANGS: neither a response nor an end, 0.2 s after the listener has closed):

callers reset, reset, HANGS, 503, end peers reset, reset, HANGS, HANGS, HANGS edges reset, reset, HANGS, HANGS, end operators reset, reset, HANGS, end, end

--- /dev/null
+++ b/tests/test_listening.py
@@ -0,0 +1,105 @@
+"""Listening sockets, and the connections accepted just before they close."""
+
+import asyncio
+import contextlib
+import gc
+import socket
+
+import pytest
+
+from mangobay import (
+    httpserver,
+    leanhttp,
+    leanserver,
+    operatorapi,
+    options,
+    peers,
+)
+from mangobay.generated import messages
+
+LOOPBACK = options.Address("127.0.0.1", 0)
+REQUEST = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+END_SECONDS = 0.2
+"""Seconds within which a connection has ended once its listener is closed."""
+MAX_TURNS = 5
+"""Iterations of the event loop in which a connection is taken."""
+
+
+@pytest.fixture(autouse=True)
+def no_collections():
+    """Leaves abandoned connections open, as in a process that runs long."""
+    gc.disable()
+    yield
+    gc.enable()
+
+
+async def connect_before_close(listener, turns, request=b""):
+    """Returns what a caller reads that connects just before the close.
+
+    Args:
+      listener: a listener that is started.
+      turns: iterations of the event loop between the connect and the close.
+      request: what the caller sends.
+    """
+    loop = asyncio.get_running_loop()
+    with contextlib.closing(socket.create_connection(listener.address)) as sock:
+        sock.setblocking(False)
+        sock.sendall(request)
+        for _ in range(turns):
+            await asyncio.sleep(0)
+        reading = asyncio.create_task(loop.sock_recv(sock, 1000))
+        await listener.close()
+        try:
+            return await asyncio.wait_for(reading, END_SECONDS)
+        except ConnectionResetError:
+            return b""
+
+
+class TestClosing:
+    """A connection that is accepted while its listener closes."""
+
+    async def test_request_to_a_closing_node_is_answered(self):
+        """Callers of a stopping node wait for a response until it has ended."""
+
+        async def refuse(request, connection):
+            del request, connection
+            return leanhttp.Response(status=503)
+
+        for turns in range(MAX_TURNS):
+            listener = leanserver.Listener(
+                LOOPBACK, refuse, leanserver.Limits()
+            )
+            await listener.start()
+            response = await connect_before_close(listener, turns, REQUEST)
+            assert response.startswith(b"HTTP/1.1 503"), turns
+
+    async def test_connection_of_a_peer_is_closed(self):
+        """Calls wait for a process that stops until it has ended."""
+
+        async def reply(hello, body):
+            del hello
+            return body
+
+        hello = messages.Hello(host="h", incarnation="1")
+        for turns in range(MAX_TURNS):
+            listener = peers.Listener(LOOPBACK, hello, reply)
+            await listener.start()
+            await connect_before_close(listener, turns)
+
+    async def test_connection_to_an_edge_is_closed(self):
+        """Callers of the product's own node wait until it has ended."""
+        for turns in range(MAX_TURNS):
+            listener = httpserver.Listener(
+                LOOPBACK, handler=None, max_connections=10, head_timeout=10
+            )
+            await listener.start()
+            await connect_before_close(listener, turns)
+
+    async def test_connection_of_an_operator_is_closed(self):
+        """Operators wait for a control host that stops until it has ended."""
+        for turns in range(MAX_TURNS):
+            api = operatorapi.OperatorApi(
+                LOOPBACK, None, None, None, 2000, quarantine_admin=None
+            )
+            await api.start()
+            await connect_before_close(api, turns)
