Listeners: no accepted connection is left behind at the close

What callers saw: a request on a connection that had just been opened to a stopping node got no response. It was reset when the process had ended, up to 0.21 s later, and up to a second more while other callers still read their last responses. It had not run. Several connections accepted together share this.

Cause: asyncio accepts a connection in one iteration of the event loop, and creates its transport in the next ones. asyncio.Server.close() in between makes the transport fail on an assertion that only asyncio's debug mode reports; the socket stays open until a garbage collection or the end of the process, and nobody reads it. Two iterations later the transport exists, but the listener's set of connections lacks it, so that closing all of them misses it. The peers' listener also left open what had not sent its Hello.

Change: listening.Server accepts connections itself. Its close takes what is in the accept queue, closes the socket, and waits until each connection has its protocol and the protocol what has arrived; a TLS handshake that takes longer is aborted. The four listeners use it, and the peers' listener closes each accepted connection. A request that has arrived is now refused as not run.

Why it works: from the accept to the protocol, a connection is in the set of hand-overs, which the close waits for, and from then on in the listener's set, which it closes. No iteration lies between the two.

--- a/mangobay/connectionlimits.py
+++ b/mangobay/connectionlimits.py
@@ -5,6 +5,8 @@
 
 from aiohttp import web
 
+from mangobay import listening, options
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Limits:
@@ -44,20 +46,18 @@
         self.limits = limits
         self.awaiting_request: set[web.RequestHandler] = set()
 
-    async def open(
-        self, server: web.Server, ip: str, port: int
-    ) -> asyncio.Server:
+    def open(
+        self, server: web.Server, address: options.Address
+    ) -> listening.Server:
         """Opens the listening socket of a server.
 
         Raises:
-          OSError: the address is in use or does not belong to this host.
+          errors.StartError: the address is in use or does not belong to this
+            host.
         """
-
-        def make_connection() -> asyncio.BaseProtocol:
-            return self.accept(server)
-
-        loop = asyncio.get_running_loop()
-        return await loop.create_server(make_connection, ip, port)
+        opened = listening.Server(address, lambda: self.accept(server))
+        opened.start()
+        return opened
 
     def accept(self, server: web.Server) -> asyncio.BaseProtocol:
         """Returns the protocol of a new connection."""
--- a/mangobay/httpserver.py
+++ b/mangobay/httpserver.py
@@ -151,7 +151,7 @@
       address: where it listens; a port of 0 is replaced on start by the port
         that was assigned.
       server: creates the connections.
-      socket_server: the listening socket; None before start.
+      socket_server: accepts the connections.
     """
 
     def __init__(
@@ -164,7 +164,9 @@
     ):
         self.address = address
         self.server = Server(handler, max_connections, head_timeout)
-        self.socket_server: asyncio.Server | None = None
+        self.socket_server = listening.Server(
+            address, self.server, backlog=LISTEN_BACKLOG
+        )
 
     async def start(self) -> None:
         """Starts listening.
@@ -172,17 +174,8 @@
         Raises:
           errors.StartError: the address is in use or not on this host.
         """
-        loop = asyncio.get_running_loop()
-        self.socket_server = await listening.open_server(
-            self.address,
-            loop.create_server(
-                self.server,
-                self.address.ip,
-                self.address.port,
-                backlog=LISTEN_BACKLOG,
-            ),
-        )
-        self.address = listening.bound_address(self.address, self.socket_server)
+        self.socket_server.start()
+        self.address = self.socket_server.address
 
     @property
     def busy(self) -> bool:
@@ -214,10 +207,8 @@
         Returns:
           The number of responses that were aborted.
         """
-        if self.socket_server is None:
-            return 0
-        self.socket_server.close()
         self.close_when_answered()
+        await self.socket_server.close()
         loop = asyncio.get_running_loop()
         deadline = loop.time() + grace
         while self.pending_responses and loop.time() < deadline:
--- a/mangobay/leanserver.py
+++ b/mangobay/leanserver.py
@@ -714,7 +714,9 @@
         self.limits_are_current: collections.abc.Callable[[], bool] = (
             limits_are_fixed
         )
-        self.server: asyncio.Server | None = None
+        self.server = listening.Server(
+            address, lambda: Connection(self), backlog=BACKLOG
+        )
 
     async def start(self) -> None:
         """Opens the listening socket.
@@ -722,18 +724,8 @@
         Raises:
           errors.StartError: the address is in use or not of this host.
         """
-        loop = asyncio.get_running_loop()
-        server_coroutine = loop.create_server(
-            lambda: Connection(self),
-            self.address.ip,
-            self.address.port,
-            backlog=BACKLOG,
-            reuse_address=True,
-        )
-        self.server = await listening.open_server(
-            self.address, server_coroutine
-        )
-        self.address = listening.bound_address(self.address, self.server)
+        self.server.start()
+        self.address = self.server.address
 
     def limit_response(self, status: int) -> leanhttp.Response:
         """Returns the response to a request above a limit.
@@ -783,10 +775,8 @@
         Returns:
           Number of connections with a response that was not delivered.
         """
-        if self.server is None:
-            return 0
-        self.server.close()
         self.leaving = True
+        await self.server.close()
         loop = asyncio.get_running_loop()
         deadline = loop.time() + seconds
         while self.busy and loop.time() < deadline:
--- a/mangobay/listening.py
+++ b/mangobay/listening.py
@@ -1,41 +1,155 @@
-"""Opens listening sockets."""
+"""Listening sockets, and their connections until a protocol has them."""
 
 import asyncio
 import collections.abc
 import os
+import socket
+import ssl
 
-from mangobay import errors, options
+from mangobay import errors, logs, options
 
+BACKLOG = 100
+"""Default length of the accept queue."""
+ACCEPT_RETRY_SECONDS = 1.0
+"""Seconds until connections are accepted again after an error, such as that no
+file descriptor is left."""
+HAND_OVER_SECONDS = 0.1
+"""Maximum wait on close for connections to get their protocol; more than a few
+iterations of the event loop, less than a slow TLS handshake."""
+RECEIVE_TURNS = 2
+"""Iterations of the event loop after which what a connection has received when
+the first one began was passed to its protocol."""
+ProtocolFactory = collections.abc.Callable[[], asyncio.BaseProtocol]
 
-async def open_server(
-    address: options.Address,
-    opening: collections.abc.Awaitable[asyncio.Server],
-) -> asyncio.Server:
-    """Returns the server that is being opened at an address.
 
-    Args:
-      address: named in the error.
-      opening: opens the server, such as `loop.create_server`.
+class Server:
+    """Accepts connections on one address.
 
-    Raises:
-      errors.StartError: the address is in use or not on this host.
-    """
-    try:
-        return await opening
-    except OSError as error:
-        # asyncio's own text would name the address a second time.
-        reason = os.strerror(error.errno) if error.errno else error
-        raise errors.StartError(
-            f"cannot listen on {address}: {reason}"
-        ) from None
-
-
-def bound_address(
-    address: options.Address, server: asyncio.Server
-) -> options.Address:
-    """Returns the address with the port that the server is bound to.
-
-    The port differs from the given one if that is 0.
+    `asyncio.Server` abandons a connection that it accepts just before it is
+    closed: nobody serves it, and it stays open until the process ends. This
+    class hands over every accepted connection before its `close` returns.
+
+    Attributes:
+      address: address to listen on; port 0 is replaced by the actual port.
+      make_protocol: returns the protocol of a new connection.
+      backlog: length of the accept queue.
+      tls: context of TLS connections; None for plain ones.
+      handshake_timeout: seconds that a TLS handshake may take.
+      sock: the listening socket; None before start and after close.
+      hand_overs: tasks that create the transports of accepted connections.
+      retry_timer: timer of the next attempt to accept after an error.
     """
-    port = server.sockets[0].getsockname()[1]
-    return options.Address(address.ip, port)
+
+    def __init__(
+        self,
+        address: options.Address,
+        make_protocol: ProtocolFactory,
+        *,
+        backlog: int = BACKLOG,
+        tls: ssl.SSLContext | None = None,
+        handshake_timeout: float | None = None,
+    ):
+        self.address = address
+        self.make_protocol = make_protocol
+        self.backlog = backlog
+        self.tls = tls
+        self.handshake_timeout = handshake_timeout if tls else None
+        self.sock: socket.socket | None = None
+        self.hand_overs: set[asyncio.Task] = set()
+        self.retry_timer: asyncio.TimerHandle | None = None
+
+    def start(self) -> None:
+        """Opens the socket and accepts connections.
+
+        Raises:
+          errors.StartError: the address is in use or not on this host.
+        """
+        family = socket.AF_INET6 if ":" in self.address.ip else socket.AF_INET
+        try:
+            self.sock = socket.create_server(
+                self.address, family=family, backlog=self.backlog
+            )
+        except OSError as error:
+            # The error's own text may name the address a second time.
+            reason = os.strerror(error.errno) if error.errno else error
+            raise errors.StartError(
+                f"cannot listen on {self.address}: {reason}"
+            ) from None
+        self.sock.setblocking(False)
+        port = self.sock.getsockname()[1]
+        self.address = options.Address(self.address.ip, port)
+        self.resume_accepting()
+
+    def resume_accepting(self) -> None:
+        """Accepts connections from now on."""
+        self.retry_timer = None
+        asyncio.get_running_loop().add_reader(self.sock, self.accept_waiting)
+
+    def accept_waiting(self) -> None:
+        """Accepts the connections in the accept queue."""
+        for _ in range(self.backlog):
+            try:
+                accepted, _ = self.sock.accept()
+            except (BlockingIOError, InterruptedError):
+                return
+            except ConnectionAbortedError:
+                continue
+            except OSError as error:
+                self.pause_accepting(error)
+                return
+            task = asyncio.create_task(self.hand_over(accepted))
+            self.hand_overs.add(task)
+            task.add_done_callback(self.hand_overs.discard)
+
+    def pause_accepting(self, error: OSError) -> None:
+        """Accepts nothing for a while: the socket would stay readable."""
+        logs.log_event(
+            logs.Component.PEER,
+            "cannot accept connections",
+            address=str(self.address),
+            why=os.strerror(error.errno),
+        )
+        loop = asyncio.get_running_loop()
+        loop.remove_reader(self.sock)
+        self.retry_timer = loop.call_later(
+            ACCEPT_RETRY_SECONDS, self.resume_accepting
+        )
+
+    async def hand_over(self, accepted: socket.socket) -> None:
+        """Creates the transport of a connection and connects its protocol."""
+        try:
+            await asyncio.get_running_loop().connect_accepted_socket(
+                self.make_protocol,
+                accepted,
+                ssl=self.tls,
+                ssl_handshake_timeout=self.handshake_timeout,
+            )
+        except (OSError, EOFError) as error:
+            accepted.close()
+            logs.log_event(
+                logs.Component.PEER,
+                "connection failed at its start",
+                address=str(self.address),
+                why=repr(error),
+            )
+
+    async def close(self) -> None:
+        """Closes the socket, and leaves no accepted connection behind.
+
+        Every connection in the accept queue has its protocol then, which has
+        received what had arrived. TLS handshakes that take longer are aborted.
+        """
+        if self.sock is None:
+            return
+        self.accept_waiting()
+        if self.retry_timer is not None:
+            self.retry_timer.cancel()
+        asyncio.get_running_loop().remove_reader(self.sock)
+        self.sock.close()
+        self.sock = None
+        if self.hand_overs:
+            await asyncio.wait(self.hand_overs, timeout=HAND_OVER_SECONDS)
+        for task in self.hand_overs:
+            task.cancel()
+        for _ in range(RECEIVE_TURNS):
+            await asyncio.sleep(0)
--- a/mangobay/operatorapi.py
+++ b/mangobay/operatorapi.py
@@ -110,7 +110,7 @@
         self.limits = limits
         self.connection_limiter = connectionlimits.ConnectionLimiter(limits)
         self.drain_manager = drainmanager.DrainManager()
-        self.server: asyncio.Server | None = None
+        self.server: listening.Server | None = None
         app = web.Application(
             client_max_size=sheet_bytes,
             middlewares=[
@@ -135,14 +135,13 @@
         """
         await self.runner.setup()
         try:
-            self.server = await listening.open_server(
-                self.address,
-                self.connection_limiter.open(self.runner.server, *self.address),
+            self.server = self.connection_limiter.open(
+                self.runner.server, self.address
             )
         except errors.StartError:
             await self.runner.cleanup()
             raise
-        self.address = listening.bound_address(self.address, self.server)
+        self.address = self.server.address
 
     async def drain(self, seconds: float) -> None:
         """Refuses new requests; cancels those still running after `seconds`."""
@@ -152,7 +151,7 @@
         """Cancels the requests in progress and closes the socket."""
         await self.drain(0)
         if self.server is not None:
-            self.server.close()
+            await self.server.close()
         await self.runner.cleanup()
 
     @web.middleware
--- a/mangobay/peers.py
+++ b/mangobay/peers.py
@@ -335,8 +335,8 @@
         """Counts the connection, and closes it above the limit."""
         super().connection_made(transport)
         listener = self.listener
-        listener.accepted_count += 1
-        if listener.accepted_count > listener.limits.max_connections:
+        listener.accepted.add(self)
+        if len(listener.accepted) > listener.limits.max_connections:
             self.close("too many connections")
             return
         self.hello_timer = self.loop.call_later(
@@ -379,7 +379,7 @@
         # Nobody awaits this future; reading its exception marks it as
         # retrieved.
         self.handshake_done.exception()
-        self.listener.accepted_count -= 1
+        self.listener.accepted.discard(self)
         self.listener.connections.discard(self)
 
 
@@ -393,9 +393,9 @@
       handler: handles each request and returns its reply.
       identity: TLS identity; None for plain connections.
       limits: bounds of the connections.
+      server: accepts the connections.
+      accepted: open connections, including those whose handshake is not done.
       connections: connections whose handshake is done.
-      accepted_count: number of open connections, including those whose
-        handshake is not done.
       connection_numbers: numbers for connections.
       sweep_timer: timer of close_stalled_connections.
     """
@@ -414,9 +414,14 @@
         self.handler = handler
         self.identity = identity
         self.limits = limits or Limits()
-        self.server: asyncio.Server | None = None
+        self.server = listening.Server(
+            address,
+            self.make_connection,
+            tls=identity.get_listening_context() if identity else None,
+            handshake_timeout=self.limits.frame_timeout,
+        )
+        self.accepted: set[InboundConnection] = set()
         self.connections: set[InboundConnection] = set()
-        self.accepted_count = 0
         self.connection_numbers = itertools.count()
         self.sweep_timer: asyncio.TimerHandle | None = None
 
@@ -426,21 +431,8 @@
         Raises:
           errors.StartError: the address is in use or not on this host.
         """
-        self.server = await listening.open_server(
-            self.address,
-            asyncio.get_running_loop().create_server(
-                self.make_connection,
-                self.address.ip,
-                self.address.port,
-                ssl=self.identity.get_listening_context()
-                if self.identity
-                else None,
-                ssl_handshake_timeout=(
-                    self.limits.frame_timeout if self.identity else None
-                ),
-            ),
-        )
-        self.address = listening.bound_address(self.address, self.server)
+        self.server.start()
+        self.address = self.server.address
         self.close_stalled_connections()
 
     def make_connection(self) -> connections.Connection:
@@ -518,10 +510,10 @@
         Args:
           grace: maximum wait in seconds for requests being handled.
         """
-        if self.server is None:
+        if self.sweep_timer is None:
             return
-        self.server.close()
         self.sweep_timer.cancel()
+        await self.server.close()
         tasks = [
             task
             for connection in self.connections
@@ -529,8 +521,8 @@
         ]
         if tasks and grace:
             await asyncio.wait(tasks, timeout=grace)
-        pending = [connection.disconnected for connection in self.connections]
-        for connection in list(self.connections):
+        pending = [connection.disconnected for connection in self.accepted]
+        for connection in list(self.accepted):
             connection.close("shutting down")
         if pending:
             await asyncio.wait(pending, timeout=CLOSE_TIMEOUT_SECONDS)
--- a/tests/test_connectionlimits.py
+++ b/tests/test_connectionlimits.py
@@ -5,7 +5,7 @@
 
 from aiohttp import web
 
-from mangobay import connectionlimits
+from mangobay import connectionlimits, options
 
 WAIT_SECONDS = 20.0
 REQUEST = b"GET / HTTP/1.1\r\nHost: here\r\n\r\n"
@@ -24,12 +24,11 @@
     app.router.add_get("/", respond)
     runner = web.AppRunner(app)
     await runner.setup()
-    server = await limiter.open(runner.server, "127.0.0.1", 0)
-    address = server.sockets[0].getsockname()
+    server = limiter.open(runner.server, options.Address("127.0.0.1", 0))
     try:
-        yield lambda: asyncio.open_connection(*address)
+        yield lambda: asyncio.open_connection(*server.address)
     finally:
-        server.close()
+        await server.close()
         await runner.cleanup()
 
 
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -565,7 +565,7 @@
         opened = [
             await asyncio.open_connection(*listener.address) for _ in range(3)
         ]
-        await wait_until(lambda: listener.accepted_count == 3)
+        await wait_until(lambda: len(listener.accepted) == 3)
         reader, writer = await asyncio.open_connection(*listener.address)
         assert await asyncio.wait_for(reader.read(), WAIT_SECONDS) == b""
         for _, each in [*opened, (reader, writer)]:
