--- /dev/null
+++ b/tests/test_platform_orders.py
@@ -0,0 +1,132 @@
+"""Operators' configurations, from the request to every reader of them."""
+
+import json
+
+import hypothesis
+import platformfakes
+import pytest
+from adapter import documents, handlers, jsontext, platformnames
+from hypothesis import strategies
+
+from mangobay import leanhttp, routespublisher, statemachine
+from mangobay.generated import messages
+
+OTHER_FRAMES = 300
+"""Frames on the stack of a process below the parsing of a configuration."""
+JSON_VALUES = strategies.recursive(
+    strategies.none()
+    | strategies.booleans()
+    | strategies.integers()
+    | strategies.floats(allow_nan=False)
+    | strategies.text(strategies.characters(codec=None)),
+    lambda inner: (
+        strategies.lists(inner)
+        | strategies.dictionaries(strategies.text(), inner)
+    ),
+)
+
+
+class FakePublisher:
+    """Replicates each configuration, and restores it from a snapshot."""
+
+    def __init__(self):
+        self.machine = statemachine.ConfigStateMachine()
+
+    async def put(self, change):
+        entry = messages.encode_log_entry(messages.LogEntry(body=change))
+        self.machine.apply(messages.decode_log_entry(entry))
+        return messages.RoutesOutcome.ACCEPTED
+
+    async def fetch_newest(self):
+        return self.machine.routes
+
+
+def nested(depth):
+    """Returns so many lists within each other."""
+    value = 1
+    for _ in range(depth):
+        value = [value]
+    return value
+
+
+async def send(publisher, body):
+    """Returns the response to a configuration."""
+    request = leanhttp.Request(
+        method="POST",
+        target=f"{platformnames.RPC_PATH}?call=config.replace",
+        headers={platformnames.BASE_VERSION_HEADER: "0"},
+        raw_headers=[],
+        body=body,
+    )
+    return await handlers.operator_api(publisher)(request, None)
+
+
+def read_below(frames, stored):
+    """Parses a stored configuration with so many more frames on the stack."""
+    if frames:
+        return read_below(frames - 1, stored)
+    return documents.decode(stored)
+
+
+class TestReaders:
+    """What a control host accepts, every process can read."""
+
+    @pytest.mark.parametrize("container", ["list", "object"])
+    @pytest.mark.parametrize("depth", [100, 975, 100_000])
+    async def test_deep_configuration_is_refused(self, depth, container):
+        """Readers come to the end of their stack."""
+        opening, closing = {
+            "list": ("[" * depth, "]" * depth),
+            "object": ('{"m":' * depth, "}" * depth),
+        }[container]
+        body = json.dumps(
+            platformfakes.configuration(1, ["a"]) | {"unknown": "VALUE"}
+        ).replace('"VALUE"', f"{opening}1{closing}")
+        response = await send(FakePublisher(), body.encode())
+        assert response.status == 400
+        assert b"nested" in response.body
+
+    async def test_accepted_depth_is_read_with_less_stack(self):
+        """A change is confirmed and in force on no node."""
+        for depth in range(10, 800, 30):
+            publisher = FakePublisher()
+            config = platformfakes.configuration(1, ["a"])
+            config["unknown"] = nested(depth)
+            response = await send(publisher, json.dumps(config).encode())
+            if response.status == 400:
+                continue
+            change = await publisher.fetch_newest()
+            stored = routespublisher.decompress_document(change)
+            assert read_below(OTHER_FRAMES, stored).version == 1, depth
+
+    @hypothesis.given(
+        JSON_VALUES | strategies.integers(0, 40).map(nested),
+        strategies.sampled_from(["document", "route", "limits"]),
+    )
+    async def test_accepted_configuration_is_read_everywhere(
+        self, value, place
+    ):
+        """A member that is not known here stops a reader."""
+        config = platformfakes.configuration(1, ["a"])
+        match place:
+            case "document":
+                config["unknown"] = value
+            case "limits":
+                config["limits"]["unknown"] = value
+            case "route":
+                config["routes"]["columns"].append("unknown")
+                config["routes"]["rows"][0].append(value)
+        publisher = FakePublisher()
+        response = await send(publisher, json.dumps(config).encode())
+        assert response.status in (200, 400)
+        if response.status == 400:
+            return
+        snapshot = messages.encode_snapshot(publisher.machine.snapshot())
+        restored = statemachine.ConfigStateMachine()
+        restored.restore(messages.decode_snapshot(snapshot))
+        stored = routespublisher.decompress_document(restored.routes)
+        assert read_below(OTHER_FRAMES, stored).version == 1
+        assert (
+            documents.encode_canonical(jsontext.parse_stored(stored)) == stored
+        )
+        assert json.loads(handlers.operator_form(restored.routes)) == config
