Configurations: a number that cannot be encoded again is refused

What callers saw: an operator whose configuration had 1e400 in a member that is not known here got 502 from every control host, each time that it was sent.

Cause: Python parses 1e400 as infinity, which the canonical form cannot hold; the error was none that the operator's API expects. Numbers of thousands of digits were taken, and each reader parsed them again.

Evidence: tests/test_platform_orders.py::TestReaders::test_large_number_is_refused failed before: ValueError for 1e400 and -1e400, 200 for the long ones.

--- a/tests/test_platform_orders.py
+++ b/tests/test_platform_orders.py
@@ -86,6 +86,17 @@
         assert response.status == 400
         assert b"nested" in response.body
 
+    @pytest.mark.parametrize(
+        "number",
+        ["1e400", "-1e400", "9" * 400, "-" + "9" * 5000, "0." + "1" * 99],
+    )
+    async def test_large_number_is_refused(self, number):
+        """An operator gets 502 from every control host, each time."""
+        body = json.dumps(
+            platformfakes.configuration(1, ["a"]) | {"unknown": "VALUE"}
+        ).replace('"VALUE"', number)
+        assert (await send(FakePublisher(), body.encode())).status == 400
+
     async def test_accepted_depth_is_read_with_less_stack(self):
         """A change is confirmed and in force on no node."""
         for depth in range(10, 800, 30):
