Configurations: no text ends a line of a message

What callers saw: a configuration with CR and LF in a health path or in the name of a workspace was confirmed, and both are written into requests to backend servers: a request could get a header that nobody sent, or end early. Keys and names with half a surrogate pair were an internal error (502).

Cause: texts were checked for their type and, in part, for their encoding.

--- a/tests/test_platform_orders.py
+++ b/tests/test_platform_orders.py
@@ -141,3 +141,37 @@
             documents.encode_canonical(jsontext.parse_stored(stored)) == stored
         )
         assert json.loads(handlers.operator_form(restored.routes)) == config
+
+
+class TestTexts:
+    """Texts of a configuration that become part of messages."""
+
+    @pytest.mark.parametrize(
+        ("table", "column"),
+        [
+            ("routes", "name"),
+            ("routes", "hostname"),
+            ("services", "name"),
+            ("services", "health_path"),
+            ("tenants", "name"),
+            ("tenants", "api_keys"),
+        ],
+    )
+    @pytest.mark.parametrize("text", ["/h\r\nX: y", "/h\n", "/\x00", "/\ud800"])
+    async def test_text_that_ends_a_line_is_refused(self, table, column, text):
+        """A configuration adds a header to requests, or ends one early."""
+        workspaces = [["w", ["key"], 1, 1, 1]]
+        config = platformfakes.configuration(1, ["a"], workspaces)
+        place = config[table]["columns"].index(column)
+        value = [text] if column == "api_keys" else text
+        config[table]["rows"][0][place] = value
+        response = await send(FakePublisher(), json.dumps(config).encode())
+        assert response.status == 400
+
+    @pytest.mark.parametrize("path", ["/a b", "h", "", "/\u00e9"])
+    async def test_health_path_is_a_request_target(self, path):
+        """A health check that cannot be parsed keeps a server out of use."""
+        config = platformfakes.configuration(1, ["a"])
+        config["services"]["rows"][0][1] = path
+        response = await send(FakePublisher(), json.dumps(config).encode())
+        assert response.status == 400
