--- a/tests/test_platform_orders.py
+++ b/tests/test_platform_orders.py
@@ -175,3 +175,23 @@
         config["services"]["rows"][0][1] = path
         response = await send(FakePublisher(), json.dumps(config).encode())
         assert response.status == 400
+
+
+class TestRanges:
+    """Numbers of a configuration with which no request could be served."""
+
+    @pytest.mark.parametrize(
+        ("name", "value", "status"),
+        [
+            ("max_header_bytes", 0, 400),
+            ("max_header_bytes", -1, 400),
+            ("max_body_bytes", -1, 400),
+            ("max_body_bytes", 0, 200),
+        ],
+    )
+    async def test_limits_leave_room_for_a_request(self, name, value, status):
+        """No request is served until the next configuration."""
+        config = platformfakes.configuration(1, ["a"])
+        config["limits"][name] = value
+        response = await send(FakePublisher(), json.dumps(config).encode())
+        assert response.status == status
