Configurations: timeouts below a millisecond are refused

What callers saw: a route with a timeout of 0.0001ms was confirmed. Messages between nodes name times in whole milliseconds, so its requests had no time.

Change: a timeout is from 1 ms to 10 minutes; 0 was refused before.

Evidence: tests/test_platform_orders.py::TestRanges failed before, 0.0001ms.

--- a/mangobay/routes.py
+++ b/mangobay/routes.py
@@ -14,6 +14,8 @@
 from mangobay import findings, ids, workspacedirectory
 from mangobay.generated import messages
 
+MIN_TIMEOUT_SECONDS = 0.001
+"""Lower bound of a route's timeout; messages name it in milliseconds."""
 MAX_TIMEOUT_SECONDS = 600.0
 """Upper bound of a route's timeout; callers give up after ten minutes."""
 
@@ -161,9 +163,10 @@
             yield f"the weight of {weighted.service} is below 0"
     if not math.isfinite(sum(part.weight for part in route.weighted_services)):
         yield "the weights are too large"
-    if not 0 < route.timeout <= MAX_TIMEOUT_SECONDS:
+    if not MIN_TIMEOUT_SECONDS <= route.timeout <= MAX_TIMEOUT_SECONDS:
         yield (
-            f"the timeout must be above 0 and at most {MAX_TIMEOUT_SECONDS:g} s"
+            f"the timeout must be from {MIN_TIMEOUT_SECONDS:g} s to"
+            f" {MAX_TIMEOUT_SECONDS:g} s"
         )
     if route.max_attempts < 1:
         yield "must allow at least one attempt"
--- a/tests/test_platform_orders.py
+++ b/tests/test_platform_orders.py
@@ -195,3 +195,14 @@
         config["limits"][name] = value
         response = await send(FakePublisher(), json.dumps(config).encode())
         assert response.status == status
+
+    @pytest.mark.parametrize(
+        ("timeout", "status"), [("0.0001ms", 400), ("0s", 400), ("1ms", 200)]
+    )
+    async def test_timeout_is_not_rounded_to_nothing(self, timeout, status):
+        """Requests of a route end before they are sent."""
+        config = platformfakes.configuration(1, ["a"])
+        place = config["routes"]["columns"].index("timeout")
+        config["routes"]["rows"][0][place] = timeout
+        response = await send(FakePublisher(), json.dumps(config).encode())
+        assert response.status == status
