Nodes: routes that cannot be read do not end the renewals

What callers saw: while the newest configuration was one that nodes cannot read, every renewal of every node failed, so that they heard of nothing else either, said that they were ready, and refused added routes.

Cause: the error of the parser went through the subject of the routes into the renewal.

Change: such a document is logged, and the older one stays in force.

--- a/mangobay/controlclient.py
+++ b/mangobay/controlclient.py
@@ -78,6 +78,8 @@
         host.
       routes: subject of the newest routes document; version 0 before the
         first.
+      routes_unreadable: whether this node cannot read that document, so that
+        an older one is in force here.
       search: chooses the control host to ask next.
       pending: renewals that wait for a reply.
       every_service: whether the node follows the views of all services.
@@ -113,6 +115,7 @@
         self.views = subject.BehaviorSubject({})
         self.draining = subject.BehaviorSubject(False)
         self.routes = subject.BehaviorSubject(messages.RoutesChange())
+        self.routes_unreadable = False
         self.search = leadersearch.LeaderSearch(
             config.hosts, rng.choice(config.hosts), config.patience
         )
@@ -327,7 +330,10 @@
             )
             if not self.process_reply(host, renewal, sent_at, reply):
                 return False
-            self.document_lease.confirm(sent_boot_time + reply.held_ms / 1000)
+            if not self.routes_unreadable:
+                self.document_lease.confirm(
+                    sent_boot_time + reply.held_ms / 1000
+                )
             return True
         except TimeoutError:
             self.log_failed_renewal(host, sent_at, "timed out")
@@ -417,6 +423,7 @@
             routes=self.routes.value.version,
             every_service=self.every_service,
             keyless=self.keyless,
+            unreadable_routes=self.routes_unreadable,
         )
 
     def drop_services(self, services: set[ids.ServiceName]) -> None:
--- a/mangobay/controlmetrics.py
+++ b/mangobay/controlmetrics.py
@@ -29,6 +29,10 @@
         ("services", "Services that have or had members."),
         ("hosts", "Hosts that are not gone."),
         ("stragglers", "Hosts that act by an older revision; leader only."),
+        (
+            "unreadable_routes",
+            "Hosts that cannot read the newest routes; leader only.",
+        ),
         ("inactive_views", "Views not yet active; leader only."),
         ("held_renewals", "Renewals that wait for news; leader only."),
     )
@@ -75,6 +79,7 @@
             "stragglers": len(
                 self.leases.revision_reports.rollout_status(revision).stragglers
             ),
+            "unreadable_routes": len(self.leases.unreadable_routes),
             "inactive_views": len(view_activity.newest_versions)
             - len(view_activity.active_services),
             "held_renewals": sum(map(len, waiting_renewals)),
--- a/mangobay/leases.py
+++ b/mangobay/leases.py
@@ -78,6 +78,8 @@
       lease_expiry: when each process was last granted a lease.
       view_activity: which views are active.
       revision_reports: the revision that each host reported in this term.
+      unreadable_routes: hosts that reported in this term that they cannot read
+        the newest routes.
       replaced_processes: processes whose host has since started another one,
         oldest first.
       notifier: wakes waiting renewals.
@@ -102,6 +104,7 @@
         self.lease_expiry = leaseexpiry.LeaseExpiry(ttl + margin)
         self.view_activity = viewactivity.ViewActivity()
         self.revision_reports = inforce.RevisionReports(machine)
+        self.unreadable_routes: set[ids.HostId] = set()
         self.replaced_processes: collections.OrderedDict[
             viewactivity.ProcessId, None
         ] = collections.OrderedDict()
@@ -184,6 +187,7 @@
             )
         self.lease_expiry.reset(sorted(processes), clock.now())
         self.revision_reports.revisions_by_host.clear()
+        self.unreadable_routes.clear()
         self.view_activity = viewactivity.ViewActivity()
         for view in newest_views:
             self.track_view(view)
@@ -227,6 +231,7 @@
         """
         process = viewactivity.process_id_of(renewal)
         self.revision_reports.revisions_by_host[renewal.host] = renewal.revision
+        self.record_readability(renewal)
         activated = {
             ack.service
             for ack in renewal.views
@@ -252,6 +257,24 @@
         if joined:
             self.flap_damper.record_join(renewal.host, clock.now())
 
+    def record_readability(self, renewal: messages.LeaseRenew) -> None:
+        """Records whether a node can read its newest routes; logs a change."""
+        host = renewal.host
+        if renewal.unreadable_routes == (host in self.unreadable_routes):
+            return
+        if renewal.unreadable_routes:
+            self.unreadable_routes.add(host)
+        else:
+            self.unreadable_routes.discard(host)
+        logs.log_event(
+            logs.Component.CONTROL,
+            "host cannot read the newest routes"
+            if renewal.unreadable_routes
+            else "host can read the newest routes again",
+            host=host,
+            routes_version=renewal.routes,
+        )
+
     def mark_replaced(self, process: viewactivity.ProcessId) -> None:
         """Refuses further renewals of a process whose host started another.
 
@@ -374,6 +397,7 @@
                 self.revision_reports.revisions_by_host.pop(
                     change.member.host, None
                 )
+                self.unreadable_routes.discard(change.member.host)
                 logs.log_event(
                     logs.Component.CONTROL,
                     "host removed, its lease expired",
--- a/mangobay/nodegauges.py
+++ b/mangobay/nodegauges.py
@@ -33,6 +33,11 @@
             help="Revision of the table in force here.",
             read_value=lambda: node.control.tables.value.revision,
         ),
+        metrics.Gauge(
+            name="unreadable_routes",
+            help="1 while this node cannot read the newest routes.",
+            read_value=lambda: float(node.control.routes_unreadable),
+        ),
         metrics.Gauge(
             name="running",
             help="Calls that run at the backend server here.",
--- a/mangobay/routednode.py
+++ b/mangobay/routednode.py
@@ -184,11 +184,13 @@
         """Returns whether the node is ready for callers.
 
         A node that may accept no key refuses nearly every caller, and others
-        may be able to serve them.
+        may be able to serve them. So may those that can read the newest routes.
         """
         table = self.gateway.table
         if table is None or self.leave_task is not None:
             return False
+        if self.control.routes_unreadable:
+            return False
         return table.directory is None or self.control.document_lease.is_valid()
 
     async def start(self) -> None:
@@ -222,13 +224,33 @@
         node_count = sum(len(view.members) for view in views.values())
         self.dispatcher.dependencies.retry_budget.set_node_count(node_count)
 
+    def decode_routes(
+        self, change: messages.RoutesChange
+    ) -> routes.Document | None:
+        """Returns a routes document, None if this process cannot read it."""
+        try:
+            return self.adapter.decode(
+                routespublisher.decompress_document(change)
+            )
+        except Exception as error:  # noqa: BLE001
+            # A newer version may have accepted it. The renewals must go on, or
+            # the node would not get the next one.
+            logs.log_event(
+                logs.Component.NODE,
+                "routes cannot be read, older ones stay in force",
+                version=change.version,
+                why=repr(error),
+            )
+            return None
+
     def apply_routes(self, change: messages.RoutesChange) -> None:
         """Puts a routes document in force."""
         if not change.version:
             return
-        document = self.adapter.decode(
-            routespublisher.decompress_document(change)
-        )
+        document = self.decode_routes(change)
+        self.control.routes_unreadable = document is None
+        if document is None:
+            return
         if not self.config.limits.large_responses:
             document = routes.without_large_responses(document)
         self.gateway.table = routes.RouteTable(document)
--- a/schema/messages.capnp
+++ b/schema/messages.capnp
@@ -420,12 +420,14 @@
   holdMs @10 :UInt32;
   # A leader with nothing new may keep its answer back this long.
   routes @11 :UInt64 $id("RoutesVersion");
-  # Routes in force at the node.
+  # Newest routes that the node has.
   everyService @12 :Bool;
   # The node follows the views of all services, not only of its interests.
   keyless @13 :Bool;
   # The node owns no keys: it needs neither former views nor to know which
   # view is active.
+  unreadableRoutes @14 :Bool;
+  # The node cannot read these routes, and goes on by older ones.
 }
 
 struct LeaseGrant {
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -9,6 +9,7 @@
 from mangobay import (
     clock,
     coalescing,
+    controlmetrics,
     flapping,
     ids,
     leases,
@@ -598,3 +599,17 @@
         grant = await renewal_task
         assert not grant.views
         assert not grant.view_steps
+
+
+class TestUnreadableRoutes:
+    """Hosts that cannot read the newest routes document."""
+
+    async def test_operators_see_such_hosts(self, table, group, state):
+        """A change counts as in force on hosts that cannot read it."""
+        collector = controlmetrics.ControlCollector(group, state, table)
+        for unreadable, count in ((True, 1), (True, 1), (False, 0)):
+            renewal = controlfakes.make_renewal(
+                "a", "quotes", unreadable_routes=unreadable
+            )
+            await table.renew(renewal)
+            assert collector.gauge_values()["unreadable_routes"] == count
