Heartbeats: none outranks a live server for good

A start that was too high held for the next starts as well.

Cause: the highest start and sequence outranked everything below for good, and what was outranked got 200.

Change: a sender that goes on for 4 s, in which the newest one is silent, takes its place; after one that has left, 60 s. Incarnations that were draining or deregistered are remembered and never come back.

--- a/mangobay/heartbeats.py
+++ b/mangobay/heartbeats.py
@@ -10,13 +10,24 @@
 import collections.abc
 import dataclasses
 import enum
+import math
 import time
 import typing
 
-from mangobay import ids, localservices, logs, options
+from mangobay import clock, ids, localservices, logs, options
 
 MAX_DEREGISTRATIONS = 64
 """Deregistrations that are kept; the oldest one is forgotten."""
+MAX_LEFT_INCARNATIONS = 64
+"""Incarnations that have left that are kept; the oldest one is forgotten."""
+OUTRANKED_SECONDS = 4.0
+"""Seconds for which the newest heartbeat outranks a sender that goes on; a few
+times the usual interval of heartbeats."""
+LEFT_SECONDS = 60.0
+"""The same after a sender that has left. Its server, and heartbeats of servers
+before it, may take this long to end."""
+LOG_INTERVAL_SECONDS = 1.0
+"""Seconds between two log lines on heartbeats that are not used."""
 MILLISECONDS_PER_SECOND = 1000
 WaitUntilUsable = collections.abc.Callable[
     [], collections.abc.Coroutine[None, None, None]
@@ -61,8 +72,8 @@
     """How a heartbeat is handled."""
 
     ACCEPTED = "taken"
-    STALE = "older"
-    """A newer one was accepted before: acknowledged, but ignored."""
+    UNUSED = "unused"
+    """A newer one outranks it, or its sender has left."""
     FOREIGN = "foreign"
     """It names another service or address than those on this host."""
 
@@ -88,14 +99,43 @@
 
     Attributes:
       last_heartbeat: Its newest heartbeat.
+      heard_at: Loop time of that heartbeat.
       leaving: Whether it drains, has deregistered or was retired, which is
         final.
     """
 
     last_heartbeat: Heartbeat
+    heard_at: float
     leaving: bool = False
 
 
+@dataclasses.dataclass(slots=True, kw_only=True)
+class OutrankedSender:
+    """A sender whose heartbeats the newest one outranks.
+
+    Attributes:
+      last_heartbeat: Its newest heartbeat.
+      since: Loop time of the first one.
+    """
+
+    last_heartbeat: Heartbeat
+    since: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Deregistration:
+    """A deregistration of an instance id.
+
+    Attributes:
+      start_unix_ms: Start of the incarnation that has deregistered, Unix
+        milliseconds.
+      received_at: Loop time at which it was received.
+    """
+
+    start_unix_ms: int
+    received_at: float
+
+
 class HeartbeatReceiver:
     """Turns heartbeats into announcements of one backend server.
 
@@ -104,9 +144,12 @@
       address: Address for its requests, from the settings; a heartbeat with
         another one is not of this backend server.
       current: Newest incarnation, or None before the first heartbeat.
-      deregistrations: Latest start of the incarnations that have deregistered,
-        Unix milliseconds, by instance id.  Heartbeats that they sent before may
-        arrive later, also the first one.
+      outranked: Sender that goes on below the newest heartbeat, or None.
+      left: Incarnations that have left, oldest first.
+      deregistrations: Deregistration of the latest incarnation by instance id.
+        Heartbeats that it sent before may arrive later, also the first one.
+      unused_count: Heartbeats that were not used.
+      logged_at: Loop time of the last log line on one of them.
       started_unix_ms: Start of this process.  What earlier incarnations have
         said to another process of this node is not known.
       wait_until_usable: Waits until such an incarnation may be used; None uses
@@ -124,41 +167,46 @@
         self.service = service
         self.address = address
         self.current: Incarnation | None = None
-        self.deregistrations: collections.OrderedDict[ids.InstanceId, int] = (
+        self.outranked: OutrankedSender | None = None
+        self.left: collections.OrderedDict[ids.BackendIncarnation, None] = (
             collections.OrderedDict()
         )
+        self.deregistrations: collections.OrderedDict[
+            ids.InstanceId, Deregistration
+        ] = collections.OrderedDict()
+        self.unused_count = 0
+        self.logged_at = -math.inf
         self.started_unix_ms = unix_milliseconds()
         self.wait_until_usable: WaitUntilUsable | None = None
         self.check: asyncio.Task | None = None
 
     def receive(self, heartbeat: Heartbeat) -> HeartbeatResult:
-        """Applies a heartbeat unless a newer one was applied before."""
+        """Applies a heartbeat, unless its sender has left or is outranked."""
         if (heartbeat.service, heartbeat.address) != (
             self.service,
             self.address,
         ):
             return HeartbeatResult.FOREIGN
-        if not self.is_newer(heartbeat):
-            return HeartbeatResult.STALE
+        if heartbeat.state is not State.READY:
+            return self.receive_draining(heartbeat)
+        if incarnation_of(heartbeat) in self.left:
+            return self.ignore(heartbeat, "its sender has left")
+        if self.has_deregistered(heartbeat):
+            return self.ignore(heartbeat, "its sender has deregistered")
+        is_newer = self.is_newer(heartbeat)
+        if not is_newer and not self.outlasts(heartbeat):
+            return self.ignore(heartbeat, "a newer one outranks it")
         previous = self.current
         is_new = previous is None or not is_same_incarnation(
             previous.last_heartbeat, heartbeat
         )
-        leaving = heartbeat.state is not State.READY or (
-            not is_new and previous.leaving
-        )
-        self.current = Incarnation(last_heartbeat=heartbeat, leaving=leaving)
-        if leaving:
-            self.withdraw(heartbeat, previous)
-            return HeartbeatResult.ACCEPTED
-        if self.has_deregistered(heartbeat):
-            self.retire_incarnation(self.current)
-            return HeartbeatResult.ACCEPTED
+        self.set_current(heartbeat)
         if is_new:
             self.stop_check()
             # The previous incarnation's service times and concurrency limit
-            # don't apply to a new process.
-            self.announcer.withdraw(self.service, planned=False)
+            # don't apply to a new process. It has not ended if this one was
+            # there all the time.
+            self.announcer.withdraw(self.service, planned=not is_newer)
             self.log_change("backend server starts", heartbeat)
             if (
                 self.wait_until_usable is not None
@@ -169,6 +217,83 @@
             self.announce(heartbeat)
         return HeartbeatResult.ACCEPTED
 
+    def receive_draining(self, heartbeat: Heartbeat) -> HeartbeatResult:
+        """Applies a heartbeat that says that its sender is draining.
+
+        Whatever it sends later, the incarnation is not used again.
+        """
+        self.add_left(heartbeat)
+        previous = self.current
+        is_same = previous is not None and is_same_incarnation(
+            previous.last_heartbeat, heartbeat
+        )
+        if self.is_newer(heartbeat) or (
+            not is_same and self.outlasts(heartbeat)
+        ):
+            self.set_current(heartbeat)
+        elif not is_same:
+            # Confirmed, it would bind, and the server is in use as another one.
+            return self.ignore(heartbeat, "a newer one outranks it")
+        self.current.leaving = True
+        self.withdraw(heartbeat, previous)
+        return HeartbeatResult.ACCEPTED
+
+    def set_current(self, heartbeat: Heartbeat) -> None:
+        """Makes a heartbeat the one that counts."""
+        self.outranked = None
+        self.current = Incarnation(
+            last_heartbeat=heartbeat, heard_at=clock.now()
+        )
+
+    def add_left(self, heartbeat: Heartbeat) -> None:
+        """Records that the sender of a heartbeat has left for good."""
+        self.left[incarnation_of(heartbeat)] = None
+        if len(self.left) > MAX_LEFT_INCARNATIONS:
+            self.left.popitem(last=False)
+
+    def outlasts(self, heartbeat: Heartbeat) -> bool:
+        """Returns whether the sender of an outranked heartbeat is the live one.
+
+        It has gone on for a while, in which the newest sender was silent. The
+        newest heartbeat was then of another writer, or named a start by a clock
+        that was ahead. Heartbeats that were only delayed don't go on.
+        """
+        now = clock.now()
+        sender = self.outranked
+        if (
+            sender is None
+            or not is_same_incarnation(sender.last_heartbeat, heartbeat)
+            or sender.last_heartbeat.sequence >= heartbeat.sequence
+        ):
+            self.outranked = OutrankedSender(
+                last_heartbeat=heartbeat, since=now
+            )
+            return False
+        sender.last_heartbeat = heartbeat
+        seconds = LEFT_SECONDS if self.current.leaving else OUTRANKED_SECONDS
+        return now - max(sender.since, self.current.heard_at) >= seconds
+
+    def ignore(self, heartbeat: Heartbeat, reason: str) -> HeartbeatResult:
+        """Counts a heartbeat that is not used; logs some of them."""
+        self.unused_count += 1
+        now = clock.now()
+        if now - self.logged_at >= LOG_INTERVAL_SECONDS:
+            self.logged_at = now
+            self.log_change(
+                "heartbeat not used",
+                heartbeat,
+                why=reason,
+                newest=self.describe_current(),
+            )
+        return HeartbeatResult.UNUSED
+
+    def describe_current(self) -> str:
+        """Returns the newest incarnation and its last sequence number."""
+        if self.current is None:
+            return "none"
+        newest = self.current.last_heartbeat
+        return f"{incarnation_of(newest)}, sequence {newest.sequence}"
+
     async def announce_when_usable(self) -> None:
         """Announces an incarnation once it may be used."""
         await self.wait_until_usable()
@@ -213,8 +338,11 @@
                 if is_known
                 else unix_milliseconds()
             )
-        self.deregistrations[instance] = max(
-            start_unix_ms, self.deregistrations.pop(instance, 0)
+        earlier = self.deregistrations.pop(instance, None)
+        if earlier is not None:
+            start_unix_ms = max(start_unix_ms, earlier.start_unix_ms)
+        self.deregistrations[instance] = Deregistration(
+            start_unix_ms=start_unix_ms, received_at=clock.now()
         )
         if len(self.deregistrations) > MAX_DEREGISTRATIONS:
             self.deregistrations.popitem(last=False)
@@ -222,11 +350,17 @@
             self.retire_incarnation(current)
 
     def has_deregistered(self, heartbeat: Heartbeat) -> bool:
-        """Returns whether the sender of a heartbeat has deregistered."""
-        start_unix_ms = self.deregistrations.get(heartbeat.instance)
+        """Returns whether the sender of a heartbeat has deregistered.
+
+        One that names an earlier start may have been delayed, or be of a later
+        server that was started by a clock that was set back.
+        """
+        found = self.deregistrations.get(heartbeat.instance)
+        if found is None or heartbeat.start_unix_ms > found.start_unix_ms:
+            return False
         return (
-            start_unix_ms is not None
-            and heartbeat.start_unix_ms <= start_unix_ms
+            heartbeat.start_unix_ms == found.start_unix_ms
+            or clock.now() - found.received_at < LEFT_SECONDS
         )
 
     def retire(self, announcement: localservices.Announcement) -> None:
@@ -247,6 +381,7 @@
     def retire_incarnation(self, incarnation: Incarnation) -> None:
         """Stops sending requests to an incarnation for good."""
         incarnation.leaving = True
+        self.add_left(incarnation.last_heartbeat)
         self.stop_check()
         heartbeat = incarnation.last_heartbeat
         if self.announcer.retire(self.service, incarnation_of(heartbeat)):
@@ -270,8 +405,10 @@
         if self.announcer.withdraw(self.service) and previous is not None:
             self.log_change("backend server leaves", heartbeat)
 
-    def log_change(self, event: str, heartbeat: Heartbeat) -> None:
-        """Logs a change and the heartbeat that caused it."""
+    def log_change(
+        self, event: str, heartbeat: Heartbeat, **facts: str
+    ) -> None:
+        """Logs an event and the heartbeat that caused it."""
         logs.log_event(
             logs.Component.NODE,
             event,
@@ -280,6 +417,7 @@
             born_ms=heartbeat.start_unix_ms,
             sequence=heartbeat.sequence,
             state=heartbeat.state.value,
+            **facts,
         )
 
 
--- a/mangobay/routednode.py
+++ b/mangobay/routednode.py
@@ -15,6 +15,7 @@
     leanclient,
     leanserver,
     logs,
+    metrics,
     metricspage,
     options,
     quotaclient,
@@ -99,6 +100,13 @@
             ).wait_until_it_stays
         )
         self.executor.state_updater.retire = self.heartbeat_receiver.retire
+        self.metrics.gauges.append(
+            metrics.Gauge(
+                name="unused_heartbeats",
+                help="Heartbeats of the backend server here that were not used.",
+                read_value=lambda: self.heartbeat_receiver.unused_count,
+            )
+        )
         self.executor.large_responses = config.limits.large_responses
 
     def find_health_path(self) -> str | None:
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -7,6 +7,7 @@
 import signal
 
 import platformfakes
+import pytest
 
 
 def answered(fleet, number, version, services, base, status):
@@ -246,6 +247,41 @@
         yield fleet, first, second
 
 
+class TestOddHeartbeats:
+    """One well-formed heartbeat in the name of a server that goes on."""
+
+    @pytest.mark.parametrize(
+        "odd",
+        [
+            {"born": 2**53 - 1},
+            {"born": 1_000_000_000_000},
+            {"sequence": 2**53 - 1},
+            {"sequence": 1000},
+        ],
+    )
+    async def test_server_is_served_again(self, tmp_path, odd):
+        """A live server whose heartbeats are confirmed is never used again."""
+        names = iter(range(10_000))
+        async with platformfakes.Fleet(tmp_path, seeds=1, voters=1) as fleet:
+            fleet.start_control(1)
+            backend = await fleet.start_node(11, "a")
+            await platformfakes.wait_until(accepted(fleet, 1, 1, ["a"], "0"))
+            await platformfakes.wait_until(served(fleet, 11, "a", names))
+            body = backend.heartbeat_body()
+            body["born"] = odd.get("born", body["born"])
+            body["status"]["sequence"] = odd.get("sequence", 10_000)
+            answer = await backend.send_heartbeat(body)
+            assert answer.status == 200
+            await asyncio.sleep(11)
+            answers = [
+                await fleet.request(
+                    11, "a", f"late-{number}", target=f"/{number}"
+                )
+                for number in range(6)
+            ]
+            assert [each.status for each in answers] == [200] * 6
+
+
 class TestStopping:
     """What callers see of a node that was told to stop."""
 
