Listeners: the last connection of a full accept queue is taken

What callers saw: with the accept queue full at the close, the last connection in it was reset.

Cause: Linux queues one connection more than the length that was asked for (sk_acceptq_is_full), and one pass accepts as many as that length.

Evidence: tests/test_listening.py::TestServer:: test_whole_accept_queue_gets_protocols failed before (4 of 5 connections).

Change: one pass accepts one connection more. It is the whole queue then.

--- a/mangobay/listening.py
+++ b/mangobay/listening.py
@@ -87,7 +87,8 @@
 
     def accept_waiting(self) -> None:
         """Accepts the connections in the accept queue."""
-        for _ in range(self.backlog):
+        # The accept queue of Linux holds one connection more than its length.
+        for _ in range(self.backlog + 1):
             try:
                 accepted, _ = self.sock.accept()
             except (BlockingIOError, InterruptedError):
--- a/tests/test_listening.py
+++ b/tests/test_listening.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import contextlib
+import errno
 import gc
 import socket
+import time
 
 import pytest
 
@@ -11,6 +13,7 @@
     httpserver,
     leanhttp,
     leanserver,
+    listening,
     operatorapi,
     options,
     peers,
@@ -103,3 +106,36 @@
             )
             await api.start()
             await connect_before_close(api, turns)
+
+
+class Recorder(asyncio.Protocol):
+    """Records the transports of connections."""
+
+    def __init__(self, transports):
+        self.transports = transports
+
+    def connection_made(self, transport):
+        self.transports.append(transport)
+
+
+class TestServer:
+    """Accepted connections, and what goes wrong with them at the close."""
+
+    def setup_method(self):
+        self.transports = []
+        self.server = listening.Server(
+            LOOPBACK, lambda: Recorder(self.transports), backlog=4
+        )
+
+    async def test_whole_accept_queue_gets_protocols(self):
+        """The last connection of a full accept queue is reset by the close."""
+        self.server.start()
+        with contextlib.ExitStack() as stack:
+            for _ in range(self.server.backlog + 1):
+                stack.enter_context(
+                    socket.create_connection(self.server.address, timeout=1)
+                )
+            await self.server.close()
+            assert len(self.transports) == self.server.backlog + 1
+            for transport in self.transports:
+                transport.abort()
