Listeners: a pause at the close drops no connection

What callers saw: a process that paused for 0.1 s as it closed its listener closed the connections that it had just accepted, unread.

Cause: the wait for their protocols was bounded in time, and its timer was due before the next iterations of the event loop had run.

Evidence: tests/test_listening.py::TestServer:: test_slow_iteration_drops_no_connection failed before.

Change: the bound holds for TLS handshakes only, which a peer can delay. A plain connection has its protocol after a fixed number of iterations, so waiting for it always ends.

--- a/mangobay/listening.py
+++ b/mangobay/listening.py
@@ -13,9 +13,8 @@
 ACCEPT_RETRY_SECONDS = 1.0
 """Seconds until connections are accepted again after an error, such as that no
 file descriptor is left."""
-HAND_OVER_SECONDS = 0.1
-"""Maximum wait on close for connections to get their protocol; more than a few
-iterations of the event loop, less than a slow TLS handshake."""
+HANDSHAKE_SECONDS = 0.1
+"""Maximum wait on close for TLS handshakes."""
 RECEIVE_TURNS = 2
 """Iterations of the event loop after which what a connection has received when
 the first one began was passed to its protocol."""
@@ -149,7 +148,10 @@
         self.sock.close()
         self.sock = None
         if self.hand_overs:
-            await asyncio.wait(self.hand_overs, timeout=HAND_OVER_SECONDS)
+            # A plain connection takes a few iterations of the event loop,
+            # however long they last.
+            timeout = HANDSHAKE_SECONDS if self.tls else None
+            await asyncio.wait(self.hand_overs, timeout=timeout)
         for task in self.hand_overs:
             task.cancel()
         for _ in range(RECEIVE_TURNS):
--- a/tests/test_listening.py
+++ b/tests/test_listening.py
@@ -139,3 +139,15 @@
             assert len(self.transports) == self.server.backlog + 1
             for transport in self.transports:
                 transport.abort()
+
+    async def test_slow_iteration_drops_no_connection(self):
+        """A process that pauses as it stops drops requests unanswered."""
+        self.server.start()
+        with socket.create_connection(self.server.address):
+            closing = asyncio.create_task(self.server.close())
+            await asyncio.sleep(0)
+            time.sleep(1.5 * listening.HANDSHAKE_SECONDS)
+            await closing
+            assert len(self.transports) == 1
+            assert not self.transports[0].is_closing()
+            self.transports[0].abort()
