Listeners: no timer is left by a close in a pause of accepting

What operators saw: a process that closed a listener while no file descriptor was left logged an error of a callback a second later.

Cause: the close accepts once more. If that fails too, a second timer replaces the first one, which stays and resumes accepting on a socket that is gone.

Evidence: tests/test_listening.py::TestServer:: test_nothing_is_accepted_after_a_close_in_a_pause failed before (ValueError in resume_accepting).

Change: the timer of the pause is cancelled before the last attempt as well.

--- a/mangobay/listening.py
+++ b/mangobay/listening.py
@@ -141,7 +141,10 @@
         """
         if self.sock is None:
             return
+        if self.retry_timer is not None:
+            self.retry_timer.cancel()
         self.accept_waiting()
+        # Accepting the last ones may have failed too.
         if self.retry_timer is not None:
             self.retry_timer.cancel()
         asyncio.get_running_loop().remove_reader(self.sock)
--- a/tests/test_listening.py
+++ b/tests/test_listening.py
@@ -118,6 +118,19 @@
         self.transports.append(transport)
 
 
+class FailingSocket:
+    """A listening socket while no file descriptor is left."""
+
+    def __init__(self, sock):
+        self.sock = sock
+
+    def __getattr__(self, name):
+        return getattr(self.sock, name)
+
+    def accept(self):
+        raise OSError(errno.EMFILE, "")
+
+
 class TestServer:
     """Accepted connections, and what goes wrong with them at the close."""
 
@@ -151,3 +164,16 @@
             assert len(self.transports) == 1
             assert not self.transports[0].is_closing()
             self.transports[0].abort()
+
+    async def test_nothing_is_accepted_after_a_close_in_a_pause(self):
+        """A timer of a closed listener fails, as no descriptor was left."""
+        failures = []
+        asyncio.get_running_loop().set_exception_handler(
+            lambda loop, context: failures.append(context)
+        )
+        self.server.start()
+        self.server.sock = FailingSocket(self.server.sock)
+        self.server.accept_waiting()
+        await self.server.close()
+        await asyncio.sleep(1.1 * listening.ACCEPT_RETRY_SECONDS)
+        assert not failures
