Listeners: a connection whose protocol cannot be created is closed

What callers saw: a connection stayed open, unread, if its protocol could not be created, as when memory is short.

Cause: only errors of the socket and of TLS closed it. Any other was kept by the finished task, with the socket, until a garbage collection.

Evidence: tests/test_listening.py::TestServer:: test_connection_without_protocol_is_closed failed before.

Change: every error closes the connection and is logged.

--- a/mangobay/listening.py
+++ b/mangobay/listening.py
@@ -124,7 +124,8 @@
                 ssl=self.tls,
                 ssl_handshake_timeout=self.handshake_timeout,
             )
-        except (OSError, EOFError) as error:
+        except Exception as error:  # noqa: BLE001
+            # Also a protocol that cannot be created leaves none open.
             accepted.close()
             logs.log_event(
                 logs.Component.PEER,
--- a/tests/test_listening.py
+++ b/tests/test_listening.py
@@ -177,3 +177,15 @@
         await self.server.close()
         await asyncio.sleep(1.1 * listening.ACCEPT_RETRY_SECONDS)
         assert not failures
+
+    async def test_connection_without_protocol_is_closed(self):
+        """A caller waits for a connection whose protocol was not created."""
+
+        def fail():
+            raise MemoryError
+
+        self.server.make_protocol = fail
+        self.server.start()
+        with socket.create_connection(self.server.address, timeout=1) as sock:
+            await self.server.close()
+            assert sock.recv(1) == b""
