Listeners: a cancelled close ends the handshakes under way

What peers saw: a TLS handshake stayed open until its time limit if the close of the listener was cancelled; a second close did nothing.

Cause: the handshakes were cancelled only after an undisturbed wait.

Evidence: tests/test_tls.py::TestClosing::test_cancelled_close_ends_a_handshake failed before (no end within 1 s).

Change: they are cancelled however the wait ends.

--- a/mangobay/listening.py
+++ b/mangobay/listening.py
@@ -151,12 +151,14 @@
         asyncio.get_running_loop().remove_reader(self.sock)
         self.sock.close()
         self.sock = None
-        if self.hand_overs:
-            # A plain connection takes a few iterations of the event loop,
-            # however long they last.
-            timeout = HANDSHAKE_SECONDS if self.tls else None
-            await asyncio.wait(self.hand_overs, timeout=timeout)
-        for task in self.hand_overs:
-            task.cancel()
+        try:
+            if self.hand_overs:
+                # A plain connection takes a few iterations of the event loop,
+                # however long they last.
+                timeout = HANDSHAKE_SECONDS if self.tls else None
+                await asyncio.wait(self.hand_overs, timeout=timeout)
+        finally:
+            for task in self.hand_overs:
+                task.cancel()
         for _ in range(RECEIVE_TURNS):
             await asyncio.sleep(0)
--- a/tests/test_tls.py
+++ b/tests/test_tls.py
@@ -1,8 +1,10 @@
 """Tests of mutual TLS between processes."""
 
+import asyncio
 import datetime
 import os
 import pathlib
+import socket
 
 import pytest
 from cryptography import x509
@@ -90,6 +92,21 @@
     await opened.close()
 
 
+class TestClosing:
+    """Handshakes that are under way while their listener closes."""
+
+    async def test_cancelled_close_ends_a_handshake(self, listener):
+        """A peer waits for a handshake that nobody goes on with."""
+        loop = asyncio.get_running_loop()
+        with socket.create_connection(listener.address) as sock:
+            sock.setblocking(False)
+            closing = asyncio.create_task(listener.close())
+            await asyncio.sleep(0.01)
+            closing.cancel()
+            async with asyncio.timeout(1):
+                assert await loop.sock_recv(sock, 1) == b""
+
+
 class TestIdentity:
     """Which certificates are accepted."""
 
