Heartbeats: a repeated one does not keep a live server out

What callers saw: after one odd heartbeat a live server whose heartbeats came twice, as those that were sent again after a 409 or a second without response, got no request any more.

Cause: a repeated or reordered heartbeat started the wait of an outranked sender anew, so that 4 s of going on were never complete.

Evidence: tests/test_platform.py::TestOutrankedHeartbeats:: test_live_server_whose_heartbeats_come_twice_is_used_again failed before.

Change: such a heartbeat is not used, and the wait goes on. Only one with a higher sequence ends it.

--- a/mangobay/heartbeats.py
+++ b/mangobay/heartbeats.py
@@ -260,16 +260,18 @@
         """
         now = clock.now()
         sender = self.outranked
-        if (
-            sender is None
-            or not is_same_incarnation(sender.last_heartbeat, heartbeat)
-            or sender.last_heartbeat.sequence >= heartbeat.sequence
+        if sender is None or not is_same_incarnation(
+            sender.last_heartbeat, heartbeat
         ):
             self.outranked = OutrankedSender(
                 last_heartbeat=heartbeat, since=now
             )
             return False
+        goes_on = heartbeat.sequence > sender.last_heartbeat.sequence
         sender.last_heartbeat = heartbeat
+        if not goes_on:
+            # It was repeated or delayed.
+            return False
         seconds = LEFT_SECONDS if self.current.leaving else OUTRANKED_SECONDS
         return now - max(sender.since, self.current.heard_at) >= seconds
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -748,6 +748,17 @@
         assert await self.send(5, "draining") == 200
         assert self.local_services.announcement is None
 
+    async def test_live_server_whose_heartbeats_come_twice_is_used_again(self):
+        """A live server that sends each heartbeat again is refused for good."""
+        await self.send()
+        await self.send(1004)
+        for sequence in range(10, 16):
+            status = await self.send(sequence)
+            await asyncio.sleep(0.2)
+            await self.send(sequence)
+            await asyncio.sleep(INTERVAL - 0.2)
+        assert status == 200
+
     async def test_unused_heartbeats_are_counted_and_some_are_logged(
         self, monkeypatch
     ):
