Heartbeats: outranked senders do not displace each other

What callers saw: after one odd heartbeat, a live server got no request any more while heartbeats of yet another start arrived between its own.

Cause: one outranked sender was kept, so each of two started the wait of the other anew.

Evidence: tests/test_platform.py::TestOutrankedHeartbeats:: test_live_server_is_used_again_beside_a_former_one failed before.

Change: each outranked incarnation has its own wait; their number is bounded.

--- a/mangobay/heartbeats.py
+++ b/mangobay/heartbeats.py
@@ -20,6 +20,8 @@
 """Deregistrations that are kept; the oldest one is forgotten."""
 MAX_LEFT_INCARNATIONS = 64
 """Incarnations that have left that are kept; the oldest one is forgotten."""
+MAX_OUTRANKED_SENDERS = 64
+"""Outranked senders that are kept; the one silent longest is forgotten."""
 OUTRANKED_SECONDS = 4.0
 """Seconds for which the newest heartbeat outranks a sender that goes on; a few
 times the usual interval of heartbeats."""
@@ -144,7 +146,8 @@
       address: Address for its requests, from the settings; a heartbeat with
         another one is not of this backend server.
       current: Newest incarnation, or None before the first heartbeat.
-      outranked: Sender that goes on below the newest heartbeat, or None.
+      outranked: Senders that go on below the newest heartbeat by incarnation,
+        the one silent longest first.
       left: Incarnations that have left, oldest first.
       deregistrations: Deregistration of the latest incarnation by instance id.
         Heartbeats that it sent before may arrive later, also the first one.
@@ -167,7 +170,9 @@
         self.service = service
         self.address = address
         self.current: Incarnation | None = None
-        self.outranked: OutrankedSender | None = None
+        self.outranked: collections.OrderedDict[
+            ids.BackendIncarnation, OutrankedSender
+        ] = collections.OrderedDict()
         self.left: collections.OrderedDict[ids.BackendIncarnation, None] = (
             collections.OrderedDict()
         )
@@ -240,7 +245,7 @@
 
     def set_current(self, heartbeat: Heartbeat) -> None:
         """Makes a heartbeat the one that counts."""
-        self.outranked = None
+        self.outranked.clear()
         self.current = Incarnation(
             last_heartbeat=heartbeat, heard_at=clock.now()
         )
@@ -259,14 +264,16 @@
         that was ahead. Heartbeats that were only delayed don't go on.
         """
         now = clock.now()
-        sender = self.outranked
-        if sender is None or not is_same_incarnation(
-            sender.last_heartbeat, heartbeat
-        ):
-            self.outranked = OutrankedSender(
+        incarnation = incarnation_of(heartbeat)
+        sender = self.outranked.pop(incarnation, None)
+        if sender is None:
+            self.outranked[incarnation] = OutrankedSender(
                 last_heartbeat=heartbeat, since=now
             )
+            if len(self.outranked) > MAX_OUTRANKED_SENDERS:
+                self.outranked.popitem(last=False)
             return False
+        self.outranked[incarnation] = sender
         goes_on = heartbeat.sequence > sender.last_heartbeat.sequence
         sender.last_heartbeat = heartbeat
         if not goes_on:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -759,6 +759,18 @@
             await asyncio.sleep(INTERVAL - 0.2)
         assert status == 200
 
+    async def test_live_server_is_used_again_beside_a_former_one(self):
+        """Heartbeats of a third start keep a live server out for good."""
+        await self.send(born=7)
+        await self.send(born=86_400_000)
+        for sequence in range(10, 16):
+            await self.send(sequence, born=5)
+            status = await self.send(sequence, born=7)
+            await asyncio.sleep(INTERVAL)
+        assert status == 200
+        incarnation = self.local_services.announcement.incarnation
+        assert incarnation == "i-1/7"
+
     async def test_unused_heartbeats_are_counted_and_some_are_logged(
         self, monkeypatch
     ):
