Heartbeats: a server that leaves stays out though it was outranked

What callers saw: a server whose response said that it leaves, while another writer's heartbeat outranked it, got requests again some seconds later.

Cause: only the newest incarnation was recorded as left.

Evidence: tests/test_platform.py::TestOutrankedHeartbeats:: test_retired_server_stays_out_when_outranked_meanwhile failed before.

Change: the incarnation that leaves is recorded whether it is the newest or not.

--- a/mangobay/heartbeats.py
+++ b/mangobay/heartbeats.py
@@ -227,7 +227,7 @@
 
         Whatever it sends later, the incarnation is not used again.
         """
-        self.add_left(heartbeat)
+        self.add_left(incarnation_of(heartbeat))
         previous = self.current
         is_same = previous is not None and is_same_incarnation(
             previous.last_heartbeat, heartbeat
@@ -250,9 +250,9 @@
             last_heartbeat=heartbeat, heard_at=clock.now()
         )
 
-    def add_left(self, heartbeat: Heartbeat) -> None:
-        """Records that the sender of a heartbeat has left for good."""
-        self.left[incarnation_of(heartbeat)] = None
+    def add_left(self, incarnation: ids.BackendIncarnation) -> None:
+        """Records that an incarnation has left for good."""
+        self.left[incarnation] = None
         if len(self.left) > MAX_LEFT_INCARNATIONS:
             self.left.popitem(last=False)
 
@@ -378,6 +378,8 @@
         Heartbeats that it sent before, or sends all the same, don't put it
         back in use.
         """
+        # It may be outranked for a while, and be the live one all the same.
+        self.add_left(announcement.incarnation)
         current = self.current
         if (
             current is None
@@ -390,7 +392,7 @@
     def retire_incarnation(self, incarnation: Incarnation) -> None:
         """Stops sending requests to an incarnation for good."""
         incarnation.leaving = True
-        self.add_left(incarnation.last_heartbeat)
+        self.add_left(incarnation_of(incarnation.last_heartbeat))
         self.stop_check()
         heartbeat = incarnation.last_heartbeat
         if self.announcer.retire(self.service, incarnation_of(heartbeat)):
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -771,6 +771,14 @@
         incarnation = self.local_services.announcement.incarnation
         assert incarnation == "i-1/7"
 
+    async def test_retired_server_stays_out_when_outranked_meanwhile(self):
+        """A server that leaves is used again as it was outranked then."""
+        await self.send()
+        retired = self.local_services.announcement
+        await self.send(born=86_400_000)
+        self.receiver.retire(retired)
+        assert set(await self.go_on(12.0)) == {409}
+
     async def test_unused_heartbeats_are_counted_and_some_are_logged(
         self, monkeypatch
     ):
