Heartbeats: a deregistration that does not count is not confirmed

What callers saw: a server that another writer's heartbeat with a later start outranked deregistered, got 200, and went on getting requests until its announcement timed out.

Cause: every deregistration was confirmed, also one of an earlier start than that of the incarnation in use.

Evidence: tests/test_platform.py::TestOutrankedHeartbeats:: test_outranked_deregistration_is_not_confirmed_while_in_use failed before.

Change: such a deregistration gets 409, is counted and logged, as a heartbeat is that does not count. It cannot withdraw the later start, which may be the restarted server: then the sender has ended, and nobody reads the response.

--- a/mangobay/heartbeats.py
+++ b/mangobay/heartbeats.py
@@ -330,12 +330,16 @@
 
     def deregister(
         self, instance: ids.InstanceId, start_unix_ms: int | None
-    ) -> None:
+    ) -> HeartbeatResult:
         """Removes the backend server at its own request.
 
         Args:
           instance: Instance id of the sender.
           start_unix_ms: Start of its incarnation, or None if not given.
+
+        Returns:
+          UNUSED if a later incarnation of that instance is in use. Confirmed,
+          it would bind, and the sender may be the one that is in use.
         """
         current = self.current
         is_known = (
@@ -357,6 +361,17 @@
             self.deregistrations.popitem(last=False)
         if is_known and self.has_deregistered(current.last_heartbeat):
             self.retire_incarnation(current)
+        if is_known and not current.leaving:
+            self.unused_count += 1
+            logs.log_event(
+                logs.Component.NODE,
+                "deregistration not used",
+                instance=instance,
+                born_ms=start_unix_ms,
+                newest=self.describe_current(),
+            )
+            return HeartbeatResult.UNUSED
+        return HeartbeatResult.ACCEPTED
 
     def has_deregistered(self, heartbeat: Heartbeat) -> bool:
         """Returns whether the sender of a heartbeat has deregistered.
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -779,6 +779,22 @@
         self.receiver.retire(retired)
         assert set(await self.go_on(12.0)) == {409}
 
+    async def deregister(self, start):
+        body = json.dumps({"born": start}).encode()
+        request = rpc_request("instances.deregister", "i-1", body)
+        return (await self.handle(request, None)).status
+
+    async def test_outranked_deregistration_is_not_confirmed_while_in_use(
+        self,
+    ):
+        """A server that was confirmed as gone goes on getting requests."""
+        await self.send()
+        await self.send(born=86_400_000)
+        await self.send(5)
+        status = await self.deregister(5)
+        in_use = self.local_services.announcement is not None
+        assert (status == 200) is not in_use
+
     async def test_unused_heartbeats_are_counted_and_some_are_logged(
         self, monkeypatch
     ):
