Heartbeats: a deregistration is not lost in that of a later start

What callers saw: a server that had deregistered could be used again a minute later, if another writer had deregistered its id with a later start.

Cause: one start is kept for each id, the latest, and it covers earlier ones for a minute only.

Evidence: tests/test_platform.py::TestOutrankedHeartbeats:: test_deregistered_server_stays_out_beside_a_later_start failed before.

Change: the incarnation that deregisters is recorded as left for good.

--- a/mangobay/heartbeats.py
+++ b/mangobay/heartbeats.py
@@ -351,6 +351,7 @@
                 if is_known
                 else unix_milliseconds()
             )
+        self.add_left(incarnation_named(instance, start_unix_ms))
         earlier = self.deregistrations.pop(instance, None)
         if earlier is not None:
             start_unix_ms = max(start_unix_ms, earlier.start_unix_ms)
@@ -454,9 +455,14 @@
 
 def incarnation_of(heartbeat: Heartbeat) -> ids.BackendIncarnation:
     """Returns the incarnation that sent a heartbeat."""
-    return ids.BackendIncarnation(
-        f"{heartbeat.instance}/{heartbeat.start_unix_ms}"
-    )
+    return incarnation_named(heartbeat.instance, heartbeat.start_unix_ms)
+
+
+def incarnation_named(
+    instance: ids.InstanceId, start_unix_ms: int
+) -> ids.BackendIncarnation:
+    """Returns the incarnation of an instance with a start."""
+    return ids.BackendIncarnation(f"{instance}/{start_unix_ms}")
 
 
 def is_same_incarnation(first: Heartbeat, second: Heartbeat) -> bool:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -795,6 +795,13 @@
         in_use = self.local_services.announcement is not None
         assert (status == 200) is not in_use
 
+    async def test_deregistered_server_stays_out_beside_a_later_start(self):
+        """A deregistration of another writer replaces that of the server."""
+        await self.deregister(86_400_000)
+        assert await self.deregister(5) == 200
+        await asyncio.sleep(heartbeats.LEFT_SECONDS + 1)
+        assert set(await self.go_on(9.0)) == {409}
+
     async def test_unused_heartbeats_are_counted_and_some_are_logged(
         self, monkeypatch
     ):
