Heartbeats: many draining starts put no draining server back

What callers saw: a server that was confirmed as draining got requests again, once heartbeats of more than 64 other starts had said that they drain.

Cause: the record of what has left is bounded, and was the only one that kept the newest incarnation out.

Evidence: tests/test_platform.py::TestOutrankedHeartbeats:: test_many_drained_starts_put_no_server_back failed before.

Change: the newest incarnation stays out while it is leaving, whatever the record holds.

--- a/mangobay/heartbeats.py
+++ b/mangobay/heartbeats.py
@@ -194,7 +194,7 @@
             return HeartbeatResult.FOREIGN
         if heartbeat.state is not State.READY:
             return self.receive_draining(heartbeat)
-        if incarnation_of(heartbeat) in self.left:
+        if self.has_left(heartbeat):
             return self.ignore(heartbeat, "its sender has left")
         if self.has_deregistered(heartbeat):
             return self.ignore(heartbeat, "its sender has deregistered")
@@ -256,6 +256,15 @@
         if len(self.left) > MAX_LEFT_INCARNATIONS:
             self.left.popitem(last=False)
 
+    def has_left(self, heartbeat: Heartbeat) -> bool:
+        """Returns whether the sender of a heartbeat has left for good."""
+        current = self.current
+        return incarnation_of(heartbeat) in self.left or (
+            current is not None
+            and current.leaving
+            and is_same_incarnation(current.last_heartbeat, heartbeat)
+        )
+
     def outlasts(self, heartbeat: Heartbeat) -> bool:
         """Returns whether the sender of an outranked heartbeat is the live one.
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -802,6 +802,15 @@
         await asyncio.sleep(heartbeats.LEFT_SECONDS + 1)
         assert set(await self.go_on(9.0)) == {409}
 
+    async def test_many_drained_starts_put_no_server_back(self):
+        """Heartbeats of another writer make a confirmed draining forgotten."""
+        await self.send(born=1000)
+        assert await self.send(5, "draining", born=1000) == 200
+        for start in range(heartbeats.MAX_LEFT_INCARNATIONS):
+            assert await self.send(5, "draining", born=start) == 409
+        assert await self.send(900, born=1000) == 409
+        assert self.local_services.announcement is None
+
     async def test_unused_heartbeats_are_counted_and_some_are_logged(
         self, monkeypatch
     ):
