Heartbeats: a clock that was set back keeps a server out one minute, not two

What callers saw: a server that was started again under its id by a clock that was set back, after it had deregistered, got no request for two minutes.

Cause: its heartbeats were not seen as going on while the deregistration covered them, so the two waits of a minute came one after the other.

Evidence: tests/test_platform.py::TestHeartbeatOrders, orders of three starts drawn by hypothesis, failed before: a heartbeat, its deregistration, and an earlier start that goes on.

Change: both waits run at the same time.

--- a/mangobay/heartbeats.py
+++ b/mangobay/heartbeats.py
@@ -196,10 +196,11 @@
             return self.receive_draining(heartbeat)
         if self.has_left(heartbeat):
             return self.ignore(heartbeat, "its sender has left")
+        is_newer = self.is_newer(heartbeat)
+        counts = is_newer or self.outlasts(heartbeat)
         if self.has_deregistered(heartbeat):
             return self.ignore(heartbeat, "its sender has deregistered")
-        is_newer = self.is_newer(heartbeat)
-        if not is_newer and not self.outlasts(heartbeat):
+        if not counts:
             return self.ignore(heartbeat, "a newer one outranks it")
         previous = self.current
         is_new = previous is None or not is_same_incarnation(
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -15,6 +15,7 @@
 from mangobay import (
     heartbeats,
     leanhttp,
+    localservices,
     options,
     renewals,
     routes,
@@ -836,6 +837,129 @@
         assert (await self.handle(request, None)).status == 400
 
 
+STARTS = (5, 7, 9)
+EVENTS = strategies.tuples(
+    strategies.sampled_from(["ready", "draining", "deregister", "retire"]),
+    strategies.sampled_from(STARTS),
+    strategies.integers(0, 30),
+    strategies.sampled_from([0.0, 0.5, 1.5, 4.0, 61.0]),
+)
+
+
+def heartbeat_of(start, sequence, state=heartbeats.State.READY):
+    return heartbeats.Heartbeat(
+        instance="i-1",
+        address=options.Address("10.0.0.1", 80),
+        start_unix_ms=start,
+        sequence=sequence,
+        service="a",
+        slots=8,
+        state=state,
+    )
+
+
+class RecordingAnnouncer:
+    """Records which incarnation is announced."""
+
+    def __init__(self):
+        self.incarnation = None
+
+    def announce(self, announcement):
+        self.incarnation = announcement.incarnation
+
+    def withdraw(self, service, planned=True):
+        del service, planned
+        was_announced = self.incarnation is not None
+        self.incarnation = None
+        return was_announced
+
+    def retire(self, service, incarnation):
+        del incarnation
+        return self.withdraw(service)
+
+
+class TestHeartbeatOrders:
+    """Heartbeats and ends of three starts of a server, in any order."""
+
+    @pytest.fixture(autouse=True)
+    def clock(self, monkeypatch):
+        self.now = 0.0
+        monkeypatch.setattr(heartbeats.clock, "now", lambda: self.now)
+
+    def make_receiver(self):
+        self.now = 0.0
+        self.announcer = RecordingAnnouncer()
+        return heartbeats.HeartbeatReceiver(
+            self.announcer, "a", options.Address("10.0.0.1", 80)
+        )
+
+    def apply(self, receiver, event):
+        """Returns the start that has left for good by an event, or None."""
+        action, start, sequence, wait = event
+        self.now += wait
+        accepted = heartbeats.HeartbeatResult.ACCEPTED
+        match action:
+            case "ready":
+                receiver.receive(heartbeat_of(start, sequence))
+                return None
+            case "draining":
+                beat = heartbeat_of(start, sequence, heartbeats.State.DRAINING)
+                return start if receiver.receive(beat) is accepted else None
+            case "deregister":
+                result = receiver.deregister("i-1", start)
+                return start if result is accepted else None
+        receiver.retire(
+            localservices.Announcement(
+                service="a",
+                address=receiver.address,
+                slots=8,
+                instance="i-1",
+                incarnation=f"i-1/{start}",
+            )
+        )
+        return start
+
+    @hypothesis.given(strategies.lists(EVENTS, max_size=12))
+    def test_server_that_has_left_is_not_used_again(self, events):
+        """A server that was confirmed as draining or gone gets requests."""
+        receiver = self.make_receiver()
+        left = set()
+        for event in events:
+            before = self.announcer.incarnation
+            start = self.apply(receiver, event)
+            if start is not None:
+                left.add(f"i-1/{start}")
+                if event[0] != "retire":
+                    assert self.announcer.incarnation is None
+            elif event[0] != "ready":
+                assert self.announcer.incarnation in (before, None)
+            assert self.announcer.incarnation not in left
+
+    @hypothesis.given(
+        strategies.lists(EVENTS, max_size=12), strategies.booleans()
+    )
+    def test_live_server_is_used_again(self, events, has_left):
+        """A live server is refused for longer than others can explain."""
+        receiver = self.make_receiver()
+        for event in events:
+            if event[0] == "ready" or has_left:
+                self.apply(receiver, event)
+        # Its start is below all others, as by a clock that was set back.
+        began = self.now
+        limit = (
+            heartbeats.LEFT_SECONDS
+            if has_left
+            else heartbeats.OUTRANKED_SECONDS
+        )
+        sequence = 0
+        while self.now < began + limit + 2 * INTERVAL:
+            sequence += 1
+            receiver.receive(heartbeat_of(3, sequence))
+            receiver.receive(heartbeat_of(3, sequence))
+            self.now += INTERVAL
+        assert self.announcer.incarnation == "i-1/3"
+
+
 class TestBoundary:
     """Platform-specific code stays in the adapter package."""
 
