--- a/tests/test_platform_orders.py
+++ b/tests/test_platform_orders.py
@@ -142,6 +142,17 @@
         )
         assert json.loads(handlers.operator_form(restored.routes)) == config
 
+    @pytest.mark.parametrize("keys", [[], None])
+    async def test_workspaces_without_keys_are_read_back(self, keys):
+        """A configuration is not read back as it was sent."""
+        workspaces = [["w", keys, 1, 1, 1]]
+        config = platformfakes.configuration(1, ["a"], workspaces)
+        publisher = FakePublisher()
+        response = await send(publisher, json.dumps(config).encode())
+        assert response.status == 200
+        change = await publisher.fetch_newest()
+        assert json.loads(handlers.operator_form(change)) == config
+
 
 class TestTexts:
     """Texts of a configuration that become part of messages."""
