Peers: a client makes no connection while or after it closes

What peers saw: a request that came while a client closed opened a connection that nobody closed until the process ended.

Cause: the close walks over the connections that are there, waits, and forgets the peers; requests in that time, and later ones, connected as before.

Evidence: tests/test_peers.py::TestClosing:: test_no_connection_is_made_during_the_close failed before.

Change: from the beginning of the close, a request that needs a connection fails as one of which no byte was sent.

--- a/mangobay/peers.py
+++ b/mangobay/peers.py
@@ -99,6 +99,7 @@
       liveness_check: checks the connections that have pending calls.
       silence_share: share of the calls' patience that `silence` uses.
       resolver: asks peers about the calls on silent connections.
+      is_closed: whether no connection is made any more.
     """
 
     def __init__(
@@ -124,6 +125,7 @@
         )
         self.silence_share = silence_share
         self.resolver = callresolution.CallResolver()
+        self.is_closed = False
 
     async def send_request(
         self,
@@ -169,6 +171,10 @@
         Raises:
           errors.PeerUnreachableError: connecting failed, or takes too long.
         """
+        if self.is_closed:
+            raise errors.PeerUnreachableError(
+                f"{address}: this process makes no connections any more"
+            )
         loop = asyncio.get_running_loop()
         if loop.time() < peer.backoff_until:
             raise errors.PeerUnreachableError(
@@ -299,7 +305,8 @@
         )
 
     async def close(self) -> None:
-        """Closes all connections."""
+        """Closes all connections; later requests fail."""
+        self.is_closed = True
         if self.sweep_timer is not None:
             self.sweep_timer.cancel()
         await self.resolver.close()
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -150,6 +150,27 @@
     writer.close()
 
 
+class TestClosing:
+    """Requests that come while a client closes."""
+
+    async def test_no_connection_is_made_during_the_close(self, listener):
+        """Peers keep a connection that nobody uses or closes."""
+        for turns in range(1, 6):
+            client = peers.PeerClient(HELLO)
+            await client.send_request(
+                listener.address, call("before"), WAIT_SECONDS
+            )
+            closing = asyncio.create_task(client.close())
+            for _ in range(turns):
+                await asyncio.sleep(0)
+            with pytest.raises(errors.PeerUnreachableError):
+                await client.send_request(
+                    listener.address, call("during"), WAIT_SECONDS
+                )
+            await closing
+            await wait_until(lambda: not listener.accepted)
+
+
 class TestUnresponsivePeer:
     """A peer that does not respond on an open connection."""
 
