Backend client: a connection in use at the close is closed after its response

What backend servers saw: a connection whose response came after the client had closed stayed open, unused, until the process ended.

Cause: the close walks over the idle connections; one that became idle later was put into the pool again.

Evidence: tests/test_leanclient.py::TestClosing:: test_connection_in_use_is_closed_after_its_response failed before.

Change: a closed client puts none back.

--- a/mangobay/leanclient.py
+++ b/mangobay/leanclient.py
@@ -473,6 +473,7 @@
       idle_connections: idle connections by address, most recently used last.
       load_reports: parses the load reports in responses.
       open_count: number of open connections, idle ones included.
+      is_closed: whether connections are closed after their response.
       on_closed_by_server: called when the backend server has closed an idle
         connection; None if nobody acts on it.
     """
@@ -494,6 +495,7 @@
         ] = collections.defaultdict(collections.deque)
         self.load_reports = LoadReportParser()
         self.open_count = 0
+        self.is_closed = False
         self.on_closed_by_server: OnClosed | None = None
 
     def has_open_connection(self) -> bool:
@@ -669,13 +671,15 @@
         """Returns a connection to the pool, or closes it."""
         if connection is None or connection.transport is None:
             return
-        if connection.reusable and connection.pending is None:
+        is_reusable = connection.reusable and connection.pending is None
+        if is_reusable and not self.is_closed:
             self.idle_connections[address].append(connection)
         else:
             connection.transport.close()
 
     async def close(self) -> None:
-        """Closes all idle connections."""
+        """Closes all idle connections, and others after their response."""
+        self.is_closed = True
         for connections in self.idle_connections.values():
             for connection in connections:
                 connection.abort()
--- a/tests/test_leanclient.py
+++ b/tests/test_leanclient.py
@@ -510,3 +510,20 @@
         async with ScriptedBackendServer([head + b"\r\n\r\n"]) as server:
             response = await server.send(streamed=True)
             assert (response.status, response.stream) == (204, None)
+
+
+class TestClosing:
+    """Requests that are sent while the client closes."""
+
+    async def test_connection_in_use_is_closed_after_its_response(self):
+        """A backend server keeps a connection that nobody uses or closes."""
+        head = b"HTTP/1.1 200 OK\r\nSignature: s\r\nAttempt: {id}\r\n"
+        response = head + b"Content-Length: 1\r\n\r\nx"
+        async with ScriptedBackendServer([response]) as server:
+            sending = asyncio.create_task(server.send())
+            while not server.client.has_open_connection():
+                await asyncio.sleep(0)
+            await server.client.close()
+            assert (await sending).status == 200
+            await asyncio.sleep(0.01)
+            assert not server.client.has_open_connection()
