--- a/mangobay/heartbeats.py
+++ b/mangobay/heartbeats.py
@@ -20,6 +20,8 @@
 """Deregistrations that are kept; the oldest one is forgotten."""
 MAX_LEFT_INCARNATIONS = 64
 """Incarnations that have left that are kept; the oldest one is forgotten."""
+MAX_OUTRANKED_SENDERS = 64
+"""Outranked senders that are kept; the one silent longest is forgotten."""
 OUTRANKED_SECONDS = 4.0
 """Seconds for which the newest heartbeat outranks a sender that goes on; a few
 times the usual interval of heartbeats."""
@@ -144,7 +146,8 @@
       address: Address for its requests, from the settings; a heartbeat with
         another one is not of this backend server.
       current: Newest incarnation, or None before the first heartbeat.
-      outranked: Sender that goes on below the newest heartbeat, or None.
+      outranked: Senders that go on below the newest heartbeat by incarnation,
+        the one silent longest first.
       left: Incarnations that have left, oldest first.
       deregistrations: Deregistration of the latest incarnation by instance id.
         Heartbeats that it sent before may arrive later, also the first one.
@@ -167,7 +170,9 @@
         self.service = service
         self.address = address
         self.current: Incarnation | None = None
-        self.outranked: OutrankedSender | None = None
+        self.outranked: collections.OrderedDict[
+            ids.BackendIncarnation, OutrankedSender
+        ] = collections.OrderedDict()
         self.left: collections.OrderedDict[ids.BackendIncarnation, None] = (
             collections.OrderedDict()
         )
@@ -189,12 +194,13 @@
             return HeartbeatResult.FOREIGN
         if heartbeat.state is not State.READY:
             return self.receive_draining(heartbeat)
-        if incarnation_of(heartbeat) in self.left:
+        if self.has_left(heartbeat):
             return self.ignore(heartbeat, "its sender has left")
+        is_newer = self.is_newer(heartbeat)
+        counts = is_newer or self.outlasts(heartbeat)
         if self.has_deregistered(heartbeat):
             return self.ignore(heartbeat, "its sender has deregistered")
-        is_newer = self.is_newer(heartbeat)
-        if not is_newer and not self.outlasts(heartbeat):
+        if not counts:
             return self.ignore(heartbeat, "a newer one outranks it")
         previous = self.current
         is_new = previous is None or not is_same_incarnation(
@@ -222,7 +228,7 @@
 
         Whatever it sends later, the incarnation is not used again.
         """
-        self.add_left(heartbeat)
+        self.add_left(incarnation_of(heartbeat))
         previous = self.current
         is_same = previous is not None and is_same_incarnation(
             previous.last_heartbeat, heartbeat
@@ -240,17 +246,26 @@
 
     def set_current(self, heartbeat: Heartbeat) -> None:
         """Makes a heartbeat the one that counts."""
-        self.outranked = None
+        self.outranked.clear()
         self.current = Incarnation(
             last_heartbeat=heartbeat, heard_at=clock.now()
         )
 
-    def add_left(self, heartbeat: Heartbeat) -> None:
-        """Records that the sender of a heartbeat has left for good."""
-        self.left[incarnation_of(heartbeat)] = None
+    def add_left(self, incarnation: ids.BackendIncarnation) -> None:
+        """Records that an incarnation has left for good."""
+        self.left[incarnation] = None
         if len(self.left) > MAX_LEFT_INCARNATIONS:
             self.left.popitem(last=False)
 
+    def has_left(self, heartbeat: Heartbeat) -> bool:
+        """Returns whether the sender of a heartbeat has left for good."""
+        current = self.current
+        return incarnation_of(heartbeat) in self.left or (
+            current is not None
+            and current.leaving
+            and is_same_incarnation(current.last_heartbeat, heartbeat)
+        )
+
     def outlasts(self, heartbeat: Heartbeat) -> bool:
         """Returns whether the sender of an outranked heartbeat is the live one.
 
@@ -259,17 +274,21 @@
         that was ahead. Heartbeats that were only delayed don't go on.
         """
         now = clock.now()
-        sender = self.outranked
-        if (
-            sender is None
-            or not is_same_incarnation(sender.last_heartbeat, heartbeat)
-            or sender.last_heartbeat.sequence >= heartbeat.sequence
-        ):
-            self.outranked = OutrankedSender(
+        incarnation = incarnation_of(heartbeat)
+        sender = self.outranked.pop(incarnation, None)
+        if sender is None:
+            self.outranked[incarnation] = OutrankedSender(
                 last_heartbeat=heartbeat, since=now
             )
+            if len(self.outranked) > MAX_OUTRANKED_SENDERS:
+                self.outranked.popitem(last=False)
             return False
+        self.outranked[incarnation] = sender
+        goes_on = heartbeat.sequence > sender.last_heartbeat.sequence
         sender.last_heartbeat = heartbeat
+        if not goes_on:
+            # It was repeated or delayed.
+            return False
         seconds = LEFT_SECONDS if self.current.leaving else OUTRANKED_SECONDS
         return now - max(sender.since, self.current.heard_at) >= seconds
 
@@ -321,12 +340,16 @@
 
     def deregister(
         self, instance: ids.InstanceId, start_unix_ms: int | None
-    ) -> None:
+    ) -> HeartbeatResult:
         """Removes the backend server at its own request.
 
         Args:
           instance: Instance id of the sender.
           start_unix_ms: Start of its incarnation, or None if not given.
+
+        Returns:
+          UNUSED if a later incarnation of that instance is in use. Confirmed,
+          it would bind, and the sender may be the one that is in use.
         """
         current = self.current
         is_known = (
@@ -338,6 +361,7 @@
                 if is_known
                 else unix_milliseconds()
             )
+        self.add_left(incarnation_named(instance, start_unix_ms))
         earlier = self.deregistrations.pop(instance, None)
         if earlier is not None:
             start_unix_ms = max(start_unix_ms, earlier.start_unix_ms)
@@ -348,6 +372,17 @@
             self.deregistrations.popitem(last=False)
         if is_known and self.has_deregistered(current.last_heartbeat):
             self.retire_incarnation(current)
+        if is_known and not current.leaving:
+            self.unused_count += 1
+            logs.log_event(
+                logs.Component.NODE,
+                "deregistration not used",
+                instance=instance,
+                born_ms=start_unix_ms,
+                newest=self.describe_current(),
+            )
+            return HeartbeatResult.UNUSED
+        return HeartbeatResult.ACCEPTED
 
     def has_deregistered(self, heartbeat: Heartbeat) -> bool:
         """Returns whether the sender of a heartbeat has deregistered.
@@ -369,6 +404,8 @@
         Heartbeats that it sent before, or sends all the same, don't put it
         back in use.
         """
+        # It may be outranked for a while, and be the live one all the same.
+        self.add_left(announcement.incarnation)
         current = self.current
         if (
             current is None
@@ -381,7 +418,7 @@
     def retire_incarnation(self, incarnation: Incarnation) -> None:
         """Stops sending requests to an incarnation for good."""
         incarnation.leaving = True
-        self.add_left(incarnation.last_heartbeat)
+        self.add_left(incarnation_of(incarnation.last_heartbeat))
         self.stop_check()
         heartbeat = incarnation.last_heartbeat
         if self.announcer.retire(self.service, incarnation_of(heartbeat)):
@@ -428,9 +465,14 @@
 
 def incarnation_of(heartbeat: Heartbeat) -> ids.BackendIncarnation:
     """Returns the incarnation that sent a heartbeat."""
-    return ids.BackendIncarnation(
-        f"{heartbeat.instance}/{heartbeat.start_unix_ms}"
-    )
+    return incarnation_named(heartbeat.instance, heartbeat.start_unix_ms)
+
+
+def incarnation_named(
+    instance: ids.InstanceId, start_unix_ms: int
+) -> ids.BackendIncarnation:
+    """Returns the incarnation of an instance with a start."""
+    return ids.BackendIncarnation(f"{instance}/{start_unix_ms}")
 
 
 def is_same_incarnation(first: Heartbeat, second: Heartbeat) -> bool:
--- a/mangobay/listening.py
+++ b/mangobay/listening.py
@@ -13,9 +13,8 @@
 ACCEPT_RETRY_SECONDS = 1.0
 """Seconds until connections are accepted again after an error, such as that no
 file descriptor is left."""
-HAND_OVER_SECONDS = 0.1
-"""Maximum wait on close for connections to get their protocol; more than a few
-iterations of the event loop, less than a slow TLS handshake."""
+HANDSHAKE_SECONDS = 0.1
+"""Maximum wait on close for TLS handshakes."""
 RECEIVE_TURNS = 2
 """Iterations of the event loop after which what a connection has received when
 the first one began was passed to its protocol."""
@@ -87,7 +86,8 @@
 
     def accept_waiting(self) -> None:
         """Accepts the connections in the accept queue."""
-        for _ in range(self.backlog):
+        # The accept queue of Linux holds one connection more than its length.
+        for _ in range(self.backlog + 1):
             try:
                 accepted, _ = self.sock.accept()
             except (BlockingIOError, InterruptedError):
@@ -124,7 +124,8 @@
                 ssl=self.tls,
                 ssl_handshake_timeout=self.handshake_timeout,
             )
-        except (OSError, EOFError) as error:
+        except Exception as error:  # noqa: BLE001
+            # Also a protocol that cannot be created leaves none open.
             accepted.close()
             logs.log_event(
                 logs.Component.PEER,
@@ -141,15 +142,23 @@
         """
         if self.sock is None:
             return
+        if self.retry_timer is not None:
+            self.retry_timer.cancel()
         self.accept_waiting()
+        # Accepting the last ones may have failed too.
         if self.retry_timer is not None:
             self.retry_timer.cancel()
         asyncio.get_running_loop().remove_reader(self.sock)
         self.sock.close()
         self.sock = None
-        if self.hand_overs:
-            await asyncio.wait(self.hand_overs, timeout=HAND_OVER_SECONDS)
-        for task in self.hand_overs:
-            task.cancel()
+        try:
+            if self.hand_overs:
+                # A plain connection takes a few iterations of the event loop,
+                # however long they last.
+                timeout = HANDSHAKE_SECONDS if self.tls else None
+                await asyncio.wait(self.hand_overs, timeout=timeout)
+        finally:
+            for task in self.hand_overs:
+                task.cancel()
         for _ in range(RECEIVE_TURNS):
             await asyncio.sleep(0)
--- a/tests/test_listening.py
+++ b/tests/test_listening.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import contextlib
+import errno
 import gc
 import socket
+import time
 
 import pytest
 
@@ -11,6 +13,7 @@
     httpserver,
     leanhttp,
     leanserver,
+    listening,
     operatorapi,
     options,
     peers,
@@ -103,3 +106,86 @@
             )
             await api.start()
             await connect_before_close(api, turns)
+
+
+class Recorder(asyncio.Protocol):
+    """Records the transports of connections."""
+
+    def __init__(self, transports):
+        self.transports = transports
+
+    def connection_made(self, transport):
+        self.transports.append(transport)
+
+
+class FailingSocket:
+    """A listening socket while no file descriptor is left."""
+
+    def __init__(self, sock):
+        self.sock = sock
+
+    def __getattr__(self, name):
+        return getattr(self.sock, name)
+
+    def accept(self):
+        raise OSError(errno.EMFILE, "")
+
+
+class TestServer:
+    """Accepted connections, and what goes wrong with them at the close."""
+
+    def setup_method(self):
+        self.transports = []
+        self.server = listening.Server(
+            LOOPBACK, lambda: Recorder(self.transports), backlog=4
+        )
+
+    async def test_whole_accept_queue_gets_protocols(self):
+        """The last connection of a full accept queue is reset by the close."""
+        self.server.start()
+        with contextlib.ExitStack() as stack:
+            for _ in range(self.server.backlog + 1):
+                stack.enter_context(
+                    socket.create_connection(self.server.address, timeout=1)
+                )
+            await self.server.close()
+            assert len(self.transports) == self.server.backlog + 1
+            for transport in self.transports:
+                transport.abort()
+
+    async def test_slow_iteration_drops_no_connection(self):
+        """A process that pauses as it stops drops requests unanswered."""
+        self.server.start()
+        with socket.create_connection(self.server.address):
+            closing = asyncio.create_task(self.server.close())
+            await asyncio.sleep(0)
+            time.sleep(1.5 * listening.HANDSHAKE_SECONDS)
+            await closing
+            assert len(self.transports) == 1
+            assert not self.transports[0].is_closing()
+            self.transports[0].abort()
+
+    async def test_nothing_is_accepted_after_a_close_in_a_pause(self):
+        """A timer of a closed listener fails, as no descriptor was left."""
+        failures = []
+        asyncio.get_running_loop().set_exception_handler(
+            lambda loop, context: failures.append(context)
+        )
+        self.server.start()
+        self.server.sock = FailingSocket(self.server.sock)
+        self.server.accept_waiting()
+        await self.server.close()
+        await asyncio.sleep(1.1 * listening.ACCEPT_RETRY_SECONDS)
+        assert not failures
+
+    async def test_connection_without_protocol_is_closed(self):
+        """A caller waits for a connection whose protocol was not created."""
+
+        def fail():
+            raise MemoryError
+
+        self.server.make_protocol = fail
+        self.server.start()
+        with socket.create_connection(self.server.address, timeout=1) as sock:
+            await self.server.close()
+            assert sock.recv(1) == b""
