HTTP server: input that comes late resets no response being read

What callers saw: a caller that reads a response slowly and sends further requests behind it gets a connection reset in the middle of the response, though the request has run: after Connection: close from 1 s on, at a node that is stopping from 0.2 s after the last write on.

Cause: closing a socket that holds unread bytes, or gets some later, resets the connection and discards what the kernel has not sent yet. The time for which a half-closed connection goes on reading counted from the last write, not from the acknowledgement of the response. The kernel takes megabytes, so the write buffer was empty, and the listener took the response for delivered.

Evidence: test_late_input_does_not_reset_a_response_being_read and test_shutdown_does_not_reset_a_response_being_read failed before, both with ConnectionResetError.

Change: what the kernel holds without an acknowledgement counts as not yet delivered. A half-closed connection is closed a second after the last acknowledgement, or when its caller has read nothing for the stall timeout of large responses. A shutdown waits for the rest as long as something was acknowledged within the last second, within its old bounds.

Why it works: while the queue of the kernel is not empty, the process reads and discards input, so nothing makes the kernel reset the connection. The two other tests guard the new waits: neither lasts for a caller that reads nothing.

--- a/mangobay/leanserver.py
+++ b/mangobay/leanserver.py
@@ -18,6 +18,7 @@
     requestbody,
     responsestream,
     responsewriter,
+    sockets,
 )
 
 Handler = collections.abc.Callable[
@@ -42,10 +43,15 @@
 BODY_TOO_LARGE_STATUS = 413
 HEAD_TOO_LARGE_STATUS = 431
 HALF_CLOSE_SECONDS = 1.0
-"""Seconds that a caller has to close a half-closed connection; more than a
-round trip between distant regions."""
+"""Seconds that a caller has to close a half-closed connection once it has
+acknowledged all responses; more than a round trip between distant regions."""
+HALF_CLOSE_CHECKS = 10
+"""Checks of a half-closed connection within that time."""
 SHUTDOWN_HALF_CLOSE_SECONDS = 0.2
 """Seconds for the same when the process shuts down."""
+SHUTDOWN_STALL_SECONDS = 1.0
+"""Seconds without an acknowledgement after which a shutdown waits no more for
+what the kernel still holds."""
 CLOSE_POLL = 0.01
 """Seconds between checks whether the last responses have been sent."""
 SWEEP_SECONDS = 1.0
@@ -115,6 +121,10 @@
         or could be received again.
       closing: no further requests are accepted.
       half_close_timer: set once the connection is half-closed; closes it.
+      delivering: responses were written that may not be acknowledged yet.
+      unacknowledged_bytes: written bytes that were not acknowledged at the last
+        check.
+      acknowledged_at: loop time at which their number last changed.
       write_gate: closed while the write buffer is full; None before the first
         large response.
       starting: the request whose handler is being started, else None.
@@ -124,11 +134,13 @@
     """
 
     __slots__ = (
+        "acknowledged_at",
         "body_received_at",
         "last_activity",
         "request_started_at",
         "half_close_timer",
         "closing",
+        "delivering",
         "exchanges",
         "holder",
         "listener",
@@ -136,6 +148,7 @@
         "reading_paused",
         "remote",
         "starting",
+        "unacknowledged_bytes",
         "write_gate",
     )
 
@@ -151,6 +164,9 @@
         self.body_received_at = 0.0
         self.closing = False
         self.half_close_timer: asyncio.TimerHandle | None = None
+        self.delivering = False
+        self.unacknowledged_bytes = 0
+        self.acknowledged_at = 0.0
         self.write_gate: responsestream.WriteGate | None = None
         self.starting: Exchange | None = None
         self.holder: Exchange | None = None
@@ -531,6 +547,7 @@
     def end_stream(self, exchange: Exchange, complete: bool) -> None:
         """Continues after a large response, or closes the connection."""
         self.exchanges.popleft()
+        self.start_delivery()
         if exchange.should_close or not complete:
             self.close()
         else:
@@ -573,6 +590,7 @@
             transport.write(
                 encoded[0] if len(encoded) == 1 else b"".join(encoded)
             )
+            self.start_delivery()
         if self.exchanges and self.exchanges[0].turn is not None:
             self.exchanges[0].turn.set()
         if should_close:
@@ -597,9 +615,10 @@
 
         Requests received after a closing response have not been run.
 
-        Closing a socket that holds unread bytes resets the connection, and the
-        reset discards responses that the caller has not read yet.  So only the
-        write side is closed, and further input is discarded.
+        Closing a socket that holds unread bytes, or gets more of them later,
+        resets the connection, and the reset discards responses that the caller
+        has not read yet.  So only the write side is closed, and further input
+        is discarded as long as the caller reads.
         """
         self.closing = True
         cuts_unframed = (
@@ -614,25 +633,64 @@
             # An orderly end would complete the response.
             transport.abort()
             return
-        self.half_close_timer = self.loop.call_later(
-            HALF_CLOSE_SECONDS, transport.close
-        )
         transport.write_eof()
         transport.resume_reading()
+        self.start_delivery()
+        self.check_half_closed()
+
+    def check_half_closed(self) -> None:
+        """Closes a half-closed connection that its caller does not close."""
+        self.update_unacknowledged()
+        timeout = (
+            self.listener.limits.stall_timeout
+            if self.unacknowledged_bytes
+            else HALF_CLOSE_SECONDS
+        )
+        if self.loop.time() - self.acknowledged_at >= timeout:
+            self.transport.close()
+            return
+        self.half_close_timer = self.loop.call_later(
+            HALF_CLOSE_SECONDS / HALF_CLOSE_CHECKS, self.check_half_closed
+        )
+
+    def start_delivery(self) -> None:
+        """Notes that bytes were written."""
+        self.delivering = True
+        self.acknowledged_at = self.loop.time()
+
+    def update_unacknowledged(self) -> None:
+        """Updates the number of written bytes without an acknowledgement."""
+        if not self.delivering:
+            return
+        count = sockets.count_unacknowledged_bytes(self.transport)
+        if count != self.unacknowledged_bytes:
+            self.unacknowledged_bytes = count
+            self.acknowledged_at = self.loop.time()
+        self.delivering = count > 0
 
     def eof_received(self) -> bool:
         """Closes the connection: a caller that sends no more counts as gone."""
         return False
 
     def has_pending_responses(self) -> bool:
-        """Returns whether a response is due or still in the write buffer."""
+        """Returns whether a response is due or still on its way.
+
+        What the kernel holds is discarded if the caller sends anything after
+        the process has ended.
+        """
         if any(
             exchange.task or exchange.response_bytes
             for exchange in self.exchanges
         ):
             return True
         transport = self.transport
-        return transport is not None and transport.get_write_buffer_size() > 0
+        if transport is None:
+            return False
+        if transport.get_write_buffer_size() > 0:
+            return True
+        self.update_unacknowledged()
+        stalled_for = self.loop.time() - self.acknowledged_at
+        return self.delivering and stalled_for < SHUTDOWN_STALL_SECONDS
 
     def is_slow(self, cutoff: float) -> bool:
         """Returns whether an incomplete request began before a loop time.
--- a/mangobay/sockets.py
+++ b/mangobay/sockets.py
@@ -1,7 +1,12 @@
 """Socket options of connections between processes."""
 
 import asyncio
+import contextlib
+import fcntl
 import socket
+import struct
+import sys
+import termios
 
 USER_TIMEOUT_MS = 5000
 """TCP_USER_TIMEOUT: time in milliseconds without an acknowledgement of sent
@@ -10,6 +15,7 @@
 """Idle time before the first keepalive probe, and time between probes."""
 KEEPALIVE_PROBES = 3
 """Unanswered keepalive probes after which the kernel ends the connection."""
+QUEUE_SIZE = struct.Struct("i")
 
 
 def set_options(transport: asyncio.Transport) -> None:
@@ -32,3 +38,22 @@
     ):
         if hasattr(socket, name):
             sock.setsockopt(socket.IPPROTO_TCP, getattr(socket, name), value)
+
+
+def count_unacknowledged_bytes(transport: asyncio.Transport) -> int:
+    """Returns how many written bytes the peer has not acknowledged.
+
+    Only Linux reports those that the kernel holds; elsewhere they count as
+    acknowledged.
+    """
+    count = transport.get_write_buffer_size()
+    if sys.platform != "linux":
+        return count
+    sock = transport.get_extra_info("socket")
+    # The socket is closed once the connection has ended.
+    with contextlib.suppress(OSError, ValueError):
+        queued = fcntl.ioctl(
+            sock.fileno(), termios.TIOCOUTQ, bytes(QUEUE_SIZE.size)
+        )
+        count += QUEUE_SIZE.unpack(queued)[0]
+    return count
--- a/tests/test_leanserver.py
+++ b/tests/test_leanserver.py
@@ -236,6 +236,93 @@
         assert await closing == undelivered
         writer.close()
 
+    async def test_late_input_does_not_reset_a_response_being_read(
+        self, monkeypatch
+    ):
+        """A slow caller that sends on loses a response it is still reading."""
+        monkeypatch.setattr(leanserver, "HALF_CLOSE_SECONDS", 0.1)
+
+        async def handle(request, connection):
+            del request, connection
+            return leanhttp.Response(status=200, body=bytes(1_000_000))
+
+        listener = leanserver.Listener(LOOPBACK, handle, leanserver.Limits())
+        await listener.start()
+        reader, writer = await small_buffer_connection(*listener.address)
+        writer.write(get("/1", "Connection: close\r\n"))
+        await asyncio.sleep(0.3)
+        body = await self.read_while_sending(reader, writer)
+        assert len(body) == 1_000_000
+        writer.close()
+        await listener.close()
+
+    async def test_shutdown_does_not_reset_a_response_being_read(self):
+        """A slow caller that sends on loses a response when the process ends."""
+
+        async def handle(request, connection):
+            del request, connection
+            return leanhttp.Response(status=200, body=bytes(1_000_000))
+
+        listener = leanserver.Listener(LOOPBACK, handle, leanserver.Limits())
+        await listener.start()
+        reader, writer = await small_buffer_connection(*listener.address)
+        listener.leaving = True
+        writer.write(get("/1"))
+        await asyncio.sleep(0.1)
+        closing = asyncio.create_task(listener.close(20))
+        await asyncio.sleep(0.3)
+        body = await self.read_while_sending(reader, writer)
+        assert len(body) == 1_000_000
+        writer.close()
+        assert await closing == 0
+
+    async def read_while_sending(self, reader, writer):
+        """Returns the body of a response; sends a request after each part."""
+        await reader.readuntil(b"\r\n\r\n")
+        body = b""
+        while data := await reader.read(64 * 1024):
+            body += data
+            writer.write(get("/2"))
+            await asyncio.sleep(0.01)
+        return body
+
+    async def test_shutdown_ends_under_a_caller_that_stops_reading(
+        self, monkeypatch
+    ):
+        """A caller that reads nothing keeps a process from ending."""
+        monkeypatch.setattr(leanserver, "SHUTDOWN_STALL_SECONDS", 0.1)
+
+        async def handle(request, connection):
+            del request, connection
+            return leanhttp.Response(status=200, body=bytes(1_000_000))
+
+        listener = leanserver.Listener(LOOPBACK, handle, leanserver.Limits())
+        await listener.start()
+        _, writer = await small_buffer_connection(*listener.address)
+        writer.write(get("/1"))
+        await asyncio.sleep(0.1)
+        async with asyncio.timeout(2):
+            await listener.close(20)
+        writer.close()
+
+    async def test_stalled_half_closed_connection_is_closed(self):
+        """A caller that stops reading takes up a connection for good."""
+
+        async def handle(request, connection):
+            del request, connection
+            return leanhttp.Response(status=200, body=bytes(1_000_000))
+
+        listener = leanserver.Listener(
+            LOOPBACK, handle, leanserver.Limits(stall_timeout=0.2)
+        )
+        await listener.start()
+        _, writer = await small_buffer_connection(*listener.address)
+        writer.write(get("/1", "Connection: close\r\n"))
+        await asyncio.sleep(0.7)
+        assert not listener.connections
+        writer.close()
+        await listener.close()
+
     async def test_half_closed_connection_is_closed_after_a_timeout(
         self, listener, monkeypatch
     ):
