Control group: no change is accepted that lost disks can undo

Callers saw: an operator gets 200 for a configuration, two of five control hosts then lose their disks while all others stop, and no host ever returns that configuration, nor any other (LOST; reads get 503 for good).

Cause: three seeds found the group, which then grows to five voters. Until it has, a change is committed once two of three disks hold it, and after the loss of two voters' disks no majority is left to elect a leader. The number of disks that may be lost at once was not known to the group at all.

With the check disabled, TestGrowth::test_change_accepted_while_growing_outlasts_two_disks ends by its timeout and test_small_group_accepts_no_change raises nothing.

Change: the setting [group] tolerance, from fault_tolerance of the platform; propose refuses RoutesChange and SheetChange until the leader has synced the commit of 2 * tolerance + 1 voters. With 0, the default, nothing changes.

Why it works: an order that is appended after that commit needs three of five disks, and each host that acknowledges it has synced the commit of the voters before its reply (persist_voter_commit). One of any three survivors has both, and three of five elect it. An order refused meanwhile gets 503 and is sent again.

--- a/bench/controlslopes.py
+++ b/bench/controlslopes.py
@@ -233,6 +233,7 @@
         join=False,
         seeds=(),
         voters=0,
+        tolerance=0,
         replace_after=1.5,
     )
     group = consensus.Group(
--- a/mangobay/consensus.py
+++ b/mangobay/consensus.py
@@ -12,6 +12,7 @@
     ids,
     invariants,
     logs,
+    membership,
     options,
     progress,
     replication,
@@ -48,6 +49,11 @@
         """Replaces the whole state."""
 
 
+def is_promised_durable(body: messages.LogEntryBody) -> bool:
+    """Returns whether an operator is told that the entry is never lost."""
+    return isinstance(body, messages.RoutesChange | messages.SheetChange)
+
+
 class Group:
     """The Raft replica of one control host.
 
@@ -268,13 +274,18 @@
         """Appends an entry to the log; returns once it is applied here.
 
         Raises:
-          errors.NotLeaderError: nothing was appended.
+          errors.NotLeaderError: nothing was appended; it names no leader if
+            the group has too few voters to accept the change.
           errors.LeadershipLostError: appended, but this host stepped down
             before the entry was committed; it may take effect under a later
             leader.
         """
         if self.role is not election.Role.LEADER:
             raise self.not_leader_error()
+        if is_promised_durable(body) and not membership.tolerates_lost_disks(
+            self
+        ):
+            raise errors.NotLeaderError(ids.HostId(""), "")
         entry = self.append(body)
         return await self.waiters.add_proposal(entry.index)
 
--- a/mangobay/membership.py
+++ b/mangobay/membership.py
@@ -66,7 +66,9 @@
     current = group.voters.newest()
     if any(voter.address == peer.address for voter in current):
         return with_voter(current, peer)
-    max_voters = group.settings.voters
+    max_voters = group.settings.voters and max(
+        group.settings.voters, min_voters(group)
+    )
     if not max_voters or len(current) < max_voters:
         return with_voter(current, peer)
     replaced = find_replaceable_voter(group, current)
@@ -76,6 +78,24 @@
     return messages.VoterChange(voters=[*kept, peer])
 
 
+def min_voters(group: "consensus.Group") -> int:
+    """Returns how many voters outlast the loss of as many disks as may be."""
+    return 2 * group.settings.tolerance + 1
+
+
+def tolerates_lost_disks(group: "consensus.Group") -> bool:
+    """Returns whether the group is large enough to accept changes."""
+    if not group.settings.tolerance:
+        return True
+    # Only a commit that is known after a restart counts: a pending change
+    # also needs a majority of the former, fewer voters.
+    durable_commit = max(
+        group.log.hard_state.commit, group.log.snapshot.last_index
+    )
+    voters = group.voters.voters_at(durable_commit).voters
+    return len(voters) >= min_voters(group)
+
+
 def find_replaceable_voter(
     group: "consensus.Group", current: list[messages.Peer]
 ) -> messages.Peer | None:
--- a/tests/groupfakes.py
+++ b/tests/groupfakes.py
@@ -218,6 +218,7 @@
                 join=join,
                 seeds=(),
                 voters=self.cluster.voters,
+                tolerance=self.cluster.tolerance,
                 replace_after=REPLACE_AFTER,
             ),
             log,
@@ -256,10 +257,16 @@
     """Control hosts on one fake network."""
 
     def __init__(
-        self, seed=1, size=3, snapshot_entries=SNAPSHOT_ENTRIES, voters=0
+        self,
+        seed=1,
+        size=3,
+        snapshot_entries=SNAPSHOT_ENTRIES,
+        voters=0,
+        tolerance=0,
     ):
         self.rng = random.Random(seed)
         self.voters = voters
+        self.tolerance = tolerance
         self.snapshot_entries = snapshot_entries
         self.network = FakeNetwork(self.rng)
         self.committed: dict[int, messages.LogEntry] = {}
--- a/tests/platformfakes.py
+++ b/tests/platformfakes.py
@@ -32,6 +32,7 @@
 hosts = {ip}:{PEER}
 seeds = {seeds}
 voters = {voters}
+tolerance = {tolerance}
 data = {folder}/data{number}
 join = {join}
 [log]
@@ -308,7 +309,7 @@
 class Fleet:
     """Control hosts and nodes; stops every process that it starts."""
 
-    def __init__(self, folder, seeds=3, voters=5):
+    def __init__(self, folder, seeds=3, voters=5, tolerance=0):
         self.folder = folder
         self.root = ROOT
         self.python_arguments = []
@@ -316,6 +317,7 @@
         self.second_octet = random.SystemRandom().randrange(1, 250)
         self.third_octet = random.SystemRandom().randrange(1, 250)
         self.voters = voters
+        self.tolerance = tolerance
         self.seed_count = seeds
         self.processes = {}
         self.backends = []
@@ -362,6 +364,7 @@
             number=number,
             ip=self.ip(number),
             voters=self.voters,
+            tolerance=self.tolerance,
             join="yes" if join else "no",
         )
 
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -190,6 +190,37 @@
                 await host.crash()
             await cluster.commit("3")
 
+    async def test_change_accepted_while_growing_outlasts_two_disks(self):
+        """A change that two of three voters hold is lost with their disks.
+
+        The group is founded by three hosts and grows to five. Two disks are
+        lost and all hosts lose power right after a change was accepted.
+        """
+        async with groupfakes.Cluster(voters=5, tolerance=2) as cluster:
+            await cluster.leader()
+            cluster.add_hosts(2)
+            for new in cluster.hosts[3:]:
+                new.start(join=True)
+                for host in cluster.hosts[:3]:
+                    host.group.add_follower(new.address)
+            leader = await cluster.commit("kept")
+            lost = [leader, next(iter(cluster.others(leader)))]
+            await asyncio.gather(*(host.crash() for host in cluster.hosts))
+            for host in lost:
+                host.lose_disk()
+            for host in cluster.hosts:
+                host.start(join=True)
+            leader = await cluster.commit("after")
+            versions = [version for _, version in leader.machine.sheets]
+            assert versions == ["kept", "after"]
+
+    async def test_small_group_accepts_no_change(self):
+        """A group accepts a change though a few lost disks would undo it."""
+        async with groupfakes.Cluster(voters=5, tolerance=2) as cluster:
+            leader = await cluster.leader()
+            with pytest.raises(errors.NotLeaderError):
+                await leader.group.propose(messages.SheetChange(version="1"))
+
 
 class TestCutLinks:
     """Partitions and frozen hosts."""
