Storage: a new data directory outlasts a loss of power

Callers saw: nothing yet; shown by a test only. A control host that created its data directory, and then lost power, could come back without it: all that it had acknowledged is gone, as with a lost disk, and it joins as another voter.

Cause: the directory was made with its missing parents, and only the names inside it were synced, not its own name in its parent.

Evidence: TestRealDirectory::test_new_directory_is_durable failed before: neither parent was synced.

Change: each directory that was created is followed by a sync of its parent, before anything is written.

--- a/mangobay/disk.py
+++ b/mangobay/disk.py
@@ -28,6 +28,15 @@
     return os.open(path, flags, FILE_MODE)
 
 
+def sync_directory(path: pathlib.Path) -> None:
+    """Makes the names in a directory durable."""
+    descriptor = os.open(path, os.O_RDONLY | os.O_DIRECTORY)
+    try:
+        os.fsync(descriptor)
+    finally:
+        os.close(descriptor)
+
+
 class Disk:
     """Files of one data directory; changes are durable once synced.
 
@@ -54,7 +63,7 @@
         # Two processes in one directory could each vote with the same
         # identity, so that a term could have two leaders. The operating system
         # releases the lock when the process ends.
-        self.directory.mkdir(DIRECTORY_MODE, parents=True, exist_ok=True)
+        self.create_directory()
         self.lock = open(  # noqa: SIM115
             self.directory / LOCK_NAME, "wb", opener=open_private
         )
@@ -66,6 +75,17 @@
             ) from None
         self.sync_directory()
 
+    def create_directory(self) -> None:
+        """Creates the directory and its missing parents, durably."""
+        missing = [
+            path
+            for path in (self.directory, *self.directory.parents)
+            if not path.exists()
+        ]
+        self.directory.mkdir(DIRECTORY_MODE, parents=True, exist_ok=True)
+        for path in reversed(missing):
+            sync_directory(path.parent)
+
     def close(self) -> None:
         """Releases the lock on the directory."""
         if self.lock is not None:
@@ -104,11 +124,7 @@
 
     def sync_directory(self) -> None:
         """Makes the names of the files durable."""
-        descriptor = os.open(self.directory, os.O_RDONLY | os.O_DIRECTORY)
-        try:
-            os.fsync(descriptor)
-        finally:
-            os.close(descriptor)
+        sync_directory(self.directory)
 
     def has_space(self) -> bool:
         """Returns whether the disk accepts writes."""
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -1,5 +1,6 @@
 """Tests of the storage of a control host after failures."""
 
+import os
 import random
 import subprocess
 import sys
@@ -62,6 +63,17 @@
         assert reopened.records == log.records
         assert reopened.last_index == 21
 
+    def test_new_directory_is_durable(self, tmp_path, monkeypatch):
+        """A power loss removes a new data directory with all that it holds."""
+        synced = set()
+
+        def record(descriptor):
+            synced.add(os.readlink(f"/proc/self/fd/{descriptor}"))
+
+        monkeypatch.setattr(os, "fsync", record)
+        reopen(disk.Disk(str(tmp_path / "new" / "data")))
+        assert {str(tmp_path), str(tmp_path / "new")} <= synced
+
     def test_second_process_is_refused(self, tmp_path):
         """Two processes in one directory vote twice with one identity."""
         first = disk.Disk(str(tmp_path))
