--- a/mangobay/consensus.py
+++ b/mangobay/consensus.py
@@ -77,6 +77,8 @@
       followers: the other control hosts.
       waiters: the callers that wait for this host as the leader.
       incoming_snapshot: the snapshot that the leader is sending, if any.
+      install_lock: held while a received snapshot is staged and installed;
+        taken before `lock`.
       background_tasks: running tasks that only `stop` cancels.
       term_start_index: index of the first entry that this host appended as the
         leader of its latest term.
@@ -101,6 +103,7 @@
         self.address = address
         self.rng = rng
         self.lock = asyncio.Lock()
+        self.install_lock = asyncio.Lock()
         self.role = election.Role.FOLLOWER
         self.commit_index = 0
         self.applied_index = 0
--- a/mangobay/snapshottransfer.py
+++ b/mangobay/snapshottransfer.py
@@ -158,10 +158,12 @@
             )
         # Decoding and syncing to disk take long. They run without the lock so
         # that this host still replies to the leader's heartbeats.
-        snapshot = await group.log.stage_received(data)
-        async with group.lock:
-            if snapshot.last_index > group.commit_index:
-                await replace_state(group, snapshot, data)
+        async with group.install_lock:
+            # The snapshot of the next leader would be staged in the same file.
+            snapshot = await group.log.stage_received(data)
+            async with group.lock:
+                if snapshot.last_index > group.commit_index:
+                    await replace_state(group, snapshot, data)
     except errors.StorageError:
         group.abort_run()
     except (errors.PeerProtocolError, capnp.KjException) as error:
--- a/tests/groupfakes.py
+++ b/tests/groupfakes.py
@@ -69,6 +69,8 @@
 
     def rename(self, old, new):
         self.count_step()
+        if old not in self.files:
+            raise FileNotFoundError(errno.ENOENT, "No such file", old)
         self.files[new] = self.files.pop(old)
 
     def sync_directory(self):
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -4,6 +4,7 @@
 
 import groupfakes
 import pytest
+import xxhash
 
 from mangobay import errors, snapshottransfer, stepdown, storage
 from mangobay.generated import messages
@@ -421,6 +422,46 @@
             )
             assert corrupt_offsets
 
+    async def test_snapshots_of_two_leaders_are_installed_in_turn(self):
+        """A host stops, or stores another snapshot than it installed.
+
+        While the snapshot of one leader is synced, the next leader sends a
+        longer one.
+        """
+        async with groupfakes.Cluster() as cluster:
+            await cluster.leader()
+            host = cluster.hosts[0]
+            for other in cluster.others(host):
+                await other.crash()
+            host.disk.sync_seconds = 0.3
+            term = host.group.term
+            for number in (1, 2):
+                await host.group.handle(
+                    make_snapshot_put(term + number, 100 * number)
+                )
+                await asyncio.sleep(0.1)
+            await asyncio.sleep(10)
+            assert not host.task.done()
+            assert host.group.log.snapshot.last_index == 200
+            await host.crash()
+            host.start()
+            assert host.group.log.snapshot.last_index == 200
+
+
+def make_snapshot_put(term, last_index) -> messages.SnapshotPut:
+    """Returns a whole snapshot as the leader of a term sends it."""
+    snapshot = messages.Snapshot(last_index=last_index, last_term=term)
+    data = messages.encode_snapshot(snapshot)
+    return messages.SnapshotPut(
+        term=term,
+        identity=f"leader of {term}",
+        address="127.0.0.1:7999",
+        part=data,
+        last_index=last_index,
+        size=len(data),
+        checksum=xxhash.xxh3_64_intdigest(data),
+    )
+
 
 async def leave_behind(cluster) -> groupfakes.FakeHost:
     """Returns a stopped host that needs entries compacted from the log."""
