--- a/mangobay/consensus.py
+++ b/mangobay/consensus.py
@@ -12,6 +12,7 @@
     ids,
     invariants,
     logs,
+    membership,
     options,
     progress,
     replication,
@@ -48,6 +49,11 @@
         """Replaces the whole state."""
 
 
+def is_promised_durable(body: messages.LogEntryBody) -> bool:
+    """Returns whether an operator is told that the entry is never lost."""
+    return isinstance(body, messages.RoutesChange | messages.SheetChange)
+
+
 class Group:
     """The Raft replica of one control host.
 
@@ -71,6 +77,8 @@
       followers: the other control hosts.
       waiters: the callers that wait for this host as the leader.
       incoming_snapshot: the snapshot that the leader is sending, if any.
+      install_lock: held while a received snapshot is staged and installed;
+        taken before `lock`.
       background_tasks: running tasks that only `stop` cancels.
       term_start_index: index of the first entry that this host appended as the
         leader of its latest term.
@@ -95,6 +103,7 @@
         self.address = address
         self.rng = rng
         self.lock = asyncio.Lock()
+        self.install_lock = asyncio.Lock()
         self.role = election.Role.FOLLOWER
         self.commit_index = 0
         self.applied_index = 0
@@ -268,13 +277,18 @@
         """Appends an entry to the log; returns once it is applied here.
 
         Raises:
-          errors.NotLeaderError: nothing was appended.
+          errors.NotLeaderError: nothing was appended; it names no leader if
+            the group has too few voters to accept the change.
           errors.LeadershipLostError: appended, but this host stepped down
             before the entry was committed; it may take effect under a later
             leader.
         """
         if self.role is not election.Role.LEADER:
             raise self.not_leader_error()
+        if is_promised_durable(body) and not membership.tolerates_lost_disks(
+            self
+        ):
+            raise errors.NotLeaderError(ids.HostId(""), "")
         entry = self.append(body)
         return await self.waiters.add_proposal(entry.index)
 
--- a/tests/groupfakes.py
+++ b/tests/groupfakes.py
@@ -69,6 +69,8 @@
 
     def rename(self, old, new):
         self.count_step()
+        if old not in self.files:
+            raise FileNotFoundError(errno.ENOENT, "No such file", old)
         self.files[new] = self.files.pop(old)
 
     def sync_directory(self):
@@ -218,6 +220,7 @@
                 join=join,
                 seeds=(),
                 voters=self.cluster.voters,
+                tolerance=self.cluster.tolerance,
                 replace_after=REPLACE_AFTER,
             ),
             log,
@@ -256,10 +259,16 @@
     """Control hosts on one fake network."""
 
     def __init__(
-        self, seed=1, size=3, snapshot_entries=SNAPSHOT_ENTRIES, voters=0
+        self,
+        seed=1,
+        size=3,
+        snapshot_entries=SNAPSHOT_ENTRIES,
+        voters=0,
+        tolerance=0,
     ):
         self.rng = random.Random(seed)
         self.voters = voters
+        self.tolerance = tolerance
         self.snapshot_entries = snapshot_entries
         self.network = FakeNetwork(self.rng)
         self.committed: dict[int, messages.LogEntry] = {}
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -4,6 +4,7 @@
 
 import groupfakes
 import pytest
+import xxhash
 
 from mangobay import errors, snapshottransfer, stepdown, storage
 from mangobay.generated import messages
@@ -190,6 +191,37 @@
                 await host.crash()
             await cluster.commit("3")
 
+    async def test_change_accepted_while_growing_outlasts_two_disks(self):
+        """A change that two of three voters hold is lost with their disks.
+
+        The group is founded by three hosts and grows to five. Two disks are
+        lost and all hosts lose power right after a change was accepted.
+        """
+        async with groupfakes.Cluster(voters=5, tolerance=2) as cluster:
+            await cluster.leader()
+            cluster.add_hosts(2)
+            for new in cluster.hosts[3:]:
+                new.start(join=True)
+                for host in cluster.hosts[:3]:
+                    host.group.add_follower(new.address)
+            leader = await cluster.commit("kept")
+            lost = [leader, next(iter(cluster.others(leader)))]
+            await asyncio.gather(*(host.crash() for host in cluster.hosts))
+            for host in lost:
+                host.lose_disk()
+            for host in cluster.hosts:
+                host.start(join=True)
+            leader = await cluster.commit("after")
+            versions = [version for _, version in leader.machine.sheets]
+            assert versions == ["kept", "after"]
+
+    async def test_small_group_accepts_no_change(self):
+        """A group accepts a change though a few lost disks would undo it."""
+        async with groupfakes.Cluster(voters=5, tolerance=2) as cluster:
+            leader = await cluster.leader()
+            with pytest.raises(errors.NotLeaderError):
+                await leader.group.propose(messages.SheetChange(version="1"))
+
 
 class TestCutLinks:
     """Partitions and frozen hosts."""
@@ -390,6 +422,46 @@
             )
             assert corrupt_offsets
 
+    async def test_snapshots_of_two_leaders_are_installed_in_turn(self):
+        """A host stops, or stores another snapshot than it installed.
+
+        While the snapshot of one leader is synced, the next leader sends a
+        longer one.
+        """
+        async with groupfakes.Cluster() as cluster:
+            await cluster.leader()
+            host = cluster.hosts[0]
+            for other in cluster.others(host):
+                await other.crash()
+            host.disk.sync_seconds = 0.3
+            term = host.group.term
+            for number in (1, 2):
+                await host.group.handle(
+                    make_snapshot_put(term + number, 100 * number)
+                )
+                await asyncio.sleep(0.1)
+            await asyncio.sleep(10)
+            assert not host.task.done()
+            assert host.group.log.snapshot.last_index == 200
+            await host.crash()
+            host.start()
+            assert host.group.log.snapshot.last_index == 200
+
+
+def make_snapshot_put(term, last_index) -> messages.SnapshotPut:
+    """Returns a whole snapshot as the leader of a term sends it."""
+    snapshot = messages.Snapshot(last_index=last_index, last_term=term)
+    data = messages.encode_snapshot(snapshot)
+    return messages.SnapshotPut(
+        term=term,
+        identity=f"leader of {term}",
+        address="127.0.0.1:7999",
+        part=data,
+        last_index=last_index,
+        size=len(data),
+        checksum=xxhash.xxh3_64_intdigest(data),
+    )
+
 
 async def leave_behind(cluster) -> groupfakes.FakeHost:
     """Returns a stopped host that needs entries compacted from the log."""
