Heartbeats: a deregistration of a later start ends no live server for good

What callers saw: after one deregistration in the name of a live server with a later start, the server got no request any more.

Cause: the incarnation in use was recorded as left, though another one had deregistered.

Evidence: tests/test_platform.py::TestOutrankedHeartbeats:: test_live_server_outlasts_a_deregistration_of_a_later_start failed before.

Change: the later start becomes the newest one, which has left. The earlier one is outranked, and counts again if it goes on for the time that holds after one that has left. TestHeartbeatOrders has a live server from the beginning now.

--- a/mangobay/heartbeats.py
+++ b/mangobay/heartbeats.py
@@ -371,7 +371,7 @@
         if len(self.deregistrations) > MAX_DEREGISTRATIONS:
             self.deregistrations.popitem(last=False)
         if is_known and self.has_deregistered(current.last_heartbeat):
-            self.retire_incarnation(current)
+            current = self.end_current(start_unix_ms)
         if is_known and not current.leaving:
             self.unused_count += 1
             logs.log_event(
@@ -384,6 +384,28 @@
             return HeartbeatResult.UNUSED
         return HeartbeatResult.ACCEPTED
 
+    def end_current(self, start_unix_ms: int) -> Incarnation:
+        """Ends the use of the newest incarnation by a deregistration.
+
+        Args:
+          start_unix_ms: Start that the deregistration covers.
+
+        Returns:
+          The newest incarnation now, which is leaving.
+        """
+        ended = self.current
+        last = ended.last_heartbeat
+        if start_unix_ms == last.start_unix_ms:
+            self.retire_incarnation(ended)
+            return ended
+        # The earlier start is outranked, as by a heartbeat of the later one. It
+        # is not out for good: the deregistration may be of another writer.
+        self.set_current(
+            dataclasses.replace(last, start_unix_ms=start_unix_ms, sequence=0)
+        )
+        self.retire_incarnation(self.current)
+        return self.current
+
     def has_deregistered(self, heartbeat: Heartbeat) -> bool:
         """Returns whether the sender of a heartbeat has deregistered.
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -803,6 +803,17 @@
         await asyncio.sleep(heartbeats.LEFT_SECONDS + 1)
         assert set(await self.go_on(9.0)) == {409}
 
+    async def test_live_server_outlasts_a_deregistration_of_a_later_start(
+        self,
+    ):
+        """A deregistration of another writer ends a live server for good."""
+        await self.send()
+        assert await self.deregister(86_400_000) == 200
+        assert self.local_services.announcement is None
+        await self.go_on(heartbeats.LEFT_SECONDS + 3 * INTERVAL)
+        assert self.local_services.announcement.incarnation == "i-1/5"
+        assert await self.send(1, born=86_400_000) == 409
+
     async def test_many_drained_starts_put_no_server_back(self):
         """Heartbeats of another writer make a confirmed draining forgotten."""
         await self.send(born=1000)
@@ -936,15 +947,17 @@
             assert self.announcer.incarnation not in left
 
     @hypothesis.given(
-        strategies.lists(EVENTS, max_size=12), strategies.booleans()
+        strategies.lists(EVENTS, max_size=12),
+        strategies.booleans(),
+        strategies.sampled_from([3, 8, 10]),
     )
-    def test_live_server_is_used_again(self, events, has_left):
+    def test_live_server_is_used_again(self, events, has_left, start):
         """A live server is refused for longer than others can explain."""
         receiver = self.make_receiver()
+        receiver.receive(heartbeat_of(start, 0))
         for event in events:
             if event[0] == "ready" or has_left:
                 self.apply(receiver, event)
-        # Its start is below all others, as by a clock that was set back.
         began = self.now
         limit = (
             heartbeats.LEFT_SECONDS
@@ -954,10 +967,10 @@
         sequence = 0
         while self.now < began + limit + 2 * INTERVAL:
             sequence += 1
-            receiver.receive(heartbeat_of(3, sequence))
-            receiver.receive(heartbeat_of(3, sequence))
+            receiver.receive(heartbeat_of(start, sequence))
+            receiver.receive(heartbeat_of(start, sequence))
             self.now += INTERVAL
-        assert self.announcer.incarnation == "i-1/3"
+        assert self.announcer.incarnation == f"i-1/{start}"
 
 
 class TestBoundary:
