HTTP server: input that came during a pause is read before the checks

What callers saw: a process that was stopped for seconds and went on closed a kept connection as idle, though a whole request had arrived on it meanwhile, or gave up a head that was complete by then. Nothing had run.

Cause: a signal interrupts the wait for input. Python finds that its time is over and returns no events, so that due timers run before the input is read.

Change: periodic checks look at their items two iterations of the event loop after their timer, when the input that was there has been received.

--- a/mangobay/periodic.py
+++ b/mangobay/periodic.py
@@ -50,7 +50,16 @@
         self.timer = loop.call_later(self.interval, self.check_all)
 
     def check_all(self) -> None:
-        """Checks every item."""
+        """Checks every item, after what has arrived was received.
+
+        After a pause of the process, timers run before input that arrived
+        meanwhile: the wait for it is interrupted and returns nothing.
+        """
         self.schedule()
+        loop = asyncio.get_running_loop()
+        loop.call_soon(loop.call_soon, self.check_items)
+
+    def check_items(self) -> None:
+        """Checks every item."""
         for item in list(self.items):
             self.check_item(item)
--- a/tests/test_leanserver.py
+++ b/tests/test_leanserver.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import gc
+import os
 import random
 import socket
 import struct
+import time
 
 import pytest
 
@@ -905,3 +907,30 @@
         assert " 413 " in head
         assert reading.bodies == {}
         writer.close()
+
+
+class TestPauses:
+    """A process that is stopped for some seconds and goes on."""
+
+    async def test_request_that_came_during_a_pause_is_answered(
+        self, listener, monkeypatch
+    ):
+        """The check for idle connections closes one with a whole request."""
+        loop = asyncio.get_running_loop()
+        listener.limits.idle_timeout = 0.5
+        reader, writer = await connect(listener)
+        writer.write(get("/before"))
+        await read_response(reader)
+        sock = writer.get_extra_info("socket")
+        socket.socket(fileno=os.dup(sock.fileno())).sendall(get("/during"))
+        time.sleep(1.5 * leanserver.SWEEP_SECONDS)
+        select = loop._selector.select
+
+        def interrupted_select(timeout=None):
+            """Returns nothing, as a wait that a signal interrupts."""
+            monkeypatch.setattr(loop._selector, "select", select)
+            return []
+
+        monkeypatch.setattr(loop._selector, "select", interrupted_select)
+        assert (await read_response(reader))[1] == b"/during"
+        writer.close()
