Listeners: failed starts of connections are logged once a second

What operators saw: each connect without a TLS handshake, as of a port scan or a health check of a load balancer, added a line to the log of a peers' listener.

Cause: every failure was logged; asyncio had logged none.

Evidence: tests/test_tls.py::TestFailures::test_strangers_do_not_fill_the_log failed before (20 lines for 20 connections).

Change: one line a second at most, with the number of failures since the last.

--- a/mangobay/listening.py
+++ b/mangobay/listening.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections.abc
+import math
 import os
 import socket
 import ssl
@@ -18,6 +19,8 @@
 RECEIVE_TURNS = 2
 """Iterations of the event loop after which what a connection has received when
 the first one began was passed to its protocol."""
+LOG_INTERVAL_SECONDS = 1.0
+"""Seconds between two log lines on connections that failed at their start."""
 ProtocolFactory = collections.abc.Callable[[], asyncio.BaseProtocol]
 
 
@@ -37,6 +40,8 @@
       sock: the listening socket; None before start and after close.
       hand_overs: tasks that create the transports of accepted connections.
       retry_timer: timer of the next attempt to accept after an error.
+      failed_count: connections that have failed since the last log line.
+      logged_at: loop time of that line.
     """
 
     def __init__(
@@ -56,6 +61,8 @@
         self.sock: socket.socket | None = None
         self.hand_overs: set[asyncio.Task] = set()
         self.retry_timer: asyncio.TimerHandle | None = None
+        self.failed_count = 0
+        self.logged_at = -math.inf
 
     def start(self) -> None:
         """Opens the socket and accepts connections.
@@ -127,12 +134,23 @@
         except Exception as error:  # noqa: BLE001
             # Also a protocol that cannot be created leaves none open.
             accepted.close()
-            logs.log_event(
-                logs.Component.PEER,
-                "connection failed at its start",
-                address=str(self.address),
-                why=repr(error),
-            )
+            self.log_failure(error)
+
+    def log_failure(self, error: Exception) -> None:
+        """Counts a connection that failed at its start; logs some of them."""
+        self.failed_count += 1
+        now = asyncio.get_running_loop().time()
+        if now - self.logged_at < LOG_INTERVAL_SECONDS:
+            return
+        logs.log_event(
+            logs.Component.PEER,
+            "connections failed at their start",
+            address=str(self.address),
+            connections=self.failed_count,
+            why=repr(error),
+        )
+        self.failed_count = 0
+        self.logged_at = now
 
     async def close(self) -> None:
         """Closes the socket, and leaves no accepted connection behind.
--- a/tests/test_tls.py
+++ b/tests/test_tls.py
@@ -12,7 +12,7 @@
 from cryptography.hazmat.primitives.asymmetric import ec
 from cryptography.x509 import oid
 
-from mangobay import errors, options, peers, tls
+from mangobay import errors, listening, options, peers, tls
 from mangobay.generated import messages
 
 HELLO = messages.Hello(host="here", role="node")
@@ -107,6 +107,24 @@
                 assert await loop.sock_recv(sock, 1) == b""
 
 
+class TestFailures:
+    """Connections on which no handshake begins."""
+
+    async def test_strangers_do_not_fill_the_log(self, listener, monkeypatch):
+        """Each connect of a stranger adds a line to the log."""
+        lines = []
+        monkeypatch.setattr(
+            listening.logs,
+            "log_event",
+            lambda component, event, **facts: lines.append(event),
+        )
+        for _ in range(20):
+            with socket.create_connection(listener.address) as sock:
+                sock.send(b"GET / HTTP/1.1\r\n\r\n")
+        await asyncio.sleep(0.2)
+        assert lines == ["connections failed at their start"]
+
+
 class TestIdentity:
     """Which certificates are accepted."""
 
