Soak: bursts of new connections while a node stops

What callers saw: connections accepted just before the listener of a stopping node closed got no answer until the process ended. The soak missed it: it opened few connections at that moment, and the stop ended within the 0.2 s in which a request may cross the close.

Change: a new fault, Rush, restarts a node. Rushes have draws of their own; the other faults of each seed stay as they were. The checks and bounds are unchanged.

Why it works: a burst takes several iterations of the node's event loop to accept, so the close often comes in one of them.

--- a/bench/soak/backends.py
+++ b/bench/soak/backends.py
@@ -15,6 +15,10 @@
 SLOTS = 64
 LARGE = 400_000
 """Bytes of a large answer: more than the buffers of a slow reader take."""
+HUGE = 6_000_000
+"""Bytes of an answer that the buffers of all processes on its way don't take."""
+PIECE = 64 * 1024
+"""Bytes of an answer that are written at once."""
 POLL_SECONDS = 0.02
 CRASHED_SECONDS = 1.0
 """Between the end of a server that crashed and its next start."""
@@ -40,6 +44,8 @@
     REFUSE = "refuse"
     """Half of the time: not run."""
     LARGE = "large"
+    HUGE = "huge"
+    """Too large for all buffers: at work until most of it is read."""
     TRUNCATED = "truncated"
     TWICE = "twice"
     """A second answer comes late, when the next one may be expected."""
@@ -465,6 +471,14 @@
                 body = (body + b".") * (LARGE // len(body))
                 self.answer(arrival, 200, fields, body, writer)
                 await writer.drain()
+            case Way.HUGE:
+                body = (body + b".") * (HUGE // len(body))
+                told = {**fields, **self.state_fields()}
+                data = wire.encode("HTTP/1.1 200 Answer", told, body)
+                for place in range(0, len(data), PIECE):
+                    writer.write(data[place : place + PIECE])
+                    await writer.drain()
+                self.record(arrival, 200, body)
             case Way.LENGTHLESS:
                 self.answer(arrival, 200, fields, body, writer, False)
                 return False
@@ -489,6 +503,14 @@
                 self.answer(arrival, 200, fields, body, writer)
         return True
 
+    def record(
+        self, arrival: history.Arrival, status: int, body: bytes
+    ) -> None:
+        """Records an answer."""
+        arrival.status = status
+        arrival.answer = digest(body)
+        self.end(arrival, history.Outcome.ANSWERED)
+
     def answer(
         self,
         arrival: history.Arrival,
@@ -499,9 +521,7 @@
         length: bool = True,
     ) -> bytes:
         """Writes and records an answer; returns its bytes."""
-        arrival.status = status
-        arrival.answer = digest(body)
-        self.end(arrival, history.Outcome.ANSWERED)
+        self.record(arrival, status, body)
         fields = {**fields, **self.state_fields()}
         data = wire.encode(
             f"HTTP/1.1 {status} Answer", fields, body if length else None
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -17,6 +17,25 @@
     down: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Rush:
+    """A restart of a node to which many connections are opened meanwhile.
+
+    Callers that read slowly let its stop last until work may be cut.
+
+    Attributes:
+      at: SIGTERM.
+      host: of the node.
+      down: seconds between its end and its start.
+      mark: unlike that of any other one of the run.
+    """
+
+    at: float
+    host: ids.HostId
+    down: float
+    mark: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class RestartWithSignal:
     """A restart with another signal while the process stops or starts.
@@ -210,6 +229,7 @@
     | RepeatedOrder
     | Wipe
     | OddReport
+    | Rush
 )
 
 
@@ -275,6 +295,8 @@
 """Seconds between two heartbeats of other writers."""
 IMPOSSIBLE_SLOTS = (-1, 2**32, 2**70)
 """Slots that no message between processes can hold."""
+MEAN_RUSH_GAP = 3.0
+"""Seconds between two restarts under many new connections."""
 MEAN_WIPE_GAP = 5.0
 """Seconds between two emptied disks."""
 FINAL_SHARE = 0.5
@@ -309,6 +331,7 @@
     found += draw_crashes(seed, seconds, hosts)
     found += draw_orders(seed, seconds)
     found += draw_odd_reports(seed, seconds, hosts)
+    found += draw_rushes(seed, seconds, hosts)
     final = None
     if seed % PLANNED_SEEDS:
         found += draw_minorities(seed, seconds, hosts)
@@ -353,6 +376,20 @@
     return found
 
 
+def draw_rushes(seed: int, seconds: float, hosts: Hosts) -> list[Fault]:
+    """Returns the restarts of nodes under many new connections."""
+    lots = random.Random(f"rushes {seed}")
+    at = FIRST
+    found: list[Fault] = []
+    while at < seconds:
+        at += lots.expovariate(1 / MEAN_RUSH_GAP)
+        host = lots.choice(hosts.nodes)
+        down = round(lots.uniform(0.0, 1.0), 2)
+        mark = len(found)
+        found.append(Rush(at=round(at, 2), host=host, down=down, mark=mark))
+    return found
+
+
 def draw_lost_disks(
     seed: int, hosts: Hosts
 ) -> tuple[list[Fault], Final | None]:
--- a/bench/soak/play.py
+++ b/bench/soak/play.py
@@ -11,6 +11,7 @@
     backends,
     bounds,
     callers,
+    crowds,
     dialect,
     faults,
     history,
@@ -97,6 +98,8 @@
             case faults.Restart(host=host, down=down):
                 await made.terminate(host)
                 await self.start(host, down)
+            case faults.Rush():
+                await self.rush(fault)
             case faults.RestartWithSignal():
                 await self.restart_with_signal(fault)
             case faults.Reload(host=host):
@@ -178,6 +181,26 @@
                     group.create_task(leave(repeater))
                 await asyncio.sleep(fault.gap)
 
+    async def rush(self, fault: faults.Rush) -> None:
+        """Restarts a node while a crowd calls it."""
+        made, host = self.made, fault.host
+        if host in made.stopping:
+            return
+        first = self.clients[0]
+        crowd = crowds.Crowd(
+            fault=fault,
+            place=made.places[host],
+            speech=made.speech,
+            seen=first.seen,
+            numbers=first.numbers,
+        )
+        async with asyncio.TaskGroup() as group:
+            group.create_task(made.terminate(host))
+            # The signal comes before the first connection.
+            await asyncio.sleep(0)
+            group.create_task(crowd.run(made.stopping))
+        await self.start(host, fault.down)
+
     async def start(self, host: ids.HostId, down: float) -> None:
         """Starts a process that has ended."""
         await asyncio.sleep(down)
--- a/bench/soak/wire.py
+++ b/bench/soak/wire.py
@@ -63,7 +63,16 @@
         raw = await reader.readuntil(b"\r\n\r\n")
     except asyncio.LimitOverrunError as error:
         raise BrokenError(str(error)) from None
-    first, *lines = raw.decode("latin-1").split("\r\n")[:-2]
+    return parse_head(raw.removesuffix(b"\r\n\r\n"))
+
+
+def parse_head(raw: bytes) -> Head:
+    """Returns a head without its last blank line.
+
+    Raises:
+      BrokenError: the bytes are no head.
+    """
+    first, *lines = raw.decode("latin-1").split("\r\n")
     if "HTTP/1.1" not in first:
         raise BrokenError(f"{first[:80]!r} begins no message")
     fields = {}
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import itertools
 import pathlib
 import types
 
@@ -11,6 +12,8 @@
 
 from bench.soak import (
     checks,
+    crowds,
+    dialect,
     faults,
     history,
     judge,
@@ -99,6 +102,62 @@
         assert program.cases_of(chosen)
 
 
+class TestCrowds:
+    """Connections opened in bursts while a node stops."""
+
+    @staticmethod
+    async def call(serve):
+        """Returns the requests of a short crowd to a node that is played."""
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        ports = dataclasses.replace(fakeplatform.DIALECT.ports, outside=port)
+        seen = history.History()
+        crowd = crowds.Crowd(
+            fault=faults.Rush(at=0.0, host="node-1", down=0.0, mark=0),
+            place=dialect.Place(
+                name="node-1",
+                data_centre="north",
+                ip="127.0.0.1",
+                service="price",
+            ),
+            speech=dataclasses.replace(fakeplatform.DIALECT, ports=ports),
+            seen=seen,
+            numbers=itertools.count(1),
+        )
+        stopping = {"node-1"}
+        loop = asyncio.get_running_loop()
+        loop.call_later(0.3, stopping.clear)
+        await crowd.run(stopping)
+        server.close()
+        return seen.requests
+
+    async def test_each_request_is_on_record_with_its_answer(self):
+        """Runs of requests seem to be asked for by nobody."""
+
+        async def refuse(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 503 No\r\nContent-Length: 1\r\n\r\nn")
+            writer.close()
+
+        requests = await self.call(refuse)
+        assert len(requests) >= crowds.BURSTS[0]
+        assert {each.end for each in requests} == {history.End.ANSWERED}
+        assert {each.status for each in requests} == {503}
+
+    async def test_accepted_connections_that_get_no_answer_are_found(self):
+        """A stopping node resets, at its end, what it accepted and left."""
+
+        async def abandon(reader, writer):
+            del reader
+            await asyncio.sleep(0.5)
+            writer.transport.abort()
+
+        requests = await self.call(abandon)
+        view = checks.View(history.History(requests=requests))
+        found = list(checks.nothing_cut(view))
+        assert len(found) == len(requests) >= crowds.BURSTS[0]
+
+
 class TestJudge:
     """All checks together."""
 
