--- a/mangobay/leanserver.py
+++ b/mangobay/leanserver.py
@@ -590,7 +590,8 @@
             transport.write(
                 encoded[0] if len(encoded) == 1 else b"".join(encoded)
             )
-            self.start_delivery()
+            self.delivering = True
+            self.acknowledged_at = self.last_activity
         if self.exchanges and self.exchanges[0].turn is not None:
             self.exchanges[0].turn.set()
         if should_close:
