HTTP server: what the kernel still sends is not counted as aborted

What operators saw: a node that had written every response said at its stop that some were not received by their callers, and exited with 1, while the kernel was still sending one to a slow reader.

Cause: bytes without an acknowledgement count as pending since input that comes late must not reset them; the count of aborted responses used the same test.

Evidence: tests/test_leanserver.py::TestClosing:: test_response_held_by_the_kernel_is_not_counted_as_aborted failed before.

Change: only responses that are due or in the write buffer are counted. The stop waits for the others as before.

--- a/mangobay/leanserver.py
+++ b/mangobay/leanserver.py
@@ -673,22 +673,26 @@
         """Closes the connection: a caller that sends no more counts as gone."""
         return False
 
+    def has_due_responses(self) -> bool:
+        """Returns whether a response is due or still in the write buffer."""
+        if any(
+            exchange.task or exchange.response_bytes
+            for exchange in self.exchanges
+        ):
+            return True
+        transport = self.transport
+        return transport is not None and transport.get_write_buffer_size() > 0
+
     def has_pending_responses(self) -> bool:
         """Returns whether a response is due or still on its way.
 
         What the kernel holds is discarded if the caller sends anything after
         the process has ended.
         """
-        if any(
-            exchange.task or exchange.response_bytes
-            for exchange in self.exchanges
-        ):
+        if self.has_due_responses():
             return True
-        transport = self.transport
-        if transport is None:
+        if self.transport is None:
             return False
-        if transport.get_write_buffer_size() > 0:
-            return True
         self.update_unacknowledged()
         stalled_for = self.loop.time() - self.acknowledged_at
         return self.delivering and stalled_for < SHUTDOWN_STALL_SECONDS
@@ -841,8 +845,7 @@
         while self.busy and loop.time() < deadline:
             await asyncio.sleep(CLOSE_POLL)
         undelivered = sum(
-            connection.has_pending_responses()
-            for connection in self.connections
+            connection.has_due_responses() for connection in self.connections
         )
         for connection in list(self.connections):
             connection.close()
--- a/tests/test_leanserver.py
+++ b/tests/test_leanserver.py
@@ -278,6 +278,25 @@
         writer.close()
         assert await closing == 0
 
+    async def test_response_held_by_the_kernel_is_not_counted_as_aborted(self):
+        """A node that has sent everything says that it aborted a response."""
+
+        async def handle(request, connection):
+            del request, connection
+            return leanhttp.Response(status=200, body=bytes(1_000_000))
+
+        listener = leanserver.Listener(LOOPBACK, handle, leanserver.Limits())
+        await listener.start()
+        reader, writer = await small_buffer_connection(*listener.address)
+        writer.write(get("/1"))
+        await asyncio.sleep(0.1)
+        closing = asyncio.create_task(listener.close(0.3))
+        while not closing.done():
+            await reader.read(16 * 1024)
+            await asyncio.sleep(0.05)
+        assert await closing == 0
+        writer.close()
+
     async def read_while_sending(self, reader, writer):
         """Returns the body of a response; sends a request after each part."""
         await reader.readuntil(b"\r\n\r\n")
