--- a/mangobay/heartbeats.py
+++ b/mangobay/heartbeats.py
@@ -2,7 +2,8 @@
 
 Heartbeats may be delayed, repeated or reordered.  One delayed by a network
 partition may even arrive after its sender has crashed and another process runs
-at the address.  So only the newest heartbeat of the newest incarnation counts.
+at the address.  So only the newest heartbeat of the newest incarnation counts,
+unless that one falls silent while an older one goes on.
 """
 
 import asyncio
@@ -197,7 +198,7 @@
         if self.has_left(heartbeat):
             return self.ignore(heartbeat, "its sender has left")
         is_newer = self.is_newer(heartbeat)
-        counts = is_newer or self.outlasts(heartbeat)
+        counts = is_newer or self.record_outranked(heartbeat)
         if self.has_deregistered(heartbeat):
             return self.ignore(heartbeat, "its sender has deregistered")
         if not counts:
@@ -234,7 +235,7 @@
             previous.last_heartbeat, heartbeat
         )
         if self.is_newer(heartbeat) or (
-            not is_same and self.outlasts(heartbeat)
+            not is_same and self.record_outranked(heartbeat)
         ):
             self.set_current(heartbeat)
         elif not is_same:
@@ -266,12 +267,13 @@
             and is_same_incarnation(current.last_heartbeat, heartbeat)
         )
 
-    def outlasts(self, heartbeat: Heartbeat) -> bool:
-        """Returns whether the sender of an outranked heartbeat is the live one.
+    def record_outranked(self, heartbeat: Heartbeat) -> bool:
+        """Records an outranked heartbeat; returns whether it counts all the same.
 
-        It has gone on for a while, in which the newest sender was silent. The
-        newest heartbeat was then of another writer, or named a start by a clock
-        that was ahead. Heartbeats that were only delayed don't go on.
+        Its sender is the live one if it has gone on for a while, in which the
+        newest sender was silent. The newest heartbeat was then of another
+        writer, or named a start by a clock that was ahead. Heartbeats that were
+        only delayed don't go on.
         """
         now = clock.now()
         incarnation = incarnation_of(heartbeat)
