Node: bodies still coming at the end of the linger are refused then

What callers saw: a request whose last bytes came 3.2 to 4.5 s after SIGTERM was passed on, and cut with 502 at 5.03 s while its server worked on it, also where it may not be repeated.

Cause: `Gateway.handle` asks whether new work is taken when it gets a request. A large body is handled while it is received, so that was asked at its head, and the rest was passed on unasked. A promise about time was checked where a step begins and acted on where it ends.

Change: at the end of the linger each request whose body is not complete ends: with 503 if no handler has it, else its body is cut off and its handler answers, 502 if a server has had a part of it. The calls of requests that run here go on. A listener that closes does the same, so that an operator whose order is being received when a control host stops gets 503; the connection ended without a word before.

--- a/mangobay/gateway.py
+++ b/mangobay/gateway.py
@@ -12,6 +12,7 @@
     dispatch,
     execution,
     httpheaders,
+    httpparse,
     ids,
     leanclient,
     leanhttp,
--- a/mangobay/leanserver.py
+++ b/mangobay/leanserver.py
@@ -455,6 +455,21 @@
         else:
             self.end_unread(exchange, response)
 
+    def refuse_incomplete(self) -> None:
+        """Ends a request whose body is not complete.
+
+        It is refused if no handler has it yet; otherwise its handler fails and
+        gives the response.
+        """
+        if not self.is_receiving_body():
+            return
+        newest = self.exchanges[-1]
+        if newest.rest is not None:
+            newest.rest.cut_off("the process stops")
+        elif newest.task is None:
+            newest.message.take_body()
+            self.end_unread(newest, refusals.retry_later_response())
+
     def end_unread(
         self, exchange: Exchange, response: leanhttp.Response
     ) -> None:
@@ -829,6 +844,21 @@
             for connection in self.connections
         )
 
+    def refuse_incomplete(
+        self,
+        is_exempt: collections.abc.Callable[[httpparse.Message], bool],
+    ) -> None:
+        """Ends the requests whose bodies are not complete.
+
+        Args:
+          is_exempt: returns whether a request may go on.
+        """
+        for connection in list(self.connections):
+            if connection.is_receiving_body() and not is_exempt(
+                connection.exchanges[-1].message
+            ):
+                connection.refuse_incomplete()
+
     async def close(self, seconds: float = 0.0) -> int:
         """Stops accepting, completes due responses, closes all connections.
 
@@ -840,6 +870,7 @@
         """
         self.leaving = True
         await self.server.close()
+        self.refuse_incomplete(is_exempt=lambda message: False)
         loop = asyncio.get_running_loop()
         deadline = loop.time() + seconds
         while self.busy and loop.time() < deadline:
--- a/mangobay/routednode.py
+++ b/mangobay/routednode.py
@@ -300,6 +300,9 @@
                 self.control.leaving = True
                 await asyncio.sleep(min(linger, LEAVE_NOTICE_SECONDS))
                 self.executor.leaving = True
+                self.outside_listener.refuse_incomplete(
+                    self.gateway.is_child_request
+                )
                 while self.is_busy():
                     await asyncio.sleep(basenode.IDLE_POLL_SECONDS)
         except TimeoutError:
--- a/tests/test_leanserver.py
+++ b/tests/test_leanserver.py
@@ -68,6 +68,12 @@
     return f"GET {path} HTTP/1.1\r\nHost: h\r\n{extra}\r\n".encode()
 
 
+async def wait_for_exchange(listener):
+    """Returns once a listener has read the head of a request."""
+    while not any(each.exchanges for each in listener.connections):
+        await asyncio.sleep(0.01)
+
+
 async def read_response(reader):
     """Returns the head and the body of the next response."""
     head = (await reader.readuntil(b"\r\n\r\n")).decode()
@@ -928,6 +934,62 @@
         writer.close()
 
 
+class TestStopping:
+    """Requests whose bodies are still coming when the process stops."""
+
+    async def test_small_body_that_is_incomplete_is_refused(
+        self, listener, recorder
+    ):
+        """Guards against a connection that ends without a word."""
+        reader, writer = await connect(listener)
+        writer.write(post("/1", b"some body")[:-4])
+        await wait_for_exchange(listener)
+        listener.refuse_incomplete(lambda message: False)
+        head, _ = await read_response(reader)
+        assert head.startswith("HTTP/1.1 503"), head
+        assert recorder.requests == []
+        writer.close()
+
+    async def test_exempt_request_goes_on(self, listener, recorder):
+        """Guards against refusing the calls of requests that run."""
+        reader, writer = await connect(listener)
+        writer.write(post("/1", b"somebody")[:-4])
+        await wait_for_exchange(listener)
+        listener.refuse_incomplete(lambda message: message.target == "/1")
+        writer.write(b"body")
+        head, _ = await read_response(reader)
+        assert head.startswith("HTTP/1.1 200"), head
+        writer.close()
+
+    async def test_close_refuses_what_is_incomplete(self, recorder):
+        """Guards against an operator that has to guess what became of it."""
+        listener = leanserver.Listener(
+            LOOPBACK, recorder.handle, leanserver.Limits()
+        )
+        await listener.start()
+        reader, writer = await connect(listener)
+        writer.write(post("/1", b"some body")[:-4])
+        await wait_for_exchange(listener)
+        await listener.close(1.0)
+        head, _ = await read_response(reader)
+        assert head.startswith("HTTP/1.1 503"), head
+        writer.close()
+
+    async def test_handler_of_a_large_body_gives_the_response(
+        self, large, reading
+    ):
+        """Guards against a handler that waits for the rest of a body."""
+        reader, writer = await connect(large)
+        writer.write(post("/1", bytes(300_000))[:200_000])
+        await wait_for_exchange(large)
+        while not large.large_requests:
+            await asyncio.sleep(0.01)
+        large.refuse_incomplete(lambda message: False)
+        head, _ = await read_response(reader)
+        assert head.startswith("HTTP/1.1 502"), head
+        writer.close()
+
+
 class TestPauses:
     """A process that is stopped for some seconds and goes on."""
 
--- a/tests/test_planned_stop_processes.py
+++ b/tests/test_planned_stop_processes.py
@@ -173,7 +173,6 @@
 
     async def send(self, timing, attempt_id):
         """Returns the result of a request on a connection opened before."""
-        loop = asyncio.get_running_loop()
         caller = await self.fleet.connect(NODE)
         caller.send("b", f"{attempt_id}-warm")
         warm = await caller.read_response()
@@ -186,18 +185,19 @@
             f"X-Mangobay-Deadline-Ms: 8000\r\nX-Work: {timing.work}\r\n"
             f"Content-Length: {len(body)}\r\n\r\n"
         )
-        response = platformfakes.Response(0, "not sent", b"")
-        try:
-            caller.writer.write(head.encode() + body[: timing.first_bytes])
-            await caller.writer.drain()
-            await self.wait_until(timing.last)
-            caller.writer.write(body[timing.first_bytes :])
-            response = await caller.read_response()
-        except ConnectionError as error:
-            response = platformfakes.Response(0, repr(error), b"")
-        return Result(
-            timing, attempt_id, response, loop.time() - self.stopped_at
-        )
+        reading = asyncio.create_task(self.read_response(caller))
+        caller.writer.write(head.encode() + body[: timing.first_bytes])
+        await self.wait_until(timing.last)
+        caller.writer.write(body[timing.first_bytes :])
+        response, ended_at = await reading
+        caller.writer.close()
+        return Result(timing, attempt_id, response, ended_at)
+
+    async def read_response(self, caller):
+        """Returns the next response, and when it came after SIGTERM."""
+        response = await caller.read_response()
+        now = asyncio.get_running_loop().time()
+        return response, now - self.stopped_at
 
     def breaks(self, results):
         """Returns the requests that were cut, or passed on too late."""
