Stopping: requests that waited too long are not sent

A request accepted in time could be sent to a backend server late after a wait: for a token of its workspace, a connection, a slot, or before a retry. Its server then had less time than the half of the grace that is left for it.

`ShutdownSchedule.send_until` bounds the sending as `accept_until` bounds the accepting. The gateway asks again after the wait for a token, the dispatcher before each attempt and after connecting, and the executor right before the first byte. A call of another node that ends before the abort is still sent. A call may wait for a slot at another host no longer than until then. A call whose body was cut off before its first byte was sent is told as not run.

--- a/bench/fleet/network.py
+++ b/bench/fleet/network.py
@@ -1,6 +1,7 @@
 """What carries messages between the nodes of the model."""
 
 import asyncio
+import math
 import typing
 
 from mangobay import ids, options, remotetraffic
@@ -33,7 +34,11 @@
         self.home = home
 
     async def send_request(
-        self, address: options.Address, call: messages.Call, timeout: float
+        self,
+        address: options.Address,
+        call: messages.Call,
+        timeout: float,
+        send_by: float = math.inf,
     ) -> messages.Reply:
         """Returns the reply of another node."""
         place, serve = self.network.nodes[str(address)]
--- a/bench/fleet/world.py
+++ b/bench/fleet/world.py
@@ -143,6 +143,7 @@
                 views=world,
                 tracer=traces.Tracer(),
                 rng=self.dice,
+                schedule=self.executor.shutdown,
             ),
         )
         made = gateway.Gateway(
--- a/mangobay/aiohttpbackend.py
+++ b/mangobay/aiohttpbackend.py
@@ -49,8 +49,7 @@
             not attempt.sent,
             "the request was already sent to the backend server",
         )
-        if attempt.before_send is not None:
-            await attempt.before_send()
+        await attempt.prepare()
         if conn.protocol is None or not conn.protocol.is_connected():
             raise aiohttp.ClientConnectionError("closed before the request")
         attempt.sent = True
--- a/mangobay/backend.py
+++ b/mangobay/backend.py
@@ -7,6 +7,7 @@
 from mangobay.generated import messages
 
 BeforeSend = collections.abc.Callable[[], collections.abc.Awaitable[None]]
+CheckSend = collections.abc.Callable[[], None]
 
 NON_IDEMPOTENT_REUSE_SECONDS = 0.5
 """Idle seconds up to which non-idempotent requests reuse a connection.
@@ -25,14 +26,28 @@
     Attributes:
       before_send: Callback awaited once the connection is open, before the
         first byte is sent; an exception prevents the sending.
+      check_send: Called after it, right before the first byte is sent; an
+        exception prevents the sending.
       sent: Whether a byte may have been sent.
       upload_seconds: Time in which the rest of a large body was sent.
     """
 
     before_send: BeforeSend | None = None
+    check_send: CheckSend | None = None
     sent: bool = False
     upload_seconds: float = 0.0
 
+    async def prepare(self) -> None:
+        """Awaits what comes before the first byte of the request.
+
+        Raises:
+          Exception: Raised by `before_send` or `check_send`.
+        """
+        if self.before_send is not None:
+            await self.before_send()
+        if self.check_send is not None:
+            self.check_send()
+
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class Request:
--- a/mangobay/basenode.py
+++ b/mangobay/basenode.py
@@ -246,6 +246,7 @@
                 views=self.control.views,
                 tracer=self.tracer,
                 rng=self.rng,
+                schedule=self.executor.shutdown,
             ),
         )
         self.watch_hosts()
--- a/mangobay/dispatch.py
+++ b/mangobay/dispatch.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import functools
+import math
 import random
 import typing
 
@@ -28,6 +29,7 @@
     retrypolicy,
     retrystate,
     routing,
+    shutdown,
     traces,
 )
 from mangobay.generated import messages, settings
@@ -72,7 +74,11 @@
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class Dependencies:
-    """Objects that the dispatcher uses."""
+    """Objects that the dispatcher uses.
+
+    Attributes:
+      schedule: When calls are no longer sent to hosts.
+    """
 
     process: calls.Process
     router: routing.Router
@@ -83,6 +89,9 @@
     views: Views
     tracer: traces.Tracer
     rng: random.Random
+    schedule: shutdown.ShutdownSchedule = dataclasses.field(
+        default_factory=shutdown.ShutdownSchedule
+    )
 
 
 class Dispatcher:
@@ -174,6 +183,20 @@
             if delay and not await self.in_flight.pause(delay):
                 return state.final_reply(reply)
 
+    def may_send(self, request: calls.Request) -> bool:
+        """Returns whether a call may still be sent to a host."""
+        return asyncio.get_running_loop().time() < self.send_until(request)
+
+    def send_until(self, request: calls.Request) -> float:
+        """Returns the loop time until which a call may be sent to a host.
+
+        The child calls of a call that runs here always may: they belong to work
+        that was sent before.
+        """
+        if request.parent_run is not None:
+            return math.inf
+        return self.dependencies.schedule.send_until
+
     def hosts_not_tried(
         self, request: calls.Request, tried: set[ids.HostId]
     ) -> set[ids.HostId]:
@@ -187,6 +210,8 @@
         self, request: calls.Request, excluded: set[ids.HostId]
     ) -> messages.Member | messages.Reply:
         """Returns the next host, or the refusal if there is none."""
+        if not self.may_send(request):
+            return calls.not_run_reply(Reason.LEAVING)
         service = request.operation.service
         if self.prefers_own_host(request.operation, excluded):
             return messages.Member(host=self.dependencies.process.host)
@@ -329,6 +354,8 @@
         """
         find_owner = functools.partial(self.find_owner, request)
         for redirect in range(MAX_REDIRECTS + 1):
+            if not self.may_send(request):
+                return calls.not_run_reply(Reason.LEAVING)
             owner = find_owner()
             if owner is None:
                 reply = calls.not_run_reply(Reason.NO_BACKEND)
@@ -374,7 +401,7 @@
         router.record_call_start(service, member.host)
         reply = execution.PENDING_REPLY
         try:
-            reply = await self.deliver(call, member, seconds_left)
+            reply = await self.deliver(request, call, member, seconds_left)
         finally:
             router.record_call_end(
                 service,
@@ -480,7 +507,7 @@
             view_version=view.version if view else ids.ViewVersion(0),
             client=request.client,
             tree=request.tree,
-            patience_ms=int(operation.target_ms * QUEUE_WAIT_SHARE),
+            patience_ms=self.patience_ms(request),
             repeat=request.repeat,
             workspace=request.workspace,
         )
@@ -489,8 +516,22 @@
         source = requestbody.AttemptSource(request.rest)
         return requestbody.ContinuedCall.make(call, source)
 
+    def patience_ms(self, request: calls.Request) -> int:
+        """Returns how long a call may wait for a slot at the called host."""
+        patience_ms = int(request.operation.target_ms * QUEUE_WAIT_SHARE)
+        send_until = self.send_until(request)
+        if send_until == math.inf:
+            return patience_ms
+        now = asyncio.get_running_loop().time()
+        left_ms = max(int((send_until - now) * 1000), 1)
+        return min(patience_ms, left_ms) if patience_ms else left_ms
+
     async def deliver(
-        self, call: messages.Call, member: messages.Member, seconds_left: float
+        self,
+        request: calls.Request,
+        call: messages.Call,
+        member: messages.Member,
+        seconds_left: float,
     ) -> messages.Reply:
         """Sends the call to the executor of this host or to a peer."""
         if member.host == self.dependencies.process.host:
@@ -500,6 +541,7 @@
                 parse_peer_address(member.peer_address),
                 call,
                 seconds_left + REPLY_GRACE,
+                self.send_until(request),
             )
         except errors.PeerUnreachableError:
             reply = calls.not_run_reply(Reason.CONNECTION_FAILED)
--- a/mangobay/errors.py
+++ b/mangobay/errors.py
@@ -82,6 +82,10 @@
     """Connecting failed: no byte of the request was sent."""
 
 
+class StoppingError(BackendError):
+    """The process stops too soon for the request: no byte of it was sent."""
+
+
 class BackendBrokenError(BackendError):
     """No complete response was received; the request may have run."""
 
--- a/mangobay/execution.py
+++ b/mangobay/execution.py
@@ -311,7 +311,9 @@
             deadline=deadline,
             running_call=running_call,
         )
-        attempt = backend.Attempt(before_send)
+        attempt = backend.Attempt(
+            before_send, functools.partial(self.check_sending, call, deadline)
+        )
         started_at = asyncio.get_running_loop().time()
         reply = PENDING_REPLY
         try:
@@ -358,6 +360,22 @@
         )
         return reply
 
+    def check_sending(self, call: messages.Call, deadline: float) -> None:
+        """Checks that a call may be sent to the backend server now.
+
+        Raises:
+          errors.StoppingError: it would be aborted, or its body was cut off.
+        """
+        rest = requestbody.rest_of(call)
+        if rest is not None and rest.is_cut_off:
+            raise errors.StoppingError("the body was cut off before the call")
+        now = asyncio.get_running_loop().time()
+        if not (
+            self.shutdown.allows_sending(now)
+            or self.shutdown.allows_deadline(deadline)
+        ):
+            raise errors.StoppingError("the process stops")
+
     def end_run(
         self,
         call: messages.Call,
@@ -573,6 +591,8 @@
     match error:
         case errors.BackendTimeoutError():
             reason = Reason.DEADLINE_EXCEEDED
+        case errors.StoppingError():
+            reason = Reason.LEAVING
         case errors.ResponseTooLargeError():
             reason = Reason.TOO_LARGE
         case errors.IncompleteResponseError():
--- a/mangobay/gateway.py
+++ b/mangobay/gateway.py
@@ -239,10 +239,13 @@
                 entry.token = await self.access.acquire_token(
                     entry.workspace, entry.route, entry.seconds_waited
                 )
+                self.check_accepting(parent)
         except calls.RequestError as error:
             reply = calls.not_run_reply(error.reason, error.retry_after)
             self.metrics.record_refusal(error.reason)
             if entry is not None:
+                if entry.token is not None:
+                    self.access.give_back(entry.workspace, entry.token)
                 self.record_outcome(entry, parent, reply)
             self.log.log_refused(
                 attempt_id,
@@ -343,7 +346,13 @@
                 Reason.LEAVING, "the node is shutting down", retry_after
             )
 
-    def attempt_id_of(self, request: leanhttp.Request) -> ids.AttemptId:
+    def is_child_request(self, request: httpparse.Message) -> bool:
+        """Returns whether a call that runs here makes a request."""
+        return self.parent_of(self.attempt_id_of(request)) is not None
+
+    def attempt_id_of(
+        self, request: leanhttp.Request | httpparse.Message
+    ) -> ids.AttemptId:
         """Returns the attempt id of the request, empty if it has none."""
         header_value = request.headers.get(
             self.header_names.backend.attempt_id, ""
--- a/mangobay/leanclient.py
+++ b/mangobay/leanclient.py
@@ -538,8 +538,7 @@
             connection = await self.acquire_connection(
                 address, request, attempt_id
             )
-            if attempt.before_send is not None:
-                await attempt.before_send()
+            await attempt.prepare()
             if connection.transport is None:
                 raise errors.BackendUnreachableError(
                     "connection closed before the request was sent"
--- a/mangobay/peers.py
+++ b/mangobay/peers.py
@@ -4,6 +4,7 @@
 import dataclasses
 import functools
 import itertools
+import math
 import random
 import typing
 
@@ -46,9 +47,16 @@
         address: options.Address,
         body: messages.EnvelopeBody,
         timeout: float,
+        send_by: float = math.inf,
     ) -> messages.EnvelopeBody:
         """Returns the reply to one request within timeout seconds.
 
+        Args:
+          address: address of the process.
+          body: the request.
+          timeout: seconds to wait for the reply.
+          send_by: loop time after which the request is not sent.
+
         Raises:
           errors.PeerUnreachableError: no byte of the request was sent, or the
             peer has refused it for good in reply to a query.
@@ -132,11 +140,18 @@
         address: options.Address,
         body: messages.EnvelopeBody,
         timeout: float,
+        send_by: float = math.inf,
     ) -> messages.EnvelopeBody:
         """Returns the reply to one request within timeout seconds.
 
         Sends Cancel when the calling task is cancelled or the timeout passes.
 
+        Args:
+          address: address of the process.
+          body: the request.
+          timeout: seconds to wait for the reply.
+          send_by: loop time after which the request is not sent.
+
         Raises:
           errors.PeerUnreachableError: no byte of the request was sent, or the
             peer has refused it for good in reply to a query.
@@ -151,7 +166,12 @@
             loop = asyncio.get_running_loop()
             deadline = loop.time() + timeout
             connection = await self.acquire_connection(address, peer, timeout)
-            timeout = max(deadline - loop.time(), 0.0)
+            now = loop.time()
+            if now > send_by:
+                raise errors.PeerUnreachableError(
+                    f"{address}: connected too late for the request"
+                )
+            timeout = max(deadline - now, 0.0)
         return await connection.send_request(body, timeout)
 
     def incarnation_of(
--- a/mangobay/requestbody.py
+++ b/mangobay/requestbody.py
@@ -77,6 +77,11 @@
         self.replay: list[bytes] | None = None if budget is None else []
         self.replay_bytes = 0
 
+    @property
+    def is_cut_off(self) -> bool:
+        """Whether it has ended before its end."""
+        return self.state is responsestream.State.CUT_OFF
+
     @property
     def is_replayable(self) -> bool:
         """Whether another attempt can read it from its start."""
@@ -127,9 +132,11 @@
 
     Attributes:
       length: its size in bytes, None if it is not known.
+      is_cut_off: whether it has ended before its end.
     """
 
     length: int | None
+    is_cut_off: bool
 
     async def read(self, max_bytes: int) -> bytes:
         """Returns the next bytes; none at the end of a complete body.
@@ -158,6 +165,11 @@
         self.body = body
         self.length = body.length
 
+    @property
+    def is_cut_off(self) -> bool:
+        """Whether the body has ended before its end."""
+        return self.body.is_cut_off
+
     async def read(self, max_bytes: int) -> bytes:
         """Returns the next bytes; none at the end of a complete body."""
         return await self.body.read(max_bytes)
--- a/mangobay/shutdown.py
+++ b/mangobay/shutdown.py
@@ -31,11 +31,14 @@
 
     Attributes:
       accept_until: New work is refused from then on.
+      send_until: Accepted work that has not been sent to a backend server is
+        refused from then on.
       abort_at: Work still in flight is aborted.
       kill_at: The process is killed if it has not exited.
     """
 
     accept_until: float = math.inf
+    send_until: float = math.inf
     abort_at: float = math.inf
     kill_at: float = math.inf
 
@@ -47,16 +50,27 @@
           grace: Seconds after which the process is killed.
           linger: Seconds for which new work is still to be accepted.
         """
-        self.accept_until = now + min(linger, grace * MAX_LINGER_SHARE)
+        longest = grace * MAX_LINGER_SHARE
+        self.accept_until = now + min(linger, longest)
+        self.send_until = self.accept_until if linger else now + longest
         self.kill_at = now + grace
         self.abort_at = self.kill_at - min(
             MAX_CLOSE_SECONDS, grace * MAX_CLOSE_SHARE
         )
 
+    @property
+    def started(self) -> bool:
+        """Whether the process was told to stop."""
+        return self.kill_at < math.inf
+
     def accepts_work(self, now: float) -> bool:
         """Returns whether new work is accepted."""
         return now < self.accept_until
 
+    def allows_sending(self, now: float) -> bool:
+        """Returns whether accepted work may still be sent to a backend server."""
+        return now < self.send_until
+
     def allows_deadline(self, deadline: float) -> bool:
         """Returns whether work with the deadline ends before the abort."""
         return deadline <= self.abort_at
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -51,7 +51,7 @@
         self.asked_hosts: list[str] = []
         self.calls: list[messages.Call] = []
 
-    async def send_request(self, where, body, timeout):
+    async def send_request(self, where, body, timeout, send_by):
         host = HOSTS[where.port - 1000]
         self.asked_hosts.append(host)
         self.calls.append(body)
@@ -509,9 +509,9 @@
         outcomes = dict(zip((owner, OTHER_HOST[owner]), replies))
         request_made = transport.send_request
 
-        async def send_slowly(where, body, timeout):
+        async def send_slowly(where, body, timeout, send_by):
             await asyncio.sleep(1)
-            return await request_made(where, body, timeout)
+            return await request_made(where, body, timeout, send_by)
 
         transport.send_request = send_slowly
         transport.script = lambda host, call: messages.Reply(
@@ -555,6 +555,31 @@
         reply = await handling
         assert reply.outcome is messages.Outcome.NOT_RUN
 
+    async def test_late_retry_is_not_sent(self):
+        """Guards against a retry that starts too late and is aborted."""
+        dispatcher, transport = make_dispatcher(
+            refuse_all(Reason.OVERLOADED), hop_tries=9, backoff=4.0
+        )
+        loop = asyncio.get_running_loop()
+        request = make_request(idempotent=False, seconds=60)
+        handling = asyncio.create_task(dispatcher.handle(request))
+        await asyncio.sleep(0.001)
+        sent = len(transport.calls)
+        dispatcher.dependencies.schedule.start(
+            loop.time(), grace=0.001, linger=0.0005
+        )
+        assert (await handling).outcome is Outcome.NOT_RUN
+        assert len(transport.calls) == sent
+
+    async def test_call_waits_for_a_slot_no_longer_than_it_may_be_sent(self):
+        """Guards against a call that starts late after a wait elsewhere."""
+        dispatcher, transport = make_dispatcher(respond)
+        dispatcher.dependencies.schedule.start(
+            asyncio.get_running_loop().time(), grace=6, linger=0.05
+        )
+        await dispatcher.handle(make_request(seconds=60))
+        assert 0 < transport.calls[0].patience_ms <= 50
+
     @pytest.mark.parametrize("order", ["reply-first", "shutdown-first"])
     async def test_reply_that_arrives_during_shutdown_is_returned(self, order):
         """A complete reply must not be replaced by `unknown` at shutdown."""
@@ -562,8 +587,8 @@
         loop = asyncio.get_running_loop()
         response_ready = loop.create_future()
 
-        async def ask(where, body, timeout):
-            del where, timeout
+        async def ask(where, body, timeout, send_by):
+            del where, timeout, send_by
             await response_ready
             return respond("a", body)
 
--- a/tests/test_execution.py
+++ b/tests/test_execution.py
@@ -17,6 +17,7 @@
     knownstates,
     localservices,
     options,
+    requestbody,
     responsestream,
 )
 from mangobay.generated import messages
@@ -25,6 +26,7 @@
 Reason = messages.Reason
 PROCESS = calls.Process("me", "centre", "run-1")
 LONG_SECONDS = 60.0
+SLOT_WAIT_SECONDS = 2.0
 INCARNATION = ids.BackendIncarnation("i-1/5")
 
 
@@ -84,8 +86,7 @@
         self.cancelled = 0
 
     async def send(self, address, request, attempt):
-        if attempt.before_send is not None:
-            await attempt.before_send()
+        await attempt.prepare()
         try:
             return await self.respond(attempt)
         except asyncio.CancelledError:
@@ -247,6 +248,69 @@
         assert (reply.reason, reply.tries_left) == (Reason.LEAVING, 5)
 
 
+class SlowAdmission(FakeAdmission):
+    """An admission controller whose slots are free after a while."""
+
+    async def acquire(self, request):
+        await asyncio.sleep(SLOT_WAIT_SECONDS)
+        return await super().acquire(request)
+
+
+@pytest.mark.looptime
+class TestShutdown:
+    """Calls that have waited until the process stops."""
+
+    def make_executor(self):
+        async def respond(attempt):
+            attempt.sent = True
+            return backend.Response(
+                status=200, headers=[], body=b"", seconds=0.1, shed=False
+            )
+
+        executor = make_executor(respond)
+        found = executor.local_services.find("stock")
+        found.admission = SlowAdmission()
+        return executor
+
+    async def serve_while_stopping(self, deadline_ms):
+        """Returns the reply of a call that gets its slot late."""
+        executor = self.make_executor()
+        now = asyncio.get_running_loop().time()
+        request = call(deadline_ms=deadline_ms)
+        serving = asyncio.create_task(executor.serve(request))
+        await asyncio.sleep(0)
+        executor.shutdown.start(
+            now, grace=4 * SLOT_WAIT_SECONDS, linger=SLOT_WAIT_SECONDS / 2
+        )
+        return await serving
+
+    async def test_call_that_would_be_aborted_is_not_sent(self):
+        """Guards against sending a call after a wait, and cutting it."""
+        reply = await self.serve_while_stopping(int(LONG_SECONDS * 1000))
+        assert (reply.outcome, reply.reason) == (
+            Outcome.NOT_RUN,
+            Reason.LEAVING,
+        )
+
+    async def test_call_that_ends_before_the_abort_is_sent(self):
+        """Guards against refusing calls of other nodes that can be served."""
+        seconds = 2 * SLOT_WAIT_SECONDS
+        reply = await self.serve_while_stopping(int(seconds * 1000))
+        assert reply.outcome is Outcome.ANSWERED
+
+    async def test_call_whose_body_was_cut_off_is_not_run(self):
+        """Guards against an unknown outcome of a call that was not sent."""
+        executor = self.make_executor()
+        body = requestbody.RequestBody(None, unittest.mock.Mock())
+        request = requestbody.ContinuedCall.make(
+            call(), requestbody.AttemptSource(body)
+        )
+        serving = asyncio.create_task(executor.serve(request))
+        await asyncio.sleep(0)
+        body.cut_off("the process stops")
+        assert (await serving).outcome is Outcome.NOT_RUN
+
+
 @pytest.mark.looptime
 class TestNonIdempotent:
     """Started non-idempotent calls complete."""
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -252,6 +252,33 @@
         assert await harness.call("late") == 503
         assert len(harness.dispatcher.requests) == 1
 
+    async def test_request_that_waits_for_a_token_is_refused_after_linger(
+        self,
+    ):
+        """Guards against sending a request late after a wait for its token."""
+        harness = GatewayHarness()
+        given_back = []
+
+        class SlowAccess:
+            document_lease = lease.DocumentLease(0.0)
+
+            def authenticate(self, *arguments):
+                return types.SimpleNamespace(name="w", priority=None)
+
+            async def acquire_token(self, *arguments):
+                await asyncio.sleep(3)
+                return "token"
+
+            def give_back(self, workspace, token):
+                given_back.append(token)
+
+        harness.gateway.access = SlowAccess()
+        now = asyncio.get_running_loop().time()
+        harness.schedule.start(now, grace=6, linger=2)
+        assert await harness.call("a1") == 503
+        assert harness.dispatcher.requests == []
+        assert given_back == ["token"]
+
     async def test_child_calls_are_accepted_after_linger(self):
         """A request accepted in time fails because its calls are refused."""
         harness = GatewayHarness()
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -28,6 +28,19 @@
         assert schedule.allows_deadline(105)
         assert not schedule.allows_deadline(105.1)
 
+    def test_accepted_work_is_sent_as_long_as_new_work_is_accepted(self):
+        """Guards against sending work that the abort cuts."""
+        schedule = shutdown_after(grace=6, linger=2)
+        assert schedule.allows_sending(101.9)
+        assert not schedule.allows_sending(102)
+
+    def test_accepted_work_is_sent_where_no_new_work_is_accepted(self):
+        """Guards against refusing what was accepted before the stop."""
+        schedule = shutdown_after(grace=6, linger=0)
+        assert not schedule.accepts_work(100)
+        assert schedule.allows_sending(102.9)
+        assert not schedule.allows_sending(103)
+
     @pytest.mark.parametrize("grace", [1.5, 3, 6, 30])
     def test_half_of_the_grace_is_left_for_work_accepted_last(self, grace):
         """Guards against accepting work that a short grace cannot finish."""
