Peers: connections of a stopping node end before the kill

Cause: after its listeners have closed, a stopping node waits up to a second for the connections that it accepted to end, and up to another one for those that it made. One whose peer does not read stays open for all of it, beyond the kill at the end of the grace.

Change: both waits last until EXIT_MARGIN_SECONDS before the kill at most, and what has not ended then is aborted.

test_close_ends_in_time_with_a_peer_that_does_not_read failed before: the close took 1.0 s, and the connection stayed open.

--- a/mangobay/basenode.py
+++ b/mangobay/basenode.py
@@ -399,6 +399,11 @@
         now = asyncio.get_running_loop().time()
         return self.executor.shutdown.write_timeout(now)
 
+    def close_timeout(self) -> float:
+        """Returns the seconds left for connections to other nodes to end."""
+        now = asyncio.get_running_loop().time()
+        return self.executor.shutdown.close_timeout(now)
+
     async def close_listeners(self) -> None:
         """Closes the HTTP listeners; counts aborted responses."""
         timeout = self.write_timeout()
@@ -430,7 +435,7 @@
             await self.executor.guard.close()
             await self.dispatcher.host_watch.close()
         await self.quarantine_exchange.close()
-        await self.peer_client.close()
+        await self.peer_client.close(self.close_timeout())
         await self.backend.close()
 
 
--- a/mangobay/node.py
+++ b/mangobay/node.py
@@ -171,7 +171,9 @@
         """Closes listeners, tasks and connections."""
         await self.abort_in_flight()
         await self.close_listeners()
-        await self.peer_listener.close(self.write_timeout())
+        await self.peer_listener.close(
+            self.write_timeout(), self.close_timeout()
+        )
         await self.cancel_tasks()
         self.outcome_log.log_interval(is_final=True)
         await self.close_connections()
--- a/mangobay/peers.py
+++ b/mangobay/peers.py
@@ -324,25 +324,52 @@
             self.limits.idle_timeout / 2, self.close_idle_connections
         )
 
-    async def close(self) -> None:
-        """Closes all connections; later requests fail."""
+    async def close(self, timeout: float = CLOSE_TIMEOUT_SECONDS) -> None:
+        """Closes all connections; later requests fail.
+
+        Args:
+          timeout: maximum wait in seconds for the connections to end.
+        """
         self.is_closed = True
         if self.sweep_timer is not None:
             self.sweep_timer.cancel()
         await self.resolver.close()
-        pending: list[asyncio.Future] = []
-        for peer in self.peers.values():
-            if peer.connect_task is not None:
-                peer.connect_task.cancel()
-                pending.append(peer.connect_task)
-            if peer.connection is not None:
-                peer.connection.close()
-                pending.append(peer.connection.disconnected)
-        if pending:
-            await asyncio.wait(pending, timeout=CLOSE_TIMEOUT_SECONDS)
+        connect_tasks = [
+            peer.connect_task
+            for peer in self.peers.values()
+            if peer.connect_task is not None
+        ]
+        for task in connect_tasks:
+            task.cancel()
+        await asyncio.gather(*connect_tasks, return_exceptions=True)
+        await close_connections(
+            [
+                peer.connection
+                for peer in self.peers.values()
+                if peer.connection is not None
+            ],
+            timeout,
+        )
         self.peers.clear()
 
 
+async def close_connections(
+    closing: list[connections.Connection], timeout: float
+) -> None:
+    """Closes connections; aborts those that have not ended after a timeout.
+
+    A connection whose peer does not read stays open until it does.
+    """
+    for connection in closing:
+        connection.close("shutting down")
+    pending = [connection.disconnected for connection in closing]
+    if pending:
+        await asyncio.wait(pending, timeout=timeout)
+    for connection in closing:
+        if not connection.disconnected.done():
+            connection.transport.abort()
+
+
 class InboundConnection(connections.Connection):
     """A connection that another process made.
 
@@ -531,11 +558,14 @@
             for connection in self.connections
         )
 
-    async def close(self, grace: float = 0) -> None:
+    async def close(
+        self, grace: float = 0, timeout: float = CLOSE_TIMEOUT_SECONDS
+    ) -> None:
         """Stops accepting, lets requests finish, and closes all connections.
 
         Args:
           grace: maximum wait in seconds for requests being handled.
+          timeout: maximum wait in seconds for the connections to end.
         """
         if self.sweep_timer is None:
             return
@@ -548,8 +578,4 @@
         ]
         if tasks and grace:
             await asyncio.wait(tasks, timeout=grace)
-        pending = [connection.disconnected for connection in self.accepted]
-        for connection in list(self.accepted):
-            connection.close("shutting down")
-        if pending:
-            await asyncio.wait(pending, timeout=CLOSE_TIMEOUT_SECONDS)
+        await close_connections(list(self.accepted), timeout)
--- a/mangobay/shutdown.py
+++ b/mangobay/shutdown.py
@@ -79,6 +79,11 @@
         """Returns the loop time by which late work must have its reply."""
         return self.abort_at - REPLY_MARGIN_SECONDS
 
+    def close_timeout(self, now: float) -> float:
+        """Returns the seconds left for connections to other nodes to end."""
+        remaining = self.kill_at - EXIT_MARGIN_SECONDS - now
+        return max(min(remaining, MAX_CLOSE_SECONDS), 0.0)
+
     def write_timeout(self, now: float) -> float:
         """Returns the seconds left for callers to receive responses."""
         remaining = self.kill_at - EXIT_MARGIN_SECONDS - now
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -622,6 +622,23 @@
         assert (await request_task).body == b"held"
         await close_task
 
+    async def test_close_ends_in_time_with_a_peer_that_does_not_read(
+        self, listener
+    ):
+        """Guards against a stop that lasts until the process is killed."""
+        _, writer = await asyncio.open_connection(*listener.address)
+        writer.transport.pause_reading()
+        await wait_until(lambda: listener.accepted)
+        (connection,) = listener.accepted
+        while not connection.has_unsent_bytes:
+            connection.transport.write(bytes(1024 * 1024))
+        loop = asyncio.get_running_loop()
+        started_at = loop.time()
+        await listener.close(timeout=0.1)
+        assert loop.time() - started_at < peers.CLOSE_TIMEOUT_SECONDS / 2
+        await wait_until(lambda: not listener.accepted)
+        writer.close()
+
     async def test_port_in_use_is_a_start_error(self, listener, handler):
         second = peers.Listener(listener.address, HELLO, handler)
         with pytest.raises(errors.StartError, match="cannot listen on"):
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -54,6 +54,16 @@
         assert schedule.abort_at >= 100 + grace * 5 / 6
         assert schedule.abort_at < 100 + grace
 
+    @pytest.mark.parametrize(
+        ("now", "seconds"), [(102, 1.0), (105, 0.6), (105.6, 0.0), (106, 0.0)]
+    )
+    def test_connections_to_nodes_end_shortly_before_the_kill(
+        self, now, seconds
+    ):
+        """Guards against a stop that lasts until the process is killed."""
+        schedule = shutdown_after(grace=6, linger=2)
+        assert schedule.close_timeout(now) == pytest.approx(seconds)
+
     @pytest.mark.parametrize(
         ("now", "seconds"), [(102, 1.0), (105, 0.6), (105.6, 0.1), (106, 0.1)]
     )
