HTTP server: callers that only send no more get their responses

What callers saw: one that closes its sending side behind a whole request, as simple clients do, got nothing; the call was dropped, also once it had been passed on.

Cause: the end of the input counted as the end of the connection. A caller that has closed both sides looks the same at first, and its work must stop.

Change: while responses are due, the connection stays open, and the caller is sent 100 Continue every 0.24 s. The host of one that has gone resets the connection, which the node sees in its state within 20 ms, and the requests are cancelled as before.

test_half_closed_caller_gets_its_responses failed before (the connection ended without a response).

--- a/mangobay/leanserver.py
+++ b/mangobay/leanserver.py
@@ -8,6 +8,7 @@
 
 from mangobay import (
     eager,
+    halfclose,
     httpparse,
     leanhttp,
     listening,
@@ -120,6 +121,8 @@
       body_received_at: loop time at which a part of a body was last received,
         or could be received again.
       closing: no further requests are accepted.
+      half_close_probe: set once the caller has closed its sending side while
+        it awaits responses.
       half_close_timer: set once the connection is half-closed; closes it.
       delivering: responses were written that may not be acknowledged yet.
       unacknowledged_bytes: written bytes that were not acknowledged at the last
@@ -138,6 +141,7 @@
         "body_received_at",
         "last_activity",
         "request_started_at",
+        "half_close_probe",
         "half_close_timer",
         "closing",
         "delivering",
@@ -163,6 +167,7 @@
         self.request_started_at = 0.0
         self.body_received_at = 0.0
         self.closing = False
+        self.half_close_probe: halfclose.HalfCloseProbe | None = None
         self.half_close_timer: asyncio.TimerHandle | None = None
         self.delivering = False
         self.unacknowledged_bytes = 0
@@ -188,6 +193,8 @@
         """Cancels the requests whose responses the caller no longer awaits."""
         super().connection_lost(exc)
         self.parser.close()
+        if self.half_close_probe is not None:
+            self.half_close_probe.cancel()
         if self.half_close_timer is not None:
             self.half_close_timer.cancel()
         self.listener.connection_check.discard(self)
@@ -685,8 +692,34 @@
         self.delivering = count > 0
 
     def eof_received(self) -> bool:
-        """Closes the connection: a caller that sends no more counts as gone."""
-        return False
+        """Returns whether the connection stays open for due responses."""
+        if not self.may_await_responses():
+            return False
+        self.closing = True
+        self.exchanges[-1].should_close = True
+        if self.half_close_probe is None:
+            self.half_close_probe = halfclose.HalfCloseProbe(
+                self.transport, lambda: not self.is_streaming()
+            )
+            self.half_close_probe.check()
+        return True
+
+    def may_await_responses(self) -> bool:
+        """Returns whether a caller that sends no more may await responses.
+
+        It cannot be told from one that has gone within a response, or if it
+        speaks HTTP/1.0, which knows no interim responses.
+        """
+        return (
+            bool(self.exchanges)
+            and not self.is_receiving_body()
+            and not self.is_streaming()
+            and self.half_close_timer is None
+            and not any(
+                exchange.message is None or exchange.message.is_http10
+                for exchange in self.exchanges
+            )
+        )
 
     def has_due_responses(self) -> bool:
         """Returns whether a response is due or still in the write buffer."""
--- a/mangobay/sockets.py
+++ b/mangobay/sockets.py
@@ -16,6 +16,8 @@
 KEEPALIVE_PROBES = 3
 """Unanswered keepalive probes after which the kernel ends the connection."""
 QUEUE_SIZE = struct.Struct("i")
+CLOSE_WAIT_STATE = 8
+"""State in TCP_INFO of a connection on which only the peer has closed."""
 
 
 def set_options(transport: asyncio.Transport) -> None:
@@ -40,6 +42,21 @@
             sock.setsockopt(socket.IPPROTO_TCP, getattr(socket, name), value)
 
 
+def is_half_closed(transport: asyncio.Transport) -> bool:
+    """Returns whether the peer has closed its side and the connection is open.
+
+    Only Linux tells; elsewhere a connection counts as closed.
+    """
+    if transport.is_closing() or not hasattr(socket, "TCP_INFO"):
+        return False
+    sock = transport.get_extra_info("socket")
+    try:
+        info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
+    except OSError:
+        return False
+    return info[0] == CLOSE_WAIT_STATE
+
+
 def count_unacknowledged_bytes(transport: asyncio.Transport) -> int:
     """Returns how many written bytes the peer has not acknowledged.
 
--- a/tests/test_leanserver.py
+++ b/tests/test_leanserver.py
@@ -12,6 +12,7 @@
 
 from mangobay import (
     errors,
+    halfclose,
     httpparse,
     leanhttp,
     leanserver,
@@ -494,6 +495,51 @@
         await asyncio.sleep(0.05)
         assert recorder.cancelled_paths == ["/1"]
 
+    async def test_half_closed_caller_gets_its_responses(
+        self, listener, recorder
+    ):
+        """Guards against dropping requests whose caller still reads."""
+        recorder.release_events["/1"] = asyncio.Event()
+        reader, writer = await connect(listener)
+        writer.write(get("/1") + get("/2"))
+        writer.write_eof()
+        assert await reader.readuntil(b"\r\n\r\n") == (
+            leanhttp.CONTINUE_RESPONSE
+        )
+        recorder.release_events["/1"].set()
+        data = await asyncio.wait_for(reader.read(), 5)
+        assert data.count(b"HTTP/1.1 200") == 2
+        assert data.endswith(b"/2")
+        assert recorder.cancelled_paths == []
+        writer.close()
+
+    async def test_caller_that_leaves_later_cancels_the_handler(
+        self, listener, recorder
+    ):
+        """Guards against work that goes on for a caller that has left."""
+        recorder.release_events["/1"] = asyncio.Event()
+        _, writer = await connect(listener)
+        writer.write(get("/1"))
+        writer.write_eof()
+        await asyncio.sleep(3 * halfclose.CHECK_SECONDS)
+        assert recorder.cancelled_paths == []
+        writer.close()
+        async with asyncio.timeout(5):
+            while not recorder.cancelled_paths:
+                await asyncio.sleep(0.01)
+
+    async def test_half_closed_http_10_caller_counts_as_gone(
+        self, listener, recorder
+    ):
+        """Guards against interim responses that HTTP/1.0 does not know."""
+        recorder.release_events["/1"] = asyncio.Event()
+        reader, writer = await connect(listener)
+        writer.write(b"GET /1 HTTP/1.0\r\nHost: h\r\n\r\n")
+        writer.write_eof()
+        assert await asyncio.wait_for(reader.read(), 5) == b""
+        assert recorder.cancelled_paths == ["/1"]
+        writer.close()
+
     async def test_idle_connection_is_closed(self, listener):
         listener.limits.idle_timeout = 0.01
         reader, _ = await connect(listener)
