HTTP client: a failed write discards no response that has arrived

What callers saw: 502 though the server had answered 200, where the answer came before the body was whole and the server closed at once.

Cause: such a close resets the connection. If the next part of the body is written before the response is read, the write fails, and a transport that has failed reads nothing more, though the kernel still holds the response.

Change: what has arrived is read before the request fails.

test_response_of_a_server_that_closes_at_once failed before with BackendBrokenError.

--- a/mangobay/leanclient.py
+++ b/mangobay/leanclient.py
@@ -26,6 +26,7 @@
     options,
     requestbody,
     responsestream,
+    sockets,
 )
 from mangobay.generated import messages
 
@@ -404,8 +405,13 @@
 
     def connection_lost(self, exc) -> None:
         """Completes or fails the pending request."""
+        transport = self.transport
         super().connection_lost(exc)
         self.write_gate.open()
+        if exc is not None and self.pending is not None:
+            # A server that closes before it has read the whole request makes
+            # the write of the rest fail before its response is read.
+            self.data_received(sockets.read_received(transport))
         self.parser.close()
         if self.on_lost is not None:
             self.on_lost(self.reusable and self.pending is None)
--- a/mangobay/sockets.py
+++ b/mangobay/sockets.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import fcntl
+import os
 import socket
 import struct
 import sys
@@ -15,6 +16,8 @@
 """Idle time before the first keepalive probe, and time between probes."""
 KEEPALIVE_PROBES = 3
 """Unanswered keepalive probes after which the kernel ends the connection."""
+READ_BYTES = 256 * 1024
+"""Most bytes of one read."""
 QUEUE_SIZE = struct.Struct("i")
 CLOSE_WAIT_STATE = 8
 """State in TCP_INFO of a connection on which only the peer has closed."""
@@ -57,6 +60,23 @@
     return info[0] == CLOSE_WAIT_STATE
 
 
+def read_received(transport: asyncio.Transport) -> bytes:
+    """Returns what has arrived on a connection that has failed.
+
+    After a failed write a transport reads nothing more, though the kernel may
+    still hold what the peer sent before it closed.
+    """
+    received = []
+    sock = transport.get_extra_info("socket")
+    with (
+        contextlib.suppress(OSError, ValueError),
+        socket.socket(fileno=os.dup(sock.fileno())) as duplicate,
+    ):
+        while data := duplicate.recv(READ_BYTES, socket.MSG_DONTWAIT):
+            received.append(data)
+    return b"".join(received)
+
+
 def count_unacknowledged_bytes(transport: asyncio.Transport) -> int:
     """Returns how many written bytes the peer has not acknowledged.
 
--- a/tests/test_leanclient.py
+++ b/tests/test_leanclient.py
@@ -3,6 +3,7 @@
 import asyncio
 import socket
 import struct
+import time
 
 import pytest
 
@@ -27,6 +28,11 @@
     private=frozenset({"load"}),
 )
 
+EARLY_RESPONSE = (
+    b"HTTP/1.1 200 OK\r\nAttempt: a1\r\nSignature: s\r\n"
+    b"Content-Length: 5\r\n\r\nearly"
+)
+PART_BYTES = 32 * 1024
 ZERO_LINGER = struct.pack("ii", 1, 0)
 
 
@@ -512,6 +518,67 @@
             assert (response.status, response.stream) == (204, None)
 
 
+class StallingSource:
+    """The rest of a request; blocks the event loop before its second part.
+
+    Meanwhile the response and the reset of the connection arrive.
+    """
+
+    length = 2 * PART_BYTES
+    is_cut_off = False
+
+    def __init__(self):
+        self.parts = [bytes(PART_BYTES), bytes(PART_BYTES)]
+
+    async def read(self, max_bytes):
+        del max_bytes
+        if len(self.parts) == 1:
+            time.sleep(0.2)
+        return self.parts.pop(0) if self.parts else b""
+
+    def abandon(self):
+        pass
+
+
+class TestEarlyResponses:
+    """Responses that come before the request has been sent whole."""
+
+    async def send(self, address, rest):
+        """Returns the response to a request with such a rest."""
+        client = leanclient.Backend(HEADER_NAMES, 10, 8.0, 1_000_000)
+        now = asyncio.get_running_loop().time()
+        request = backend.Request(
+            method="POST",
+            target="/x",
+            headers=[messages.Header(name="Attempt", value="a1")],
+            body=b"",
+            idempotent=False,
+            deadline=now + 5,
+            abort_at=now + 5,
+            rest=rest,
+        )
+        try:
+            return await client.send(address, request, backend.Attempt())
+        finally:
+            await client.close()
+
+    async def test_response_of_a_server_that_closes_at_once(self):
+        """Guards against a failed write that discards a whole response."""
+
+        def serve():
+            connection, _ = sock.accept()
+            with connection:
+                connection.recv(1000)
+                connection.sendall(EARLY_RESPONSE)
+
+        with socket.create_server(("127.0.0.1", 0)) as sock:
+            serving = asyncio.create_task(asyncio.to_thread(serve))
+            address = options.Address(*sock.getsockname())
+            response = await self.send(address, StallingSource())
+            await serving
+        assert (response.status, response.body) == (200, b"early")
+
+
 class TestClosing:
     """Requests that are sent while the client closes."""
 
