HTTP client: the end of a request discards no response that has begun

What callers saw: 502 in place of a response that was being received, when the rest of the request's body was cut off meanwhile.

Cause: a body that is cut off failed the request, whatever had come of its response.

Change: it fails only a request without the head of a response.

test_response_that_began_before_the_request_was_cut_off failed before with BackendBrokenError.

--- a/mangobay/leanclient.py
+++ b/mangobay/leanclient.py
@@ -209,7 +209,8 @@
             if is_chunked:
                 self.write_part(leanhttp.encode_chunk(b""))
         except errors.ResponseCutOffError:
-            self.fail(errors.BackendBrokenError("the request was cut off"))
+            if self.message is None:
+                self.fail(errors.BackendBrokenError("the request was cut off"))
         finally:
             attempt.upload_seconds = self.loop.time() - started_at
             self.upload = None
--- a/tests/test_leanclient.py
+++ b/tests/test_leanclient.py
@@ -540,6 +540,18 @@
         pass
 
 
+class CutOffSource(StallingSource):
+    """The rest of a request that ends before its end."""
+
+    def __init__(self, cut_off):
+        super().__init__()
+        self.cut_off = cut_off
+
+    async def read(self, max_bytes):
+        await self.cut_off.wait()
+        raise errors.ResponseCutOffError("the caller has left")
+
+
 class TestEarlyResponses:
     """Responses that come before the request has been sent whole."""
 
@@ -578,6 +590,26 @@
             await serving
         assert (response.status, response.body) == (200, b"early")
 
+    async def test_response_that_began_before_the_request_was_cut_off(self):
+        """Guards against the end of a request that discards its response."""
+        cut_off = asyncio.Event()
+
+        async def serve(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(EARLY_RESPONSE[:-2])
+            await writer.drain()
+            await asyncio.sleep(0.05)
+            cut_off.set()
+            await asyncio.sleep(0.05)
+            writer.write(EARLY_RESPONSE[-2:])
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        address = options.Address(*server.sockets[0].getsockname())
+        response = await self.send(address, CutOffSource(cut_off))
+        server.close()
+        assert (response.status, response.body) == (200, b"early")
+
 
 class TestClosing:
     """Requests that are sent while the client closes."""
