HTTP server: half-closed callers that read slowly get whole responses

Cause: the probe of a half-closed caller went on once its last response was written. It interfered with the close, so that the rest of a response in the write buffer was discarded.

Change: the close ends the probe, and the connection ends with the last byte: its caller has closed its side, so that no input can reset it.

test_half_closed_caller_that_reads_slowly_gets_all failed before: 3.6 of 8.4 MB arrived.

--- a/mangobay/leanserver.py
+++ b/mangobay/leanserver.py
@@ -656,6 +656,11 @@
             # An orderly end would complete the response.
             transport.abort()
             return
+        if self.half_close_probe is not None:
+            # The caller has closed its side: no input can reset the connection.
+            self.half_close_probe.cancel()
+            transport.close()
+            return
         transport.write_eof()
         transport.resume_reading()
         self.start_delivery()
--- a/tests/test_leanserver.py
+++ b/tests/test_leanserver.py
@@ -513,6 +513,26 @@
         assert recorder.cancelled_paths == []
         writer.close()
 
+    async def test_half_closed_caller_that_reads_slowly_gets_all(self):
+        """Guards against a close that discards the rest of a response."""
+        body = bytes(8 * 1024 * 1024)
+
+        async def handle(request, connection):
+            while connection.half_close_probe is None:
+                await asyncio.sleep(0.01)
+            return leanhttp.Response(status=200, body=body)
+
+        listener = leanserver.Listener(LOOPBACK, handle, leanserver.Limits())
+        await listener.start()
+        reader, writer = await small_buffer_connection(*listener.address)
+        writer.write(get("/1"))
+        writer.write_eof()
+        await asyncio.sleep(5 * halfclose.CHECK_SECONDS)
+        data = await asyncio.wait_for(reader.read(), 10)
+        assert len(data) > len(body)
+        await listener.close()
+        writer.close()
+
     async def test_caller_that_leaves_later_cancels_the_handler(
         self, listener, recorder
     ):
