HTTP client: the connection of an incomplete request is not used again

What callers could see: a request is written within the body of the one before it, so that its server runs a request with other bytes, and the caller gets no response.

Cause: a body that is cut off after the head of the response ends the upload, and a connection without an upload counts as one whose request was sent whole.

Change: the end of the upload before its end excludes the connection from reuse.

test_connection_of_an_incomplete_request_is_not_reused failed before: the second request got no response (BackendTimeoutError).

--- a/mangobay/leanclient.py
+++ b/mangobay/leanclient.py
@@ -209,6 +209,7 @@
             if is_chunked:
                 self.write_part(leanhttp.encode_chunk(b""))
         except errors.ResponseCutOffError:
+            self.reusable = False
             if self.message is None:
                 self.fail(errors.BackendBrokenError("the request was cut off"))
         finally:
--- a/tests/test_leanclient.py
+++ b/tests/test_leanclient.py
@@ -552,23 +552,28 @@
         raise errors.ResponseCutOffError("the caller has left")
 
 
+def make_request(rest):
+    """Returns a request whose body continues with such a rest."""
+    now = asyncio.get_running_loop().time()
+    return backend.Request(
+        method="POST",
+        target="/x",
+        headers=[messages.Header(name="Attempt", value="a1")],
+        body=b"",
+        idempotent=False,
+        deadline=now + 5,
+        abort_at=now + 5,
+        rest=rest,
+    )
+
+
 class TestEarlyResponses:
     """Responses that come before the request has been sent whole."""
 
     async def send(self, address, rest):
         """Returns the response to a request with such a rest."""
         client = leanclient.Backend(HEADER_NAMES, 10, 8.0, 1_000_000)
-        now = asyncio.get_running_loop().time()
-        request = backend.Request(
-            method="POST",
-            target="/x",
-            headers=[messages.Header(name="Attempt", value="a1")],
-            body=b"",
-            idempotent=False,
-            deadline=now + 5,
-            abort_at=now + 5,
-            rest=rest,
-        )
+        request = make_request(rest)
         try:
             return await client.send(address, request, backend.Attempt())
         finally:
@@ -590,6 +595,38 @@
             await serving
         assert (response.status, response.body) == (200, b"early")
 
+    async def test_connection_of_an_incomplete_request_is_not_reused(self):
+        """Guards against a request that is sent within the body before it."""
+        cut_off = asyncio.Event()
+        connections = []
+
+        async def serve(reader, writer):
+            connections.append(writer)
+            try:
+                await reader.readuntil(b"\r\n\r\n")
+                writer.write(EARLY_RESPONSE[:-2])
+                await writer.drain()
+                await asyncio.sleep(0.05)
+                cut_off.set()
+                await asyncio.sleep(0.05)
+                writer.write(EARLY_RESPONSE[-2:])
+                await reader.read()
+            except (asyncio.IncompleteReadError, ConnectionError):
+                pass
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        address = options.Address(*server.sockets[0].getsockname())
+        client = leanclient.Backend(HEADER_NAMES, 10, 8.0, 1_000_000)
+        for _ in range(2):
+            request = make_request(CutOffSource(cut_off))
+            response = await client.send(address, request, backend.Attempt())
+            assert (response.status, response.body) == (200, b"early")
+            cut_off.clear()
+        await client.close()
+        server.close()
+        assert len(connections) == 2
+
     async def test_response_that_began_before_the_request_was_cut_off(self):
         """Guards against the end of a request that discards its response."""
         cut_off = asyncio.Event()
