HTTP server: half-closed callers get large responses whole

What callers saw: one that closes its sending side behind its request got a large response up to its first pause; then the connection ended.

Cause: a full write buffer pauses reading, and reading resumes once there is room. The end of the input, which was known before the response began, was then read once more, within the response, and counted as the end of the connection.

Change: reading does not resume after the end of the input. The probe goes on to look for a reset meanwhile.

test_half_closed_caller_gets_all failed before: the connection ended before the last bytes of a body, after the first 4 MB.

--- a/mangobay/leanserver.py
+++ b/mangobay/leanserver.py
@@ -242,6 +242,9 @@
         """Resumes reading unless requests or responses use too much memory."""
         if not self.reading_paused or self.transport is None:
             return
+        if self.half_close_probe is not None:
+            # Nothing follows, and the probe notices when the caller has gone.
+            return
         if self.writing_paused or self.is_holding_much():
             return
         self.reading_paused = False
--- a/tests/test_leanserver.py
+++ b/tests/test_leanserver.py
@@ -18,6 +18,7 @@
     leanserver,
     options,
     responsestream,
+    responsewriter,
 )
 
 LOOPBACK = options.Address("127.0.0.1", 0)
@@ -724,6 +725,34 @@
             while not large.was_abandoned:
                 await asyncio.sleep(0.01)
 
+    async def test_half_closed_caller_gets_all(self, large):
+        """Guards against taking a caller that only sends no more for gone."""
+
+        async def handle(request, connection):
+            while connection.half_close_probe is None:
+                await asyncio.sleep(0.01)
+            return await large.handle(request, connection)
+
+        listener = leanserver.Listener(LOOPBACK, handle, leanserver.Limits())
+        await listener.start()
+        reader, writer = await small_buffer_connection(*listener.address)
+        writer.write(get("/large"))
+        writer.write_eof()
+        sent_bytes = 4 * 1024 * 1024
+        large.body.feed(bytes(sent_bytes))
+        async with asyncio.timeout(10):
+            received_bytes = 0
+            while received_bytes < sent_bytes:
+                received_bytes += len(await reader.read(64 * 1024))
+            # The write buffer was full before; it is empty for a while.
+            await asyncio.sleep(5 * halfclose.CHECK_SECONDS)
+            large.body.feed(b"end")
+            large.body.finish()
+            data = await reader.read()
+        assert data.endswith(b"end\r\n" + responsewriter.LAST_CHUNK)
+        await listener.close()
+        writer.close()
+
     async def test_requests_behind_it_are_not_dispatched(self, listener, large):
         """Large responses that wait for their turn keep slots and time out."""
         reader, writer = await connect(listener)
