Executor: the server's own response at the deadline is passed on

Cause: the deadline of such a call is cut to the end of the grace, and its server works up to it. The node beside the server gave up at the same time, and whether its timer or the response came first was a matter of microseconds. All calls of one stop share this moment. The same race is there at every deadline.

Change: the server is told to stop 20 ms before the deadline, or a twentieth of the time left if that is less.

TestDeadline failed before (unknown in place of 504).

--- a/mangobay/execution.py
+++ b/mangobay/execution.py
@@ -36,6 +36,12 @@
 completes, its response is kept for a repeat with the same key.
 """
 
+MAX_SERVER_MARGIN_SECONDS = 0.02
+"""Longest time before the deadline of a call at which the backend server is told
+to stop, so that its own response to that comes in time."""
+SERVER_MARGIN_SHARE = 0.05
+"""Upper bound of that time, as a share of the time left."""
+
 Outcome = messages.Outcome
 Reason = messages.Reason
 BROKEN_REASONS = frozenset({Reason.CONNECTION_BROKEN, Reason.INCOMPLETE_ANSWER})
@@ -476,7 +482,7 @@
             headers=self.headers(call, local_service),
             body=call.body,
             idempotent=call.idempotent,
-            deadline=deadline,
+            deadline=server_deadline(deadline),
             abort_at=deadline + overrun,
             streamed=call.streamed and call.idempotent and self.large_responses,
             rest=requestbody.rest_of(call),
@@ -595,6 +601,13 @@
         )
 
 
+def server_deadline(deadline: float) -> float:
+    """Returns the loop time at which the backend server is to stop work."""
+    seconds_left = deadline - asyncio.get_running_loop().time()
+    margin = min(MAX_SERVER_MARGIN_SECONDS, SERVER_MARGIN_SHARE * seconds_left)
+    return deadline - max(margin, 0.0)
+
+
 def reply_for_error(
     error: errors.BackendError, attempt: backend.Attempt
 ) -> messages.Reply:
--- a/tests/test_execution.py
+++ b/tests/test_execution.py
@@ -28,6 +28,7 @@
 LONG_SECONDS = 60.0
 SLOT_WAIT_SECONDS = 2.0
 CONNECT_SECONDS = 3.0
+RESPONSE_SECONDS = 0.01
 INCARNATION = ids.BackendIncarnation("i-1/5")
 
 
@@ -312,6 +313,45 @@
         assert (await serving).outcome is Outcome.NOT_RUN
 
 
+class TimelyServer:
+    """A client of a backend server that stops work at its deadline."""
+
+    async def send(self, address, request, attempt):
+        await attempt.prepare()
+        attempt.sent = True
+        seconds = request.deadline - asyncio.get_running_loop().time()
+        try:
+            async with asyncio.timeout_at(request.abort_at):
+                await asyncio.sleep(seconds + RESPONSE_SECONDS)
+        except TimeoutError:
+            raise errors.BackendTimeoutError("no response in time") from None
+        return backend.Response(
+            status=504, headers=[], body=b"", seconds=0.1, shed=False
+        )
+
+
+@pytest.mark.looptime
+class TestDeadline:
+    """Calls whose backend server works until the deadline."""
+
+    @pytest.mark.parametrize("idempotent", [True, False])
+    async def test_response_of_the_server_is_passed_on(self, idempotent):
+        """Guards against an unknown outcome in place of a response."""
+        executor = make_executor(shed())
+        executor.backend_client = TimelyServer()
+        reply = await executor.serve(call(idempotent, deadline_ms=2000))
+        assert (reply.outcome, reply.status) == (Outcome.ANSWERED, 504)
+
+    async def test_short_deadline_stays_nearly_whole(self):
+        """Guards against a server that gets no time for a short call."""
+        executor = make_executor(shed())
+        executor.backend_client = TimelyServer()
+        loop = asyncio.get_running_loop()
+        started_at = loop.time()
+        await executor.serve(call(deadline_ms=10))
+        assert loop.time() - started_at > 0.0095
+
+
 @pytest.mark.looptime
 class TestNonIdempotent:
     """Started non-idempotent calls complete."""
