HTTP ports: each names the largest body that it can mean

What was seen: 30 connections that send bodies without end for 1.2 s bring a node to 405 MB by its ready port, and on to 572 MB by its metrics port; a control host reaches 438 MB by its metrics port. A process that exceeds its machine ends, with all that others have in flight there.

Cause: a listener took bodies up to 64 MiB from each connection unless told otherwise, and kept them until they were whole. Nobody had told the ports that expect no body, or a small one.

Change: a listener takes no body unless it names a limit.

--- a/mangobay/leanserver.py
+++ b/mangobay/leanserver.py
@@ -65,7 +65,7 @@
 
     Attributes:
       max_line_bytes: limit of the request line, and of each header.
-      max_body_bytes: limit of a request body.
+      max_body_bytes: limit of a request body; 0 if the port expects none.
       read_timeout: seconds from the first byte of a request to the end of its
         head.
       idle_timeout: seconds until a connection without requests is closed.
@@ -75,7 +75,7 @@
     """
 
     max_line_bytes: int = leanhttp.MAX_LINE_BYTES
-    max_body_bytes: int = 64 * 1024 * 1024
+    max_body_bytes: int = 0
     read_timeout: float = 10.0
     idle_timeout: float = 75.0
     max_connections: int = 2048
--- a/mangobay/metricspage.py
+++ b/mangobay/metricspage.py
@@ -5,6 +5,7 @@
 from mangobay import leanhttp, leanserver
 from mangobay.generated import messages
 
+MAX_BODY_BYTES = 0
 MEDIA_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 """Content type of the Prometheus text format."""
 
--- a/mangobay/quarantinepage.py
+++ b/mangobay/quarantinepage.py
@@ -6,6 +6,7 @@
 from mangobay import errors, ids, leanhttp, leanserver, quarantineadmin
 from mangobay.generated import messages
 
+MAX_BODY_BYTES = 0
 PATH = re.compile(
     r"/v1/services/(?P<service>[^/]+)/quarantine"
     r"(?:/(?P<digest>[^/]+)/release)?"
--- a/mangobay/routedcontrol.py
+++ b/mangobay/routedcontrol.py
@@ -159,7 +159,16 @@
             otherwise=metricspage.make_handler(self.render_metrics),
         )
         listeners += [
-            leanserver.Listener(address, internal_handler, leanserver.Limits())
+            leanserver.Listener(
+                address,
+                internal_handler,
+                leanserver.Limits(
+                    max_body_bytes=max(
+                        quarantinepage.MAX_BODY_BYTES,
+                        metricspage.MAX_BODY_BYTES,
+                    )
+                ),
+            )
             for address in config.listen.metrics
         ]
         return ListenerGroup(listeners, drain_manager)
--- a/mangobay/routednode.py
+++ b/mangobay/routednode.py
@@ -26,6 +26,7 @@
 )
 from mangobay.generated import messages, settings
 
+MAX_READY_BODY_BYTES = 0
 LEAVE_NOTICE_SECONDS = 0.7
 """Seconds between a leaving node's notice to the others and its first refusal.
 
@@ -42,6 +43,7 @@
       header_names: names of the headers in requests and responses.
       decode: parses a routes document.
       heartbeat_api: returns the handler of heartbeats.
+      max_heartbeat_bytes: limit of the body of a heartbeat.
       ready_api: returns the handler of readiness checks.
     """
 
@@ -50,6 +52,7 @@
     heartbeat_api: typing.Callable[
         [heartbeats.HeartbeatReceiver], leanserver.Handler
     ]
+    max_heartbeat_bytes: int
     ready_api: typing.Callable[[typing.Callable[[], bool]], leanserver.Handler]
 
 
@@ -165,18 +168,28 @@
             (
                 config.listen.heartbeats,
                 self.adapter.heartbeat_api(self.heartbeat_receiver),
+                self.adapter.max_heartbeat_bytes,
+            ),
+            (
+                config.listen.ready,
+                self.adapter.ready_api(self.is_ready),
+                MAX_READY_BODY_BYTES,
             ),
-            (config.listen.ready, self.adapter.ready_api(self.is_ready)),
             (
                 config.listen.metrics,
                 metricspage.make_handler(self.metrics.render),
+                metricspage.MAX_BODY_BYTES,
             ),
         )
         self.listeners = [
             self.outside_listener,
             *(
-                leanserver.Listener(address, handler, leanserver.Limits())
-                for addresses, handler in internal
+                leanserver.Listener(
+                    address,
+                    handler,
+                    leanserver.Limits(max_body_bytes=max_body_bytes),
+                )
+                for addresses, handler, max_body_bytes in internal
                 for address in addresses
             ),
         ]
