HTTP parser: bodies in small chunks take the memory of their bytes

Cause: a body is kept in the parts in which it came. A part of two bytes takes 43 bytes with its place in the list, so a body within its limit takes twenty times that.

Change: each 256 parts are joined into one.

test_memory_is_that_of_the_body failed before with 70,000 chunks of two bytes: 2,450,066 bytes, not counting the list, for a body of 140,000.

--- a/mangobay/httpparse.py
+++ b/mangobay/httpparse.py
@@ -21,6 +21,8 @@
 SINGLETON_HEADERS = ("Content-Length", "Host")
 """Headers that must not repeat: two servers could read different requests from
 the same bytes (request smuggling)."""
+JOINED_PARTS = 256
+"""Parts of a body that are joined; a part of one byte takes dozens of bytes."""
 PIECE_BYTES = 32 * 1024
 """Bytes that are parsed at a time.
 
@@ -58,7 +60,8 @@
       target: path and query, as received; empty in a response.
       headers: case-insensitive by name.
       raw_headers: all headers, as received.
-      body_parts: the body in the pieces in which it was received.
+      body_parts: the body in parts, the newest of them as they were received.
+      joined_count: number of the first parts that were joined from others.
       body_size: bytes of the body received so far.
       content_length: value of Content-Length, 0 without that header.
       is_http10: the request is HTTP/1.0; False in a response.
@@ -77,6 +80,7 @@
         default_factory=list
     )
     body_parts: list[bytes] = dataclasses.field(default_factory=list)
+    joined_count: int = 0
     body_size: int = 0
     content_length: int = 0
     is_http10: bool = False
@@ -93,13 +97,27 @@
             else b"".join(self.body_parts)
         )
 
+    def add_body(self, data: bytes) -> None:
+        """Adds a part of the body."""
+        parts = self.body_parts
+        parts.append(data)
+        self.body_size += len(data)
+        if len(parts) - self.joined_count >= JOINED_PARTS:
+            parts[self.joined_count :] = [b"".join(parts[self.joined_count :])]
+            self.joined_count += 1
+
+    def drop_body(self) -> None:
+        """Drops the body received so far; `body_size` still counts it."""
+        self.body_parts.clear()
+        self.joined_count = 0
+
     def take_body(self) -> bytes:
         """Returns the body received since the last call, and drops it.
 
         `body_size` still counts it.
         """
         taken = self.body
-        self.body_parts.clear()
+        self.drop_body()
         return taken
 
 
@@ -239,8 +257,7 @@
 
     def on_body(self, data: bytes) -> None:
         """Stores a piece of the body."""
-        self.message.body_parts.append(data)
-        self.message.body_size += len(data)
+        self.message.add_body(data)
         self.framing_bytes = 0
 
     def on_message_complete(self) -> None:
--- a/tests/test_httpparse.py
+++ b/tests/test_httpparse.py
@@ -1,5 +1,7 @@
 """The strict parser of HTTP/1.1 messages."""
 
+import sys
+
 import hypothesis
 import pytest
 from hypothesis import strategies
@@ -9,6 +11,8 @@
 LINE_BYTES = 1000
 UNCOUNTED_BYTES = 32 * 1024
 """Bytes behind a head that may go uncounted, an eighth of the limit."""
+JOINED_PARTS = 256
+"""Parts of a body that may be kept as they came."""
 HOST = b"Host: h\r\n"
 CHUNKED = HOST + b"Transfer-Encoding: chunked\r\n"
 
@@ -162,6 +166,26 @@
         assert total <= limit + len(head) + 1000
 
 
+class TestSmallChunks:
+    """Bodies in many small chunks."""
+
+    @pytest.mark.parametrize("part_count", [1, 255, 256, 257, 70_000])
+    def test_memory_is_that_of_the_body(self, part_count):
+        """Guards against dozens of bytes being kept for each byte received."""
+        chunks = b"".join(
+            b"2\r\n%02d\r\n" % (number % 100) for number in range(part_count)
+        )
+        (message,), parser = parse(request(CHUNKED, chunks))
+        held_bytes = sum(map(sys.getsizeof, message.body_parts))
+        assert held_bytes < 2 * message.body_size + 50 * JOINED_PARTS
+        assert message.body_size == 2 * part_count
+        assert message.take_body() == b"".join(
+            b"%02d" % (number % 100) for number in range(part_count)
+        )
+        parser.feed(b"4\r\nnext\r\n")
+        assert message.body == b"next"
+
+
 class TestFragmentation:
     """Messages received in arbitrary pieces."""
 
