HTTP server: callers that send on get the response to what was refused

What callers saw: one that sends a long body, and reads only behind its last byte, got a reset in place of the 503 that refused it. So did one that was refused at a planned stop, up to the end of the process.

Cause: the rest of a request was discarded for a second after the response was acknowledged, whether it still came or not. Then the socket was closed, and the next byte reset the connection. A listener that closes did not wait for such callers at all.

Change: input is discarded until the request is whole and a second has passed, with pauses of 2 s, up to 30 s and 8 MiB of a connection. A listener counts as busy meanwhile, so that a stopping process ends behind it, and at the abort at the latest. The abort does not count these requests: they have their responses.

--- a/mangobay/leanserver.py
+++ b/mangobay/leanserver.py
@@ -20,6 +20,7 @@
     responsestream,
     responsewriter,
     sockets,
+    unreadinput,
 )
 
 Handler = collections.abc.Callable[
@@ -45,7 +46,8 @@
 HEAD_TOO_LARGE_STATUS = 431
 HALF_CLOSE_SECONDS = 1.0
 """Seconds that a caller has to close a half-closed connection once it has
-acknowledged all responses; more than a round trip between distant regions."""
+acknowledged all responses and sends no more; more than a round trip between
+distant regions."""
 HALF_CLOSE_CHECKS = 10
 """Checks of a half-closed connection within that time."""
 SHUTDOWN_HALF_CLOSE_SECONDS = 0.2
@@ -124,6 +126,7 @@
       half_close_probe: set once the caller has closed its sending side while
         it awaits responses.
       half_close_timer: set once the connection is half-closed; closes it.
+      unread: what comes after the last request that is read; None before.
       delivering: responses were written that may not be acknowledged yet.
       unacknowledged_bytes: written bytes that were not acknowledged at the last
         check.
@@ -153,6 +156,7 @@
         "remote",
         "starting",
         "unacknowledged_bytes",
+        "unread",
         "write_gate",
     )
 
@@ -169,6 +173,7 @@
         self.closing = False
         self.half_close_probe: halfclose.HalfCloseProbe | None = None
         self.half_close_timer: asyncio.TimerHandle | None = None
+        self.unread: unreadinput.UnreadInput | None = None
         self.delivering = False
         self.unacknowledged_bytes = 0
         self.acknowledged_at = 0.0
@@ -280,6 +285,7 @@
         """Parses bytes and dispatches the requests that they complete."""
         self.last_activity = self.loop.time()
         if self.closing and not self.is_receiving_body():
+            self.discard(data)
             return
         receiving = self.exchanges[-1] if self.is_receiving_body() else None
         new_messages = self.parser.feed(data)
@@ -300,6 +306,26 @@
         if self.exchanges and self.is_holding_much():
             self.pause_reading()
 
+    def discard(self, data: bytes) -> None:
+        """Discards input behind the last request that is read."""
+        if self.unread is not None and not self.unread.discard(
+            data, self.last_activity
+        ):
+            self.pause_reading()
+
+    def read_no_more(self, message: httpparse.Message | None) -> None:
+        """Discards further input.
+
+        Args:
+          message: the request whose rest is discarded; None if all requests
+            were received in full.
+        """
+        if self.unread is None:
+            now = self.loop.time()
+            self.unread = unreadinput.UnreadInput(
+                self.parser, message, started_at=now, received_at=now
+            )
+
     def update_request_start(self, has_message: bool) -> None:
         """Updates when an incomplete head began.
 
@@ -486,6 +512,7 @@
         )
         exchange.should_close = True
         self.closing = True
+        self.read_no_more(exchange.message)
         self.flush()
 
     async def respond(
@@ -508,6 +535,8 @@
         if is_unread or (self.listener.leaving and newest is exchange):
             exchange.should_close = True
             self.closing = True
+        if is_unread:
+            self.read_no_more(exchange.message)
         if response.stream is not None:
             await self.write_stream(exchange, response)
             return
@@ -657,6 +686,7 @@
             transport.abort()
             return
         transport.write_eof()
+        self.read_no_more(None)
         transport.resume_reading()
         self.start_delivery()
         self.check_half_closed()
@@ -664,12 +694,15 @@
     def check_half_closed(self) -> None:
         """Closes a half-closed connection that its caller does not close."""
         self.update_unacknowledged()
-        timeout = (
-            self.listener.limits.stall_timeout
-            if self.unacknowledged_bytes
-            else HALF_CLOSE_SECONDS
-        )
-        if self.loop.time() - self.acknowledged_at >= timeout:
+        if self.unacknowledged_bytes:
+            stall_timeout = self.listener.limits.stall_timeout
+            close_at = self.acknowledged_at + stall_timeout
+        else:
+            close_at = max(
+                self.acknowledged_at + HALF_CLOSE_SECONDS,
+                self.unread.end_at(HALF_CLOSE_SECONDS),
+            )
+        if self.loop.time() >= close_at:
             self.transport.close()
             return
         self.half_close_timer = self.loop.call_later(
@@ -734,13 +767,15 @@
     def has_pending_responses(self) -> bool:
         """Returns whether a response is due or still on its way.
 
-        What the kernel holds is discarded if the caller sends anything after
+        What the kernels hold is discarded if the caller sends anything after
         the process has ended.
         """
         if self.has_due_responses():
             return True
         if self.transport is None:
             return False
+        if self.unread is not None and self.unread.is_awaited(self.loop.time()):
+            return True
         self.update_unacknowledged()
         stalled_for = self.loop.time() - self.acknowledged_at
         return self.delivering and stalled_for < SHUTDOWN_STALL_SECONDS
--- a/tests/test_leanserver.py
+++ b/tests/test_leanserver.py
@@ -18,6 +18,7 @@
     leanserver,
     options,
     responsestream,
+    unreadinput,
 )
 
 LOOPBACK = options.Address("127.0.0.1", 0)
@@ -75,6 +76,12 @@
         await asyncio.sleep(0.01)
 
 
+async def wait_for_half_close(listener):
+    """Returns once a listener has closed its side of a connection."""
+    while not any(each.half_close_timer for each in listener.connections):
+        await asyncio.sleep(0.01)
+
+
 async def read_response(reader):
     """Returns the head and the body of the next response."""
     head = (await reader.readuntil(b"\r\n\r\n")).decode()
@@ -1036,6 +1043,124 @@
         writer.close()
 
 
+class BlockingCaller:
+    """Sends a request in parts, and reads only once all of it is sent.
+
+    Attributes:
+      sock: its connection, which blocks.
+    """
+
+    def __init__(self, listener):
+        self.sock = socket.create_connection(listener.address)
+        self.sock.settimeout(20)
+
+    async def send(self, data):
+        """Sends bytes, however long that takes."""
+        await asyncio.to_thread(self.sock.sendall, data)
+
+    async def send_in_parts(self, data, part_count, pause_seconds):
+        """Sends bytes in parts with pauses before them."""
+        size = -(-len(data) // part_count)
+        for start in range(0, len(data), size):
+            await asyncio.sleep(pause_seconds)
+            await self.send(data[start : start + size])
+
+    async def read(self):
+        """Returns what comes until the connection ends."""
+        received = b""
+        while part := await asyncio.to_thread(self.sock.recv, 65_536):
+            received += part
+        self.sock.close()
+        return received
+
+
+class TestUnreadRequests:
+    """Requests that get their responses before they are received."""
+
+    @pytest.mark.parametrize(("part_count", "pause"), [(20, 0.1), (2, 1.2)])
+    async def test_caller_that_sends_on_gets_its_refusal(
+        self, large, reading, part_count, pause
+    ):
+        """Guards against a reset that discards the refusal of a long body."""
+        reading.early.add("/1")
+        request = post("/1", bytes(2_000_000))
+        caller = BlockingCaller(large)
+        await caller.send(request[:200_000])
+        await wait_for_half_close(large)
+        await caller.send_in_parts(request[200_000:], part_count, pause)
+        assert (await caller.read()).startswith(b"HTTP/1.1 503 ")
+
+    @pytest.mark.parametrize(("part_count", "pause"), [(20, 0.1), (2, 1.2)])
+    async def test_process_ends_after_the_refusal_was_read(
+        self, recorder, part_count, pause
+    ):
+        """Guards against a stop that resets callers that still send."""
+        listener = leanserver.Listener(
+            LOOPBACK, recorder.handle, leanserver.Limits()
+        )
+        await listener.start()
+        request = post("/1", bytes(2_000_000))
+        caller = BlockingCaller(listener)
+        await caller.send(request[:200_000])
+        await wait_for_exchange(listener)
+        listener.refuse_incomplete(lambda message: False)
+        closing = asyncio.create_task(listener.close(20))
+        await caller.send_in_parts(request[200_000:], part_count, pause)
+        assert (await caller.read()).startswith(b"HTTP/1.1 503 ")
+        async with asyncio.timeout(10):
+            assert await closing == 0
+
+    async def test_caller_that_sends_no_more_does_not_delay_the_end(
+        self, listener, monkeypatch
+    ):
+        """Guards against a stop that waits for a body that never comes."""
+        monkeypatch.setattr(unreadinput, "STALL_SECONDS", 0.1)
+        reader, writer = await connect(listener)
+        writer.write(post("/1", b"some body")[:-4])
+        await wait_for_exchange(listener)
+        async with asyncio.timeout(10):
+            assert await listener.close(20) == 0
+        assert (await read_response(reader))[0].startswith("HTTP/1.1 503")
+        writer.close()
+
+    @pytest.mark.parametrize(
+        ("limit", "value"),
+        [("MAX_SECONDS", 0.2), ("MAX_BYTES", 1_000_000)],
+    )
+    async def test_body_without_end_is_not_read_without_end(
+        self, large, reading, monkeypatch, limit, value
+    ):
+        """Guards against callers that keep connections by sending on."""
+        monkeypatch.setattr(unreadinput, limit, value)
+        monkeypatch.setattr(leanserver, "HALF_CLOSE_SECONDS", 0.1)
+        reading.early.add("/1")
+        caller = BlockingCaller(large)
+        await caller.send(post("/1", bytes(4_000_000))[:200_000])
+
+        async def send_on():
+            while True:
+                await caller.send(bytes(10_000))
+                await asyncio.sleep(0.001)
+
+        async with asyncio.timeout(10):
+            with pytest.raises(ConnectionError):
+                await send_on()
+        assert not large.connections
+        caller.sock.close()
+
+    async def test_requests_behind_it_are_not_run(self, large, reading):
+        """Guards against running what the caller takes for not read."""
+        reading.early.add("/1")
+        caller = BlockingCaller(large)
+        request = post("/1", bytes(300_000))
+        await caller.send(request[:200_000])
+        await wait_for_half_close(large)
+        await caller.send(request[200_000:] + post("/2", bytes(300_000)))
+        answer = await caller.read()
+        assert answer.count(b"HTTP/1.1 ") == 1
+        assert reading.bodies == {}
+
+
 class TestPauses:
     """A process that is stopped for some seconds and goes on."""
 
--- a/tests/test_planned_stop_processes.py
+++ b/tests/test_planned_stop_processes.py
@@ -40,17 +40,32 @@
 
     Attributes:
       head: when its head is sent.
-      last: when the rest of it is sent.
+      last: when its last byte is sent.
       body_bytes: size of its body.
       first_bytes: bytes of the body that are sent with the head.
+      part_count: equal parts in which the rest is sent, with equal pauses.
       work: seconds that the backend server works on it.
+      reads_late: whether the caller reads only once all of it is sent.
     """
 
     head: float
     last: float
     body_bytes: int = LARGE_BYTES
     first_bytes: int = 0
+    part_count: int = 1
     work: float = 2.3
+    reads_late: bool = False
+
+    def parts(self):
+        """Returns when each part of the rest is sent, and where it ends."""
+        rest_bytes = self.body_bytes - self.first_bytes
+        return [
+            (
+                self.head + (self.last - self.head) * number / self.part_count,
+                self.first_bytes + rest_bytes * number // self.part_count,
+            )
+            for number in range(1, self.part_count + 1)
+        ]
 
 
 @dataclasses.dataclass(slots=True)
@@ -186,9 +201,16 @@
             f"Content-Length: {len(body)}\r\n\r\n"
         )
         reading = asyncio.create_task(self.read_response(caller))
-        caller.writer.write(head.encode() + body[: timing.first_bytes])
-        await self.wait_until(timing.last)
-        caller.writer.write(body[timing.first_bytes :])
+        if timing.reads_late:
+            caller.writer.transport.pause_reading()
+        sent_bytes = timing.first_bytes
+        caller.writer.write(head.encode() + body[:sent_bytes])
+        for at, end in timing.parts():
+            await self.wait_until(at)
+            caller.writer.write(body[sent_bytes:end])
+            sent_bytes = end
+        if timing.reads_late:
+            caller.writer.transport.resume_reading()
         response, ended_at = await reading
         caller.writer.close()
         return Result(timing, attempt_id, response, ended_at)
@@ -282,12 +304,24 @@
     ]
 
 
+SENT_ON = Timing(
+    head=2.7,
+    last=4.7,
+    body_bytes=2_000_000,
+    first_bytes=50_000,
+    part_count=10,
+    reads_late=True,
+)
+"""A request that is sent on after it was refused."""
+
+
 class TestLateRequests:
     """Requests whose last byte comes after new work is no longer taken."""
 
     async def test_no_late_body_is_passed_on_and_cut(self, planned_stop):
         """Guards against passing on late bodies whose servers are then cut."""
         results, _ = await planned_stop.play(
-            timings(LARGE_BYTES) + timings(SMALL_BYTES)
+            [*timings(LARGE_BYTES), *timings(SMALL_BYTES), SENT_ON]
         )
         assert planned_stop.breaks(results) == []
+        assert results[-1].response.status == 503
