Received bytes: one account of the responses that are held, over all

What callers saw: backend servers that never end their responses filled the memory of the node beside them, with it all that others had in flight there.

Cause: each response that must be whole is bounded by answer_bytes, their sum is not.

Change: `receivedbytes.Account` counts what the readers of a process hold. A response that is not complete in its first read is held on it. The overhead of small chunks counts as memory. Gauges: received_bytes and received_bytes_cut.

The tests of TestReceivedBytes in test_leanclient and test_settings need the account.

--- a/mangobay/basenode.py
+++ b/mangobay/basenode.py
@@ -29,6 +29,7 @@
     peers,
     quarantine,
     quarantinenotices,
+    receivedbytes,
     retrybudget,
     routing,
     runguard,
@@ -90,6 +91,7 @@
         self.stop_requested_at = math.inf
         self.stopped = asyncio.Event()
         self.aborted_count = 0
+        receivedbytes.account.max_bytes = config.limits.received_bytes
         self.make_peers()
         self.make_executor()
         self.make_dispatcher()
--- a/mangobay/httpparse.py
+++ b/mangobay/httpparse.py
@@ -27,6 +27,8 @@
 What follows the end of a head or of a body is counted from the next piece on, as
 llhttp does not tell where either ends.
 """
+PART_OVERHEAD_BYTES = 64
+"""Memory of each part of a body besides its bytes."""
 TARGET_PREFIXES = ("/", "http://", "https://")
 NO_BODY_STATUSES = frozenset({204, 304})
 """Statuses of responses that never have a body."""
@@ -93,6 +95,11 @@
             else b"".join(self.body_parts)
         )
 
+    @property
+    def held_bytes(self) -> int:
+        """Memory of the body as received so far, if nothing of it was taken."""
+        return self.body_size + PART_OVERHEAD_BYTES * len(self.body_parts)
+
     def take_body(self) -> bytes:
         """Returns the body received since the last call, and drops it.
 
--- a/mangobay/leanclient.py
+++ b/mangobay/leanclient.py
@@ -24,6 +24,7 @@
     leanhttp,
     logs,
     options,
+    receivedbytes,
     requestbody,
     responsestream,
     sockets,
@@ -237,6 +238,7 @@
         receiving = self.message
         new_messages = self.parser.feed(data)
         if receiving is not None and receiving.complete:
+            receivedbytes.account.release(self)
             self.deliver_response()
         for message in new_messages:
             self.handle_head(message)
@@ -285,9 +287,10 @@
         if self.large_body is not None:
             self.large_body.receive()
         elif self.should_stream(message):
+            receivedbytes.account.release(self)
             self.deliver_head(message)
-        else:
-            self.check_size(message)
+        elif self.check_size(message):
+            receivedbytes.account.hold(self, message.held_bytes)
 
     def should_stream(self, message: httpparse.Message) -> bool:
         """Returns whether to deliver a response before its end."""
@@ -318,6 +321,12 @@
         )
         return False
 
+    def drop_received(self) -> None:
+        """Fails the request; its response cannot be held until its end."""
+        self.fail(
+            errors.ResponseTooLargeError("too many bytes of responses are held")
+        )
+
     def deliver_response(self) -> None:
         """Ends the pending request with its response."""
         message, pending = self.message, self.pending
@@ -408,6 +417,7 @@
         """Completes or fails the pending request."""
         transport = self.transport
         super().connection_lost(exc)
+        receivedbytes.account.release(self)
         self.write_gate.open()
         if exc is not None and self.pending is not None:
             # A server that closes before it has read the whole request makes
@@ -436,7 +446,7 @@
         """Fails the pending request and closes the connection."""
         pending, self.pending = self.pending, None
         large_body, self.large_body = self.large_body, None
-        self.message = None
+        self.drop_message()
         self.abort()
         if large_body is not None:
             large_body.body.cut_off(str(error))
@@ -446,11 +456,19 @@
     def drop(self) -> None:
         """Closes the connection; its response is no longer wanted."""
         large_body, self.large_body = self.large_body, None
-        self.message = self.pending = None
+        self.pending = None
+        self.drop_message()
         self.abort()
         if large_body is not None:
             large_body.body.abandon()
 
+    def drop_message(self) -> None:
+        """Drops what has been received of a response."""
+        receivedbytes.account.release(self)
+        if self.message is not None:
+            self.message.take_body()
+            self.message = None
+
     def abort(self) -> None:
         """Closes the connection immediately."""
         self.reusable = False
--- a/mangobay/nodegauges.py
+++ b/mangobay/nodegauges.py
@@ -3,7 +3,13 @@
 import functools
 import typing
 
-from mangobay import callresolution, clock, metrics, responsestream
+from mangobay import (
+    callresolution,
+    clock,
+    metrics,
+    receivedbytes,
+    responsestream,
+)
 
 if typing.TYPE_CHECKING:
     from mangobay import basenode
@@ -184,6 +190,17 @@
             for state in responsestream.State
             if state is not responsestream.State.OPEN
         ),
+        metrics.Gauge(
+            name="received_bytes",
+            help="Bytes received that this node cannot pass on yet.",
+            read_value=lambda: receivedbytes.account.held_bytes,
+        ),
+        metrics.Gauge(
+            name="received_bytes_cut",
+            help="Responses, requests and connections cut off since the start "
+            "because such bytes were too many.",
+            read_value=lambda: receivedbytes.account.cut_count,
+        ),
         metrics.Gauge(
             name="leaving",
             help="1 while this node leaves.",
--- a/mangobay/settings.py
+++ b/mangobay/settings.py
@@ -77,6 +77,8 @@
     SettingId("quarantine", "pause"),
     SettingId("quarantine", "max_pause"),
 )
+ANSWER_BYTES = SettingId("limits", "answer_bytes")
+RECEIVED_BYTES = SettingId("limits", "received_bytes")
 TLS_FILES = section_settings("tls", "certificate", "key", "authority")
 GROUP_HOSTS = SettingId("group", "hosts")
 GROUP_SEEDS = SettingId("group", "seeds")
@@ -137,6 +139,15 @@
             ),
             message="must be at least as long as [quarantine] pause",
         ),
+        Check(
+            setting=RECEIVED_BYTES,
+            depends_on=(ANSWER_BYTES,),
+            is_satisfied=lambda values: (
+                values[RECEIVED_BYTES] >= 2 * values[ANSWER_BYTES]
+            ),
+            message="must be at least twice answer_bytes, or one long answer"
+            " leaves no room for others",
+        ),
         TLS_CHECK,
     ),
     generated.Control: (
--- a/tests/test_leanclient.py
+++ b/tests/test_leanclient.py
@@ -11,8 +11,10 @@
     backend,
     backendbody,
     errors,
+    execution,
     leanclient,
     options,
+    receivedbytes,
     responsestream,
 )
 from mangobay.generated import messages
@@ -518,6 +520,120 @@
             assert (response.status, response.stream) == (204, None)
 
 
+class RecordingAccount(receivedbytes.Account):
+    """Records the most that it has held."""
+
+    most_held_bytes = 0
+
+    def hold(self, holder, byte_count):
+        super().hold(holder, byte_count)
+        self.most_held_bytes = max(self.most_held_bytes, self.held_bytes)
+
+
+@pytest.fixture
+def account(monkeypatch):
+    """Yields the account of the test."""
+    account = RecordingAccount()
+    monkeypatch.setattr(receivedbytes, "account", account)
+    return account
+
+
+class TestReceivedBytes:
+    """Responses that are held until they are complete."""
+
+    HEAD, BODY = response_bytes(b"y" * 500).split(b"\r\n\r\n")
+    START = HEAD + b"\r\n\r\n" + BODY[:100]
+    CHUNKED = HEAD.replace(
+        b"Content-Length: 500", b"Transfer-Encoding: chunked"
+    )
+    UNTIL_CLOSE = HEAD.replace(b"Content-Length: 500", b"X: y")
+
+    @pytest.mark.parametrize(
+        ("script", "expected"),
+        [
+            pytest.param([START, BODY[100:]], 200, id="complete"),
+            pytest.param(
+                [UNTIL_CLOSE + b"\r\n\r\n" + BODY, None], 200, id="until-close"
+            ),
+            pytest.param(
+                [START, None], errors.IncompleteResponseError, id="closed"
+            ),
+            pytest.param(
+                [START, ScriptedBackendServer.RESET],
+                errors.IncompleteResponseError,
+                id="reset",
+            ),
+            pytest.param([START], errors.BackendTimeoutError, id="timeout"),
+            pytest.param(
+                [CHUNKED + b"\r\n\r\n5\r\nhello\r\n", b"none"],
+                errors.BackendBrokenError,
+                id="malformed",
+            ),
+            pytest.param(
+                [
+                    CHUNKED + b"\r\n\r\n5\r\nhello\r\n",
+                    b"400\r\n" + b"x" * 1024,
+                ],
+                errors.ResponseTooLargeError,
+                id="too-large",
+            ),
+        ],
+    )
+    async def test_nothing_stays_held(self, script, expected, account):
+        """Guards against an account that fills up with what has ended."""
+        async with ScriptedBackendServer(script) as server:
+            try:
+                result = (await server.send(seconds=0.3)).status
+            except errors.BackendError as error:
+                result = type(error)
+            assert result == expected
+            assert account.most_held_bytes > 0
+            assert (account.held_bytes, account.holders) == (0, {})
+
+    async def test_nothing_stays_held_after_a_cancellation(self, account):
+        """Guards against the same where the caller has gone."""
+        async with ScriptedBackendServer([self.START]) as server:
+            task = asyncio.create_task(server.send())
+            await wait_until_held(account, 100)
+            task.cancel()
+            await asyncio.wait({task})
+            assert (account.held_bytes, account.holders) == (0, {})
+
+    async def test_one_read_is_not_held(self, account):
+        """What is complete at once costs no entry."""
+        async with ScriptedBackendServer([response_bytes()]) as server:
+            assert (await server.send()).status == 200
+            assert account.most_held_bytes == 0
+
+    async def test_the_greatest_response_is_cut(self, account):
+        """Guards against cutting a small response for a large one.
+
+        It may have run, so its failure must not say otherwise.
+        """
+        account.max_bytes = 700
+        great = self.START + self.BODY[100:-1]
+        async with (
+            ScriptedBackendServer([great]) as server,
+            ScriptedBackendServer([self.START, self.BODY[100:]]) as other,
+        ):
+            task = asyncio.create_task(server.send())
+            await wait_until_held(account, 499)
+            assert (await other.send()).status == 200
+            with pytest.raises(errors.ResponseTooLargeError) as raised:
+                await task
+            reply = execution.reply_for_error(raised.value, server.attempt)
+            assert reply.outcome is messages.Outcome.UNKNOWN
+            assert reply.reason is messages.Reason.TOO_LARGE
+            assert (account.cut_count, account.held_bytes) == (1, 0)
+
+
+async def wait_until_held(account, byte_count):
+    """Returns once so many bytes are held."""
+    async with asyncio.timeout(5):
+        while account.held_bytes < byte_count:
+            await asyncio.sleep(0.001)
+
+
 class StallingSource:
     """The rest of a request; blocks the event loop before its second part.
 
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -77,6 +77,31 @@
         assert load_node(text).host.data_centre == "lima"
 
 
+class TestReceivedBytes:
+    """The bound on received bytes."""
+
+    SMALLEST_MACHINE_BYTES = 200_000_000
+    IDLE_NODE_BYTES = 60_000_000
+
+    def test_the_default_fits_the_smallest_machine(self, load_node):
+        """Guards against a default that leaves no room for what is sent on.
+
+        A response is joined, encoded and framed once it is complete.
+        """
+        limits = load_node(NODE).limits
+        used = limits.received_bytes + 4 * limits.answer_bytes
+        room = self.SMALLEST_MACHINE_BYTES - self.IDLE_NODE_BYTES
+        assert used < room
+
+    def test_it_has_room_for_two_responses(self, findings_of):
+        """Guards against a bound that cuts every long response."""
+        text = NODE + "[limits]\nanswer_bytes = 8388608\n"
+        [finding] = findings_of(text + "received_bytes = 16777215\n")
+        assert finding.startswith(
+            "x.ini:12 [limits] received_bytes: must be at least twice"
+        )
+
+
 class TestFaults:
     """All errors are reported at once, each with its line."""
 
