--- a/mangobay/httpparse.py
+++ b/mangobay/httpparse.py
@@ -29,6 +29,8 @@
 What follows the end of a head or of a body is counted from the next piece on, as
 llhttp does not tell where either ends.
 """
+PART_OVERHEAD_BYTES = 64
+"""Memory of each part of a body besides its bytes."""
 TARGET_PREFIXES = ("/", "http://", "https://")
 NO_BODY_STATUSES = frozenset({204, 304})
 """Statuses of responses that never have a body."""
@@ -97,6 +99,11 @@
             else b"".join(self.body_parts)
         )
 
+    @property
+    def held_bytes(self) -> int:
+        """Memory of the body as received so far, if nothing of it was taken."""
+        return self.body_size + PART_OVERHEAD_BYTES * len(self.body_parts)
+
     def add_body(self, data: bytes) -> None:
         """Adds a part of the body."""
         parts = self.body_parts
