Soak: a process that ends by SIGKILL must have been sent one

The check of exits took -9 for good of every process that had been told to stop, so that one which the kernel ended for its memory during a stop, or after a restart that followed a kill, passed for a planned end. The signal must have been sent to this very process now.

--- a/bench/soak/systemchecks.py
+++ b/bench/soak/systemchecks.py
@@ -6,7 +6,8 @@
 from bench.soak import checks, history, operators
 from mangobay import ids
 
-GOOD_EXITS = frozenset({"0", "-15", "-9"})
+GOOD_EXITS = frozenset({"0", "-15"})
+KILLED_EXIT = "-9"
 CUT_EXIT = "1"
 """Of a process that has cut calls, which is for the end of its grace."""
 ACCEPTED = 200
@@ -17,20 +18,28 @@
 def processes_end_as_told(view: checks.View) -> checks.Found:
     """A process ends when it is told to, and not before; in its grace."""
     told: set[ids.HostId] = set()
+    killed: set[ids.HostId] = set()
     for event in view.seen.events:
         host = event.host
         what = ""
         match event.action:
             case history.Action.START:
                 told.discard(host)
-            case history.Action.TERM | history.Action.KILL:
+                killed.discard(host)
+            case history.Action.TERM:
                 told.add(host)
+            case history.Action.KILL:
+                told.add(host)
+                killed.add(host)
             case history.Action.EXIT if event.at < view.seen.over:
                 if host not in told:
                     what = f"it ended by itself with {event.detail}"
+                elif event.detail == KILLED_EXIT and host in killed:
+                    continue
                 elif not is_good_exit(view, event):
                     what = f"it ended with {event.detail}"
             case history.Action.KILL_LATE:
+                killed.add(host)
                 stop = view.spans.stop_before(host, event.at)
                 if not view.spans.disturbed(host, stop or 0.0, event.at):
                     what = "it did not end in its grace"
--- a/tests/test_soak_systemchecks.py
+++ b/tests/test_soak_systemchecks.py
@@ -24,6 +24,9 @@
             + [(5.1, Action.EXIT, "-1")],
             [(5, Action.TERM, ""), (6, Action.EXIT, "1")],
             [(5, Action.TERM, ""), (11, Action.KILL_LATE, "")],
+            [(5, Action.TERM, ""), (6, Action.EXIT, "-9")],
+            [(5, Action.KILL, ""), (6, Action.START, "")]
+            + [(7, Action.TERM, ""), (8, Action.EXIT, "-9")],
         ],
     )
     def test_an_end_that_is_not_as_told_is_found(self, events):
