--- a/tests/test_leanserver.py
+++ b/tests/test_leanserver.py
@@ -1066,7 +1066,9 @@
     async def test_close_refuses_what_is_incomplete(self, recorder):
         """Guards against an operator that has to guess what became of it."""
         listener = leanserver.Listener(
-            LOOPBACK, recorder.handle, leanserver.Limits()
+            LOOPBACK,
+            recorder.handle,
+            leanserver.Limits(max_body_bytes=4_000_000),
         )
         await listener.start()
         reader, writer = await connect(listener)
@@ -1145,7 +1147,9 @@
     ):
         """Guards against a stop that resets callers that still send."""
         listener = leanserver.Listener(
-            LOOPBACK, recorder.handle, leanserver.Limits()
+            LOOPBACK,
+            recorder.handle,
+            leanserver.Limits(max_body_bytes=4_000_000),
         )
         await listener.start()
         request = post("/1", bytes(2_000_000))
