HTTP server: a body above an old limit is not told as not run once passed on

What callers could see: 503 with Retry-After, which says not run, though a server had a part of the request and may have begun to work on it. Found by reading; it needs a node whose routes may be outdated, and a body in chunks, or a limit that becomes lower while a body is received.

Cause: the body is checked against the limit while it is received, and the response was the one for a request that nobody has handled.

Change: 502 if a handler has the request.

test_old_limit_of_a_body_that_is_passed_on failed before with 503.

--- a/mangobay/leanserver.py
+++ b/mangobay/leanserver.py
@@ -446,12 +446,14 @@
 
     def reject_body_size(self, exchange: Exchange) -> None:
         """Rejects a body above the limit."""
+        response = self.listener.limit_response(BODY_TOO_LARGE_STATUS)
         if exchange.task is not None:
             exchange.task.cancel()
             exchange.rest.cut_off("the body is too large")
-        self.end_unread(
-            exchange, self.listener.limit_response(BODY_TOO_LARGE_STATUS)
-        )
+            if response.status != BODY_TOO_LARGE_STATUS:
+                # The part that was passed on may have run.
+                response = leanhttp.Response(status=refusals.UNKNOWN_STATUS)
+        self.end_unread(exchange, response)
 
     def refuse(self, exchange: Exchange) -> None:
         """Refuses a request that was not handled."""
--- a/tests/test_leanserver.py
+++ b/tests/test_leanserver.py
@@ -1028,6 +1028,15 @@
         assert reading.bodies == {}
         writer.close()
 
+    async def test_old_limit_of_a_body_that_is_passed_on(self, large):
+        """Guards against telling a request as not run that may have run."""
+        large.limits_are_current = lambda: False
+        reader, writer = await connect(large)
+        writer.write(post("/1", bytes(6_000_000), 100_000))
+        head, _ = await read_response(reader)
+        assert " 502 " in head
+        writer.close()
+
 
 class TestStopping:
     """Requests whose bodies are still coming when the process stops."""
