Executor: a call whose body is cut off does not say that its host leaves

Cause: such a call was refused as LEAVING, like one that comes too late in a planned stop. A node that gets this reply uses the host no more until the next view, though it stays: a stopping node, which cuts bodies off, then refuses the calls of requests that still run. Found by reading.

Change: it is refused as CANCELLED, which says nothing about the host.

test_call_whose_body_was_cut_off_is_not_run, which asks for the reason now, failed before.

--- a/mangobay/errors.py
+++ b/mangobay/errors.py
@@ -86,6 +86,10 @@
     """The process stops too soon for the request: no byte of it was sent."""
 
 
+class RequestCutOffError(BackendError):
+    """The body of the request was cut off: no byte of the request was sent."""
+
+
 class ServerLeftError(BackendError):
     """The backend server has left: no byte of the request was sent."""
 
--- a/mangobay/execution.py
+++ b/mangobay/execution.py
@@ -379,13 +379,16 @@
 
         Raises:
           errors.ServerLeftError: that server is no longer in use.
-          errors.StoppingError: it would be aborted, or its body was cut off.
+          errors.RequestCutOffError: its body was cut off.
+          errors.StoppingError: it would be aborted.
         """
         if self.local_services.find(call.service) is not local_service:
             raise errors.ServerLeftError("the backend server has left")
         rest = requestbody.rest_of(call)
         if rest is not None and rest.is_cut_off:
-            raise errors.StoppingError("the body was cut off before the call")
+            raise errors.RequestCutOffError(
+                "the body was cut off before the call was sent"
+            )
         now = asyncio.get_running_loop().time()
         if not (
             self.shutdown.allows_sending(now)
@@ -617,6 +620,8 @@
             reason = Reason.DEADLINE_EXCEEDED
         case errors.StoppingError():
             reason = Reason.LEAVING
+        case errors.RequestCutOffError():
+            reason = Reason.CANCELLED
         case errors.ServerLeftError():
             reason = Reason.NO_BACKEND
         case errors.ResponseTooLargeError():
--- a/tests/test_execution.py
+++ b/tests/test_execution.py
@@ -301,7 +301,7 @@
         assert reply.outcome is Outcome.ANSWERED
 
     async def test_call_whose_body_was_cut_off_is_not_run(self):
-        """Guards against an unknown outcome of a call that was not sent."""
+        """Guards against an unknown outcome, and a host taken for leaving."""
         executor = self.make_executor()
         body = requestbody.RequestBody(None, unittest.mock.Mock())
         request = requestbody.ContinuedCall.make(
@@ -310,7 +310,11 @@
         serving = asyncio.create_task(executor.serve(request))
         await asyncio.sleep(0)
         body.cut_off("the process stops")
-        assert (await serving).outcome is Outcome.NOT_RUN
+        reply = await serving
+        assert (reply.outcome, reply.reason) == (
+            Outcome.NOT_RUN,
+            Reason.CANCELLED,
+        )
 
 
 class TimelyServer:
