Stopping: only calls with a shortened deadline leave time for the response

The change before told the server of every call to stop 20 ms before the deadline.

Change: a stopping node marks the calls whose deadline it shortens, and only for these is the server told to stop earlier.

--- a/mangobay/calls.py
+++ b/mangobay/calls.py
@@ -86,6 +86,8 @@
       parent_run: The running call on this host that makes this call, or None.
       retry_threshold: Level below which call trees lack retries, 0 unless this
         call was refused one.
+      shortened: Whether the deadline is earlier than that of the caller, since
+        this process stops before.
     """
 
     operation: messages.Operation
@@ -108,6 +110,7 @@
     parent_run: "retryallowance.RunningCall | None" = None
     retry_threshold: int = 0
     rest: "requestbody.RequestBody | None" = None
+    shortened: bool = False
 
     @property
     def body_bytes(self) -> int:
--- a/mangobay/dispatch.py
+++ b/mangobay/dispatch.py
@@ -510,6 +510,7 @@
             patience_ms=self.patience_ms(request),
             repeat=request.repeat,
             workspace=request.workspace,
+            shortened=request.shortened,
         )
         if request.rest is None:
             return call
--- a/mangobay/execution.py
+++ b/mangobay/execution.py
@@ -37,7 +37,7 @@
 """
 
 MAX_SERVER_MARGIN_SECONDS = 0.02
-"""Longest time before the deadline of a call at which the backend server is told
+"""Longest time before a shortened deadline at which the backend server is told
 to stop, so that its own response to that comes in time."""
 SERVER_MARGIN_SHARE = 0.05
 """Upper bound of that time, as a share of the time left."""
@@ -485,7 +485,7 @@
             headers=self.headers(call, local_service),
             body=call.body,
             idempotent=call.idempotent,
-            deadline=server_deadline(deadline),
+            deadline=server_deadline(call, deadline),
             abort_at=deadline + overrun,
             streamed=call.streamed and call.idempotent and self.large_responses,
             rest=requestbody.rest_of(call),
@@ -604,8 +604,13 @@
         )
 
 
-def server_deadline(deadline: float) -> float:
-    """Returns the loop time at which the backend server is to stop work."""
+def server_deadline(call: messages.Call, deadline: float) -> float:
+    """Returns the loop time at which the backend server is to stop work.
+
+    Before a shortened deadline the caller still waits for that response.
+    """
+    if not call.shortened:
+        return deadline
     seconds_left = deadline - asyncio.get_running_loop().time()
     margin = min(MAX_SERVER_MARGIN_SECONDS, SERVER_MARGIN_SHARE * seconds_left)
     return deadline - max(margin, 0.0)
--- a/mangobay/gateway.py
+++ b/mangobay/gateway.py
@@ -307,6 +307,7 @@
             call.inherit_from(parent)
             if not self.shutdown.accepts_work(started_at):
                 latest_deadline = self.shutdown.latest_deadline()
+                call.shortened = latest_deadline < call.deadline
                 call.deadline = min(call.deadline, latest_deadline)
             parent.running_call.child_started(started_at)
         reply = calls.unknown_reply(Reason.CANCELLED)
--- a/schema/messages.capnp
+++ b/schema/messages.capnp
@@ -151,6 +151,9 @@
   continued @24 :Bool;
   # The rest of the body follows in ReplyParts on the stream of the call; its
   # length, if known, is the last header.
+  shortened @25 :Bool;
+  # The sender stops before the deadline of its caller, and the deadline here is
+  # earlier by that.
 }
 
 struct Reply {
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -286,3 +286,17 @@
         harness.schedule.start(now, grace=6, linger=2)
         await asyncio.sleep(2)
         assert await harness.run("a1", CRITICAL)
+
+    @pytest.mark.parametrize(
+        ("seconds", "shortened"), [(2, False), (4.5, True)]
+    )
+    async def test_child_call_that_outlasts_the_process_is_shortened(
+        self, seconds, shortened
+    ):
+        """Guards against a server whose response comes after the last moment."""
+        harness = GatewayHarness()
+        now = asyncio.get_running_loop().time()
+        harness.schedule.start(now, grace=6, linger=2)
+        await asyncio.sleep(seconds)
+        await harness.run("a1", CRITICAL)
+        assert harness.dispatcher.requests[0].shortened is shortened
