Peers: a stopping node does not take slow connections for silent ones

Cause: a stopping node shortens the patience of its calls so that they do not start late, and the patience also tells how long a connection may be silent. It fell to its least: a Ping after 0.05 s, and 0.1 s for its answer. A connection that is replaced as silent cuts off the large responses on it. Found by reading; no such cut was seen.

Change: calls that are to be sent by some time say nothing about silence.

--- a/mangobay/connections.py
+++ b/mangobay/connections.py
@@ -394,10 +394,19 @@
         return kind is not messages.CallQuery or self.peer_hello.takes_queries
 
     async def send_request(
-        self, body: messages.EnvelopeBody, timeout: float
+        self,
+        body: messages.EnvelopeBody,
+        timeout: float,
+        adapts_waits: bool = True,
     ) -> messages.EnvelopeBody:
         """Sends a request and returns its reply within timeout seconds.
 
+        Args:
+          body: the request.
+          timeout: seconds to wait for the reply.
+          adapts_waits: whether the patience of a call tells how long the
+            connection may be silent.
+
         Raises:
           errors.PeerUnreachableError: no byte of the request was sent, or the
             peer has refused it for good in reply to a query.
@@ -422,7 +431,9 @@
         future = self.loop.create_future()
         self.pending_requests[stream] = future
         if is_tracked(body):
-            self.track_request(stream, body, self.last_request_at + timeout)
+            self.track_request(
+                stream, body, self.last_request_at + timeout, adapts_waits
+            )
         timer = self.loop.call_later(timeout, fail_with_timeout, future)
         upload = None
         if rest is not None:
@@ -461,7 +472,11 @@
         self.close_if_unused()
 
     def track_request(
-        self, stream: int, body: messages.EnvelopeBody, deadline: float
+        self,
+        stream: int,
+        body: messages.EnvelopeBody,
+        deadline: float,
+        adapts_waits: bool,
     ) -> None:
         """Adds a request; the liveness check runs while there are any."""
         is_first = not self.tracked_requests
@@ -472,7 +487,7 @@
         if isinstance(body, messages.Call):
             if not body.idempotent:
                 self.non_idempotent_calls.add(stream)
-            if self.on_silent is not None:
+            if adapts_waits and self.on_silent is not None:
                 self.adapt_waits(body.patience_ms, is_first)
         self.liveness_check.add(self)
 
--- a/mangobay/peers.py
+++ b/mangobay/peers.py
@@ -172,7 +172,11 @@
                     f"{address}: connected too late for the request"
                 )
             timeout = max(deadline - now, 0.0)
-        return await connection.send_request(body, timeout)
+        # A process that stops shortens the patience of its calls.
+        is_stopping = send_by < math.inf
+        return await connection.send_request(
+            body, timeout, adapts_waits=not is_stopping
+        )
 
     def incarnation_of(
         self, address: options.Address
--- a/tests/test_silentconnections.py
+++ b/tests/test_silentconnections.py
@@ -102,6 +102,25 @@
         assert short.ping_after < long.ping_after
 
 
+class TestPatience:
+    """The patience of calls, which tells how long a connection may be silent."""
+
+    async def test_calls_of_a_stopping_node_do_not_shorten_the_waits(
+        self, setup
+    ):
+        """Guards against replacing sound connections at a planned stop."""
+        connection = setup.client.peers[setup.address].connection
+        before = connection.waits
+        message = dataclasses.replace(call("first"), patience_ms=1)
+        await setup.client.send_request(
+            setup.address,
+            message,
+            DEADLINE_SECONDS,
+            send_by=asyncio.get_running_loop().time() + DEADLINE_SECONDS,
+        )
+        assert connection.waits == before
+
+
 class TestSilentConnection:
     """A connection that stops working without a reset."""
 
