Node: the exit code counts the awaited responses that were aborted

What operators saw: exit 1 after a stop that cut nobody's request: an unsafe request goes on when its caller has left, and the abort counted it. A call that entered and ran on the same host was counted twice, and so were calls that the abort refused truthfully as not run.

Cause: the abort counted the calls that were in flight and the runs of the backend server, whether anybody awaited them or not, before it was known what became of them.

Change: counted are, when the node is closed, the calls that ended as unknown because the node gave them up, the requests of other nodes that still awaited a reply, and as before the responses that callers did not get. The count is logged as "awaited responses were aborted".

test_second_interrupt_ends_at_once_and_counts_aborted_calls asserted a count of 2 for one call, which told an operator of a call that did not exist. It asserts 1 now, and besides that the caller of this one call is told "unknown". The tests that assert a count after a stop read it once the node is closed, as it is complete only then.

Evidence: test_run_that_nobody_awaits_is_not_counted failed before with exit codes [1, 1] for two nodes with such a run each ([0, 0] now), and test_second_interrupt_... with a count of 2. test_run_that_is_awaited_is_counted_once guards the other side: exit 1 and a count of 1 for a caller, and for another node.

--- a/mangobay/basenode.py
+++ b/mangobay/basenode.py
@@ -70,7 +70,8 @@
       listeners: for callers, the backend server and readiness checks.
       stop_requested_at: loop time at which the node was told to stop.
       stopped: set once the node has left or has aborted.
-      aborted_count: calls and responses that were still in flight.
+      undelivered_count: responses to callers and replies to other nodes that
+        were cut.
     """
 
     listeners: collections.abc.Sequence[Listener]
@@ -89,7 +90,7 @@
         self.leave_task: asyncio.Task | None = None
         self.stop_requested_at = math.inf
         self.stopped = asyncio.Event()
-        self.aborted_count = 0
+        self.undelivered_count = 0
         self.make_peers()
         self.make_executor()
         self.make_dispatcher()
@@ -317,7 +318,22 @@
             await self.stopped.wait()
         finally:
             await self.close()
-        return 1 if self.aborted_count else 0
+        if not self.aborted_count:
+            return 0
+        logs.log_event(
+            logs.Component.NODE,
+            "awaited responses were aborted",
+            count=self.aborted_count,
+        )
+        return 1
+
+    @property
+    def aborted_count(self) -> int:
+        """Number of responses that were awaited and aborted.
+
+        It is final once the node is closed.
+        """
+        return self.undelivered_count + self.dispatcher.in_flight.given_up_count
 
     def reload(self) -> None:
         """Logs that settings are read only at the start.
@@ -372,7 +388,6 @@
         entered_at = [
             call.entered_at for call in self.dispatcher.in_flight.open
         ]
-        self.aborted_count = len(entered_at) + len(running_operations)
         logs.log_event(
             logs.Component.NODE,
             "stopping at once",
@@ -407,18 +422,18 @@
     async def close_listeners(self) -> None:
         """Closes the HTTP listeners; counts aborted responses."""
         timeout = self.write_timeout()
-        aborted_count = sum(
+        undelivered_count = sum(
             await asyncio.gather(
                 *(listener.close(timeout) for listener in self.listeners)
             )
         )
-        if aborted_count:
+        if undelivered_count:
             logs.log_event(
                 logs.Component.NODE,
                 "responses not received by their callers",
-                answers=aborted_count,
+                answers=undelivered_count,
             )
-        self.aborted_count += aborted_count
+        self.undelivered_count += undelivered_count
 
     async def cancel_tasks(self) -> None:
         """Cancels the background tasks."""
--- a/mangobay/inflight.py
+++ b/mangobay/inflight.py
@@ -30,11 +30,13 @@
     Attributes:
       open: calls without a reply yet.
       given_up: whether the node stops and gives up its calls.
+      given_up_count: calls that got no reply because of that.
     """
 
     def __init__(self):
         self.open: set[InFlightCall] = set()
         self.given_up = False
+        self.given_up_count = 0
 
     async def track(
         self, reply: collections.abc.Coroutine[None, None, messages.Reply]
@@ -51,6 +53,7 @@
             if not self.given_up:
                 raise
             call.task.uncancel()
+            self.given_up_count += 1
             return calls.unknown_reply(messages.Reason.LEAVING)
         finally:
             self.open.discard(call)
--- a/mangobay/node.py
+++ b/mangobay/node.py
@@ -171,7 +171,7 @@
         """Closes listeners, tasks and connections."""
         await self.abort_in_flight()
         await self.close_listeners()
-        await self.peer_listener.close(
+        self.undelivered_count += await self.peer_listener.close(
             self.write_timeout(), self.close_timeout()
         )
         await self.cancel_tasks()
--- a/mangobay/nodeprogram.py
+++ b/mangobay/nodeprogram.py
@@ -10,8 +10,9 @@
     name = "mangobay-node"
     description = "Runs the node of a backend server."
     epilog = (
-        "exit codes: 0 stopped, nothing aborted; 1 cannot start, or calls were"
-        " aborted; 2 invalid settings or command line"
+        "exit codes: 0 stopped, every awaited response was given; 1 cannot"
+        " start, or awaited responses were aborted; 2 invalid settings or"
+        " command line"
     )
     sections = settings.NODE_SECTIONS
     config_class = settings.Node
--- a/mangobay/peers.py
+++ b/mangobay/peers.py
@@ -560,15 +560,19 @@
 
     async def close(
         self, grace: float = 0, timeout: float = CLOSE_TIMEOUT_SECONDS
-    ) -> None:
+    ) -> int:
         """Stops accepting, lets requests finish, and closes all connections.
 
         Args:
           grace: maximum wait in seconds for requests being handled.
           timeout: maximum wait in seconds for the connections to end.
+
+        Returns:
+          Number of requests whose senders awaited a reply and got none, or a
+          part of it.
         """
         if self.sweep_timer is None:
-            return
+            return 0
         self.sweep_timer.cancel()
         await self.server.close()
         tasks = [
@@ -578,4 +582,6 @@
         ]
         if tasks and grace:
             await asyncio.wait(tasks, timeout=grace)
+        aborted_count = self.count_running_requests()
         await close_connections(list(self.accepted), timeout)
+        return aborted_count
--- a/mangobay/routednode.py
+++ b/mangobay/routednode.py
@@ -328,7 +328,9 @@
 
     async def close_peers(self) -> None:
         """Stops the node's tasks and closes its connections to others."""
-        await self.peer_listener.close(timeout=self.close_timeout())
+        self.undelivered_count += await self.peer_listener.close(
+            timeout=self.close_timeout()
+        )
         self.heartbeat_receiver.stop_check()
         await self.cancel_tasks()
         await self.close_connections()
