HTTP server: a connection that was reset fails nobody who closes it

What was seen: OSError (107, not connected) from `Listener.close`, when a caller had reset its connection and the loop had not read that yet. The other connections of the listener were not closed in order then. Found by a test of refused bodies.

Cause: such a socket cannot be shut down, and the error of `write_eof` was not caught.

Change: the connection is aborted.

test_closing_a_connection_that_was_reset failed before with that error.

--- a/mangobay/leanserver.py
+++ b/mangobay/leanserver.py
@@ -656,7 +656,12 @@
             # An orderly end would complete the response.
             transport.abort()
             return
-        transport.write_eof()
+        try:
+            transport.write_eof()
+        except OSError:
+            # The caller has reset the connection.
+            transport.abort()
+            return
         transport.resume_reading()
         self.start_delivery()
         self.check_half_closed()
--- a/tests/test_leanserver.py
+++ b/tests/test_leanserver.py
@@ -18,6 +18,7 @@
     leanserver,
     options,
     responsestream,
+    responsewriter,
 )
 
 LOOPBACK = options.Address("127.0.0.1", 0)
@@ -486,6 +487,20 @@
         finally:
             gc.enable()
 
+    async def test_closing_a_connection_that_was_reset(self, listener):
+        """Guards against one reset that fails whoever closes connections."""
+        caller = socket.create_connection(listener.address)
+        while not listener.connections:
+            await asyncio.sleep(0.01)
+        (connection,) = listener.connections
+        caller.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, responsewriter.RESET_ON_CLOSE
+        )
+        caller.close()
+        connection.close()
+        while listener.connections:
+            await asyncio.sleep(0.01)
+
     async def test_disconnect_cancels_the_handler(self, listener, recorder):
         recorder.release_events["/1"] = asyncio.Event()
         _, writer = await connect(listener)
