Orders: what all orders of a control host hold together is bounded

What was seen: 30 connections that send bodies without end to the operators' port bring a control host to 505 MB, whose other ports refuse bodies already. A machine for control has 300 MB.

Cause: memory was bounded for each order (`sheet_bytes`, 16 MiB), and unbounded over all. Incomplete heads count too: each may hold 2 MB.

Change: `RequestMemory` counts what the requests of a listener hold, from their first byte to their response. Above the bound (two of the largest orders) the incomplete request that holds most is refused with 503 and Retry-After, its bytes are dropped, and its connection is read on as after any refusal. An order that is handled is not refused.

Bytes count as received, not as announced: a Content-Length alone reserves nothing, and a body in chunks counts alike.

The tests of TestRequestMemory name what is new.

--- a/mangobay/httpparse.py
+++ b/mangobay/httpparse.py
@@ -191,6 +191,11 @@
         """Releases the llhttp parser, which refers back to this object."""
         self.native_parser = None
 
+    def drop_message(self) -> None:
+        """Drops what was received of a message; nothing may be fed after it."""
+        self.message = None
+        self.target_parts = []
+
     def check_partial_line(self, data: bytes) -> None:
         """Rejects a head whose last line exceeds the limit before it ends."""
         line_start = data.rfind(b"\n") + 1
--- a/mangobay/leanserver.py
+++ b/mangobay/leanserver.py
@@ -17,6 +17,7 @@
     periodic,
     refusals,
     requestbody,
+    requestmemory,
     responsestream,
     responsewriter,
     sockets,
@@ -69,6 +70,8 @@
       read_timeout: seconds from the first byte of a request to the end of its
         head.
       idle_timeout: seconds until a connection without requests is closed.
+      max_request_bytes: limit of what all requests hold together while they
+        are received and handled, None for no limit besides the others.
       max_connections: connections that may be open at the same time.
       stall_timeout: seconds in which the caller of a large response has to
         read something.
@@ -76,6 +79,7 @@
 
     max_line_bytes: int = leanhttp.MAX_LINE_BYTES
     max_body_bytes: int = 0
+    max_request_bytes: int | None = None
     read_timeout: float = 10.0
     idle_timeout: float = 75.0
     max_connections: int = 2048
@@ -134,6 +138,7 @@
       reading_paused: reading is paused.
       holder: the request behind which no other is dispatched until its
         response is written; None if there is none.
+      held_bytes: bytes received since no request was incomplete or unanswered.
     """
 
     __slots__ = (
@@ -146,6 +151,7 @@
         "closing",
         "delivering",
         "exchanges",
+        "held_bytes",
         "holder",
         "listener",
         "parser",
@@ -175,6 +181,7 @@
         self.write_gate: responsestream.WriteGate | None = None
         self.starting: Exchange | None = None
         self.holder: Exchange | None = None
+        self.held_bytes = 0
         self.reading_paused = False
 
     def connection_made(self, transport) -> None:
@@ -200,6 +207,7 @@
         self.listener.connection_check.discard(self)
         self.cancel_exchanges()
         self.holder = None
+        self.count_held(0)
 
     def cancel_exchanges(self) -> None:
         """Cancels the requests without response."""
@@ -281,6 +289,11 @@
         self.last_activity = self.loop.time()
         if self.closing and not self.is_receiving_body():
             return
+        self.handle_data(data)
+        self.count_held(len(data))
+
+    def handle_data(self, data: bytes) -> None:
+        """Parses bytes of which the connection still takes notice."""
         receiving = self.exchanges[-1] if self.is_receiving_body() else None
         new_messages = self.parser.feed(data)
         if receiving is not None:
@@ -300,6 +313,22 @@
         if self.exchanges and self.is_holding_much():
             self.pause_reading()
 
+    def count_held(self, received_bytes: int) -> None:
+        """Updates what the requests of the connection hold.
+
+        Args:
+          received_bytes: what they hold besides; nothing if they have ended.
+        """
+        memory = self.listener.request_memory
+        if memory is None:
+            return
+        self.held_bytes += received_bytes
+        has_requests = bool(self.exchanges) or self.parser.in_head
+        has_ended = self.transport is None or self.half_close_timer is not None
+        if has_ended or not has_requests:
+            self.held_bytes = 0
+        memory.update(self, self.held_bytes)
+
     def update_request_start(self, has_message: bool) -> None:
         """Updates when an incomplete head began.
 
@@ -474,13 +503,29 @@
         if newest.rest is not None:
             newest.rest.cut_off("the process stops")
         elif newest.task is None:
-            newest.message.take_body()
             self.end_unread(newest, refusals.retry_later_response())
 
+    def is_refusable(self) -> bool:
+        """Returns whether a request is incomplete and has no handler."""
+        if self.half_close_timer is not None:
+            return False
+        if self.is_receiving_body():
+            return self.exchanges[-1].task is None
+        return self.parser.in_head and not self.closing
+
+    def refuse_received(self) -> None:
+        """Refuses a request that is incomplete and has no handler."""
+        if self.is_receiving_body():
+            self.refuse_incomplete()
+        else:
+            self.end_unparsed(refusals.retry_later_response())
+        self.parser.drop_message()
+
     def end_unread(
         self, exchange: Exchange, response: leanhttp.Response
     ) -> None:
         """Responds to a request of which no more is read."""
+        exchange.message.drop_body()
         exchange.response_bytes = leanhttp.encode_response(
             response, True, False
         )
@@ -578,14 +623,18 @@
 
     def send_error(self, error: httpparse.ParseError) -> None:
         """Responds to malformed input after the responses that are due."""
-        self.closing = True
         response = leanhttp.Response(status=error.status)
         if error.status == HEAD_TOO_LARGE_STATUS:
             response = self.listener.limit_response(error.status)
-        response_bytes = leanhttp.encode_response(response, True, False)
         # The error response takes the place of a request with a malformed body.
         if self.is_receiving_body():
             self.exchanges.pop()
+        self.end_unparsed(response)
+
+    def end_unparsed(self, response: leanhttp.Response) -> None:
+        """Responds to bytes that are no request yet, and never become one."""
+        self.closing = True
+        response_bytes = leanhttp.encode_response(response, True, False)
         exchange = Exchange(
             None, response_bytes=response_bytes, should_close=True
         )
@@ -619,6 +668,7 @@
         if should_close:
             self.close()
         else:
+            self.count_held(0)
             self.resume_reading()
 
     def time_out(self) -> None:
@@ -665,6 +715,7 @@
         transport.resume_reading()
         self.start_delivery()
         self.check_half_closed()
+        self.count_held(0)
 
     def check_half_closed(self) -> None:
         """Closes a half-closed connection that its caller does not close."""
@@ -810,6 +861,7 @@
         end; otherwise it gets whole bodies only.
       large_requests: number of large requests that are handled.
       replay_budget: bounds what is kept of large requests.
+      request_memory: bounds what all requests hold; None without that limit.
       limits_are_current: returns whether the limits of what callers may send
         are certain to be the newest ones.
     """
@@ -827,6 +879,11 @@
         self.continues_bodies = False
         self.large_requests = 0
         self.replay_budget = requestbody.ReplayBudget()
+        self.request_memory = (
+            None
+            if limits.max_request_bytes is None
+            else requestmemory.RequestMemory(limits.max_request_bytes)
+        )
         self.limits_are_current: collections.abc.Callable[[], bool] = (
             limits_are_fixed
         )
--- a/mangobay/routedcontrol.py
+++ b/mangobay/routedcontrol.py
@@ -26,6 +26,8 @@
 
 WRITE_TIMEOUT_SECONDS = 0.3
 """Seconds for callers to receive the last responses."""
+LARGEST_ORDERS = 2
+"""Orders of the largest size that are received at the same time."""
 JSON_HEADER = messages.Header(name="Content-Type", value="application/json")
 
 
@@ -144,6 +146,7 @@
         config = self.config
         limits = leanserver.Limits(
             max_body_bytes=config.limits.sheet_bytes,
+            max_request_bytes=LARGEST_ORDERS * config.limits.sheet_bytes,
             read_timeout=config.limits.header_timeout,
             max_connections=config.limits.operator_connections,
         )
--- a/tests/test_endless_requests_processes.py
+++ b/tests/test_endless_requests_processes.py
@@ -166,6 +166,10 @@
                 Flood(control_ip, platformfakes.METRICS, b"x"),
                 lambda: get(control_ip, platformfakes.METRICS, "/metrics"),
             ),
+            "orders": (
+                Flood(control_ip, platformfakes.OPERATOR, b"config.replace"),
+                lambda: fleet.describe_config(CONTROL),
+            ),
         }
         memory = {}
         statuses = {}
--- a/tests/test_internal_ports.py
+++ b/tests/test_internal_ports.py
@@ -13,14 +13,15 @@
 WAIT_SECONDS = 5.0
 
 
-@contextlib.asynccontextmanager
-async def listening(limits):
-    """Yields a listener with a handler that responds at once."""
+async def respond(request, connection):
+    """Responds at once."""
+    del connection
+    return leanhttp.Response(status=200, body=request.body)
 
-    async def handle(request, connection):
-        del connection
-        return leanhttp.Response(status=200, body=request.body)
 
+@contextlib.asynccontextmanager
+async def listening(limits, handle=respond):
+    """Yields a listener."""
     listener = leanserver.Listener(LOOPBACK, handle, limits)
     await listener.start()
     try:
@@ -90,3 +91,154 @@
                         await writer.drain()
             assert b" 413 " in await status
             assert not listener.connections
+
+
+class Sender:
+    """A connection that sends parts of requests."""
+
+    def __init__(self, reader, writer):
+        self.reader = reader
+        self.writer = writer
+
+    async def send(self, data):
+        """Sends bytes."""
+        self.writer.write(data)
+        await self.writer.drain()
+
+    async def read_head(self):
+        """Returns the head of the next response."""
+        async with asyncio.timeout(WAIT_SECONDS):
+            return await self.reader.readuntil(b"\r\n\r\n")
+
+
+class Port:
+    """A listener, and the senders that are connected to it."""
+
+    def __init__(self, listener):
+        self.listener = listener
+        self.senders = []
+
+    @property
+    def memory(self):
+        """What the requests of the listener hold."""
+        return self.listener.request_memory
+
+    async def connect(self):
+        """Returns a sender that has sent nothing."""
+        address = self.listener.address
+        self.senders.append(Sender(*await asyncio.open_connection(*address)))
+        return self.senders[-1]
+
+    async def begin(self, size, sent):
+        """Returns a sender whose first bytes of a body were read."""
+        sender = await self.connect()
+        data = request_of(size)[: sent - size or None]
+        await sender.send(data)
+        await wait_until(lambda: len(data) in self.memory.sizes.values())
+        return sender
+
+
+@contextlib.asynccontextmanager
+async def open_port(limits, handle=respond):
+    """Yields a port."""
+    async with listening(limits, handle) as listener:
+        port = Port(listener)
+        try:
+            yield port
+        finally:
+            for sender in port.senders:
+                sender.writer.transport.abort()
+
+
+def request_of(size):
+    """Returns a request with a body."""
+    return HEAD + b"Content-Length: %d\r\n\r\n" % size + b"x" * size
+
+
+async def wait_until(check):
+    """Returns once a condition is met."""
+    async with asyncio.timeout(WAIT_SECONDS):
+        while not check():
+            await asyncio.sleep(0.01)
+
+
+class TestRequestMemory:
+    """What all requests of a port hold together."""
+
+    LIMITS = leanserver.Limits(
+        max_body_bytes=200_000, max_request_bytes=300_000
+    )
+
+    async def test_request_that_holds_most_is_refused(self):
+        """Guards against stalled senders that keep out those who send little."""
+        async with open_port(self.LIMITS) as port:
+            largest = await port.begin(200_000, 150_000)
+            other = await port.begin(190_000, 120_000)
+            small = await port.begin(100, 10)
+            late = await port.begin(60_000, 40_000)
+            head = await largest.read_head()
+            assert head.startswith(b"HTTP/1.1 503 ")
+            assert b"Retry-After: " in head
+            assert b"Connection: close" in head
+            await late.send(b"x" * 20_000)
+            await small.send(b"x" * 90)
+            await other.send(b"x" * 70_000)
+            for sender in (late, small, other):
+                assert (await sender.read_head()).startswith(b"HTTP/1.1 200 ")
+            await wait_until(lambda: not port.memory.held_bytes)
+
+    async def test_refused_sender_that_sends_on_reads_its_response(self):
+        """Guards against a reset that discards the refusal."""
+        async with open_port(self.LIMITS) as port:
+            sender = await port.begin(200_000, 150_000)
+            await port.begin(200_000, 140_000)
+            await port.begin(200_000, 20_000)
+            await sender.send(b"x" * 50_000)
+            head = await sender.read_head()
+            assert head.startswith(b"HTTP/1.1 503 ")
+
+    async def test_incomplete_heads_are_bounded(self):
+        """Guards against heads that are kept without bound for all together."""
+        header = b"X-Any: %b\r\n" % (b"x" * 10_000)
+        async with open_port(self.LIMITS) as port:
+            senders = [await port.connect() for _ in range(10)]
+            for sender in senders:
+                await sender.send(HEAD + header * 9)
+            reads = [
+                asyncio.create_task(sender.read_head()) for sender in senders
+            ]
+            await wait_until(lambda: sum(read.done() for read in reads) == 7)
+            for read in reads:
+                if read.done():
+                    assert read.result().startswith(b"HTTP/1.1 503 ")
+                read.cancel()
+            assert len(port.memory.sizes) == 3
+            assert port.memory.held_bytes <= port.memory.max_bytes
+
+    async def test_requests_that_are_handled_are_not_refused(self):
+        """Guards against refusing a request that may have had its effect."""
+        release = asyncio.Event()
+
+        async def handle(request, connection):
+            del request, connection
+            await release.wait()
+            return leanhttp.Response(status=200)
+
+        async with open_port(self.LIMITS, handle) as port:
+            handled = await port.begin(200_000, 200_000)
+            incomplete = await port.connect()
+            await incomplete.send(request_of(200_000)[:110_000])
+            head = await incomplete.read_head()
+            assert head.startswith(b"HTTP/1.1 503 ")
+            release.set()
+            head = await handled.read_head()
+            assert head.startswith(b"HTTP/1.1 200 ")
+
+    @pytest.mark.parametrize("byte_count", [20, 150_000])
+    async def test_memory_is_released_with_the_connection(self, byte_count):
+        async with open_port(self.LIMITS) as port:
+            sender = await port.connect()
+            await sender.send(request_of(200_000)[:byte_count])
+            await wait_until(lambda: port.memory.held_bytes == byte_count)
+            sender.writer.transport.abort()
+            await wait_until(lambda: not port.memory.held_bytes)
