HTTP ports: internal ones handle one request of a connection at a time

What was seen: 30 connections that send requests for the metrics without end, and read nothing, stop a node: neither the metrics port nor the heartbeat port answered within 3 s any more.

Cause: all requests in the bytes of one read are handled before the loop goes on, up to 6,000 of 256 KiB, and each renders a page that is kept until it is read.

Change: a port that no caller uses, and that of operators, takes no request before the response to the one before. If one comes, the response that is due closes the connection, as HTTP/1.1 allows, and the rest is not run. Such a port takes 256 connections, and 4 MiB of requests in all.

The part "pipelined requests" of test_no_port_takes_in_more_than_its_host_bears failed before with requests that got no response, and test_only_the_first_of_many_requests_is_handled and test_request_behind_one_that_is_handled with responses that kept the connection open.

--- a/mangobay/leanserver.py
+++ b/mangobay/leanserver.py
@@ -36,6 +36,10 @@
 """Bytes of the unanswered requests of a connection; reading pauses above it."""
 MAX_LARGE_REQUESTS = 64
 """Large requests of a listener that are handled concurrently."""
+INTERNAL_CONNECTIONS = 256
+"""Connections of a port that no caller uses."""
+INTERNAL_REQUEST_BYTES = 4 * 1024 * 1024
+"""Bytes that the requests of a port hold that no caller uses."""
 BODY_STALL_SECONDS = 10.0
 """Seconds in which a caller has to send some of the body of its request."""
 MAX_PREFIX_SECONDS = 30.0
@@ -73,6 +77,8 @@
       max_request_bytes: limit of what all requests hold together while they
         are received and handled, None for no limit besides the others.
       max_connections: connections that may be open at the same time.
+      pipelining: whether requests are handled that come before the response to
+        the one before them; if not, that response closes the connection.
       stall_timeout: seconds in which the caller of a large response has to
         read something.
     """
@@ -83,9 +89,24 @@
     read_timeout: float = 10.0
     idle_timeout: float = 75.0
     max_connections: int = 2048
+    pipelining: bool = True
     stall_timeout: float = responsestream.STALL_SECONDS
 
 
+def internal_limits(max_body_bytes: int) -> Limits:
+    """Returns the limits of a port that no caller uses.
+
+    Args:
+      max_body_bytes: limit of a request body; 0 if the port expects none.
+    """
+    return Limits(
+        max_body_bytes=max_body_bytes,
+        max_request_bytes=INTERNAL_REQUEST_BYTES,
+        max_connections=INTERNAL_CONNECTIONS,
+        pipelining=False,
+    )
+
+
 @dataclasses.dataclass(slots=True, eq=False)
 class Exchange:
     """One request of a connection and its response.
@@ -298,6 +319,8 @@
         new_messages = self.parser.feed(data)
         if receiving is not None:
             self.receive_body(receiving)
+        if not self.listener.limits.pipelining:
+            self.end_pipelining(new_messages)
         for message in new_messages:
             if not self.closing:
                 self.handle_head(message)
@@ -313,6 +336,16 @@
         if self.exchanges and self.is_holding_much():
             self.pause_reading()
 
+    def end_pipelining(self, new_messages: list[httpparse.Message]) -> None:
+        """Handles no request that came before the response to another one."""
+        if not new_messages:
+            return
+        if self.exchanges:
+            self.exchanges[-1].should_close = True
+            self.closing = True
+        elif len(new_messages) > 1:
+            new_messages[0].should_close = True
+
     def count_held(self, received_bytes: int) -> None:
         """Updates what the requests of the connection hold.
 
--- a/mangobay/routedcontrol.py
+++ b/mangobay/routedcontrol.py
@@ -149,6 +149,7 @@
             max_request_bytes=LARGEST_ORDERS * config.limits.sheet_bytes,
             read_timeout=config.limits.header_timeout,
             max_connections=config.limits.operator_connections,
+            pipelining=False,
         )
         drain_manager = drainmanager.DrainManager()
         handler = drainable_handler(
@@ -165,8 +166,8 @@
             leanserver.Listener(
                 address,
                 internal_handler,
-                leanserver.Limits(
-                    max_body_bytes=max(
+                leanserver.internal_limits(
+                    max(
                         quarantinepage.MAX_BODY_BYTES,
                         metricspage.MAX_BODY_BYTES,
                     )
--- a/mangobay/routednode.py
+++ b/mangobay/routednode.py
@@ -187,7 +187,7 @@
                 leanserver.Listener(
                     address,
                     handler,
-                    leanserver.Limits(max_body_bytes=max_body_bytes),
+                    leanserver.internal_limits(max_body_bytes),
                 )
                 for addresses, handler, max_body_bytes in internal
                 for address in addresses
--- a/tests/test_endless_requests_processes.py
+++ b/tests/test_endless_requests_processes.py
@@ -32,7 +32,7 @@
     repeated: bytes
 
 
-def endless(call):
+def endless_bodies(call):
     """Returns bodies without end, each of another kind.
 
     Args:
@@ -49,6 +49,12 @@
     return [*[chunked, sized] * 7, small_chunks]
 
 
+def endless_requests():
+    """Returns requests without end, whose responses nobody reads."""
+    request = b"GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n"
+    return [Bytes(first=b"", repeated=request * 1000)]
+
+
 class Flood:
     """Connections to one port that send without end and read nothing.
 
@@ -58,10 +64,10 @@
       transports: all connections.
     """
 
-    def __init__(self, ip, port, call):
+    def __init__(self, ip, port, kinds):
         self.ip = ip
         self.port = port
-        self.kinds = endless(call)
+        self.kinds = kinds
         self.sent_bytes = 0
         self.stopped = False
         self.transports = set()
@@ -149,25 +155,35 @@
 
         ports = {
             "ready": (
-                Flood(node_ip, platformfakes.READY, b"x"),
+                Flood(node_ip, platformfakes.READY, endless_bodies(b"x")),
                 lambda: get(node_ip, platformfakes.READY, "/-/readyz"),
             ),
             "metrics": (
-                Flood(node_ip, platformfakes.METRICS, b"x"),
+                Flood(node_ip, platformfakes.METRICS, endless_bodies(b"x")),
+                lambda: get(node_ip, platformfakes.METRICS, "/metrics"),
+            ),
+            "pipelined requests": (
+                Flood(node_ip, platformfakes.METRICS, endless_requests()),
                 lambda: get(node_ip, platformfakes.METRICS, "/metrics"),
             ),
             "heartbeats": (
                 Flood(
-                    node_ip, platformfakes.HEARTBEATS, b"instances.heartbeat"
+                    node_ip,
+                    platformfakes.HEARTBEATS,
+                    endless_bodies(b"instances.heartbeat"),
                 ),
                 fleet.backends[0].send_heartbeat,
             ),
             "control metrics": (
-                Flood(control_ip, platformfakes.METRICS, b"x"),
+                Flood(control_ip, platformfakes.METRICS, endless_bodies(b"x")),
                 lambda: get(control_ip, platformfakes.METRICS, "/metrics"),
             ),
             "orders": (
-                Flood(control_ip, platformfakes.OPERATOR, b"config.replace"),
+                Flood(
+                    control_ip,
+                    platformfakes.OPERATOR,
+                    endless_bodies(b"config.replace"),
+                ),
                 lambda: fleet.describe_config(CONTROL),
             ),
         }
--- a/tests/test_internal_ports.py
+++ b/tests/test_internal_ports.py
@@ -242,3 +242,62 @@
             await wait_until(lambda: port.memory.held_bytes == byte_count)
             sender.writer.transport.abort()
             await wait_until(lambda: not port.memory.held_bytes)
+
+
+class TestPipelining:
+    """Requests that come before the response to the one before them."""
+
+    async def test_only_the_first_of_many_requests_is_handled(self):
+        """Guards against thousands of responses to the bytes of one read."""
+        paths = []
+
+        async def handle(request, connection):
+            del connection
+            paths.append(request.path)
+            return leanhttp.Response(status=200)
+
+        async with open_port(leanserver.internal_limits(0), handle) as port:
+            sender = await port.connect()
+            await sender.send(
+                b"".join(
+                    b"GET /%d HTTP/1.1\r\nHost: h\r\n\r\n" % number
+                    for number in range(1000)
+                )
+            )
+            head = await sender.read_head()
+            assert head.startswith(b"HTTP/1.1 200 ")
+            assert b"Connection: close" in head
+            assert await sender.reader.read() == b""
+            assert paths == ["/0"]
+
+    async def test_request_behind_one_that_is_handled(self):
+        """Guards against handling many slow requests of one connection."""
+        paths = []
+        release = asyncio.Event()
+
+        async def handle(request, connection):
+            del connection
+            paths.append(request.path)
+            await release.wait()
+            return leanhttp.Response(status=200)
+
+        async with open_port(leanserver.internal_limits(0), handle) as port:
+            sender = await port.connect()
+            await sender.send(b"GET /0 HTTP/1.1\r\nHost: h\r\n\r\n")
+            await wait_until(lambda: paths)
+            await sender.send(b"GET /1 HTTP/1.1\r\nHost: h\r\n\r\n")
+            (connection,) = port.listener.connections
+            await wait_until(lambda: connection.closing)
+            release.set()
+            assert b"Connection: close" in await sender.read_head()
+            assert await sender.reader.read() == b""
+            assert paths == ["/0"]
+
+    async def test_requests_in_turn_share_a_connection(self):
+        async with open_port(leanserver.internal_limits(100)) as port:
+            sender = await port.connect()
+            for _ in range(3):
+                await sender.send(request_of(5))
+                head = await sender.read_head()
+                assert b"Connection: close" not in head
+                assert await sender.reader.readexactly(5) == b"xxxxx"
