Tests: a listener that gets a body names its limit

test_close_refuses_what_is_incomplete sends a body of 9 bytes to a listener with default limits. Its listener allows 100 bytes now, as that of the other tests does; what it checks is the same.

--- a/tests/test_leanserver.py
+++ b/tests/test_leanserver.py
@@ -1025,7 +1025,7 @@
     async def test_close_refuses_what_is_incomplete(self, recorder):
         """Guards against an operator that has to guess what became of it."""
         listener = leanserver.Listener(
-            LOOPBACK, recorder.handle, leanserver.Limits()
+            LOOPBACK, recorder.handle, leanserver.Limits(max_body_bytes=100)
         )
         await listener.start()
         reader, writer = await connect(listener)
