HTTP ports: connections that stall keep nobody out of internal ones

What was seen: a port with all its connections taken closes each new one, so that those who hold the others and send nothing, or never end a request, keep out readiness checks, heartbeats and orders for as long as a head (10 s) or a body (30 s) may take, and again after that.

Cause: the newest connection was the one to go, whoever it was.

Change: a port without pipelining closes the connection that has waited longest for its caller: first those that never had a response, then the others. One whose request is handled is never closed; if there is no other, the newest goes as before. Callers' ports are as they were.

--- a/mangobay/leanserver.py
+++ b/mangobay/leanserver.py
@@ -206,7 +206,7 @@
         self.reading_paused = False
 
     def connection_made(self, transport) -> None:
-        """Registers the connection; closes it if there are too many."""
+        """Registers the connection; closes one if there are too many."""
         super().connection_made(transport)
         peer = transport.get_extra_info("peername")
         self.remote = peer[0] if peer else ""
@@ -215,7 +215,7 @@
             len(self.listener.connections)
             > self.listener.limits.max_connections
         ):
-            transport.close()
+            self.listener.close_excess(self)
 
     def connection_lost(self, exc) -> None:
         """Cancels the requests whose responses the caller no longer awaits."""
@@ -873,6 +873,14 @@
         newest.message.take_body()
         self.end_unread(newest, leanhttp.Response(status=TIMEOUT_STATUS))
 
+    def is_waiting(self) -> bool:
+        """Returns whether nothing happens before the caller sends more."""
+        return not self.exchanges or self.is_refusable()
+
+    def has_responded(self) -> bool:
+        """Returns whether the connection has had a response."""
+        return self.acknowledged_at > 0
+
     def is_idle(self, cutoff: float) -> bool:
         """Returns whether the connection has been idle since a loop time."""
         return not self.exchanges and self.last_activity < cutoff
@@ -949,6 +957,31 @@
         exchange.rest.abandon()
         self.large_requests -= 1
 
+    def close_excess(self, newest: Connection) -> None:
+        """Closes a connection, as there are too many.
+
+        Where requests are small and short, it is the one that has waited
+        longest for its caller, so that those that send nothing keep out nobody.
+        """
+        waiting = () if self.limits.pipelining else self.waiting_connections()
+        stalest = min(
+            (each for each in waiting if each is not newest),
+            key=lambda each: (each.has_responded(), each.last_activity),
+            default=None,
+        )
+        if stalest is None:
+            newest.transport.close()
+        else:
+            stalest.transport.abort()
+
+    def waiting_connections(self) -> collections.abc.Iterator[Connection]:
+        """Yields the connections that wait for their callers."""
+        return (
+            connection
+            for connection in self.connections
+            if connection.is_waiting() and not connection.transport.is_closing()
+        )
+
     @property
     def connections(self) -> set[Connection]:
         """The open connections."""
--- a/tests/test_internal_ports.py
+++ b/tests/test_internal_ports.py
@@ -301,3 +301,68 @@
                 head = await sender.read_head()
                 assert b"Connection: close" not in head
                 assert await sender.reader.readexactly(5) == b"xxxxx"
+
+
+class TestConnections:
+    """More connections than a port takes."""
+
+    LIMITS = leanserver.Limits(
+        max_body_bytes=1000, max_connections=3, pipelining=False
+    )
+
+    @pytest.mark.parametrize("sent", [b"", b"GET / HT", request_of(1000)[:-9]])
+    async def test_stalled_connections_keep_out_nobody(self, sent):
+        """Guards against strangers that take all connections of a port."""
+        async with open_port(self.LIMITS) as port:
+            served = await port.connect()
+            await served.send(request_of(0))
+            await served.read_head()
+            for _ in range(10):
+                stalled = await port.connect()
+                await stalled.send(sent)
+                await wait_until(lambda: self.newest_has_read(port, sent))
+            late = await port.connect()
+            for sender in (late, served):
+                await sender.send(request_of(0))
+                head = await sender.read_head()
+                assert head.startswith(b"HTTP/1.1 200 ")
+            await wait_until(lambda: len(port.listener.connections) <= 3)
+
+    def newest_has_read(self, port, sent):
+        """Returns whether the newest connection is open and has read bytes."""
+        sock = port.senders[-1].writer.get_extra_info("socket")
+        for each in port.listener.connections:
+            peer = each.transport.get_extra_info("peername")
+            if peer == sock.getsockname():
+                is_partial = each.parser.in_head or bool(each.exchanges)
+                return is_partial == bool(sent)
+        return False
+
+    async def test_handled_requests_keep_their_connections(self):
+        """Guards against closing connections whose responses are due."""
+        release = asyncio.Event()
+
+        async def handle(request, connection):
+            del request, connection
+            await release.wait()
+            return leanhttp.Response(status=200)
+
+        async with open_port(self.LIMITS, handle) as port:
+            senders = [await port.connect() for _ in range(3)]
+            for sender in senders:
+                await sender.send(request_of(5))
+            await wait_until(
+                lambda: (
+                    sum(
+                        len(each.exchanges)
+                        for each in port.listener.connections
+                    )
+                    == 3
+                )
+            )
+            late = await port.connect()
+            assert await late.reader.read() == b""
+            release.set()
+            for sender in senders:
+                head = await sender.read_head()
+                assert head.startswith(b"HTTP/1.1 200 ")
