Sheets: what all sheets of a control host hold together is bounded

What was seen: ten connections that each send nine tenths of a sheet and stall are all waited for. With the default limits 256 of them may hold 16 MiB each.

Cause: as with orders, memory was bounded for each sheet, and unbounded over all.

Change: `BodyReceiver` receives a body of an aiohttp request, and counts it with the same `RequestMemory`, from its first byte until the sheet is accepted or refused. Above two of the largest sheets, the one that holds most gets 503 with problem details. Sheets that are accepted just then are not refused.

test_sheets_that_hold_most_are_refused failed before (no response within 5 s). Now eight of ten get 503, and an operator with a small sheet is served beside them.

--- a/mangobay/errors.py
+++ b/mangobay/errors.py
@@ -42,6 +42,14 @@
     """A parameter of an operator's request is invalid."""
 
 
+class BodyTooLargeError(MangobayError):
+    """The body of a request is above the limit."""
+
+
+class BodyRefusedError(MangobayError):
+    """The body of a request was not received, as others hold too much."""
+
+
 class NotFoundError(MangobayError):
     """An operator's request names an unknown host, service or revision."""
 
--- a/mangobay/operatorapi.py
+++ b/mangobay/operatorapi.py
@@ -9,6 +9,7 @@
 from aiohttp import web
 
 from mangobay import (
+    bodyreceiver,
     clock,
     connectionlimits,
     controlmetrics,
@@ -22,6 +23,7 @@
     operatorproblems,
     options,
     quarantineadmin,
+    requestmemory,
     sheet,
     sheetacceptance,
     statemachine,
@@ -37,6 +39,9 @@
 MAX_NAME_LENGTH = 200
 """Maximum characters of a version or an operator's name."""
 
+LARGEST_SHEETS = 2
+"""Sheets of the largest size that are received at the same time."""
+
 SHUTDOWN_TIMEOUT_SECONDS = 2.0
 """Seconds that requests in progress may take when this host stops."""
 
@@ -66,6 +71,8 @@
         start.
       drain_manager: runs requests, and refuses them once draining.
       quarantine_admin: lists and releases quarantined requests.
+      sheet_bytes: largest sheet that is accepted.
+      sheet_memory: bounds what all sheets hold that are received or accepted.
     """
 
     routes = (
@@ -111,8 +118,11 @@
         self.connection_limiter = connectionlimits.ConnectionLimiter(limits)
         self.drain_manager = drainmanager.DrainManager()
         self.server: listening.Server | None = None
+        self.sheet_bytes = sheet_bytes
+        self.sheet_memory = requestmemory.RequestMemory(
+            LARGEST_SHEETS * sheet_bytes
+        )
         app = web.Application(
-            client_max_size=sheet_bytes,
             middlewares=[
                 self.connection_limiter.record_request,
                 self.close_when_draining,
@@ -175,12 +185,17 @@
         """Accepts a sheet as a whole, or nothing of it."""
         version = ids.SheetVersion(required_parameter(request, "version"))
         operator = required_parameter(request, "operator")
-        async with asyncio.timeout(self.limits.request_timeout):
-            data = await request.read()
-        parsed_sheet = await asyncio.to_thread(sheet.parse, data, "sheet")
-        result = await self.sheet_acceptor.accept(
-            parsed_sheet, version, operator
-        )
+        receiver = bodyreceiver.BodyReceiver(self.sheet_memory)
+        try:
+            data = await receiver.receive(
+                request, self.sheet_bytes, self.limits.request_timeout
+            )
+            parsed_sheet = await asyncio.to_thread(sheet.parse, data, "sheet")
+            result = await self.sheet_acceptor.accept(
+                parsed_sheet, version, operator
+            )
+        finally:
+            receiver.release()
         logs.log_event(
             logs.Component.CONTROL,
             "sheet accepted",
--- a/mangobay/operatorproblems.py
+++ b/mangobay/operatorproblems.py
@@ -29,6 +29,8 @@
     errors.NotFoundError: ProblemType(404, "not found"),
     errors.ConflictError: ProblemType(409, "version taken by another sheet"),
     errors.VersionUsedError: ProblemType(409, "version used long ago"),
+    errors.BodyTooLargeError: ProblemType(413, "body too large"),
+    errors.BodyRefusedError: ProblemType(503, "too many bytes at once"),
     errors.SheetError: ProblemType(422, "sheet refused"),
     errors.NotLeaderError: ProblemType(503, "not the leader"),
     errors.LeadershipLostError: ProblemType(
--- a/tests/test_operatorapi.py
+++ b/tests/test_operatorapi.py
@@ -17,6 +17,7 @@
     statemachine,
 )
 
+WAIT_SECONDS = 5.0
 LOOPBACK = options.Address("127.0.0.1", 0)
 
 
@@ -56,11 +57,16 @@
 
 
 @contextlib.asynccontextmanager
-async def running_api(group):
+async def running_api(group, sheet_bytes=2000):
     """Runs the API; yields an operator."""
     table = leases.LeaseTable(group.machine, group, 4.0, 1.0)
     api = operatorapi.OperatorApi(
-        LOOPBACK, group, group.machine, table, 2000, quarantine_admin=None
+        LOOPBACK,
+        group,
+        group.machine,
+        table,
+        sheet_bytes,
+        quarantine_admin=None,
     )
     await api.start()
     try:
@@ -176,6 +182,54 @@
             assert body["leader_peer_address"] == group.leader_address
 
 
+class TestEndlessSheets:
+    """Sheets that come slowly, or never end."""
+
+    SHEET_BYTES = 100_000
+
+    async def test_sheets_that_hold_most_are_refused(self, group):
+        """Guards against senders without end that fill a control host."""
+        async with running_api(group, self.SHEET_BYTES) as operator:
+            address = operator.base_url.removeprefix("http://")
+            host, _, port = address.partition(":")
+            connections = [
+                await asyncio.open_connection(host, int(port))
+                for _ in range(10)
+            ]
+            head = (
+                "POST /v1/sheets?version=v1&operator=ana HTTP/1.1\r\n"
+                f"Host: x\r\nContent-Length: {self.SHEET_BYTES}\r\n\r\n"
+            )
+            for _, writer in connections:
+                writer.write(head.encode() + b"x" * 90_000)
+            reads = {
+                asyncio.create_task(reader.readline())
+                for reader, _ in connections
+            }
+            refused = set()
+            async with asyncio.timeout(WAIT_SECONDS):
+                while len(refused) < 8:
+                    done, reads = await asyncio.wait(
+                        reads, return_when=asyncio.FIRST_COMPLETED
+                    )
+                    refused |= done
+            assert {read.result() for read in refused} == {
+                b"HTTP/1.1 503 Service Unavailable\r\n"
+            }
+            status, _ = await operator.apply("v2", "book")
+            assert status == 200
+            assert len(reads) == 2
+            for read in reads:
+                read.cancel()
+            for _, writer in connections:
+                writer.close()
+
+    async def test_sheet_above_the_limit(self, group):
+        async with running_api(group, self.SHEET_BYTES) as operator:
+            status, _ = await operator.apply("v1", "x" * 100_001)
+            assert status == 413
+
+
 class TestQueries:
     """GET requests, and requests that fail."""
 
