Edges: what all bodies of callers hold together is bounded

What was seen: with 2,048 connections and 1 MiB each (the defaults), callers that send slowly may make a node hold 2 GB.

Cause: memory was bounded for each body, and unbounded over all.

Change: `httpserver.read_body` receives by `BodyReceiver`, which counts a body from its first byte until its request has been handled. Above 32 MiB at an edge, or two of the largest bodies, the one that is received and holds most gets 503, `overloaded`, not run. Bodies below 32 KiB are never refused for others, nor are those that are handled already.

test_bodies_that_hold_most_are_refused failed before (400 once the time for the body was over, in place of 503).

--- a/mangobay/edges.py
+++ b/mangobay/edges.py
@@ -21,6 +21,7 @@
     metrics,
     operationtable,
     outcomelog,
+    requestmemory,
     retryallowance,
 )
 from mangobay.generated import messages, settings
@@ -29,6 +30,10 @@
 Reason = messages.Reason
 
 API_PREFIX = "/mangobay/"
+MAX_BODIES_BYTES = 32 * 1024 * 1024
+"""Bytes that all bodies of an edge hold that are received or handled."""
+LARGEST_BODIES = 2
+"""Bodies of the largest size that are received at the same time at least."""
 
 
 class Tables(typing.Protocol):
@@ -73,6 +78,9 @@
         self.outcome_log = outcome_log
         self.sample_rate = sample_rate
         self.rng = random.Random()
+        self.body_memory = requestmemory.RequestMemory(
+            max(MAX_BODIES_BYTES, LARGEST_BODIES * limits.body_bytes)
+        )
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Handles one request; every response states its outcome."""
@@ -134,7 +142,10 @@
           calls.RequestError: The body is too long, too slow or incomplete.
         """
         return await httpserver.read_body(
-            request, self.limits.body_bytes, self.limits.header_timeout
+            request,
+            self.limits.body_bytes,
+            self.limits.header_timeout,
+            self.body_memory,
         )
 
     def find_allowed(
--- a/mangobay/httpserver.py
+++ b/mangobay/httpserver.py
@@ -8,7 +8,9 @@
 from aiohttp import web
 
 from mangobay import (
+    bodyreceiver,
     calls,
+    errors,
     httpheaders,
     httpparse,
     leanhttp,
@@ -16,6 +18,7 @@
     logs,
     options,
     problems,
+    requestmemory,
 )
 from mangobay.generated import messages
 
@@ -28,6 +31,9 @@
 CANCEL_TIMEOUT_SECONDS = 0.1
 """Maximum wait for the tasks of requests that are cancelled."""
 
+BODY_RECEIVER = "body_receiver"
+"""Key of a request's `BodyReceiver`."""
+
 Handler = collections.abc.Callable[
     [web.BaseRequest], collections.abc.Awaitable[web.StreamResponse]
 ]
@@ -138,6 +144,8 @@
             response = await self.handler(request)
         finally:
             self.running_requests -= 1
+            if BODY_RECEIVER in request:
+                request[BODY_RECEIVER].release()
         # Queued requests would get no response if the connection closed now.
         if self.leaving and not request.protocol.has_queued_requests:
             response.force_close()
@@ -220,7 +228,10 @@
 
 
 async def read_body(
-    request: web.BaseRequest, max_bytes: int, timeout: float
+    request: web.BaseRequest,
+    max_bytes: int,
+    timeout: float,
+    memory: requestmemory.RequestMemory,
 ) -> bytes:
     """Returns the request body.
 
@@ -228,9 +239,11 @@
       request: the request.
       max_bytes: maximum size of the body.
       timeout: seconds in which the body must be received.
+      memory: counts the body until the request has been handled.
 
     Raises:
-      calls.RequestError: the body is too large, too slow or incomplete.
+      calls.RequestError: the body is too large, too slow or incomplete, or
+        all bodies together hold too much.
     """
     if not request.body_exists:
         return b""
@@ -238,15 +251,15 @@
         raise too_large_error(max_bytes)
     if request.headers.get("Expect", "").lower() == "100-continue":
         request.transport.write(leanhttp.CONTINUE_RESPONSE)
-    chunks = []
-    size = 0
+    receiver = request[BODY_RECEIVER] = bodyreceiver.BodyReceiver(memory)
     try:
-        async with asyncio.timeout(timeout):
-            async for chunk in request.content.iter_any():
-                size += len(chunk)
-                if size > max_bytes:
-                    raise too_large_error(max_bytes)
-                chunks.append(chunk)
+        return await receiver.receive(request, max_bytes, timeout)
+    except errors.BodyTooLargeError:
+        raise too_large_error(max_bytes) from None
+    except errors.BodyRefusedError as error:
+        raise calls.RequestError(
+            messages.Reason.OVERLOADED, str(error)
+        ) from None
     except TimeoutError:
         raise calls.RequestError(
             messages.Reason.MALFORMED, f"no whole body in {timeout:g} s"
@@ -255,7 +268,6 @@
         raise calls.RequestError(
             messages.Reason.MALFORMED, "the body ended early"
         ) from None
-    return b"".join(chunks)
 
 
 def too_large_error(max_bytes: int) -> calls.RequestError:
--- a/tests/test_edges.py
+++ b/tests/test_edges.py
@@ -1,13 +1,14 @@
 """Tests of the HTTP edges on whole nodes in this process."""
 
 import asyncio
+import contextlib
 import json
 
 import nodes
 import pytest
 from aiohttp import web
 
-from mangobay import httpheaders, operationtable
+from mangobay import edges, httpheaders, operationtable, requestmemory
 
 SHORT_GRACE_SETTINGS = "[leaving]\ngrace = 1\n"
 
@@ -65,6 +66,43 @@
         )
 
 
+class TestBodiesInAll:
+    """Bodies that are received at the same time."""
+
+    async def test_bodies_that_hold_most_are_refused(
+        self, cluster, monkeypatch
+    ):
+        """Guards against slow callers that fill a node with their bodies."""
+        monkeypatch.setattr(requestmemory, "SMALL_BYTES", 0)
+        monkeypatch.setattr(edges, "MAX_BODIES_BYTES", 0, raising=False)
+        one = await cluster.start("one", echo, header_timeout=2.0)
+        async with contextlib.AsyncExitStack() as stack:
+            callers = [
+                await stack.enter_async_context(
+                    RawClient(one.outside_listener.address)
+                )
+                for _ in range(5)
+            ]
+            for caller in callers:
+                caller.send("POST", "/stock/book", bytes(900), length=1000)
+            reads = [
+                asyncio.create_task(caller.read_response())
+                for caller in callers
+            ]
+            await nodes.wait_until(
+                lambda: sum(read.done() for read in reads) >= 3
+            )
+            for read in reads:
+                if read.done():
+                    status, headers, body = read.result()
+                    assert (status, reason_of(body)) == (503, "overloaded")
+                    assert "retry-after" in headers
+            for caller in callers:
+                caller.writer.write(bytes(100))
+            statuses = [status for status, _, _ in await asyncio.gather(*reads)]
+            assert sorted(statuses) == [200, 200, 503, 503, 503]
+
+
 class TestOutsideEdge:
     """Requests of outside callers."""
 
