Orders: what takes many times its bytes once parsed is refused before

What was seen: a single order of 16 MB, within its limit, that lists empty objects, brings a control host to 504 MiB. A machine for control has 300 MB.

Cause: the limit is on bytes; parsed, an empty object takes 64 of them for three, and the others are bounded in depth and length, but not in number.

--- a/tests/test_endless_requests_processes.py
+++ b/tests/test_endless_requests_processes.py
@@ -204,3 +204,31 @@
         assert max(memory.values()) < MAX_MEMORY_KB, memory
         assert statuses == {name: {200} for name in ports}
         assert failed_calls == {name: [] for name in ports}
+
+
+def greedy_orders():
+    """Returns orders that take many times their size once they are parsed."""
+    size = 16_000_000
+    return [
+        b"[" + b"{}," * (size // 3) + b"1]",
+        b"[" + b'{"a":1},' * (size // 8) + b"1]",
+    ]
+
+
+class TestGreedyOrders:
+    """Orders within the limit of their size."""
+
+    async def test_order_grows_little_when_it_is_parsed(self, fleet):
+        """Guards against a single order that ends a control host."""
+        process = fleet.processes[f"c{CONTROL}"]
+        for order in greedy_orders():
+            response = await platformfakes.send_request(
+                fleet.ip(CONTROL),
+                platformfakes.OPERATOR,
+                HEAD % b"config.replace"
+                + b"Content-Length: %d\r\n\r\n" % len(order)
+                + order,
+            )
+            assert response.status in (400, 413), response
+            assert process.poll() is None
+            assert peak_memory_kb(process) < MAX_MEMORY_KB
--- a/tests/test_platform_orders.py
+++ b/tests/test_platform_orders.py
@@ -5,7 +5,13 @@
 import hypothesis
 import platformfakes
 import pytest
-from adapter import documents, handlers, jsontext, platformnames
+from adapter import (
+    documents,
+    handlers,
+    jsontext,
+    jsonvalues,
+    platformnames,
+)
 from hypothesis import strategies
 
 from mangobay import leanhttp, routespublisher, statemachine
@@ -97,6 +103,19 @@
         ).replace('"VALUE"', number)
         assert (await send(FakePublisher(), body.encode())).status == 400
 
+    @pytest.mark.parametrize("part", ["{}", "[]", "1", '{"a":1}'])
+    def test_many_values_are_refused(self, part):
+        """Guards against parsing what takes many times its bytes."""
+        count = jsontext.MAX_VALUES + 1
+        body = "[" + ",".join([part] * count) + "]"
+        with pytest.raises(jsonvalues.FormatError, match="values"):
+            jsontext.parse_json(body.encode())
+
+    def test_large_configuration_is_parsed(self):
+        row = ["name", "a.example", "/", "safe", "8s", "1s", 0, 2, "service"]
+        rows = {"routes": {"rows": [row] * 25_000}}
+        assert jsontext.parse_json(json.dumps(rows).encode()) == rows
+
     async def test_accepted_depth_is_read_with_less_stack(self):
         """A change is confirmed and in force on no node."""
         for depth in range(10, 800, 30):
