--- a/mangobay/leanserver.py
+++ b/mangobay/leanserver.py
@@ -17,6 +17,7 @@
     periodic,
     refusals,
     requestbody,
+    requestmemory,
     responsestream,
     responsewriter,
     sockets,
@@ -36,6 +37,10 @@
 """Bytes of the unanswered requests of a connection; reading pauses above it."""
 MAX_LARGE_REQUESTS = 64
 """Large requests of a listener that are handled concurrently."""
+INTERNAL_CONNECTIONS = 256
+"""Connections of a port that no caller uses."""
+INTERNAL_REQUEST_BYTES = 4 * 1024 * 1024
+"""Bytes that the requests of a port hold that no caller uses."""
 BODY_STALL_SECONDS = 10.0
 """Seconds in which a caller has to send some of the body of its request."""
 MAX_PREFIX_SECONDS = 30.0
@@ -71,19 +76,39 @@
       read_timeout: seconds from the first byte of a request to the end of its
         head.
       idle_timeout: seconds until a connection without requests is closed.
+      max_request_bytes: limit of what all requests hold together while they
+        are received and handled, None for no limit besides the others.
       max_connections: connections that may be open at the same time.
+      pipelining: whether requests are handled that come before the response to
+        the one before them; if not, that response closes the connection.
       stall_timeout: seconds in which the caller of a large response has to
         read something.
     """
 
     max_line_bytes: int = leanhttp.MAX_LINE_BYTES
     max_body_bytes: int = 0
+    max_request_bytes: int | None = None
     read_timeout: float = 10.0
     idle_timeout: float = 75.0
     max_connections: int = 2048
+    pipelining: bool = True
     stall_timeout: float = responsestream.STALL_SECONDS
 
 
+def internal_limits(max_body_bytes: int) -> Limits:
+    """Returns the limits of a port that no caller uses.
+
+    Args:
+      max_body_bytes: limit of a request body; 0 if the port expects none.
+    """
+    return Limits(
+        max_body_bytes=max_body_bytes,
+        max_request_bytes=INTERNAL_REQUEST_BYTES,
+        max_connections=INTERNAL_CONNECTIONS,
+        pipelining=False,
+    )
+
+
 @dataclasses.dataclass(slots=True, eq=False)
 class Exchange:
     """One request of a connection and its response.
@@ -137,6 +162,7 @@
       reading_paused: reading is paused.
       holder: the request behind which no other is dispatched until its
         response is written; None if there is none.
+      held_bytes: bytes received since no request was incomplete or unanswered.
     """
 
     __slots__ = (
@@ -149,6 +175,7 @@
         "closing",
         "delivering",
         "exchanges",
+        "held_bytes",
         "holder",
         "listener",
         "parser",
@@ -180,10 +207,11 @@
         self.write_gate: responsestream.WriteGate | None = None
         self.starting: Exchange | None = None
         self.holder: Exchange | None = None
+        self.held_bytes = 0
         self.reading_paused = False
 
     def connection_made(self, transport) -> None:
-        """Registers the connection; closes it if there are too many."""
+        """Registers the connection; closes one if there are too many."""
         super().connection_made(transport)
         peer = transport.get_extra_info("peername")
         self.remote = peer[0] if peer else ""
@@ -192,7 +220,7 @@
             len(self.listener.connections)
             > self.listener.limits.max_connections
         ):
-            transport.close()
+            self.listener.close_excess(self)
 
     def connection_lost(self, exc) -> None:
         """Cancels the requests whose responses the caller no longer awaits."""
@@ -205,6 +233,7 @@
         self.listener.connection_check.discard(self)
         self.cancel_exchanges()
         self.holder = None
+        self.count_held(0)
 
     def cancel_exchanges(self) -> None:
         """Cancels the requests without response."""
@@ -290,10 +319,17 @@
         if self.closing and not self.is_receiving_body():
             self.discard(data)
             return
+        self.handle_data(data)
+        self.count_held(len(data))
+
+    def handle_data(self, data: bytes) -> None:
+        """Parses bytes of which the connection still takes notice."""
         receiving = self.exchanges[-1] if self.is_receiving_body() else None
         new_messages = self.parser.feed(data)
         if receiving is not None:
             self.receive_body(receiving)
+        if not self.listener.limits.pipelining:
+            self.end_pipelining(new_messages)
         for message in new_messages:
             if not self.closing:
                 self.handle_head(message)
@@ -329,6 +365,32 @@
                 self.parser, message, started_at=now, received_at=now
             )
 
+    def end_pipelining(self, new_messages: list[httpparse.Message]) -> None:
+        """Handles no request that came before the response to another one."""
+        if not new_messages:
+            return
+        if self.exchanges:
+            self.exchanges[-1].should_close = True
+            self.closing = True
+        elif len(new_messages) > 1:
+            new_messages[0].should_close = True
+
+    def count_held(self, received_bytes: int) -> None:
+        """Updates what the requests of the connection hold.
+
+        Args:
+          received_bytes: what they hold besides; nothing if they have ended.
+        """
+        memory = self.listener.request_memory
+        if memory is None:
+            return
+        self.held_bytes += received_bytes
+        has_requests = bool(self.exchanges) or self.parser.in_head
+        has_ended = self.transport is None or self.half_close_timer is not None
+        if has_ended or not has_requests:
+            self.held_bytes = 0
+        memory.update(self, self.held_bytes)
+
     def update_request_start(self, has_message: bool) -> None:
         """Updates when an incomplete head began.
 
@@ -505,13 +567,31 @@
         if newest.rest is not None:
             newest.rest.cut_off("the process stops")
         elif newest.task is None:
-            newest.message.take_body()
             self.end_unread(newest, refusals.retry_later_response())
 
+    def is_refusable(self) -> bool:
+        """Returns whether a request is incomplete and has no handler."""
+        if self.half_close_timer is not None:
+            return False
+        if self.is_receiving_body():
+            return self.exchanges[-1].task is None
+        return self.parser.in_head and not self.closing
+
+    def refuse_received(self) -> None:
+        """Refuses a request that is incomplete and has no handler."""
+        if self.is_receiving_body():
+            self.refuse_incomplete()
+        else:
+            self.end_unparsed(refusals.retry_later_response())
+        self.parser.drop_message()
+        if self.unread is not None:
+            self.unread.message = None
+
     def end_unread(
         self, exchange: Exchange, response: leanhttp.Response
     ) -> None:
         """Responds to a request of which no more is read."""
+        exchange.message.drop_body()
         exchange.response_bytes = leanhttp.encode_response(
             response, True, False
         )
@@ -612,14 +692,18 @@
 
     def send_error(self, error: httpparse.ParseError) -> None:
         """Responds to malformed input after the responses that are due."""
-        self.closing = True
         response = leanhttp.Response(status=error.status)
         if error.status == HEAD_TOO_LARGE_STATUS:
             response = self.listener.limit_response(error.status)
-        response_bytes = leanhttp.encode_response(response, True, False)
         # The error response takes the place of a request with a malformed body.
         if self.is_receiving_body():
             self.exchanges.pop()
+        self.end_unparsed(response)
+
+    def end_unparsed(self, response: leanhttp.Response) -> None:
+        """Responds to bytes that are no request yet, and never become one."""
+        self.closing = True
+        response_bytes = leanhttp.encode_response(response, True, False)
         exchange = Exchange(
             None, response_bytes=response_bytes, should_close=True
         )
@@ -653,6 +737,7 @@
         if should_close:
             self.close()
         else:
+            self.count_held(0)
             self.resume_reading()
 
     def time_out(self) -> None:
@@ -695,11 +780,17 @@
             self.half_close_probe.cancel()
             transport.close()
             return
-        transport.write_eof()
+        try:
+            transport.write_eof()
+        except OSError:
+            # The caller has reset the connection.
+            transport.abort()
+            return
         self.read_no_more(None)
         transport.resume_reading()
         self.start_delivery()
         self.check_half_closed()
+        self.count_held(0)
 
     def check_half_closed(self) -> None:
         """Closes a half-closed connection that its caller does not close."""
@@ -829,6 +920,14 @@
         newest.message.take_body()
         self.end_unread(newest, leanhttp.Response(status=TIMEOUT_STATUS))
 
+    def is_waiting(self) -> bool:
+        """Returns whether nothing happens before the caller sends more."""
+        return not self.exchanges or self.is_refusable()
+
+    def has_responded(self) -> bool:
+        """Returns whether the connection has had a response."""
+        return self.acknowledged_at > 0
+
     def is_idle(self, cutoff: float) -> bool:
         """Returns whether the connection has been idle since a loop time."""
         return not self.exchanges and self.last_activity < cutoff
@@ -850,6 +949,7 @@
         end; otherwise it gets whole bodies only.
       large_requests: number of large requests that are handled.
       replay_budget: bounds what is kept of large requests.
+      request_memory: bounds what all requests hold; None without that limit.
       limits_are_current: returns whether the limits of what callers may send
         are certain to be the newest ones.
     """
@@ -867,6 +967,11 @@
         self.continues_bodies = False
         self.large_requests = 0
         self.replay_budget = requestbody.ReplayBudget()
+        self.request_memory = (
+            None
+            if limits.max_request_bytes is None
+            else requestmemory.RequestMemory(limits.max_request_bytes)
+        )
         self.limits_are_current: collections.abc.Callable[[], bool] = (
             limits_are_fixed
         )
@@ -899,6 +1004,31 @@
         exchange.rest.abandon()
         self.large_requests -= 1
 
+    def close_excess(self, newest: Connection) -> None:
+        """Closes a connection, as there are too many.
+
+        Where requests are small and short, it is the one that has waited
+        longest for its caller, so that those that send nothing keep out nobody.
+        """
+        waiting = () if self.limits.pipelining else self.waiting_connections()
+        stalest = min(
+            (each for each in waiting if each is not newest),
+            key=lambda each: (each.has_responded(), each.last_activity),
+            default=None,
+        )
+        if stalest is None:
+            newest.transport.close()
+        else:
+            stalest.transport.abort()
+
+    def waiting_connections(self) -> collections.abc.Iterator[Connection]:
+        """Yields the connections that wait for their callers."""
+        return (
+            connection
+            for connection in self.connections
+            if connection.is_waiting() and not connection.transport.is_closing()
+        )
+
     @property
     def connections(self) -> set[Connection]:
         """The open connections."""
--- a/tests/test_endless_requests_processes.py
+++ b/tests/test_endless_requests_processes.py
@@ -32,7 +32,7 @@
     repeated: bytes
 
 
-def endless(call):
+def endless_bodies(call):
     """Returns bodies without end, each of another kind.
 
     Args:
@@ -49,6 +49,12 @@
     return [*[chunked, sized] * 7, small_chunks]
 
 
+def endless_requests():
+    """Returns requests without end, whose responses nobody reads."""
+    request = b"GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n"
+    return [Bytes(first=b"", repeated=request * 1000)]
+
+
 class Flood:
     """Connections to one port that send without end and read nothing.
 
@@ -58,10 +64,10 @@
       transports: all connections.
     """
 
-    def __init__(self, ip, port, call):
+    def __init__(self, ip, port, kinds):
         self.ip = ip
         self.port = port
-        self.kinds = endless(call)
+        self.kinds = kinds
         self.sent_bytes = 0
         self.stopped = False
         self.transports = set()
@@ -149,23 +155,37 @@
 
         ports = {
             "ready": (
-                Flood(node_ip, platformfakes.READY, b"x"),
+                Flood(node_ip, platformfakes.READY, endless_bodies(b"x")),
                 lambda: get(node_ip, platformfakes.READY, "/-/readyz"),
             ),
             "metrics": (
-                Flood(node_ip, platformfakes.METRICS, b"x"),
+                Flood(node_ip, platformfakes.METRICS, endless_bodies(b"x")),
+                lambda: get(node_ip, platformfakes.METRICS, "/metrics"),
+            ),
+            "pipelined requests": (
+                Flood(node_ip, platformfakes.METRICS, endless_requests()),
                 lambda: get(node_ip, platformfakes.METRICS, "/metrics"),
             ),
             "heartbeats": (
                 Flood(
-                    node_ip, platformfakes.HEARTBEATS, b"instances.heartbeat"
+                    node_ip,
+                    platformfakes.HEARTBEATS,
+                    endless_bodies(b"instances.heartbeat"),
                 ),
                 fleet.backends[0].send_heartbeat,
             ),
             "control metrics": (
-                Flood(control_ip, platformfakes.METRICS, b"x"),
+                Flood(control_ip, platformfakes.METRICS, endless_bodies(b"x")),
                 lambda: get(control_ip, platformfakes.METRICS, "/metrics"),
             ),
+            "orders": (
+                Flood(
+                    control_ip,
+                    platformfakes.OPERATOR,
+                    endless_bodies(b"config.replace"),
+                ),
+                lambda: fleet.describe_config(CONTROL),
+            ),
         }
         memory = {}
         statuses = {}
@@ -184,3 +204,31 @@
         assert max(memory.values()) < MAX_MEMORY_KB, memory
         assert statuses == {name: {200} for name in ports}
         assert failed_calls == {name: [] for name in ports}
+
+
+def greedy_orders():
+    """Returns orders that take many times their size once they are parsed."""
+    size = 16_000_000
+    return [
+        b"[" + b"{}," * (size // 3) + b"1]",
+        b"[" + b'{"a":1},' * (size // 8) + b"1]",
+    ]
+
+
+class TestGreedyOrders:
+    """Orders within the limit of their size."""
+
+    async def test_order_grows_little_when_it_is_parsed(self, fleet):
+        """Guards against a single order that ends a control host."""
+        process = fleet.processes[f"c{CONTROL}"]
+        for order in greedy_orders():
+            response = await platformfakes.send_request(
+                fleet.ip(CONTROL),
+                platformfakes.OPERATOR,
+                HEAD % b"config.replace"
+                + b"Content-Length: %d\r\n\r\n" % len(order)
+                + order,
+            )
+            assert response.status in (400, 413), response
+            assert process.poll() is None
+            assert peak_memory_kb(process) < MAX_MEMORY_KB
--- a/tests/test_leanserver.py
+++ b/tests/test_leanserver.py
@@ -494,6 +494,20 @@
         finally:
             gc.enable()
 
+    async def test_closing_a_connection_that_was_reset(self, listener):
+        """Guards against one reset that fails whoever closes connections."""
+        caller = socket.create_connection(listener.address)
+        while not listener.connections:
+            await asyncio.sleep(0.01)
+        (connection,) = listener.connections
+        caller.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, responsewriter.RESET_ON_CLOSE
+        )
+        caller.close()
+        connection.close()
+        while listener.connections:
+            await asyncio.sleep(0.01)
+
     async def test_disconnect_cancels_the_handler(self, listener, recorder):
         recorder.release_events["/1"] = asyncio.Event()
         _, writer = await connect(listener)
@@ -1075,9 +1089,7 @@
     async def test_close_refuses_what_is_incomplete(self, recorder):
         """Guards against an operator that has to guess what became of it."""
         listener = leanserver.Listener(
-            LOOPBACK,
-            recorder.handle,
-            leanserver.Limits(max_body_bytes=4_000_000),
+            LOOPBACK, recorder.handle, leanserver.Limits(max_body_bytes=100)
         )
         await listener.start()
         reader, writer = await connect(listener)
