Received bytes: bodies that are passed on in parts are on the account

Fault: each body has a window of 64 to 320 KiB at each node, their sum had no bound but the number of connections. Found by reading.

Change: `responsestream.Body` holds its unread bytes, so responses of the backend server, bodies of other nodes and callers' large bodies are all counted. While more than half of the account is used, nothing more is read from a backend server before what was read is passed on. If the account is full nevertheless, a body is cut off like any other holder, also one whose last byte has come: it must not look complete. The head of a response is delivered before its first bytes are counted, or a cut would leave its request without an end. The account refers weakly to its holders: a call can end without reading its body.

--- a/mangobay/backendbody.py
+++ b/mangobay/backendbody.py
@@ -3,10 +3,11 @@
 import asyncio
 import typing
 
-from mangobay import httpparse, responsestream
+from mangobay import httpparse, receivedbytes, responsestream
 
 PAUSE_BYTES = 64 * 1024
-"""Unread bytes from which nothing more is read from the backend server."""
+"""Unread bytes from which nothing more is read from the backend server, unless
+the account of received bytes is scarce."""
 RESUME_BYTES = PAUSE_BYTES // 2
 """Unread bytes below which reading resumes."""
 STALL_SECONDS = 10.0
@@ -76,8 +77,9 @@
         """Passes on the bytes that the parser has collected."""
         self.last_received_at = self.loop.time()
         self.body.feed(self.message.take_body())
+        pause_bytes = 1 if receivedbytes.account.is_scarce else PAUSE_BYTES
         if (
-            self.body.unread_bytes >= PAUSE_BYTES
+            self.body.unread_bytes >= pause_bytes
             and self.paused_since is None
             and self.connection.transport is not None
         ):
--- a/mangobay/leanclient.py
+++ b/mangobay/leanclient.py
@@ -138,6 +138,7 @@
     """
 
     __slots__ = (
+        "__weakref__",
         "max_response_bytes",
         "failed_attempts",
         "head_only",
@@ -303,12 +304,14 @@
 
     def deliver_head(self, message: httpparse.Message) -> None:
         """Completes the pending request with a response that continues."""
-        self.large_body = backendbody.BackendBody(self, message, self.loop)
-        self.large_body.receive()
+        large_body = backendbody.BackendBody(self, message, self.loop)
+        self.large_body = large_body
         seconds = self.loop.time() - self.pending.started_at
         response = self.make_response(message, b"", seconds)
-        response.stream = self.large_body.body
+        response.stream = large_body.body
         self.pending.future.set_result(response)
+        # Last, as the account of received bytes may cut the body off.
+        large_body.receive()
 
     def check_size(self, message: httpparse.Message) -> bool:
         """Returns whether a response is within the limit; fails it if not."""
--- a/mangobay/requestbody.py
+++ b/mangobay/requestbody.py
@@ -119,6 +119,7 @@
         self.budget.release(self.replay_bytes)
         self.replay.clear()
         self.replay_bytes = 0
+        self.hold()
 
     def discard(self, state: responsestream.State) -> None:
         """Drops the unread bytes, and counts the body in a state once."""
--- a/mangobay/responsestream.py
+++ b/mangobay/responsestream.py
@@ -13,7 +13,7 @@
 import typing
 import weakref
 
-from mangobay import errors
+from mangobay import errors, receivedbytes
 from mangobay.generated import messages
 
 WHOLE_BYTES = 64 * 1024
@@ -141,8 +141,25 @@
             return
         self.unread_bytes += len(data)
         self.append(data)
+        self.hold()
         self.wake()
 
+    def hold(self) -> None:
+        """Updates the account of received bytes, which may cut the body off."""
+        receivedbytes.account.hold(self, self.unread_bytes)
+
+    def drop_received(self) -> None:
+        """Cuts the body off, even if only its consumer is late."""
+        reason = "too many received bytes are held"
+        match self.state:
+            case State.OPEN:
+                self.cut_off(reason)
+                self.producer.abandoned()
+            case State.COMPLETE:
+                self.cut_off_reason = reason
+                self.state = State.CUT_OFF
+                self.discard(State.CUT_OFF)
+
     def append(self, data: bytes) -> None:
         """Adds bytes to the chunks.
 
@@ -193,6 +210,7 @@
         """Drops the unread bytes, and counts the body in a state once."""
         self.chunks.clear()
         self.unread_bytes = 0
+        receivedbytes.account.release(self)
         if self in self.statistics.open_bodies:
             self.statistics.open_bodies.discard(self)
             self.statistics.end_counts[state] += 1
@@ -218,6 +236,7 @@
             return b""
         chunk = self.take_chunk(max_bytes)
         self.unread_bytes -= len(chunk)
+        self.hold()
         if self.state is State.OPEN:
             self.producer.consumed(len(chunk))
         return chunk
--- a/tests/test_leanclient.py
+++ b/tests/test_leanclient.py
@@ -627,6 +627,36 @@
             assert (account.cut_count, account.held_bytes) == (1, 0)
 
 
+class TestHeldStreams:
+    """Large responses that are passed on in parts."""
+
+    HEAD = response_bytes().partition(b"Content-Length")[0]
+    CHUNK = b"%x\r\n%b\r\n" % (100_000, b"x" * 100_000)
+    START = HEAD + b"Transfer-Encoding: chunked\r\n\r\n" + CHUNK
+
+    async def test_a_head_is_delivered_before_its_body_is_cut(self, account):
+        """Guards against a request without an end where its first read is cut."""
+        account.max_bytes = 50_000
+        async with ScriptedBackendServer([self.START]) as server:
+            response = await server.send(streamed=True)
+            assert response.status == 200
+            with pytest.raises(errors.ResponseCutOffError):
+                await response.stream.read(1)
+            assert server.client.inflight == 0
+            assert (account.held_bytes, account.holders) == (0, {})
+
+    async def test_a_complete_one_is_cut_as_well(self, account):
+        """Guards against the same where the response is complete at once."""
+        account.max_bytes = 50_000
+        whole = self.START + b"0\r\n\r\n"
+        async with ScriptedBackendServer([whole]) as server:
+            response = await server.send(streamed=True)
+            with pytest.raises(errors.ResponseCutOffError):
+                await response.stream.read(1)
+            assert server.client.inflight == 0
+            assert (account.held_bytes, account.holders) == (0, {})
+
+
 async def wait_until_held(account, byte_count):
     """Returns once so many bytes are held."""
     async with asyncio.timeout(5):
