Received bytes: callers' incomplete bodies are on the account

What callers saw: many callers that begin a small body and do not end it fill the memory of a node, which then ends with all that it has in flight.

Cause: 64 KiB of each body are bounded, their sum is not, and bodies in small chunks take several times their bytes.

Change: a body that is not complete in its first read is held on the account of received bytes until it is handed over. At the bound the greatest is refused with 503, which is true, as no handler has it. While more than half of the account is used, nothing more of a large body is read before what was read is passed on.

--- a/mangobay/leanserver.py
+++ b/mangobay/leanserver.py
@@ -15,6 +15,7 @@
     logs,
     options,
     periodic,
+    receivedbytes,
     refusals,
     requestbody,
     responsestream,
@@ -137,6 +138,7 @@
     """
 
     __slots__ = (
+        "__weakref__",
         "acknowledged_at",
         "body_received_at",
         "last_activity",
@@ -203,6 +205,7 @@
 
     def cancel_exchanges(self) -> None:
         """Cancels the requests without response."""
+        receivedbytes.account.release(self)
         for exchange in self.exchanges:
             if exchange.task is not None:
                 exchange.task.cancel()
@@ -255,6 +258,8 @@
         count = len(self.exchanges)
         newest = self.exchanges[-1]
         if newest.rest is not None:
+            if receivedbytes.account.is_scarce:
+                return newest.rest.unread_bytes > 0
             return newest.rest.unread_bytes >= requestbody.PAUSE_BYTES
         if count == 1:
             # Nothing else on the connection has to be answered first.
@@ -284,6 +289,7 @@
         receiving = self.exchanges[-1] if self.is_receiving_body() else None
         new_messages = self.parser.feed(data)
         if receiving is not None:
+            receivedbytes.account.release(self)
             self.receive_body(receiving)
         for message in new_messages:
             if not self.closing:
@@ -354,6 +360,12 @@
             message.complete or self.is_large(message)
         ):
             self.dispatch(exchange)
+        if exchange.task is None and self.is_receiving_body():
+            receivedbytes.account.hold(self, message.held_bytes)
+
+    def drop_received(self) -> None:
+        """Refuses the request whose body is being received."""
+        self.refuse_incomplete()
 
     def is_large(self, message: httpparse.Message) -> bool:
         """Returns whether a request is handled while its body is received."""
@@ -427,6 +439,7 @@
 
     def continue_body(self, exchange: Exchange) -> bytes:
         """Returns the first bytes of a large body; the rest follows them."""
+        receivedbytes.account.release(self)
         message = exchange.message
         received = message.take_body()
         length = None
@@ -481,6 +494,7 @@
         self, exchange: Exchange, response: leanhttp.Response
     ) -> None:
         """Responds to a request of which no more is read."""
+        receivedbytes.account.release(self)
         exchange.response_bytes = leanhttp.encode_response(
             response, True, False
         )
@@ -583,6 +597,7 @@
         if error.status == HEAD_TOO_LARGE_STATUS:
             response = self.listener.limit_response(error.status)
         response_bytes = leanhttp.encode_response(response, True, False)
+        receivedbytes.account.release(self)
         # The error response takes the place of a request with a malformed body.
         if self.is_receiving_body():
             self.exchanges.pop()
--- a/tests/test_endless_processes.py
+++ b/tests/test_endless_processes.py
@@ -49,6 +49,10 @@
 
 
 SMALL_NODE = FIRST_NODE + len(FRAMINGS)
+BODY_COUNT = 800
+CHUNK = b"10\r\n" + bytes(16) + b"\r\n"
+INCOMPLETE_BODY = CHUNK * 4000
+"""The beginning of a small body; its chunks take more memory than its bytes."""
 NOT_RUN_STATUSES = {408, 421, 429, 503}
 
 
@@ -104,13 +108,13 @@
         """Numbers of the nodes beside endless servers."""
         return range(FIRST_NODE, SMALL_NODE)
 
-    async def start(self, route_type):
+    async def start(self, route_type, framings=FRAMINGS):
         """Returns once all nodes serve small calls."""
         fleet = self.fleet
         fleet.start_control(1)
         await fleet.start_node(SMALL_NODE, SMALL_SERVICE)
         fleet.backend_class = EndlessServer
-        for number, framing in zip(self.entries, FRAMINGS, strict=True):
+        for number, framing in zip(self.entries, framings, strict=False):
             server = await fleet.start_node(number, SERVICE)
             server.framing = framing
             self.servers.append(server)
@@ -129,7 +133,7 @@
             return response.status == 200
 
         await platformfakes.wait_until(accepted)
-        for number in self.entries:
+        for number in [*self.entries][: len(framings)] + [SMALL_NODE]:
 
             async def served(number=number):
                 response = await fleet.request(number, SMALL_SERVICE, "first")
@@ -178,6 +182,26 @@
         )
         return dict(await endless), list(itertools.chain(*small))
 
+    async def send_incomplete(self, index):
+        """Sends a part of a body; returns the status of its response, 0 if none."""
+        reader, writer = await asyncio.open_connection(
+            self.fleet.ip(SMALL_NODE), platformfakes.OUTSIDE
+        )
+        head = (
+            f"POST /x HTTP/1.1\r\nHost: {SMALL_SERVICE}.example\r\n"
+            f"X-Mangobay-Attempt-Id: body-{index}\r\n"
+            "X-Mangobay-Deadline-Ms: 8000\r\n"
+            "Transfer-Encoding: chunked\r\n\r\n"
+        )
+        try:
+            writer.write(head.encode() + INCOMPLETE_BODY)
+            async with asyncio.timeout(ENDLESS_SECONDS):
+                return int((await reader.readuntil(b"\r\n\r\n")).split()[1])
+        except (TimeoutError, OSError, asyncio.IncompleteReadError):
+            return 0
+        finally:
+            writer.transport.abort()
+
     async def wait_until_nothing_is_held(self, number):
         """Returns once a node that has cut responses holds none."""
         assert await self.fleet.metric(number, "received_bytes_cut") > 0
@@ -235,3 +259,23 @@
         assert 200 not in statuses.values()
         for number in endless_fleet.entries:
             await endless_fleet.wait_until_nothing_is_held(number)
+
+
+class TestIncompleteBodies:
+    """Callers that never end the bodies of their requests."""
+
+    async def test_they_exhaust_no_memory(self, endless_fleet):
+        """Guards against many small bodies, each bounded, that fill the memory."""
+        await endless_fleet.start("unsafe", framings=())
+        statuses = await asyncio.gather(
+            *map(endless_fleet.send_incomplete, range(BODY_COUNT))
+        )
+        peaks = endless_fleet.peak_bytes()
+        assert max(peaks.values()) < MAX_MEMORY_BYTES, peaks
+        assert 503 in statuses
+        assert set(statuses) <= {0, 503}
+        response = await endless_fleet.fleet.request(
+            SMALL_NODE, SMALL_SERVICE, "after"
+        )
+        assert response.status == 200
+        await endless_fleet.wait_until_nothing_is_held(SMALL_NODE)
--- a/tests/test_leanserver.py
+++ b/tests/test_leanserver.py
@@ -17,6 +17,7 @@
     leanhttp,
     leanserver,
     options,
+    receivedbytes,
     responsestream,
 )
 
@@ -1036,6 +1037,162 @@
         writer.close()
 
 
+@pytest.fixture
+def account(monkeypatch):
+    """Yields the account of the test."""
+    account = receivedbytes.Account()
+    monkeypatch.setattr(receivedbytes, "account", account)
+    return account
+
+
+async def wait_until_held(account, byte_count):
+    """Returns once so many bytes are held."""
+    async with asyncio.timeout(5):
+        while account.held_bytes < byte_count:
+            await asyncio.sleep(0.001)
+
+
+async def wait_until_released(account):
+    """Returns once no bytes are held."""
+    async with asyncio.timeout(5):
+        while account.held_bytes:
+            await asyncio.sleep(0.001)
+    assert account.holders == {}
+
+
+class TestReceivedBytes:
+    """Bodies that are not complete in their first read."""
+
+    START = post("/1", bytes(1000))[:-100]
+
+    async def test_the_greatest_body_is_refused(self, large, reading, account):
+        """Guards against small bodies on many connections that fill the memory."""
+        account.max_bytes = 1500
+        reader, writer = await connect(large)
+        writer.write(self.START)
+        await wait_until_held(account, 900)
+        other_reader, other_writer = await connect(large)
+        small = post("/2", bytes(800))
+        other_writer.write(small[:-100])
+        head, _ = await read_response(reader)
+        assert head.startswith("HTTP/1.1 503"), head
+        assert "retry-after" in head.lower()
+        other_writer.write(small[-100:])
+        head, _ = await read_response(other_reader)
+        assert head.startswith("HTTP/1.1 200"), head
+        assert reading.bodies == {"/2": bytes(800)}
+        await wait_until_released(account)
+        writer.close()
+        other_writer.close()
+
+    async def test_nothing_stays_held_of_a_complete_body(self, large, account):
+        """Guards against an account that fills up with what has ended."""
+        reader, writer = await connect(large)
+        writer.write(self.START)
+        await wait_until_held(account, 900)
+        writer.write(bytes(100))
+        head, _ = await read_response(reader)
+        assert head.startswith("HTTP/1.1 200"), head
+        await wait_until_released(account)
+        writer.close()
+
+    @pytest.mark.parametrize(
+        "end",
+        [
+            pytest.param(
+                lambda large, writer: writer.transport.abort(), id="reset"
+            ),
+            pytest.param(
+                lambda large, writer: writer.write_eof(), id="half-closed"
+            ),
+            pytest.param(
+                lambda large, writer: large.refuse_incomplete(
+                    lambda message: False
+                ),
+                id="stopping",
+            ),
+            pytest.param(
+                lambda large, writer: [
+                    connection.time_out_body()
+                    for connection in large.connections
+                ],
+                id="stalled",
+            ),
+        ],
+    )
+    async def test_nothing_stays_held(self, large, account, end):
+        """Guards against the same where the body stays incomplete."""
+        _, writer = await connect(large)
+        writer.write(self.START)
+        await wait_until_held(account, 900)
+        end(large, writer)
+        await wait_until_released(account)
+        writer.close()
+
+    async def test_nothing_stays_held_of_a_malformed_body(self, large, account):
+        """Guards against the same where an error takes the place of a request."""
+        reader, writer = await connect(large)
+        writer.write(post("/1", bytes(1000), 900)[:-100])
+        await wait_until_held(account, 900)
+        writer.write(b"none" * 100)
+        head, _ = await read_response(reader)
+        assert head.startswith("HTTP/1.1 400"), head
+        await wait_until_released(account)
+        writer.close()
+
+    async def test_nothing_stays_held_of_a_large_body(
+        self, large, reading, account
+    ):
+        """Guards against the same where the handler takes the body over."""
+        reading.released.clear()
+        reader, writer = await connect(large)
+        body = bytes(300_000)
+        data = post("/1", body)
+        writer.write(data[:50_000])
+        await wait_until_held(account, 40_000)
+        writer.write(data[50_000:])
+        reading.released.set()
+        head, _ = await read_response(reader)
+        assert head.startswith("HTTP/1.1 200"), head
+        await wait_until_released(account)
+        writer.close()
+
+    async def test_one_read_is_not_held(self, large, account):
+        """What is complete at once costs no entry."""
+        account.max_bytes = 0
+        reader, writer = await connect(large)
+        writer.write(post("/1", bytes(100)))
+        head, _ = await read_response(reader)
+        assert head.startswith("HTTP/1.1 200"), head
+        assert account.cut_count == 0
+        writer.close()
+
+    async def test_reading_pauses_while_the_account_is_scarce(
+        self, large, reading, account
+    ):
+        """Guards against cutting a large body whose caller could wait."""
+        account.max_bytes = 2_000_000
+        reading.released.clear()
+        reader, writer = await connect(large)
+        data = post("/1", bytes(600_000))
+        writer.write(data[:70_000])
+        async with asyncio.timeout(5):
+            while not large.large_requests:
+                await asyncio.sleep(0.001)
+        [connection] = large.connections
+        assert connection.reading_paused is False
+        account.hold(connection, 1_200_000)
+        assert connection.is_holding_much() is True
+        account.release(connection)
+        assert connection.is_holding_much() is False
+        reading.released.set()
+        writer.write(data[70_000:])
+        head, _ = await read_response(reader)
+        assert head.startswith("HTTP/1.1 200"), head
+        await wait_until_released(account)
+        writer.close()
+
+
 class TestPauses:
     """A process that is stopped for some seconds and goes on."""
 
