Peers: strangers may send no long frame before their Hello

Fault: a listener for other processes took a first frame of up to frame_bytes (16 MiB) from anybody, on up to 2,048 connections, and kept it for 10 s. Found by reading, while looking for memory that is bounded for each connection only.

Change: the first frame has 16 KiB at most; a Hello has a few hundred bytes. Longer ones end the connection at their length, as frames above the limit do.

test_long_frame_of_a_stranger_is_not_received failed before: the connection stayed open for 3 s.

--- a/mangobay/connections.py
+++ b/mangobay/connections.py
@@ -44,6 +44,8 @@
 speed its event loop runs several iterations per second.
 """
 UNRESPONSIVE_MESSAGE = "the peer does not respond"
+MAX_HELLO_BYTES = 16 * 1024
+"""Longest frame that is taken before the peer is known."""
 PING_STREAM = 0
 """Stream of Hello and Ping; requests have higher ones."""
 
@@ -149,7 +151,9 @@
         self.peer_hello = messages.Hello()
         self.handshake_done = self.loop.create_future()
         self.disconnected = self.loop.create_future()
-        self.decoder = wire.FrameDecoder(limits.max_frame_bytes)
+        self.decoder = wire.FrameDecoder(
+            min(limits.max_frame_bytes, MAX_HELLO_BYTES)
+        )
         self.pending_requests: dict[int, asyncio.Future] = {}
         self.handler_tasks: dict[int, asyncio.Task] = {}
         self.bodies = replyparts.PeerBodies(self, limits.stall_timeout)
@@ -223,6 +227,7 @@
                 f" {body.role} of host {body.host}"
             )
         self.peer_hello = body
+        self.decoder.max_bytes = self.limits.max_frame_bytes
         self.round_trip = self.loop.time() - self.last_request_at
         if not (self.local_hello.takes_queries and body.takes_queries):
             self.on_silent = None
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -12,6 +12,8 @@
 HELLO = messages.Hello(host="here", role="node")
 LOOPBACK = options.Address("127.0.0.1", 0)
 WAIT_SECONDS = 20.0
+CLOSE_SECONDS = 3.0
+"""Less than the time that a peer has to complete a frame."""
 PEER_HELLO = messages.Hello(
     host="there", role="node", protocol=connections.PROTOCOL_VERSION
 )
@@ -582,6 +584,15 @@
         assert not handler.request_arrived.is_set()
         writer.close()
 
+    async def test_long_frame_of_a_stranger_is_not_received(self, listener):
+        """Guards against strangers that fill the memory with frames."""
+        reader, writer = await asyncio.open_connection(*listener.address)
+        length = connections.MAX_HELLO_BYTES + 1
+        writer.write(wire.LENGTH_PREFIX.pack(length) + b"x")
+        async with asyncio.timeout(CLOSE_SECONDS):
+            assert await reader.read() == b""
+        writer.close()
+
     async def test_connections_above_the_limit_are_closed(self, listener):
         opened = [
             await asyncio.open_connection(*listener.address) for _ in range(3)
