Soak: a failure given while the server is at work is found if it works on

The check of planned stops looked at runs whose connection had ended. Where the backend server does not notice that, works on and writes its response, a 502 given up to 0.6 s before looked like an answer that had been waited for.

A run that ended later than its request counts now, whatever came of it.

test_a_failure_before_the_end_of_a_run_is_found failed before: nothing found.

--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -211,11 +211,13 @@
     if is_over(request):
         return ""
     for run in view.runs(request):
-        working = run.outcome in (
+        dropped = run.outcome in (
             history.Outcome.DROPPED,
             history.Outcome.RUNNING,
         )
-        if not working or run.ended < request.ended - view.target.loss_slack:
+        since = request.ended - view.target.loss_slack
+        # A server may not notice, and end its work after the failure.
+        if run.ended <= request.ended and not (dropped and run.ended >= since):
             continue
         if stop_of(view, request, run) is None:
             continue
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -151,6 +151,17 @@
             events=[self.STOP],
         )
 
+    @pytest.mark.parametrize(("ended", "count"), [(100.2, 1), (100.05, 0)])
+    def test_a_failure_before_the_end_of_a_run_is_found(self, ended, count):
+        """A server that works on behind a cut looks as if it was waited for."""
+        breaks = found(
+            checks.nothing_cut,
+            requests=[soakfakes.refused(status=502)],
+            arrivals=[soakfakes.arrival(until=ended, ended=ended)],
+            events=[self.STOP],
+        )
+        assert len(breaks) == count
+
     def test_a_request_that_was_read_and_dropped_is_found(self):
         assert found(checks.nothing_cut, requests=[soakfakes.cut(ended=101.0)])
 
