Soak: callers that half-close, and bodies that come while a node stops

Eight more such bodies begin 0.5 to 2.5 s after the SIGTERM of each rush.

A failure given before the last byte of its request was sent replaces nothing: only a request that was read whole is owed its response.

--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -208,7 +208,7 @@
 
 def replaced_of(view: View, request: history.Request) -> str:
     """Returns what is wrong with a failure of the system's own."""
-    if is_over(request):
+    if is_over(request) or not came_whole(request):
         return ""
     for run in view.runs(request):
         dropped = run.outcome in (
@@ -226,6 +226,11 @@
     return ""
 
 
+def came_whole(request: history.Request) -> bool:
+    """Returns whether a request was sent to its last byte when it ended."""
+    return request.sent < request.ended
+
+
 def is_over(request: history.Request) -> bool:
     """Returns whether a request's time was over when it ended."""
     return request.ended >= request.due - EARLY
--- a/bench/soak/crowds.py
+++ b/bench/soak/crowds.py
@@ -26,6 +26,13 @@
 """Seconds between two of them; all are to be served still."""
 HELD_SECONDS = 3.0
 """Deadline of holders: when the node may cut work, theirs is not over."""
+LATE_SENDERS = 8
+LATE_SENDERS_AT = 0.5
+"""Seconds after SIGTERM at which senders of late bodies begin."""
+LATE_SENDER_GAP = 0.28
+"""Seconds between two of them; all begin while requests are accepted."""
+LATE_SENDER_SECONDS = 8.0
+"""Deadline of senders of late bodies: the end of the node comes before it."""
 CALM_GAP = 0.5
 """Seconds between two bursts long before the node may cut work."""
 DENSE_GAPS = 0.002, 0.01
@@ -157,6 +164,7 @@
         members: set[Member] = set()
         async with asyncio.TaskGroup() as group:
             group.create_task(self.hold(stopping))
+            group.create_task(self.send_late(stopping))
             while self.place.name in stopping:
                 passed = loop.time() - began
                 if passed > target.grace:
@@ -195,6 +203,27 @@
                 group.create_task(holder.turn())
                 await asyncio.sleep(HOLDER_GAP)
 
+    async def send_late(self, stopping: collections.abc.Container) -> None:
+        """Sends bodies whose last bytes come while the node stops."""
+        await asyncio.sleep(LATE_SENDERS_AT)
+        async with asyncio.TaskGroup() as group:
+            for number in range(LATE_SENDERS):
+                if self.place.name not in stopping:
+                    return
+                service = world.SERVICES[number % len(world.SERVICES)]
+                wish = callers.Wish(
+                    backends.Way.PLAIN,
+                    callers.LATE_WORK,
+                    False,
+                    LATE_SENDER_SECONDS,
+                    service,
+                )
+                sender = self.member(wish, f"late-{number}")
+                sender.manner = callers.Manner.LATE_BODY
+                sender.lots = random.Random(f"late {self.fault.mark} {number}")
+                group.create_task(sender.turn())
+                await asyncio.sleep(LATE_SENDER_GAP)
+
     def member(self, wish: callers.Wish, name: object) -> Member:
         """Returns a caller with one request."""
         return Member(
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -11,6 +11,7 @@
 from adapter import fakeplatform
 
 from bench.soak import (
+    callers,
     checks,
     crowds,
     dialect,
@@ -21,6 +22,7 @@
     play,
     program,
     report,
+    wire,
     world,
 )
 
@@ -239,3 +241,74 @@
         await asyncio.wait({probing})
         server.close()
         assert [each.status for each in seen.probes] == [0]
+
+
+class TestCallers:
+    """Callers on connections of their own."""
+
+    @staticmethod
+    async def call(serve, manner):
+        """Returns the request of one turn of a caller to a node."""
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        ports = dataclasses.replace(fakeplatform.DIALECT.ports, outside=port)
+        seen = history.History()
+        caller = callers.Caller(
+            dialect.Place(
+                name="node-1",
+                data_centre="north",
+                ip="127.0.0.1",
+                service="price",
+            ),
+            manner,
+            dataclasses.replace(fakeplatform.DIALECT, ports=ports),
+            seen,
+            1,
+            itertools.count(1),
+        )
+        await caller.turn()
+        caller.drop(history.End.LEFT)
+        server.close()
+        (request,) = seen.requests
+        assert not seen.strays
+        return request
+
+    async def test_half_closed_one_waits_for_its_response(self):
+        """Interim responses pass for the response, or end the connection."""
+        ended = asyncio.Event()
+
+        async def respond(reader, writer):
+            await reader.read()
+            ended.set()
+            for _ in range(2):
+                writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+                await writer.drain()
+            writer.write(b"HTTP/1.1 503 No\r\nContent-Length: 1\r\n\r\nn")
+            writer.close()
+
+        request = await self.call(respond, callers.Manner.HALF_CLOSED)
+        assert ended.is_set()
+        assert request.end is history.End.ANSWERED
+        assert request.status == 503
+
+    async def test_late_body_is_sent_in_parts(self, monkeypatch):
+        """A body that comes at once is whole before the node stops."""
+        pause = 0.02
+        monkeypatch.setattr(
+            callers,
+            "PIECE_PAUSES",
+            {callers.Manner.LATE_BODY: (pause, pause)},
+        )
+        times = []
+
+        async def respond(reader, writer):
+            head = await wire.read_head(reader)
+            times.append(asyncio.get_running_loop().time())
+            await wire.read_body(reader, head)
+            times.append(asyncio.get_running_loop().time())
+            writer.write(b"HTTP/1.1 503 No\r\nContent-Length: 1\r\n\r\nn")
+            writer.close()
+
+        request = await self.call(respond, callers.Manner.LATE_BODY)
+        assert request.status == 503
+        assert times[1] - times[0] > (callers.PIECES - 2) * pause
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -1,5 +1,7 @@
 """What the checks of the soak find in histories."""
 
+import math
+
 import pytest
 import soakfakes
 
@@ -151,6 +153,19 @@
             events=[self.STOP],
         )
 
+    @pytest.mark.parametrize(
+        ("sent", "count"), [(100.09, 1), (100.11, 0), (math.inf, 0)]
+    )
+    def test_a_failure_before_the_last_byte_is_none(self, sent, count):
+        """A refusal of what has not been read whole counts as a cut."""
+        breaks = found(
+            checks.nothing_cut,
+            requests=[soakfakes.refused(status=502, sent=sent)],
+            arrivals=[soakfakes.dropped()],
+            events=[self.STOP],
+        )
+        assert len(breaks) == count
+
     @pytest.mark.parametrize(("ended", "count"), [(100.2, 1), (100.05, 0)])
     def test_a_failure_before_the_end_of_a_run_is_found(self, ended, count):
         """A server that works on behind a cut looks as if it was waited for."""
