Tests: a response held by the kernel is held by it

Its response of 1 MB is taken by the kernel only once the send buffer has grown; if that has not happened by the close, bytes are left in the process, and counting the response as aborted is right.

--- a/tests/test_leanserver.py
+++ b/tests/test_leanserver.py
@@ -298,14 +298,20 @@
         """A node that has sent everything says that it aborted a response."""
 
         async def handle(request, connection):
-            del request, connection
-            return leanhttp.Response(status=200, body=bytes(1_000_000))
+            del request
+            sock = connection.transport.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 400_000)
+            return leanhttp.Response(status=200, body=bytes(300_000))
 
         listener = leanserver.Listener(LOOPBACK, handle, leanserver.Limits())
         await listener.start()
         reader, writer = await small_buffer_connection(*listener.address)
         writer.write(get("/1"))
-        await asyncio.sleep(0.1)
+        async with asyncio.timeout(10):
+            while not any(each.delivering for each in listener.connections):
+                await asyncio.sleep(0.01)
+        (connection,) = listener.connections
+        assert connection.transport.get_write_buffer_size() == 0
         closing = asyncio.create_task(listener.close(0.3))
         while not closing.done():
             await reader.read(16 * 1024)
