--- a/tests/test_endless_requests_processes.py
+++ b/tests/test_endless_requests_processes.py
@@ -208,8 +208,13 @@
 
 def greedy_orders():
     """Returns orders that take many times their size once they are parsed."""
-    size = 16_000_000
+    return [order for size in (8_000_000, 16_000_000) for order in sized(size)]
+
+
+def sized(size):
+    """Returns such orders of a size in bytes."""
     return [
+        b'["' + b"x" * size + "\U0001f600".encode() + b'"]',
         b"[" + b"{}," * (size // 3) + b"1]",
         b"[" + b'{"a":1},' * (size // 8) + b"1]",
     ]
