Received bytes: long messages of other processes are on the account

Fault: each connection to another process keeps up to frame_bytes (16 MiB) of an incomplete message, and the sum had no bound. Found by reading.

Change: from 4 KiB on, a part of a message is held on the account of received bytes. A connection that has not said who it is goes like any other holder. One of a known peer goes last, as all calls on it would end; responses and bodies are cut off before.

TestReceivedBytes of test_peers and test_who_serves_many_goes_last failed before (nothing held; the peer was cut off before a smaller response).

--- a/mangobay/connections.py
+++ b/mangobay/connections.py
@@ -13,6 +13,7 @@
     errors,
     logs,
     periodic,
+    receivedbytes,
     replyparts,
     requestbody,
     responsestream,
@@ -46,6 +47,8 @@
 UNRESPONSIVE_MESSAGE = "the peer does not respond"
 MAX_HELLO_BYTES = 16 * 1024
 """Longest frame that is taken before the peer is known."""
+MIN_HELD_BYTES = 4 * 1024
+"""Smallest part of a frame that is on the account of received bytes."""
 PING_STREAM = 0
 """Stream of Hello and Ping; requests have higher ones."""
 
@@ -106,6 +109,7 @@
       handler_tasks: tasks of the requests received, by stream.
       bodies: the bodies of large replies, both ways.
       write_gate: closed while the write buffer is full.
+      is_holding: whether a part of a frame is on the account of received bytes.
       partial_frame_since: loop time at which an incomplete frame began, or 0.
       last_request_at: loop time of the last request sent.
       tracked_requests: the pending requests that the peer should reply to
@@ -160,6 +164,7 @@
         self.write_gate = responsestream.WriteGate()
         self.last_stream = 0
         self.closed = False
+        self.is_holding = False
         self.partial_frame_since = 0.0
         self.last_request_at = self.loop.time()
         self.tracked_requests: dict[int, TrackedRequest] = {}
@@ -258,6 +263,27 @@
             return
         if self.decoder.has_partial_frame and not self.partial_frame_since:
             self.partial_frame_since = self.loop.time()
+        self.hold_received()
+
+    def hold_received(self) -> None:
+        """Updates what the account of received bytes says of a long frame."""
+        held_bytes = self.decoder.buffered_bytes
+        if held_bytes >= MIN_HELD_BYTES and not self.closed:
+            self.is_holding = True
+            receivedbytes.account.hold(self, held_bytes)
+        elif self.is_holding:
+            self.is_holding = False
+            receivedbytes.account.release(self)
+
+    @property
+    def cut_last(self) -> bool:
+        """Whether the calls of a known peer depend on the connection."""
+        return self.handshake_done.done()
+
+    def drop_received(self) -> None:
+        """Closes the connection, whose frame cannot be held until its end."""
+        self.decoder = wire.FrameDecoder()
+        self.close("too many received bytes are held")
 
     def close_on_protocol_error(self, error: errors.PeerProtocolError) -> None:
         """Closes the connection after a protocol error of the peer."""
@@ -661,6 +687,7 @@
         if self.closed:
             return
         self.closed = True
+        receivedbytes.account.release(self)
         self.liveness_check.discard(self)
         if self.transport is not None:
             self.close_transport(self.transport)
--- a/mangobay/leanhttp.py
+++ b/mangobay/leanhttp.py
@@ -31,6 +31,8 @@
 
     __slots__ = ("loop", "transport", "writing_paused")
 
+    cut_last = False
+
     def __init__(self, loop: asyncio.AbstractEventLoop):
         self.loop = loop
         self.transport: asyncio.Transport | None = None
--- a/mangobay/receivedbytes.py
+++ b/mangobay/receivedbytes.py
@@ -19,7 +19,14 @@
 
 
 class Holder(typing.Protocol):
-    """Keeps received bytes."""
+    """Keeps received bytes.
+
+    Attributes:
+      cut_last: whether it is cut off only if all others are, because what it
+        receives belongs to many requests.
+    """
+
+    cut_last: bool
 
     def drop_received(self) -> None:
         """Ends what is being received, and drops its bytes."""
@@ -76,7 +83,7 @@
 
     def cut_greatest(self) -> None:
         """Cuts off the holder of most bytes."""
-        reference = max(self.holders, key=self.holders.__getitem__)
+        reference = max(self.holders, key=self.cut_order)
         byte_count = self.holders[reference]
         holder = reference()
         self.forget(reference)
@@ -84,6 +91,10 @@
         self.log_cut(holder, byte_count)
         holder.drop_received()
 
+    def cut_order(self, reference: weakref.ref[Holder]) -> tuple[bool, int]:
+        """Returns the sort key of a holder; the greatest is cut off first."""
+        return not reference().cut_last, self.holders[reference]
+
     def log_cut(self, holder: Holder, byte_count: int) -> None:
         """Logs a cut unless one was logged shortly before."""
         now = clock.now()
--- a/mangobay/responsestream.py
+++ b/mangobay/responsestream.py
@@ -107,6 +107,7 @@
         "waiter",
     )
 
+    cut_last = False
     statistics = statistics
 
     def __init__(self, length: int | None, producer: Producer):
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -6,7 +6,15 @@
 
 import pytest
 
-from mangobay import basenode, connections, errors, options, peers, wire
+from mangobay import (
+    basenode,
+    connections,
+    errors,
+    options,
+    peers,
+    receivedbytes,
+    wire,
+)
 from mangobay.generated import messages
 
 HELLO = messages.Hello(host="here", role="node")
@@ -562,6 +570,76 @@
         assert reply.reason is messages.Reason.OVERLOADED
 
 
+@pytest.fixture
+def account(monkeypatch):
+    """Yields the account of the test."""
+    account = receivedbytes.Account()
+    monkeypatch.setattr(receivedbytes, "account", account)
+    return account
+
+
+async def begin_frame(listener, hello=None, byte_count=10_000):
+    """Returns a connection on which a part of a long frame was sent.
+
+    Without a Hello it is the first frame.
+    """
+    reader, writer = await asyncio.open_connection(*listener.address)
+    if hello is not None:
+        writer.write(wire.encode_frame(messages.Envelope(body=hello)))
+    length = byte_count + 1000
+    writer.write(wire.LENGTH_PREFIX.pack(length) + bytes(byte_count))
+    return reader, writer
+
+
+class TestReceivedBytes:
+    """Long frames that are not complete."""
+
+    async def test_stranger_goes_before_a_peer(self, listener, account):
+        """Guards against ending the calls of a peer for a stranger's frame."""
+        account.max_bytes = 55_000
+        _, writer = await begin_frame(listener, PEER_HELLO, 50_000)
+        await wait_until(lambda: account.held_bytes > 50_000)
+        reader, stranger = await begin_frame(listener)
+        async with asyncio.timeout(CLOSE_SECONDS):
+            assert await reader.read() == b""
+        await wait_until(lambda: account.held_bytes == 50_004)
+        assert account.cut_count == 1
+        for each in (writer, stranger):
+            each.close()
+
+    async def test_peers_do_not_fill_the_memory(self, listener, account):
+        """Guards against frames, each bounded, that are too many together."""
+        account.max_bytes = 80_000
+        greatest, writer = await begin_frame(listener, PEER_HELLO, 50_000)
+        await wait_until(lambda: account.held_bytes > 50_000)
+        _, other = await begin_frame(listener, PEER_HELLO, 40_000)
+        async with asyncio.timeout(CLOSE_SECONDS):
+            await greatest.readuntil(b"here")
+            with pytest.raises((asyncio.IncompleteReadError, OSError)):
+                await greatest.readexactly(10_000)
+        assert account.held_bytes == 40_004
+        for each in (writer, other):
+            each.close()
+
+    async def test_nothing_stays_held(self, handler, listener, account):
+        """Guards against an account that fills up with what has ended."""
+        frame = wire.encode_frame(
+            messages.Envelope(stream=1, body=call("whole", body=bytes(60_000)))
+        )
+        _, writer = await begin_frame(listener)
+        await wait_until(lambda: account.held_bytes > 0)
+        writer.close()
+        await wait_until(lambda: account.held_bytes == 0)
+        _, writer = await asyncio.open_connection(*listener.address)
+        writer.write(wire.encode_frame(messages.Envelope(body=PEER_HELLO)))
+        writer.write(frame[:-100])
+        await wait_until(lambda: account.held_bytes > 0)
+        writer.write(frame[-100:])
+        await asyncio.wait_for(handler.request_arrived.wait(), WAIT_SECONDS)
+        assert (account.held_bytes, account.holders) == (0, {})
+        writer.close()
+
+
 class TestListener:
     """Connections that a listener accepts."""
 
--- a/tests/test_receivedbytes.py
+++ b/tests/test_receivedbytes.py
@@ -18,7 +18,8 @@
 class Reader:
     """Holds bytes; counts how often it is cut off."""
 
-    def __init__(self):
+    def __init__(self, cut_last=False):
+        self.cut_last = cut_last
         self.cut_count = 0
 
     def drop_received(self):
@@ -48,6 +49,19 @@
         assert (small.cut_count, great.cut_count) == (0, 1)
         assert account.held_bytes == 30
 
+    async def test_who_serves_many_goes_last(self):
+        """Guards against ending all calls on a connection for one response."""
+        account = receivedbytes.Account(max_bytes=100)
+        peer, other_peer = Reader(cut_last=True), Reader(cut_last=True)
+        response = Reader()
+        account.hold(peer, 60)
+        account.hold(response, 30)
+        account.hold(other_peer, 20)
+        cuts = (peer.cut_count, response.cut_count, other_peer.cut_count)
+        assert cuts == (0, 1, 0)
+        account.hold(other_peer, 50)
+        assert (peer.cut_count, other_peer.cut_count) == (1, 0)
+
     async def test_as_many_go_as_needed(self):
         """Guards against staying above the bound after one cut."""
         account = receivedbytes.Account(max_bytes=100)
