Soak: senders without end, and the greatest memory in the table

Every third seed (remainder 1, `faults.ENDLESS_SEEDS`) has them, drawn from random streams of their own: series of 10 to 100 requests whose backend servers respond until they are cut off (in chunks, with a length of 10^12, compressed by their word, a head, no HTTP), and 10 to 40 connections that send a body to a node's ready, heartbeat or metrics port, or a control host's operator or metrics port, each about 6 MB a second, until it is closed or for 2 to 6 s. `systemchecks.memory_is_bounded` holds every process to 200 MB as before.

--- a/bench/soak/backends.py
+++ b/bench/soak/backends.py
@@ -8,7 +8,7 @@
 import random
 import time
 
-from bench.soak import dialect, history, wire
+from bench.soak import dialect, endless, history, wire
 from mangobay import ids
 
 BEAT_SECONDS = 1.0
@@ -62,6 +62,11 @@
     """It falls silent and closes nothing."""
     CRASH_NODE = "crash-node"
     """The node beside it ends as well."""
+    ENDLESS_CHUNKS = "endless-chunks"
+    ENDLESS_LENGTH = "endless-length"
+    ENDLESS_GZIP = "endless-gzip"
+    ENDLESS_HEAD = "endless-head"
+    ENDLESS_BYTES = "endless-bytes"
 
 
 CRASHES = (
@@ -71,6 +76,14 @@
     Way.CRASH_DARK,
     Way.CRASH_NODE,
 )
+ENDLESS = {
+    Way.ENDLESS_CHUNKS: endless.Form.CHUNKS,
+    Way.ENDLESS_LENGTH: endless.Form.LENGTH,
+    Way.ENDLESS_GZIP: endless.Form.GZIP,
+    Way.ENDLESS_HEAD: endless.Form.HEAD,
+    Way.ENDLESS_BYTES: endless.Form.BYTES,
+}
+"""The form of the responses without end."""
 
 
 EndNode = collections.abc.Callable[[], collections.abc.Awaitable[None]]
@@ -405,6 +418,13 @@
             if way is Way.CRASH_ANSWERED:
                 self.answer(arrival, 500, fields, b"last", writer)
             return await self.start_crash(arrival, way)
+        if way in ENDLESS:
+            self.end(arrival, history.Outcome.BROKEN)
+            message = endless.make_message(
+                ENDLESS[way], "HTTP/1.1 200 Answer", fields
+            )
+            await endless.send(reader, writer, message)
+            return False
         loop = asyncio.get_running_loop()
         due = arrival.at + arrival.seconds
         arrival.until = loop.time() + seconds
--- a/bench/soak/dialect.py
+++ b/bench/soak/dialect.py
@@ -40,6 +40,11 @@
     backend: int
     internal: tuple[int, int]
 
+    @property
+    def metrics(self) -> int:
+        """Where metrics are read."""
+        return self.internal[1]
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Told:
@@ -130,6 +135,7 @@
       health_path: of the health checks of backend servers.
       version: the version in the answer to `describe`.
       ready: a whole request that asks a node whether it takes callers.
+      metrics: a whole request that reads the metrics of a process.
       settings: the text of a settings file, by tree, host, seeds and folder.
       entries: by folder and control host, the file of its newest entries.
       launch: how a program of a tree is started with a settings file.
@@ -153,6 +159,7 @@
     health_path: str
     version: collections.abc.Callable[[bytes], int]
     ready: bytes
+    metrics: bytes
     settings: collections.abc.Callable[
         [pathlib.Path, Place, list[str], pathlib.Path], str
     ]
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -4,7 +4,7 @@
 import random
 import typing
 
-from bench.soak import backends, dialect
+from bench.soak import backends, dialect, endlessfaults
 from mangobay import ids
 
 
@@ -230,6 +230,8 @@
     | Wipe
     | OddReport
     | Rush
+    | endlessfaults.EndlessResponses
+    | endlessfaults.EndlessBodies
 )
 
 
@@ -309,6 +311,8 @@
 """Seconds of calm at the start."""
 PLANNED_SEEDS = 3
 """Of so many seeds, one has planned work only: nothing excuses a cut there."""
+ENDLESS_SEEDS = frozenset({1})
+"""Remainders, by `PLANNED_SEEDS`, of the seeds with senders without end."""
 MOST_TORN = 200
 """Bytes of a write that is torn."""
 
@@ -332,6 +336,9 @@
     found += draw_orders(seed, seconds)
     found += draw_odd_reports(seed, seconds, hosts)
     found += draw_rushes(seed, seconds, hosts)
+    if seed % PLANNED_SEEDS in ENDLESS_SEEDS:
+        found += endlessfaults.draw_responses(seed, seconds, hosts.nodes)
+        found += endlessfaults.draw_bodies(seed, seconds, *hosts)
     final = None
     if seed % PLANNED_SEEDS:
         found += draw_minorities(seed, seconds, hosts)
--- a/bench/soak/play.py
+++ b/bench/soak/play.py
@@ -13,7 +13,9 @@
     callers,
     crowds,
     dialect,
+    endlessfaults,
     faults,
+    floods,
     history,
     operators,
     world,
@@ -68,6 +70,7 @@
       servers: the backend servers.
       boss: changes the configuration.
       clients: the callers.
+      floods: senders without end.
     """
 
     def __init__(
@@ -81,6 +84,12 @@
         self.servers = servers
         self.boss = boss
         self.clients = clients
+        self.floods = floods.Floods(
+            places=made.places,
+            speech=made.speech,
+            seen=made.seen,
+            numbers=clients[0].numbers,
+        )
 
     async def play(self, plan: faults.Plan) -> None:
         """Returns once every fault is over."""
@@ -139,6 +148,10 @@
                 await self.servers[host].sever()
             case faults.OddReport(host=host, slots=slots):
                 await self.servers[host].tell(slots)
+            case endlessfaults.EndlessResponses():
+                await self.floods.request(fault)
+            case endlessfaults.EndlessBodies():
+                await self.floods.send(fault)
             case _:
                 await self.bring_about_order(fault)
 
--- a/bench/soak/report.py
+++ b/bench/soak/report.py
@@ -13,12 +13,33 @@
 """Seconds before and after a request in which log lines are told."""
 MOST_LINES = 60
 ABOUT_A_REQUEST = '"attempt": '
-HEADINGS = ("seed", "faults", "requests", "runs", "served", "lag s", "breaks")
+HEADINGS = (
+    "seed",
+    "faults",
+    "requests",
+    "runs",
+    "served",
+    "lag s",
+    "peak MB",
+    "breaks",
+)
+BYTES_PER_MEGABYTE = 10**6
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Row:
-    """The figures of one seed; `lag` in seconds."""
+    """The figures of one seed.
+
+    Attributes:
+      seed: that was played.
+      faults: in its plan.
+      requests: of callers.
+      runs: of these at backend servers.
+      served: requests with a success.
+      lag: for which the observer stood still, seconds.
+      peak: the most memory of any process, megabytes.
+      breaks: that were found.
+    """
 
     seed: int
     faults: int
@@ -26,6 +47,7 @@
     runs: int
     served: int
     lag: float
+    peak: int
     breaks: int
 
 
@@ -39,6 +61,7 @@
         runs=sum(arrival.ran for arrival in seen.arrivals),
         served=sum(200 <= each.status < 300 for each in seen.requests),
         lag=round(seen.lag, 2),
+        peak=max(seen.peaks.values(), default=0) // BYTES_PER_MEGABYTE,
         breaks=len(found),
     )
 
@@ -52,7 +75,7 @@
         for values in zip(*[dataclasses.astuple(each)[1:5] for each in rows])
     ]
     breaks = sum(each.breaks for each in rows)
-    cells.append(("all", *map(str, sums), "", str(breaks)))
+    cells.append(("all", *map(str, sums), "", "", str(breaks)))
     widths = [max(map(len, column)) for column in zip(*cells, strict=True)]
     return "\n".join(
         "  ".join(cell.rjust(width) for cell, width in zip(line, widths))
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -15,7 +15,10 @@
     checks,
     crowds,
     dialect,
+    endless,
+    endlessfaults,
     faults,
+    floods,
     history,
     judge,
     operators,
@@ -312,3 +315,55 @@
         request = await self.call(respond, callers.Manner.LATE_BODY)
         assert request.status == 503
         assert times[1] - times[0] > (callers.PIECES - 2) * pause
+
+
+class TestSendersWithoutEnd:
+    """Responses and bodies that have no end."""
+
+    @pytest.mark.parametrize("form", list(endless.Form))
+    async def test_each_form_is_sent_until_the_connection_is_closed(self, form):
+        """A sender that ends by itself brings no process to its limits."""
+        message = endless.make_message(form, "POST / HTTP/1.1", {})
+        wanted = sum(map(len, message))
+        closed = asyncio.Event()
+
+        async def take(reader, writer):
+            await reader.readexactly(wanted)
+            closed.set()
+            writer.close()
+
+        server = await asyncio.start_server(take, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        async with asyncio.timeout(10):
+            await floods.send_until("127.0.0.1", port, message, 20.0)
+        assert closed.is_set()
+        server.close()
+
+    async def test_it_ends_in_time_where_nothing_is_read(self):
+        """A node that stops to read keeps the run from its end."""
+        over = asyncio.Event()
+
+        async def stay(reader, writer):
+            del reader
+            await over.wait()
+            writer.close()
+
+        server = await asyncio.start_server(stay, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        form = endless.Form.CHUNKS
+        message = endless.make_message(form, "POST / HTTP/1.1", {})
+        async with asyncio.timeout(10):
+            await floods.send_until("127.0.0.1", port, message, 0.3)
+        over.set()
+        server.close()
+
+    def test_the_other_faults_of_a_plan_do_not_depend_on_them(
+        self, monkeypatch
+    ):
+        """Listed seeds no longer play the faults that showed their cause."""
+        kinds = endlessfaults.EndlessResponses, endlessfaults.EndlessBodies
+        plans = [faults.plan(seed, 30, HOSTS).faults for seed in range(30)]
+        monkeypatch.setattr(faults, "ENDLESS_SEEDS", frozenset())
+        for seed, drawn in enumerate(plans):
+            others = [each for each in drawn if not isinstance(each, kinds)]
+            assert tuple(others) == faults.plan(seed, 30, HOSTS).faults
