Node: bodies that have arrived unread are no longer cut at the end of the linger

Cause: ended each body that the node had not read in full. While its backend server reads slowly, reading is paused and the rest waits in the kernel.

Change: a body of which the rest has arrived goes on, as does one in chunks for 0.2 s while anything of it is unread. What comes later is refused as it comes.

test_request_that_has_arrived_goes_on failed before with 502 in place of 200.

--- a/mangobay/leanserver.py
+++ b/mangobay/leanserver.py
@@ -582,6 +582,19 @@
         elif newest.task is None:
             self.end_unread(newest, refusals.retry_later_response())
 
+    def has_arrived(self, is_chunked_awaited: bool) -> bool:
+        """Returns whether the rest of a body that is received is there unread.
+
+        Args:
+          is_chunked_awaited: what to assume if anything is unread of a body
+            that does not tell its length.
+        """
+        unread_bytes = sockets.count_unread_bytes(self.transport)
+        message = self.exchanges[-1].message
+        if "Content-Length" in message.headers:
+            return unread_bytes >= message.content_length - message.body_size
+        return is_chunked_awaited and unread_bytes > 0
+
     def is_refusable(self) -> bool:
         """Returns whether a request is incomplete and has no handler."""
         if self.half_close_timer is not None:
@@ -1070,15 +1083,20 @@
     def refuse_incomplete(
         self,
         is_exempt: collections.abc.Callable[[httpparse.Message], bool],
+        is_chunked_awaited: bool = False,
     ) -> None:
-        """Ends the requests whose bodies are not complete.
+        """Ends the requests whose bodies have not arrived in full.
 
         Args:
           is_exempt: returns whether a request may go on.
+          is_chunked_awaited: whether bodies in chunks, of which something has
+            arrived unread, may go on.
         """
         for connection in list(self.connections):
-            if connection.is_receiving_body() and not is_exempt(
-                connection.exchanges[-1].message
+            if (
+                connection.is_receiving_body()
+                and not is_exempt(connection.exchanges[-1].message)
+                and not connection.has_arrived(is_chunked_awaited)
             ):
                 connection.refuse_incomplete()
 
--- a/mangobay/routednode.py
+++ b/mangobay/routednode.py
@@ -27,6 +27,9 @@
 from mangobay.generated import messages, settings
 
 MAX_READY_BODY_BYTES = 0
+ARRIVAL_SECONDS = 0.2
+"""Seconds for which a leaving node reads on what has arrived of a body in chunks,
+as nothing tells whether its end is among that."""
 LEAVE_NOTICE_SECONDS = 0.7
 """Seconds between a leaving node's notice to the others and its first refusal.
 
@@ -313,17 +316,25 @@
                 self.control.leaving = True
                 await asyncio.sleep(min(linger, LEAVE_NOTICE_SECONDS))
                 self.executor.leaving = True
-                self.outside_listener.refuse_incomplete(
-                    self.gateway.is_child_request
-                )
+                self.refuse_incomplete()
                 while self.is_busy():
                     await asyncio.sleep(basenode.IDLE_POLL_SECONDS)
+                    self.refuse_incomplete()
         except TimeoutError:
             self.abort(f"still in flight after {config.grace:g} s")
             return
         logs.log_event(logs.Component.NODE, "left", host=self.process.host)
         self.stopped.set()
 
+    def refuse_incomplete(self) -> None:
+        """Ends the requests of callers that have not arrived in full."""
+        now = asyncio.get_running_loop().time()
+        chunks_until = self.executor.shutdown.accept_until + ARRIVAL_SECONDS
+        self.outside_listener.refuse_incomplete(
+            self.gateway.is_child_request,
+            is_chunked_awaited=now < chunks_until,
+        )
+
     def is_busy(self) -> bool:
         """Returns whether a call, a request or a response is in flight."""
         return super().is_busy() or bool(self.peer_listener.pending_responses)
--- a/mangobay/sockets.py
+++ b/mangobay/sockets.py
@@ -77,6 +77,19 @@
     return b"".join(received)
 
 
+def count_unread_bytes(transport: asyncio.Transport) -> int:
+    """Returns how many bytes have arrived that were not read, 0 if unknown."""
+    if sys.platform != "linux":
+        return 0
+    sock = transport.get_extra_info("socket")
+    with contextlib.suppress(OSError, ValueError):
+        queued = fcntl.ioctl(
+            sock.fileno(), termios.FIONREAD, bytes(QUEUE_SIZE.size)
+        )
+        return QUEUE_SIZE.unpack(queued)[0]
+    return 0
+
+
 def count_unacknowledged_bytes(transport: asyncio.Transport) -> int:
     """Returns how many written bytes the peer has not acknowledged.
 
--- a/tests/test_leanserver.py
+++ b/tests/test_leanserver.py
@@ -1082,6 +1082,26 @@
         assert recorder.requests == []
         writer.close()
 
+    async def test_request_that_has_arrived_goes_on(self, large, reading):
+        """Guards against cutting a request that was sent in full."""
+        reading.released.clear()
+        body = bytes(400_000)
+        reader, writer = await connect(large)
+        writer.write(post("/1", body))
+        await wait_for_exchange(large)
+        (connection,) = large.connections
+        async with asyncio.timeout(10):
+            while not (
+                connection.reading_paused
+                and connection.has_arrived(is_chunked_awaited=False)
+            ):
+                await asyncio.sleep(0.01)
+        large.refuse_incomplete(lambda message: False)
+        reading.released.set()
+        _, answer = await read_response(reader)
+        assert answer == str(len(body)).encode()
+        writer.close()
+
     async def test_exempt_request_goes_on(self, listener, recorder):
         """Guards against refusing the calls of requests that run."""
         reader, writer = await connect(listener)
