HTTP parser: messages that were handed out are not kept

Cause: a parser kept the messages of its last piece, up to 32 KiB of requests, until the next one came: up to 1,000 with some kB each. An idle connection kept its last message, with its body.

Change: `feed` hands them out.

test_parser_keeps_no_message_that_it_has_handed_out failed before.

--- a/mangobay/httpparse.py
+++ b/mangobay/httpparse.py
@@ -185,7 +185,8 @@
             self.check_partial_line(data)
             if self.framing_bytes >= MAX_FRAMING_BYTES:
                 self.error = ParseError(400, "too many bytes without content")
-        return self.new_messages
+        new_messages, self.new_messages = self.new_messages, []
+        return new_messages
 
     def close(self) -> None:
         """Releases the llhttp parser, which refers back to this object."""
--- a/tests/test_httpparse.py
+++ b/tests/test_httpparse.py
@@ -1,5 +1,6 @@
 """The strict parser of HTTP/1.1 messages."""
 
+import gc
 import sys
 
 import hypothesis
@@ -186,6 +187,24 @@
         assert message.body == b"next"
 
 
+class TestMessages:
+    """Messages that were handed out."""
+
+    def test_parser_keeps_no_message_that_it_has_handed_out(self):
+        """Guards against connections that hold thousands of old requests."""
+        messages, parser = parse(request() * 700)
+        assert len(messages) == 700
+        messages.clear()
+        kept = [
+            item
+            for attribute in gc.get_referents(parser)
+            if isinstance(attribute, list)
+            for item in attribute
+            if isinstance(item, httpparse.Message)
+        ]
+        assert kept == []
+
+
 class TestFragmentation:
     """Messages received in arbitrary pieces."""
 
