--- a/tests/test_endless_processes.py
+++ b/tests/test_endless_processes.py
@@ -1,235 +1,23 @@
 """The real programs: bytes that come without end, from many sides at once."""
 
-import asyncio
 import collections
-import dataclasses
-import itertools
-import pathlib
 
-import platformfakes
 import pytest
 
+from tests import endlessfakes, platformfakes
+
 MAX_MEMORY_BYTES = 200_000_000
 """Memory of the smallest machines that a process may have for itself."""
 REQUEST_COUNT = 200
-ENDLESS_SECONDS = 3.0
-SMALL_CALL_INTERVAL = 0.02
-PIECE = bytes(64 * 1024)
-PIECE_INTERVAL = 0.015
-"""Seconds between two pieces; some 4 MB/s for each response."""
-SERVICE = "s"
-SMALL_SERVICE = "t"
-FIRST_NODE = 11
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Framing:
-    """How an endless response says where it ends.
-
-    Attributes:
-      header: its header.
-      before: bytes before each piece.
-      after: bytes after each piece.
-    """
-
-    header: bytes
-    before: bytes = b""
-    after: bytes = b""
-
-
-CHUNKED = Framing(
-    b"Transfer-Encoding: chunked\r\n", b"%x\r\n" % len(PIECE), b"\r\n"
-)
-LENGTH = Framing(b"Content-Length: 1000000000000\r\n")
-UNTIL_CLOSE = Framing(b"")
-GZIP = dataclasses.replace(
-    CHUNKED, header=b"Content-Encoding: gzip\r\n" + CHUNKED.header
-)
-FRAMINGS = (CHUNKED, LENGTH, UNTIL_CLOSE, GZIP)
-
-
-SMALL_NODE = FIRST_NODE + len(FRAMINGS)
 BODY_COUNT = 800
-CHUNK = b"10\r\n" + bytes(16) + b"\r\n"
-INCOMPLETE_BODY = CHUNK * 4000
-"""The beginning of a small body; its chunks take more memory than its bytes."""
 NOT_RUN_STATUSES = {408, 421, 429, 503}
 
 
-class EndlessServer(platformfakes.BackendServer):
-    """Never ends its responses.
-
-    Attributes:
-      framing: framing of its responses.
-      writers: its connections that have carried a response.
-    """
-
-    framing = CHUNKED
-
-    def __init__(self, *arguments):
-        super().__init__(*arguments)
-        self.writers = set()
-
-    async def respond(self, writer, attempt_id):
-        """Writes a response until its connection is closed."""
-        self.writers.add(writer)
-        framing = self.framing
-        head = (
-            f"HTTP/1.1 200 OK\r\nX-Mangobay-Attempt-Id: {attempt_id}\r\n"
-            "X-Mangobay-Response-Signature: s\r\n"
-        )
-        writer.write(head.encode() + framing.header + b"\r\n")
-        while True:
-            writer.write(framing.before + PIECE + framing.after)
-            await writer.drain()
-            await asyncio.sleep(PIECE_INTERVAL)
-
-    async def close(self):
-        """Ends all responses."""
-        await super().close()
-        for writer in self.writers:
-            writer.transport.abort()
-
-
-class EndlessFleet:
-    """Nodes beside endless servers, and one beside a server of small responses.
-
-    Attributes:
-      fleet: the processes.
-      servers: the endless servers.
-    """
-
-    def __init__(self, fleet):
-        self.fleet = fleet
-        self.servers = []
-
-    @property
-    def entries(self):
-        """Numbers of the nodes beside endless servers."""
-        return range(FIRST_NODE, SMALL_NODE)
-
-    async def start(self, route_type, framings=FRAMINGS):
-        """Returns once all nodes serve small calls."""
-        fleet = self.fleet
-        fleet.start_control(1)
-        await fleet.start_node(SMALL_NODE, SMALL_SERVICE)
-        fleet.backend_class = EndlessServer
-        for number, framing in zip(self.entries, framings, strict=False):
-            server = await fleet.start_node(number, SERVICE)
-            server.framing = framing
-            self.servers.append(server)
-        document = platformfakes.configuration(
-            1, [SERVICE, SMALL_SERVICE], route_type=route_type
-        )
-
-        async def accepted():
-            response = await platformfakes.call_rpc(
-                fleet.ip(1),
-                platformfakes.OPERATOR,
-                "config.replace",
-                document,
-                base="0",
-            )
-            return response.status == 200
-
-        await platformfakes.wait_until(accepted)
-        for number in [*self.entries][: len(framings)] + [SMALL_NODE]:
-
-            async def served(number=number):
-                response = await fleet.request(number, SMALL_SERVICE, "first")
-                return response.status == 200
-
-            await platformfakes.wait_until(served)
-
-    async def send_endless(self, index):
-        """Sends a request; returns its id and status, 0 if none came."""
-        attempt_id = f"endless-{index}"
-        reader, writer = await asyncio.open_connection(
-            self.fleet.ip(FIRST_NODE + index % len(FRAMINGS)),
-            platformfakes.OUTSIDE,
-        )
-        try:
-            writer.write(
-                platformfakes.request_bytes(
-                    SERVICE, attempt_id, int(ENDLESS_SECONDS * 1000)
-                )
-            )
-            async with asyncio.timeout(ENDLESS_SECONDS):
-                head = await reader.readuntil(b"\r\n\r\n")
-            return attempt_id, int(head.split()[1])
-        except (TimeoutError, OSError, asyncio.IncompleteReadError):
-            return attempt_id, 0
-        finally:
-            writer.close()
-
-    async def send_small(self, number, until):
-        """Sends small requests until a future is done; returns statuses."""
-        statuses = []
-        while not until.done():
-            attempt_id = f"small-{number}-{len(statuses)}"
-            response = await self.fleet.request(
-                number, SMALL_SERVICE, attempt_id
-            )
-            statuses.append(response.status)
-            await asyncio.sleep(SMALL_CALL_INTERVAL)
-        return statuses
-
-    async def play(self):
-        """Returns the statuses of endless requests by id, and of small ones."""
-        endless = asyncio.gather(*map(self.send_endless, range(REQUEST_COUNT)))
-        small = await asyncio.gather(
-            *(self.send_small(number, endless) for number in self.entries)
-        )
-        return dict(await endless), list(itertools.chain(*small))
-
-    async def send_incomplete(self, index):
-        """Sends a part of a body; returns the status of its response, 0 if none."""
-        reader, writer = await asyncio.open_connection(
-            self.fleet.ip(SMALL_NODE), platformfakes.OUTSIDE
-        )
-        head = (
-            f"POST /x HTTP/1.1\r\nHost: {SMALL_SERVICE}.example\r\n"
-            f"X-Mangobay-Attempt-Id: body-{index}\r\n"
-            "X-Mangobay-Deadline-Ms: 8000\r\n"
-            "Transfer-Encoding: chunked\r\n\r\n"
-        )
-        try:
-            writer.write(head.encode() + INCOMPLETE_BODY)
-            async with asyncio.timeout(ENDLESS_SECONDS):
-                return int((await reader.readuntil(b"\r\n\r\n")).split()[1])
-        except (TimeoutError, OSError, asyncio.IncompleteReadError):
-            return 0
-        finally:
-            writer.transport.abort()
-
-    async def wait_until_nothing_is_held(self, number):
-        """Returns once a node that has cut responses holds none."""
-        assert await self.fleet.metric(number, "received_bytes_cut") > 0
-
-        async def nothing_held():
-            return await self.fleet.metric(number, "received_bytes") == 0
-
-        await platformfakes.wait_until(nothing_held)
-
-    def peak_bytes(self):
-        """Returns the greatest memory of each process so far, by its name."""
-        return {
-            name: peak_bytes(process.pid)
-            for name, process in self.fleet.processes.items()
-        }
-
-
-def peak_bytes(pid):
-    """Returns the greatest memory of a process so far."""
-    status = pathlib.Path(f"/proc/{pid}/status").read_text()
-    return int(status.partition("VmHWM:")[2].split()[0]) * 1024
-
-
 @pytest.fixture
 async def endless_fleet(tmp_path):
     """Yields the processes, which the test starts."""
     async with platformfakes.Fleet(tmp_path, seeds=1, voters=1) as fleet:
-        yield EndlessFleet(fleet)
+        yield endlessfakes.EndlessFleet(fleet)
 
 
 class TestEndlessResponses:
@@ -238,12 +26,15 @@
     async def test_they_exhaust_no_memory(self, endless_fleet):
         """Guards against many responses, each bounded, that fill the memory."""
         await endless_fleet.start("safe")
-        endless, small = await endless_fleet.play()
+        results, small = await endless_fleet.play(
+            endless_fleet.send_endless, REQUEST_COUNT, endless_fleet.entries
+        )
+        endless = dict(results)
         peaks = endless_fleet.peak_bytes()
         assert max(peaks.values()) < MAX_MEMORY_BYTES, peaks
         processes = endless_fleet.fleet.processes.values()
         assert {process.poll() for process in processes} == {None}
-        assert set(small) == {200}
+        assert {call.status for call in small} == {200}
         runs = sum(
             (collections.Counter(s.run_counts) for s in endless_fleet.servers),
             collections.Counter(),
@@ -267,15 +58,15 @@
     async def test_they_exhaust_no_memory(self, endless_fleet):
         """Guards against many small bodies, each bounded, that fill the memory."""
         await endless_fleet.start("unsafe", framings=())
-        statuses = await asyncio.gather(
-            *map(endless_fleet.send_incomplete, range(BODY_COUNT))
+        statuses, _ = await endless_fleet.play(
+            endless_fleet.send_incomplete, BODY_COUNT, ()
         )
         peaks = endless_fleet.peak_bytes()
         assert max(peaks.values()) < MAX_MEMORY_BYTES, peaks
         assert 503 in statuses
         assert set(statuses) <= {0, 503}
         response = await endless_fleet.fleet.request(
-            SMALL_NODE, SMALL_SERVICE, "after"
+            endlessfakes.SMALL_NODE, endlessfakes.SMALL_SERVICE, "after"
         )
         assert response.status == 200
-        await endless_fleet.wait_until_nothing_is_held(SMALL_NODE)
+        await endless_fleet.wait_until_nothing_is_held(endlessfakes.SMALL_NODE)
