Received bytes: responses of aiohttpbackend are on the account

Fault: nodes that run on a sheet read responses through `aiohttpbackend`, each up to answer_bytes, all of them without a bound. Found by reading.

Change: `HeldBody` holds what has come of a response that is not complete in its first read. At the bound the greatest is closed and fails with ResponseTooLargeError, as in `leanclient`.

test_the_greatest_response_is_cut failed before: nothing was held.

--- a/mangobay/aiohttpbackend.py
+++ b/mangobay/aiohttpbackend.py
@@ -6,7 +6,15 @@
 import aiohttp
 import yarl
 
-from mangobay import backend, errors, httpheaders, invariants, leanhttp, options
+from mangobay import (
+    backend,
+    errors,
+    httpheaders,
+    invariants,
+    leanhttp,
+    options,
+    receivedbytes,
+)
 from mangobay.generated import messages
 
 SKIPPED_AUTO_HEADERS = (
@@ -176,18 +184,11 @@
             raise errors.ResponseTooLargeError(
                 f"a response of {content_length} bytes"
             )
-        if content_length is not None:
-            return await response.read()
-        chunks = []
-        size = 0
-        async for chunk in response.content.iter_any():
-            size += len(chunk)
-            if size > self.max_response_bytes:
-                raise errors.ResponseTooLargeError(
-                    f"a response above {self.max_response_bytes} bytes"
-                )
-            chunks.append(chunk)
-        return b"".join(chunks)
+        body = HeldBody(response, self.max_response_bytes)
+        try:
+            return await body.read()
+        finally:
+            receivedbytes.account.release(body)
 
     async def close(self) -> None:
         """Closes every connection."""
@@ -195,6 +196,58 @@
         await self.non_idempotent_session.close()
 
 
+class HeldBody:
+    """The body of a response, held until it is complete.
+
+    Attributes:
+      chunks: what has been received.
+      size: number of these bytes.
+      is_cut: the account of received bytes has dropped it.
+    """
+
+    cut_last = False
+
+    def __init__(self, response: aiohttp.ClientResponse, max_bytes: int):
+        self.response = response
+        self.max_bytes = max_bytes
+        self.chunks: list[bytes] = []
+        self.size = 0
+        self.is_cut = False
+
+    async def read(self) -> bytes:
+        """Returns the whole body.
+
+        Raises:
+          errors.ResponseTooLargeError: it is above the limit, or was dropped.
+          aiohttp.ClientPayloadError: it ended early.
+        """
+        content = self.response.content
+        try:
+            async for chunk in content.iter_any():
+                self.size += len(chunk)
+                if self.size > self.max_bytes:
+                    raise errors.ResponseTooLargeError(
+                        f"a response above {self.max_bytes} bytes"
+                    )
+                self.chunks.append(chunk)
+                if not content.at_eof():
+                    receivedbytes.account.hold(self, self.size)
+        except aiohttp.ClientError:
+            if not self.is_cut:
+                raise
+        if self.is_cut:
+            raise errors.ResponseTooLargeError(
+                "too many bytes of responses are held"
+            )
+        return b"".join(self.chunks)
+
+    def drop_received(self) -> None:
+        """Drops the body, and closes its connection."""
+        self.is_cut = True
+        self.chunks.clear()
+        self.response.close()
+
+
 def make_session(max_idle_seconds: float) -> aiohttp.ClientSession:
     """Returns a session that sends requests as they are.
 
--- a/tests/test_backend.py
+++ b/tests/test_backend.py
@@ -12,6 +12,7 @@
     httpheaders,
     invariants,
     options,
+    receivedbytes,
 )
 from mangobay.generated import messages
 
@@ -76,6 +77,41 @@
     )
 
 
+async def wait_until_held(account, byte_count):
+    """Returns once so many bytes are held."""
+    async with asyncio.timeout(WAIT_SECONDS):
+        while account.held_bytes < byte_count:
+            await asyncio.sleep(0.001)
+
+
+class TestReceivedBytes:
+    """Responses that are held until they are complete."""
+
+    HEAD = b"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n"
+
+    async def test_the_greatest_response_is_cut(self, monkeypatch):
+        """Guards against many responses, each bounded, that fill the memory."""
+        account = receivedbytes.Account(max_bytes=100)
+        monkeypatch.setattr(receivedbytes, "account", account)
+        async with scripted_server(
+            self.HEAD + bytes(70), self.HEAD + bytes(40)
+        ) as (server, client, address):
+            great = asyncio.create_task(
+                client.send(address, request(), backend.Attempt())
+            )
+            await wait_until_held(account, 70)
+            small = asyncio.create_task(
+                client.send(address, request(), backend.Attempt())
+            )
+            with pytest.raises(errors.ResponseTooLargeError):
+                await great
+            assert account.held_bytes == 40
+            small.cancel()
+            await asyncio.wait({small})
+            assert (account.held_bytes, account.holders) == (0, {})
+            assert len(server.requests) == 2
+
+
 class TestSend:
     """Each request is sent at most once, and its outcome is reported truly."""
 
