--- a/mangobay/connections.py
+++ b/mangobay/connections.py
@@ -13,6 +13,7 @@
     errors,
     logs,
     periodic,
+    receivedbytes,
     replyparts,
     requestbody,
     responsestream,
@@ -44,6 +45,10 @@
 speed its event loop runs several iterations per second.
 """
 UNRESPONSIVE_MESSAGE = "the peer does not respond"
+MAX_HELLO_BYTES = 16 * 1024
+"""Longest frame that is taken before the peer is known."""
+MIN_HELD_BYTES = 4 * 1024
+"""Smallest part of a frame that is on the account of received bytes."""
 PING_STREAM = 0
 """Stream of Hello and Ping; requests have higher ones."""
 
@@ -104,6 +109,7 @@
       handler_tasks: tasks of the requests received, by stream.
       bodies: the bodies of large replies, both ways.
       write_gate: closed while the write buffer is full.
+      is_holding: whether a part of a frame is on the account of received bytes.
       partial_frame_since: loop time at which an incomplete frame began, or 0.
       last_request_at: loop time of the last request sent.
       tracked_requests: the pending requests that the peer should reply to
@@ -149,13 +155,16 @@
         self.peer_hello = messages.Hello()
         self.handshake_done = self.loop.create_future()
         self.disconnected = self.loop.create_future()
-        self.decoder = wire.FrameDecoder(limits.max_frame_bytes)
+        self.decoder = wire.FrameDecoder(
+            min(limits.max_frame_bytes, MAX_HELLO_BYTES)
+        )
         self.pending_requests: dict[int, asyncio.Future] = {}
         self.handler_tasks: dict[int, asyncio.Task] = {}
         self.bodies = replyparts.PeerBodies(self, limits.stall_timeout)
         self.write_gate = responsestream.WriteGate()
         self.last_stream = 0
         self.closed = False
+        self.is_holding = False
         self.partial_frame_since = 0.0
         self.last_request_at = self.loop.time()
         self.tracked_requests: dict[int, TrackedRequest] = {}
@@ -223,6 +232,7 @@
                 f" {body.role} of host {body.host}"
             )
         self.peer_hello = body
+        self.decoder.max_bytes = self.limits.max_frame_bytes
         self.round_trip = self.loop.time() - self.last_request_at
         if not (self.local_hello.takes_queries and body.takes_queries):
             self.on_silent = None
@@ -253,6 +263,27 @@
             return
         if self.decoder.has_partial_frame and not self.partial_frame_since:
             self.partial_frame_since = self.loop.time()
+        self.hold_received()
+
+    def hold_received(self) -> None:
+        """Updates what the account of received bytes says of a long frame."""
+        held_bytes = self.decoder.buffered_bytes
+        if held_bytes >= MIN_HELD_BYTES and not self.closed:
+            self.is_holding = True
+            receivedbytes.account.hold(self, held_bytes)
+        elif self.is_holding:
+            self.is_holding = False
+            receivedbytes.account.release(self)
+
+    @property
+    def cut_last(self) -> bool:
+        """Whether the calls of a known peer depend on the connection."""
+        return self.handshake_done.done()
+
+    def drop_received(self) -> None:
+        """Closes the connection, whose frame cannot be held until its end."""
+        self.decoder = wire.FrameDecoder()
+        self.close("too many received bytes are held")
 
     def close_on_protocol_error(self, error: errors.PeerProtocolError) -> None:
         """Closes the connection after a protocol error of the peer."""
@@ -394,10 +425,19 @@
         return kind is not messages.CallQuery or self.peer_hello.takes_queries
 
     async def send_request(
-        self, body: messages.EnvelopeBody, timeout: float
+        self,
+        body: messages.EnvelopeBody,
+        timeout: float,
+        adapts_waits: bool = True,
     ) -> messages.EnvelopeBody:
         """Sends a request and returns its reply within timeout seconds.
 
+        Args:
+          body: the request.
+          timeout: seconds to wait for the reply.
+          adapts_waits: whether the patience of a call tells how long the
+            connection may be silent.
+
         Raises:
           errors.PeerUnreachableError: no byte of the request was sent, or the
             peer has refused it for good in reply to a query.
@@ -422,7 +462,9 @@
         future = self.loop.create_future()
         self.pending_requests[stream] = future
         if is_tracked(body):
-            self.track_request(stream, body, self.last_request_at + timeout)
+            self.track_request(
+                stream, body, self.last_request_at + timeout, adapts_waits
+            )
         timer = self.loop.call_later(timeout, fail_with_timeout, future)
         upload = None
         if rest is not None:
@@ -461,7 +503,11 @@
         self.close_if_unused()
 
     def track_request(
-        self, stream: int, body: messages.EnvelopeBody, deadline: float
+        self,
+        stream: int,
+        body: messages.EnvelopeBody,
+        deadline: float,
+        adapts_waits: bool,
     ) -> None:
         """Adds a request; the liveness check runs while there are any."""
         is_first = not self.tracked_requests
@@ -472,7 +518,7 @@
         if isinstance(body, messages.Call):
             if not body.idempotent:
                 self.non_idempotent_calls.add(stream)
-            if self.on_silent is not None:
+            if adapts_waits and self.on_silent is not None:
                 self.adapt_waits(body.patience_ms, is_first)
         self.liveness_check.add(self)
 
@@ -656,6 +702,7 @@
         if self.closed:
             return
         self.closed = True
+        receivedbytes.account.release(self)
         self.liveness_check.discard(self)
         if self.transport is not None:
             self.close_transport(self.transport)
--- a/mangobay/errors.py
+++ b/mangobay/errors.py
@@ -42,6 +42,14 @@
     """A parameter of an operator's request is invalid."""
 
 
+class BodyTooLargeError(MangobayError):
+    """The body of a request is above the limit."""
+
+
+class BodyRefusedError(MangobayError):
+    """The body of a request was not received, as others hold too much."""
+
+
 class NotFoundError(MangobayError):
     """An operator's request names an unknown host, service or revision."""
 
@@ -86,6 +94,14 @@
     """The process stops too soon for the request: no byte of it was sent."""
 
 
+class RequestCutOffError(BackendError):
+    """The body of the request was cut off: no byte of the request was sent."""
+
+
+class ServerLeftError(BackendError):
+    """The backend server has left: no byte of the request was sent."""
+
+
 class BackendBrokenError(BackendError):
     """No complete response was received; the request may have run."""
 
--- a/mangobay/execution.py
+++ b/mangobay/execution.py
@@ -36,6 +36,12 @@
 completes, its response is kept for a repeat with the same key.
 """
 
+MAX_SERVER_MARGIN_SECONDS = 0.02
+"""Longest time before a shortened deadline at which the backend server is told
+to stop, so that its own response to that comes in time."""
+SERVER_MARGIN_SHARE = 0.05
+"""Upper bound of that time, as a share of the time left."""
+
 Outcome = messages.Outcome
 Reason = messages.Reason
 BROKEN_REASONS = frozenset({Reason.CONNECTION_BROKEN, Reason.INCOMPLETE_ANSWER})
@@ -312,7 +318,10 @@
             running_call=running_call,
         )
         attempt = backend.Attempt(
-            before_send, functools.partial(self.check_sending, call, deadline)
+            before_send,
+            functools.partial(
+                self.check_sending, call, local_service, deadline
+            ),
         )
         started_at = asyncio.get_running_loop().time()
         reply = PENDING_REPLY
@@ -360,15 +369,26 @@
         )
         return reply
 
-    def check_sending(self, call: messages.Call, deadline: float) -> None:
+    def check_sending(
+        self,
+        call: messages.Call,
+        local_service: localservices.LocalService,
+        deadline: float,
+    ) -> None:
         """Checks that a call may be sent to the backend server now.
 
         Raises:
-          errors.StoppingError: it would be aborted, or its body was cut off.
+          errors.ServerLeftError: that server is no longer in use.
+          errors.RequestCutOffError: its body was cut off.
+          errors.StoppingError: it would be aborted.
         """
+        if self.local_services.find(call.service) is not local_service:
+            raise errors.ServerLeftError("the backend server has left")
         rest = requestbody.rest_of(call)
         if rest is not None and rest.is_cut_off:
-            raise errors.StoppingError("the body was cut off before the call")
+            raise errors.RequestCutOffError(
+                "the body was cut off before the call was sent"
+            )
         now = asyncio.get_running_loop().time()
         if not (
             self.shutdown.allows_sending(now)
@@ -465,7 +485,7 @@
             headers=self.headers(call, local_service),
             body=call.body,
             idempotent=call.idempotent,
-            deadline=deadline,
+            deadline=server_deadline(call, deadline),
             abort_at=deadline + overrun,
             streamed=call.streamed and call.idempotent and self.large_responses,
             rest=requestbody.rest_of(call),
@@ -584,6 +604,18 @@
         )
 
 
+def server_deadline(call: messages.Call, deadline: float) -> float:
+    """Returns the loop time at which the backend server is to stop work.
+
+    Before a shortened deadline the caller still waits for that response.
+    """
+    if not call.shortened:
+        return deadline
+    seconds_left = deadline - asyncio.get_running_loop().time()
+    margin = min(MAX_SERVER_MARGIN_SECONDS, SERVER_MARGIN_SHARE * seconds_left)
+    return deadline - max(margin, 0.0)
+
+
 def reply_for_error(
     error: errors.BackendError, attempt: backend.Attempt
 ) -> messages.Reply:
@@ -593,6 +625,10 @@
             reason = Reason.DEADLINE_EXCEEDED
         case errors.StoppingError():
             reason = Reason.LEAVING
+        case errors.RequestCutOffError():
+            reason = Reason.CANCELLED
+        case errors.ServerLeftError():
+            reason = Reason.NO_BACKEND
         case errors.ResponseTooLargeError():
             reason = Reason.TOO_LARGE
         case errors.IncompleteResponseError():
--- a/mangobay/httpparse.py
+++ b/mangobay/httpparse.py
@@ -21,12 +21,16 @@
 SINGLETON_HEADERS = ("Content-Length", "Host")
 """Headers that must not repeat: two servers could read different requests from
 the same bytes (request smuggling)."""
+JOINED_PARTS = 256
+"""Parts of a body that are joined; a part of one byte takes dozens of bytes."""
 PIECE_BYTES = 32 * 1024
 """Bytes that are parsed at a time.
 
 What follows the end of a head or of a body is counted from the next piece on, as
 llhttp does not tell where either ends.
 """
+PART_OVERHEAD_BYTES = 64
+"""Memory of each part of a body besides its bytes."""
 TARGET_PREFIXES = ("/", "http://", "https://")
 NO_BODY_STATUSES = frozenset({204, 304})
 """Statuses of responses that never have a body."""
@@ -58,7 +62,8 @@
       target: path and query, as received; empty in a response.
       headers: case-insensitive by name.
       raw_headers: all headers, as received.
-      body_parts: the body in the pieces in which it was received.
+      body_parts: the body in parts, the newest of them as they were received.
+      joined_count: number of the first parts that were joined from others.
       body_size: bytes of the body received so far.
       content_length: value of Content-Length, 0 without that header.
       is_http10: the request is HTTP/1.0; False in a response.
@@ -77,6 +82,7 @@
         default_factory=list
     )
     body_parts: list[bytes] = dataclasses.field(default_factory=list)
+    joined_count: int = 0
     body_size: int = 0
     content_length: int = 0
     is_http10: bool = False
@@ -93,13 +99,32 @@
             else b"".join(self.body_parts)
         )
 
+    @property
+    def held_bytes(self) -> int:
+        """Memory of the body as received so far, if nothing of it was taken."""
+        return self.body_size + PART_OVERHEAD_BYTES * len(self.body_parts)
+
+    def add_body(self, data: bytes) -> None:
+        """Adds a part of the body."""
+        parts = self.body_parts
+        parts.append(data)
+        self.body_size += len(data)
+        if len(parts) - self.joined_count >= JOINED_PARTS:
+            parts[self.joined_count :] = [b"".join(parts[self.joined_count :])]
+            self.joined_count += 1
+
+    def drop_body(self) -> None:
+        """Drops the body received so far; `body_size` still counts it."""
+        self.body_parts.clear()
+        self.joined_count = 0
+
     def take_body(self) -> bytes:
         """Returns the body received since the last call, and drops it.
 
         `body_size` still counts it.
         """
         taken = self.body
-        self.body_parts.clear()
+        self.drop_body()
         return taken
 
 
@@ -167,12 +192,18 @@
             self.check_partial_line(data)
             if self.framing_bytes >= MAX_FRAMING_BYTES:
                 self.error = ParseError(400, "too many bytes without content")
-        return self.new_messages
+        new_messages, self.new_messages = self.new_messages, []
+        return new_messages
 
     def close(self) -> None:
         """Releases the llhttp parser, which refers back to this object."""
         self.native_parser = None
 
+    def drop_message(self) -> None:
+        """Drops what was received of a message; nothing may be fed after it."""
+        self.message = None
+        self.target_parts = []
+
     def check_partial_line(self, data: bytes) -> None:
         """Rejects a head whose last line exceeds the limit before it ends."""
         line_start = data.rfind(b"\n") + 1
@@ -239,8 +270,7 @@
 
     def on_body(self, data: bytes) -> None:
         """Stores a piece of the body."""
-        self.message.body_parts.append(data)
-        self.message.body_size += len(data)
+        self.message.add_body(data)
         self.framing_bytes = 0
 
     def on_message_complete(self) -> None:
--- a/mangobay/leanserver.py
+++ b/mangobay/leanserver.py
@@ -15,11 +15,14 @@
     logs,
     options,
     periodic,
+    receivedbytes,
     refusals,
     requestbody,
+    requestmemory,
     responsestream,
     responsewriter,
     sockets,
+    unreadinput,
 )
 
 Handler = collections.abc.Callable[
@@ -35,6 +38,10 @@
 """Bytes of the unanswered requests of a connection; reading pauses above it."""
 MAX_LARGE_REQUESTS = 64
 """Large requests of a listener that are handled concurrently."""
+INTERNAL_CONNECTIONS = 256
+"""Connections of a port that no caller uses."""
+INTERNAL_REQUEST_BYTES = 4 * 1024 * 1024
+"""Bytes that the requests of a port hold that no caller uses."""
 BODY_STALL_SECONDS = 10.0
 """Seconds in which a caller has to send some of the body of its request."""
 MAX_PREFIX_SECONDS = 30.0
@@ -45,7 +52,8 @@
 HEAD_TOO_LARGE_STATUS = 431
 HALF_CLOSE_SECONDS = 1.0
 """Seconds that a caller has to close a half-closed connection once it has
-acknowledged all responses; more than a round trip between distant regions."""
+acknowledged all responses and sends no more; more than a round trip between
+distant regions."""
 HALF_CLOSE_CHECKS = 10
 """Checks of a half-closed connection within that time."""
 SHUTDOWN_HALF_CLOSE_SECONDS = 0.2
@@ -65,23 +73,43 @@
 
     Attributes:
       max_line_bytes: limit of the request line, and of each header.
-      max_body_bytes: limit of a request body.
+      max_body_bytes: limit of a request body; 0 if the port expects none.
       read_timeout: seconds from the first byte of a request to the end of its
         head.
       idle_timeout: seconds until a connection without requests is closed.
+      max_request_bytes: limit of what all requests hold together while they
+        are received and handled, None for no limit besides the others.
       max_connections: connections that may be open at the same time.
+      pipelining: whether requests are handled that come before the response to
+        the one before them; if not, that response closes the connection.
       stall_timeout: seconds in which the caller of a large response has to
         read something.
     """
 
     max_line_bytes: int = leanhttp.MAX_LINE_BYTES
-    max_body_bytes: int = 64 * 1024 * 1024
+    max_body_bytes: int = 0
+    max_request_bytes: int | None = None
     read_timeout: float = 10.0
     idle_timeout: float = 75.0
     max_connections: int = 2048
+    pipelining: bool = True
     stall_timeout: float = responsestream.STALL_SECONDS
 
 
+def internal_limits(max_body_bytes: int) -> Limits:
+    """Returns the limits of a port that no caller uses.
+
+    Args:
+      max_body_bytes: limit of a request body; 0 if the port expects none.
+    """
+    return Limits(
+        max_body_bytes=max_body_bytes,
+        max_request_bytes=INTERNAL_REQUEST_BYTES,
+        max_connections=INTERNAL_CONNECTIONS,
+        pipelining=False,
+    )
+
+
 @dataclasses.dataclass(slots=True, eq=False)
 class Exchange:
     """One request of a connection and its response.
@@ -124,6 +152,7 @@
       half_close_probe: set once the caller has closed its sending side while
         it awaits responses.
       half_close_timer: set once the connection is half-closed; closes it.
+      unread: what comes after the last request that is read; None before.
       delivering: responses were written that may not be acknowledged yet.
       unacknowledged_bytes: written bytes that were not acknowledged at the last
         check.
@@ -134,9 +163,11 @@
       reading_paused: reading is paused.
       holder: the request behind which no other is dispatched until its
         response is written; None if there is none.
+      held_bytes: bytes received since no request was incomplete or unanswered.
     """
 
     __slots__ = (
+        "__weakref__",
         "acknowledged_at",
         "body_received_at",
         "last_activity",
@@ -146,6 +177,7 @@
         "closing",
         "delivering",
         "exchanges",
+        "held_bytes",
         "holder",
         "listener",
         "parser",
@@ -153,6 +185,7 @@
         "remote",
         "starting",
         "unacknowledged_bytes",
+        "unread",
         "write_gate",
     )
 
@@ -169,16 +202,18 @@
         self.closing = False
         self.half_close_probe: halfclose.HalfCloseProbe | None = None
         self.half_close_timer: asyncio.TimerHandle | None = None
+        self.unread: unreadinput.UnreadInput | None = None
         self.delivering = False
         self.unacknowledged_bytes = 0
         self.acknowledged_at = 0.0
         self.write_gate: responsestream.WriteGate | None = None
         self.starting: Exchange | None = None
         self.holder: Exchange | None = None
+        self.held_bytes = 0
         self.reading_paused = False
 
     def connection_made(self, transport) -> None:
-        """Registers the connection; closes it if there are too many."""
+        """Registers the connection; closes one if there are too many."""
         super().connection_made(transport)
         peer = transport.get_extra_info("peername")
         self.remote = peer[0] if peer else ""
@@ -187,7 +222,7 @@
             len(self.listener.connections)
             > self.listener.limits.max_connections
         ):
-            transport.close()
+            self.listener.close_excess(self)
 
     def connection_lost(self, exc) -> None:
         """Cancels the requests whose responses the caller no longer awaits."""
@@ -200,9 +235,11 @@
         self.listener.connection_check.discard(self)
         self.cancel_exchanges()
         self.holder = None
+        self.count_held(0)
 
     def cancel_exchanges(self) -> None:
         """Cancels the requests without response."""
+        receivedbytes.account.release(self)
         for exchange in self.exchanges:
             if exchange.task is not None:
                 exchange.task.cancel()
@@ -242,6 +279,9 @@
         """Resumes reading unless requests or responses use too much memory."""
         if not self.reading_paused or self.transport is None:
             return
+        if self.half_close_probe is not None:
+            # Nothing follows, and the probe notices when the caller has gone.
+            return
         if self.writing_paused or self.is_holding_much():
             return
         self.reading_paused = False
@@ -255,6 +295,8 @@
         count = len(self.exchanges)
         newest = self.exchanges[-1]
         if newest.rest is not None:
+            if receivedbytes.account.is_scarce:
+                return newest.rest.unread_bytes > 0
             return newest.rest.unread_bytes >= requestbody.PAUSE_BYTES
         if count == 1:
             # Nothing else on the connection has to be answered first.
@@ -280,11 +322,20 @@
         """Parses bytes and dispatches the requests that they complete."""
         self.last_activity = self.loop.time()
         if self.closing and not self.is_receiving_body():
+            self.discard(data)
             return
+        self.handle_data(data)
+        self.count_held(len(data))
+
+    def handle_data(self, data: bytes) -> None:
+        """Parses bytes of which the connection still takes notice."""
         receiving = self.exchanges[-1] if self.is_receiving_body() else None
         new_messages = self.parser.feed(data)
         if receiving is not None:
+            receivedbytes.account.release(self)
             self.receive_body(receiving)
+        if not self.listener.limits.pipelining:
+            self.end_pipelining(new_messages)
         for message in new_messages:
             if not self.closing:
                 self.handle_head(message)
@@ -300,6 +351,52 @@
         if self.exchanges and self.is_holding_much():
             self.pause_reading()
 
+    def discard(self, data: bytes) -> None:
+        """Discards input behind the last request that is read."""
+        if self.unread is not None and not self.unread.discard(
+            data, self.last_activity
+        ):
+            self.pause_reading()
+
+    def read_no_more(self, message: httpparse.Message | None) -> None:
+        """Discards further input.
+
+        Args:
+          message: the request whose rest is discarded; None if all requests
+            were received in full.
+        """
+        if self.unread is None:
+            now = self.loop.time()
+            self.unread = unreadinput.UnreadInput(
+                self.parser, message, started_at=now, received_at=now
+            )
+
+    def end_pipelining(self, new_messages: list[httpparse.Message]) -> None:
+        """Handles no request that came before the response to another one."""
+        if not new_messages:
+            return
+        if self.exchanges:
+            self.exchanges[-1].should_close = True
+            self.closing = True
+        elif len(new_messages) > 1:
+            new_messages[0].should_close = True
+
+    def count_held(self, received_bytes: int) -> None:
+        """Updates what the requests of the connection hold.
+
+        Args:
+          received_bytes: what they hold besides; nothing if they have ended.
+        """
+        memory = self.listener.request_memory
+        if memory is None:
+            return
+        self.held_bytes += received_bytes
+        has_requests = bool(self.exchanges) or self.parser.in_head
+        has_ended = self.transport is None or self.half_close_timer is not None
+        if has_ended or not has_requests:
+            self.held_bytes = 0
+        memory.update(self, self.held_bytes)
+
     def update_request_start(self, has_message: bool) -> None:
         """Updates when an incomplete head began.
 
@@ -354,6 +451,12 @@
             message.complete or self.is_large(message)
         ):
             self.dispatch(exchange)
+        if exchange.task is None and self.is_receiving_body():
+            receivedbytes.account.hold(self, message.held_bytes)
+
+    def drop_received(self) -> None:
+        """Refuses the request whose body is being received."""
+        self.refuse_incomplete()
 
     def is_large(self, message: httpparse.Message) -> bool:
         """Returns whether a request is handled while its body is received."""
@@ -427,6 +530,7 @@
 
     def continue_body(self, exchange: Exchange) -> bytes:
         """Returns the first bytes of a large body; the rest follows them."""
+        receivedbytes.account.release(self)
         message = exchange.message
         received = message.take_body()
         length = None
@@ -443,12 +547,14 @@
 
     def reject_body_size(self, exchange: Exchange) -> None:
         """Rejects a body above the limit."""
+        response = self.listener.limit_response(BODY_TOO_LARGE_STATUS)
         if exchange.task is not None:
             exchange.task.cancel()
             exchange.rest.cut_off("the body is too large")
-        self.end_unread(
-            exchange, self.listener.limit_response(BODY_TOO_LARGE_STATUS)
-        )
+            if response.status != BODY_TOO_LARGE_STATUS:
+                # The part that was passed on may have run.
+                response = leanhttp.Response(status=refusals.UNKNOWN_STATUS)
+        self.end_unread(exchange, response)
 
     def refuse(self, exchange: Exchange) -> None:
         """Refuses a request that was not handled."""
@@ -474,18 +580,51 @@
         if newest.rest is not None:
             newest.rest.cut_off("the process stops")
         elif newest.task is None:
-            newest.message.take_body()
             self.end_unread(newest, refusals.retry_later_response())
 
+    def has_arrived(self, is_chunked_awaited: bool) -> bool:
+        """Returns whether the rest of a body that is received is there unread.
+
+        Args:
+          is_chunked_awaited: what to assume if anything is unread of a body
+            that does not tell its length.
+        """
+        unread_bytes = sockets.count_unread_bytes(self.transport)
+        message = self.exchanges[-1].message
+        if "Content-Length" in message.headers:
+            return unread_bytes >= message.content_length - message.body_size
+        return is_chunked_awaited and unread_bytes > 0
+
+    def is_refusable(self) -> bool:
+        """Returns whether a request is incomplete and has no handler."""
+        if self.half_close_timer is not None:
+            return False
+        if self.is_receiving_body():
+            return self.exchanges[-1].task is None
+        return self.parser.in_head and not self.closing
+
+    def refuse_received(self) -> None:
+        """Refuses a request that is incomplete and has no handler."""
+        if self.is_receiving_body():
+            self.refuse_incomplete()
+        else:
+            self.end_unparsed(refusals.retry_later_response())
+        self.parser.drop_message()
+        if self.unread is not None:
+            self.unread.message = None
+
     def end_unread(
         self, exchange: Exchange, response: leanhttp.Response
     ) -> None:
         """Responds to a request of which no more is read."""
+        receivedbytes.account.release(self)
+        exchange.message.drop_body()
         exchange.response_bytes = leanhttp.encode_response(
             response, True, False
         )
         exchange.should_close = True
         self.closing = True
+        self.read_no_more(exchange.message)
         self.flush()
 
     async def respond(
@@ -508,6 +647,8 @@
         if is_unread or (self.listener.leaving and newest is exchange):
             exchange.should_close = True
             self.closing = True
+        if is_unread:
+            self.read_no_more(exchange.message)
         if response.stream is not None:
             await self.write_stream(exchange, response)
             return
@@ -578,14 +719,19 @@
 
     def send_error(self, error: httpparse.ParseError) -> None:
         """Responds to malformed input after the responses that are due."""
-        self.closing = True
         response = leanhttp.Response(status=error.status)
         if error.status == HEAD_TOO_LARGE_STATUS:
             response = self.listener.limit_response(error.status)
-        response_bytes = leanhttp.encode_response(response, True, False)
         # The error response takes the place of a request with a malformed body.
         if self.is_receiving_body():
             self.exchanges.pop()
+        self.end_unparsed(response)
+
+    def end_unparsed(self, response: leanhttp.Response) -> None:
+        """Responds to bytes that are no request yet, and never become one."""
+        self.closing = True
+        receivedbytes.account.release(self)
+        response_bytes = leanhttp.encode_response(response, True, False)
         exchange = Exchange(
             None, response_bytes=response_bytes, should_close=True
         )
@@ -619,6 +765,7 @@
         if should_close:
             self.close()
         else:
+            self.count_held(0)
             self.resume_reading()
 
     def time_out(self) -> None:
@@ -656,20 +803,35 @@
             # An orderly end would complete the response.
             transport.abort()
             return
-        transport.write_eof()
+        if self.half_close_probe is not None:
+            # The caller has closed its side: no input can reset the connection.
+            self.half_close_probe.cancel()
+            transport.close()
+            return
+        try:
+            transport.write_eof()
+        except OSError:
+            # The caller has reset the connection.
+            transport.abort()
+            return
+        self.read_no_more(None)
         transport.resume_reading()
         self.start_delivery()
         self.check_half_closed()
+        self.count_held(0)
 
     def check_half_closed(self) -> None:
         """Closes a half-closed connection that its caller does not close."""
         self.update_unacknowledged()
-        timeout = (
-            self.listener.limits.stall_timeout
-            if self.unacknowledged_bytes
-            else HALF_CLOSE_SECONDS
-        )
-        if self.loop.time() - self.acknowledged_at >= timeout:
+        if self.unacknowledged_bytes:
+            stall_timeout = self.listener.limits.stall_timeout
+            close_at = self.acknowledged_at + stall_timeout
+        else:
+            close_at = max(
+                self.acknowledged_at + HALF_CLOSE_SECONDS,
+                self.unread.end_at(HALF_CLOSE_SECONDS),
+            )
+        if self.loop.time() >= close_at:
             self.transport.close()
             return
         self.half_close_timer = self.loop.call_later(
@@ -734,13 +896,15 @@
     def has_pending_responses(self) -> bool:
         """Returns whether a response is due or still on its way.
 
-        What the kernel holds is discarded if the caller sends anything after
+        What the kernels hold is discarded if the caller sends anything after
         the process has ended.
         """
         if self.has_due_responses():
             return True
         if self.transport is None:
             return False
+        if self.unread is not None and self.unread.is_awaited(self.loop.time()):
+            return True
         self.update_unacknowledged()
         stalled_for = self.loop.time() - self.acknowledged_at
         return self.delivering and stalled_for < SHUTDOWN_STALL_SECONDS
@@ -784,6 +948,14 @@
         newest.message.take_body()
         self.end_unread(newest, leanhttp.Response(status=TIMEOUT_STATUS))
 
+    def is_waiting(self) -> bool:
+        """Returns whether nothing happens before the caller sends more."""
+        return not self.exchanges or self.is_refusable()
+
+    def has_responded(self) -> bool:
+        """Returns whether the connection has had a response."""
+        return self.acknowledged_at > 0
+
     def is_idle(self, cutoff: float) -> bool:
         """Returns whether the connection has been idle since a loop time."""
         return not self.exchanges and self.last_activity < cutoff
@@ -805,6 +977,7 @@
         end; otherwise it gets whole bodies only.
       large_requests: number of large requests that are handled.
       replay_budget: bounds what is kept of large requests.
+      request_memory: bounds what all requests hold; None without that limit.
       limits_are_current: returns whether the limits of what callers may send
         are certain to be the newest ones.
     """
@@ -822,6 +995,11 @@
         self.continues_bodies = False
         self.large_requests = 0
         self.replay_budget = requestbody.ReplayBudget()
+        self.request_memory = (
+            None
+            if limits.max_request_bytes is None
+            else requestmemory.RequestMemory(limits.max_request_bytes)
+        )
         self.limits_are_current: collections.abc.Callable[[], bool] = (
             limits_are_fixed
         )
@@ -854,6 +1032,31 @@
         exchange.rest.abandon()
         self.large_requests -= 1
 
+    def close_excess(self, newest: Connection) -> None:
+        """Closes a connection, as there are too many.
+
+        Where requests are small and short, it is the one that has waited
+        longest for its caller, so that those that send nothing keep out nobody.
+        """
+        waiting = () if self.limits.pipelining else self.waiting_connections()
+        stalest = min(
+            (each for each in waiting if each is not newest),
+            key=lambda each: (each.has_responded(), each.last_activity),
+            default=None,
+        )
+        if stalest is None:
+            newest.transport.close()
+        else:
+            stalest.transport.abort()
+
+    def waiting_connections(self) -> collections.abc.Iterator[Connection]:
+        """Yields the connections that wait for their callers."""
+        return (
+            connection
+            for connection in self.connections
+            if connection.is_waiting() and not connection.transport.is_closing()
+        )
+
     @property
     def connections(self) -> set[Connection]:
         """The open connections."""
@@ -880,15 +1083,20 @@
     def refuse_incomplete(
         self,
         is_exempt: collections.abc.Callable[[httpparse.Message], bool],
+        is_chunked_awaited: bool = False,
     ) -> None:
-        """Ends the requests whose bodies are not complete.
+        """Ends the requests whose bodies have not arrived in full.
 
         Args:
           is_exempt: returns whether a request may go on.
+          is_chunked_awaited: whether bodies in chunks, of which something has
+            arrived unread, may go on.
         """
         for connection in list(self.connections):
-            if connection.is_receiving_body() and not is_exempt(
-                connection.exchanges[-1].message
+            if (
+                connection.is_receiving_body()
+                and not is_exempt(connection.exchanges[-1].message)
+                and not connection.has_arrived(is_chunked_awaited)
             ):
                 connection.refuse_incomplete()
 
--- a/mangobay/routednode.py
+++ b/mangobay/routednode.py
@@ -26,6 +26,10 @@
 )
 from mangobay.generated import messages, settings
 
+MAX_READY_BODY_BYTES = 0
+ARRIVAL_SECONDS = 0.2
+"""Seconds for which a leaving node reads on what has arrived of a body in chunks,
+as nothing tells whether its end is among that."""
 LEAVE_NOTICE_SECONDS = 0.7
 """Seconds between a leaving node's notice to the others and its first refusal.
 
@@ -42,6 +46,7 @@
       header_names: names of the headers in requests and responses.
       decode: parses a routes document.
       heartbeat_api: returns the handler of heartbeats.
+      max_heartbeat_bytes: limit of the body of a heartbeat.
       ready_api: returns the handler of readiness checks.
     """
 
@@ -50,6 +55,7 @@
     heartbeat_api: typing.Callable[
         [heartbeats.HeartbeatReceiver], leanserver.Handler
     ]
+    max_heartbeat_bytes: int
     ready_api: typing.Callable[[typing.Callable[[], bool]], leanserver.Handler]
 
 
@@ -165,18 +171,28 @@
             (
                 config.listen.heartbeats,
                 self.adapter.heartbeat_api(self.heartbeat_receiver),
+                self.adapter.max_heartbeat_bytes,
+            ),
+            (
+                config.listen.ready,
+                self.adapter.ready_api(self.is_ready),
+                MAX_READY_BODY_BYTES,
             ),
-            (config.listen.ready, self.adapter.ready_api(self.is_ready)),
             (
                 config.listen.metrics,
                 metricspage.make_handler(self.metrics.render),
+                metricspage.MAX_BODY_BYTES,
             ),
         )
         self.listeners = [
             self.outside_listener,
             *(
-                leanserver.Listener(address, handler, leanserver.Limits())
-                for addresses, handler in internal
+                leanserver.Listener(
+                    address,
+                    handler,
+                    leanserver.internal_limits(max_body_bytes),
+                )
+                for addresses, handler, max_body_bytes in internal
                 for address in addresses
             ),
         ]
@@ -300,17 +316,25 @@
                 self.control.leaving = True
                 await asyncio.sleep(min(linger, LEAVE_NOTICE_SECONDS))
                 self.executor.leaving = True
-                self.outside_listener.refuse_incomplete(
-                    self.gateway.is_child_request
-                )
+                self.refuse_incomplete()
                 while self.is_busy():
                     await asyncio.sleep(basenode.IDLE_POLL_SECONDS)
+                    self.refuse_incomplete()
         except TimeoutError:
             self.abort(f"still in flight after {config.grace:g} s")
             return
         logs.log_event(logs.Component.NODE, "left", host=self.process.host)
         self.stopped.set()
 
+    def refuse_incomplete(self) -> None:
+        """Ends the requests of callers that have not arrived in full."""
+        now = asyncio.get_running_loop().time()
+        chunks_until = self.executor.shutdown.accept_until + ARRIVAL_SECONDS
+        self.outside_listener.refuse_incomplete(
+            self.gateway.is_child_request,
+            is_chunked_awaited=now < chunks_until,
+        )
+
     def is_busy(self) -> bool:
         """Returns whether a call, a request or a response is in flight."""
         return super().is_busy() or bool(self.peer_listener.pending_responses)
@@ -328,7 +352,9 @@
 
     async def close_peers(self) -> None:
         """Stops the node's tasks and closes its connections to others."""
-        await self.peer_listener.close(timeout=self.close_timeout())
+        self.undelivered_count += await self.peer_listener.close(
+            timeout=self.close_timeout()
+        )
         self.heartbeat_receiver.stop_check()
         await self.cancel_tasks()
         await self.close_connections()
--- a/tests/test_edges.py
+++ b/tests/test_edges.py
@@ -1,13 +1,14 @@
 """Tests of the HTTP edges on whole nodes in this process."""
 
 import asyncio
+import contextlib
 import json
 
 import nodes
 import pytest
 from aiohttp import web
 
-from mangobay import httpheaders, operationtable
+from mangobay import edges, httpheaders, operationtable, requestmemory
 
 SHORT_GRACE_SETTINGS = "[leaving]\ngrace = 1\n"
 
@@ -65,6 +66,43 @@
         )
 
 
+class TestBodiesInAll:
+    """Bodies that are received at the same time."""
+
+    async def test_bodies_that_hold_most_are_refused(
+        self, cluster, monkeypatch
+    ):
+        """Guards against slow callers that fill a node with their bodies."""
+        monkeypatch.setattr(requestmemory, "SMALL_BYTES", 0)
+        monkeypatch.setattr(edges, "MAX_BODIES_BYTES", 0, raising=False)
+        one = await cluster.start("one", echo, header_timeout=2.0)
+        async with contextlib.AsyncExitStack() as stack:
+            callers = [
+                await stack.enter_async_context(
+                    RawClient(one.outside_listener.address)
+                )
+                for _ in range(5)
+            ]
+            for caller in callers:
+                caller.send("POST", "/stock/book", bytes(900), length=1000)
+            reads = [
+                asyncio.create_task(caller.read_response())
+                for caller in callers
+            ]
+            await nodes.wait_until(
+                lambda: sum(read.done() for read in reads) >= 3
+            )
+            for read in reads:
+                if read.done():
+                    status, headers, body = read.result()
+                    assert (status, reason_of(body)) == (503, "overloaded")
+                    assert "retry-after" in headers
+            for caller in callers:
+                caller.writer.write(bytes(100))
+            statuses = [status for status, _, _ in await asyncio.gather(*reads)]
+            assert sorted(statuses) == [200, 200, 503, 503, 503]
+
+
 class TestOutsideEdge:
     """Requests of outside callers."""
 
@@ -478,6 +516,7 @@
         assert (await request_task)[0] == 200
         cluster.publish_views()
         await asyncio.wait_for(one.stopped.wait(), nodes.WAIT_SECONDS)
+        await one.close()
         assert one.aborted_count == 0
 
     async def test_repeated_stop_does_not_abort_calls(self, cluster):
@@ -502,6 +541,7 @@
         assert (await request_task)[0] == 200
         cluster.publish_views()
         await asyncio.wait_for(one.stopped.wait(), nodes.WAIT_SECONDS)
+        await one.close()
         assert one.aborted_count == 0
 
     async def test_second_interrupt_ends_at_once_and_counts_aborted_calls(
@@ -519,8 +559,10 @@
         assert not one.stopped.is_set()
         one.interrupt()
         assert one.stopped.is_set()
-        assert one.aborted_count == 2
-        request_task.cancel()
+        await one.close()
+        assert one.aborted_count == 1
+        status, headers, _ = await request_task
+        assert (status, headers[httpheaders.OUTCOME]) == (502, "unknown")
 
 
 class TestLargeResponses:
@@ -550,6 +592,7 @@
             _, _, body = await caller.read_response()
         assert len(body) == size
         await asyncio.wait_for(one.stopped.wait(), nodes.WAIT_SECONDS)
+        await one.close()
         assert one.aborted_count == 0
 
     async def test_leaving_node_waits_until_replies_to_other_nodes_are_sent(
@@ -702,6 +745,7 @@
         assert len(two.backend_server.requests) == 1
         cluster.publish_views()
         await asyncio.wait_for(one.stopped.wait(), nodes.WAIT_SECONDS)
+        await one.close()
         assert one.aborted_count == 0
 
     async def test_call_with_a_late_body_is_refused_as_not_run(self, cluster):
@@ -846,8 +890,8 @@
         """Stops a node and closes it once its grace is over."""
         node.stop()
         await asyncio.wait_for(node.stopped.wait(), nodes.WAIT_SECONDS)
-        assert node.aborted_count
         await node.close()
+        assert node.aborted_count
 
     async def test_queued_calls_are_refused_as_not_run(self, cluster):
         """Guards against `unknown` for calls that are safe to resend."""
--- a/tests/test_execution.py
+++ b/tests/test_execution.py
@@ -27,6 +27,8 @@
 PROCESS = calls.Process("me", "centre", "run-1")
 LONG_SECONDS = 60.0
 SLOT_WAIT_SECONDS = 2.0
+CONNECT_SECONDS = 3.0
+RESPONSE_SECONDS = 0.01
 INCARNATION = ids.BackendIncarnation("i-1/5")
 
 
@@ -299,7 +301,7 @@
         assert reply.outcome is Outcome.ANSWERED
 
     async def test_call_whose_body_was_cut_off_is_not_run(self):
-        """Guards against an unknown outcome of a call that was not sent."""
+        """Guards against an unknown outcome, and a host taken for leaving."""
         executor = self.make_executor()
         body = requestbody.RequestBody(None, unittest.mock.Mock())
         request = requestbody.ContinuedCall.make(
@@ -308,7 +310,54 @@
         serving = asyncio.create_task(executor.serve(request))
         await asyncio.sleep(0)
         body.cut_off("the process stops")
-        assert (await serving).outcome is Outcome.NOT_RUN
+        reply = await serving
+        assert (reply.outcome, reply.reason) == (
+            Outcome.NOT_RUN,
+            Reason.CANCELLED,
+        )
+
+
+class TimelyServer:
+    """A client of a backend server that stops work at its deadline."""
+
+    async def send(self, address, request, attempt):
+        await attempt.prepare()
+        attempt.sent = True
+        seconds = request.deadline - asyncio.get_running_loop().time()
+        try:
+            async with asyncio.timeout_at(request.abort_at):
+                await asyncio.sleep(seconds + RESPONSE_SECONDS)
+        except TimeoutError:
+            raise errors.BackendTimeoutError("no response in time") from None
+        return backend.Response(
+            status=504, headers=[], body=b"", seconds=0.1, shed=False
+        )
+
+
+@pytest.mark.looptime
+class TestDeadline:
+    """Calls whose backend server works until their shortened deadline."""
+
+    @pytest.mark.parametrize("idempotent", [True, False])
+    async def test_response_of_the_server_is_passed_on(self, idempotent):
+        """Guards against an unknown outcome in place of a response."""
+        executor = make_executor(shed())
+        executor.backend_client = TimelyServer()
+        request = call(idempotent, deadline_ms=2000)
+        request.shortened = True
+        reply = await executor.serve(request)
+        assert (reply.outcome, reply.status) == (Outcome.ANSWERED, 504)
+
+    async def test_short_deadline_stays_nearly_whole(self):
+        """Guards against a server that gets no time for a short call."""
+        executor = make_executor(shed())
+        executor.backend_client = TimelyServer()
+        loop = asyncio.get_running_loop()
+        started_at = loop.time()
+        request = call(deadline_ms=10)
+        request.shortened = True
+        await executor.serve(request)
+        assert loop.time() - started_at > 0.0095
 
 
 @pytest.mark.looptime
@@ -466,6 +515,28 @@
         later = await executor.serve(call())
         assert later.outcome is Outcome.NOT_RUN
 
+    async def test_call_is_not_sent_once_its_server_has_left(self):
+        """Guards against sending late after a wait for a connection."""
+        executor = make_executor(respond_with(backend.NORMAL_STATE))
+        send = executor.backend_client.send
+
+        async def connect_and_send(*arguments):
+            await asyncio.sleep(CONNECT_SECONDS)
+            return await send(*arguments)
+
+        executor.backend_client.send = connect_and_send
+        serving = asyncio.create_task(
+            executor.serve(call(deadline_ms=int(2000 * CONNECT_SECONDS)))
+        )
+        await asyncio.sleep(CONNECT_SECONDS / 2)
+        executor.local_services.withdraw("stock")
+        reply = await serving
+        assert (reply.outcome, reply.reason) == (
+            Outcome.NOT_RUN,
+            Reason.NO_BACKEND,
+        )
+        assert executor.sent_count == 0
+
     async def test_response_of_another_server_says_nothing(self):
         """Another server at the address sets the limit of the former one."""
         executor = make_executor(respond_with(self.LIMITED, status=421))
--- a/tests/test_leanclient.py
+++ b/tests/test_leanclient.py
@@ -11,8 +11,10 @@
     backend,
     backendbody,
     errors,
+    execution,
     leanclient,
     options,
+    receivedbytes,
     responsestream,
 )
 from mangobay.generated import messages
@@ -518,6 +520,150 @@
             assert (response.status, response.stream) == (204, None)
 
 
+class RecordingAccount(receivedbytes.Account):
+    """Records the most that it has held."""
+
+    most_held_bytes = 0
+
+    def hold(self, holder, byte_count):
+        super().hold(holder, byte_count)
+        self.most_held_bytes = max(self.most_held_bytes, self.held_bytes)
+
+
+@pytest.fixture
+def account(monkeypatch):
+    """Yields the account of the test."""
+    account = RecordingAccount()
+    monkeypatch.setattr(receivedbytes, "account", account)
+    return account
+
+
+class TestReceivedBytes:
+    """Responses that are held until they are complete."""
+
+    HEAD, BODY = response_bytes(b"y" * 500).split(b"\r\n\r\n")
+    START = HEAD + b"\r\n\r\n" + BODY[:100]
+    CHUNKED = HEAD.replace(
+        b"Content-Length: 500", b"Transfer-Encoding: chunked"
+    )
+    UNTIL_CLOSE = HEAD.replace(b"Content-Length: 500", b"X: y")
+
+    @pytest.mark.parametrize(
+        ("script", "expected"),
+        [
+            pytest.param([START, BODY[100:]], 200, id="complete"),
+            pytest.param(
+                [UNTIL_CLOSE + b"\r\n\r\n" + BODY, None], 200, id="until-close"
+            ),
+            pytest.param(
+                [START, None], errors.IncompleteResponseError, id="closed"
+            ),
+            pytest.param(
+                [START, ScriptedBackendServer.RESET],
+                errors.IncompleteResponseError,
+                id="reset",
+            ),
+            pytest.param([START], errors.BackendTimeoutError, id="timeout"),
+            pytest.param(
+                [CHUNKED + b"\r\n\r\n5\r\nhello\r\n", b"none"],
+                errors.BackendBrokenError,
+                id="malformed",
+            ),
+            pytest.param(
+                [
+                    CHUNKED + b"\r\n\r\n5\r\nhello\r\n",
+                    b"400\r\n" + b"x" * 1024,
+                ],
+                errors.ResponseTooLargeError,
+                id="too-large",
+            ),
+        ],
+    )
+    async def test_nothing_stays_held(self, script, expected, account):
+        """Guards against an account that fills up with what has ended."""
+        async with ScriptedBackendServer(script) as server:
+            try:
+                result = (await server.send(seconds=0.3)).status
+            except errors.BackendError as error:
+                result = type(error)
+            assert result == expected
+            assert account.most_held_bytes > 0
+            assert (account.held_bytes, account.holders) == (0, {})
+
+    async def test_nothing_stays_held_after_a_cancellation(self, account):
+        """Guards against the same where the caller has gone."""
+        async with ScriptedBackendServer([self.START]) as server:
+            task = asyncio.create_task(server.send())
+            await wait_until_held(account, 100)
+            task.cancel()
+            await asyncio.wait({task})
+            assert (account.held_bytes, account.holders) == (0, {})
+
+    async def test_one_read_is_not_held(self, account):
+        """What is complete at once costs no entry."""
+        async with ScriptedBackendServer([response_bytes()]) as server:
+            assert (await server.send()).status == 200
+            assert account.most_held_bytes == 0
+
+    async def test_the_greatest_response_is_cut(self, account):
+        """Guards against cutting a small response for a large one.
+
+        It may have run, so its failure must not say otherwise.
+        """
+        account.max_bytes = 700
+        great = self.START + self.BODY[100:-1]
+        async with (
+            ScriptedBackendServer([great]) as server,
+            ScriptedBackendServer([self.START, self.BODY[100:]]) as other,
+        ):
+            task = asyncio.create_task(server.send())
+            await wait_until_held(account, 499)
+            assert (await other.send()).status == 200
+            with pytest.raises(errors.ResponseTooLargeError) as raised:
+                await task
+            reply = execution.reply_for_error(raised.value, server.attempt)
+            assert reply.outcome is messages.Outcome.UNKNOWN
+            assert reply.reason is messages.Reason.TOO_LARGE
+            assert (account.cut_count, account.held_bytes) == (1, 0)
+
+
+class TestHeldStreams:
+    """Large responses that are passed on in parts."""
+
+    HEAD = response_bytes().partition(b"Content-Length")[0]
+    CHUNK = b"%x\r\n%b\r\n" % (100_000, b"x" * 100_000)
+    START = HEAD + b"Transfer-Encoding: chunked\r\n\r\n" + CHUNK
+
+    async def test_a_head_is_delivered_before_its_body_is_cut(self, account):
+        """Guards against a request without an end where its first read is cut."""
+        account.max_bytes = 50_000
+        async with ScriptedBackendServer([self.START]) as server:
+            response = await server.send(streamed=True)
+            assert response.status == 200
+            with pytest.raises(errors.ResponseCutOffError):
+                await response.stream.read(1)
+            assert server.client.inflight == 0
+            assert (account.held_bytes, account.holders) == (0, {})
+
+    async def test_a_complete_one_is_cut_as_well(self, account):
+        """Guards against the same where the response is complete at once."""
+        account.max_bytes = 50_000
+        whole = self.START + b"0\r\n\r\n"
+        async with ScriptedBackendServer([whole]) as server:
+            response = await server.send(streamed=True)
+            with pytest.raises(errors.ResponseCutOffError):
+                await response.stream.read(1)
+            assert server.client.inflight == 0
+            assert (account.held_bytes, account.holders) == (0, {})
+
+
+async def wait_until_held(account, byte_count):
+    """Returns once so many bytes are held."""
+    async with asyncio.timeout(5):
+        while account.held_bytes < byte_count:
+            await asyncio.sleep(0.001)
+
+
 class StallingSource:
     """The rest of a request; blocks the event loop before its second part.
 
@@ -552,23 +698,28 @@
         raise errors.ResponseCutOffError("the caller has left")
 
 
+def make_request(rest):
+    """Returns a request whose body continues with such a rest."""
+    now = asyncio.get_running_loop().time()
+    return backend.Request(
+        method="POST",
+        target="/x",
+        headers=[messages.Header(name="Attempt", value="a1")],
+        body=b"",
+        idempotent=False,
+        deadline=now + 5,
+        abort_at=now + 5,
+        rest=rest,
+    )
+
+
 class TestEarlyResponses:
     """Responses that come before the request has been sent whole."""
 
     async def send(self, address, rest):
         """Returns the response to a request with such a rest."""
         client = leanclient.Backend(HEADER_NAMES, 10, 8.0, 1_000_000)
-        now = asyncio.get_running_loop().time()
-        request = backend.Request(
-            method="POST",
-            target="/x",
-            headers=[messages.Header(name="Attempt", value="a1")],
-            body=b"",
-            idempotent=False,
-            deadline=now + 5,
-            abort_at=now + 5,
-            rest=rest,
-        )
+        request = make_request(rest)
         try:
             return await client.send(address, request, backend.Attempt())
         finally:
@@ -590,6 +741,38 @@
             await serving
         assert (response.status, response.body) == (200, b"early")
 
+    async def test_connection_of_an_incomplete_request_is_not_reused(self):
+        """Guards against a request that is sent within the body before it."""
+        cut_off = asyncio.Event()
+        connections = []
+
+        async def serve(reader, writer):
+            connections.append(writer)
+            try:
+                await reader.readuntil(b"\r\n\r\n")
+                writer.write(EARLY_RESPONSE[:-2])
+                await writer.drain()
+                await asyncio.sleep(0.05)
+                cut_off.set()
+                await asyncio.sleep(0.05)
+                writer.write(EARLY_RESPONSE[-2:])
+                await reader.read()
+            except (asyncio.IncompleteReadError, ConnectionError):
+                pass
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        address = options.Address(*server.sockets[0].getsockname())
+        client = leanclient.Backend(HEADER_NAMES, 10, 8.0, 1_000_000)
+        for _ in range(2):
+            request = make_request(CutOffSource(cut_off))
+            response = await client.send(address, request, backend.Attempt())
+            assert (response.status, response.body) == (200, b"early")
+            cut_off.clear()
+        await client.close()
+        server.close()
+        assert len(connections) == 2
+
     async def test_response_that_began_before_the_request_was_cut_off(self):
         """Guards against the end of a request that discards its response."""
         cut_off = asyncio.Event()
--- a/tests/test_leanserver.py
+++ b/tests/test_leanserver.py
@@ -17,7 +17,10 @@
     leanhttp,
     leanserver,
     options,
+    receivedbytes,
     responsestream,
+    responsewriter,
+    unreadinput,
 )
 
 LOOPBACK = options.Address("127.0.0.1", 0)
@@ -75,6 +78,12 @@
         await asyncio.sleep(0.01)
 
 
+async def wait_for_half_close(listener):
+    """Returns once a listener has closed its side of a connection."""
+    while not any(each.half_close_timer for each in listener.connections):
+        await asyncio.sleep(0.01)
+
+
 async def read_response(reader):
     """Returns the head and the body of the next response."""
     head = (await reader.readuntil(b"\r\n\r\n")).decode()
@@ -289,14 +298,20 @@
         """A node that has sent everything says that it aborted a response."""
 
         async def handle(request, connection):
-            del request, connection
-            return leanhttp.Response(status=200, body=bytes(1_000_000))
+            del request
+            sock = connection.transport.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 400_000)
+            return leanhttp.Response(status=200, body=bytes(300_000))
 
         listener = leanserver.Listener(LOOPBACK, handle, leanserver.Limits())
         await listener.start()
         reader, writer = await small_buffer_connection(*listener.address)
         writer.write(get("/1"))
-        await asyncio.sleep(0.1)
+        async with asyncio.timeout(10):
+            while not any(each.delivering for each in listener.connections):
+                await asyncio.sleep(0.01)
+        (connection,) = listener.connections
+        assert connection.transport.get_write_buffer_size() == 0
         closing = asyncio.create_task(listener.close(0.3))
         while not closing.done():
             await reader.read(16 * 1024)
@@ -486,6 +501,20 @@
         finally:
             gc.enable()
 
+    async def test_closing_a_connection_that_was_reset(self, listener):
+        """Guards against one reset that fails whoever closes connections."""
+        caller = socket.create_connection(listener.address)
+        while not listener.connections:
+            await asyncio.sleep(0.01)
+        (connection,) = listener.connections
+        caller.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, responsewriter.RESET_ON_CLOSE
+        )
+        caller.close()
+        connection.close()
+        while listener.connections:
+            await asyncio.sleep(0.01)
+
     async def test_disconnect_cancels_the_handler(self, listener, recorder):
         recorder.release_events["/1"] = asyncio.Event()
         _, writer = await connect(listener)
@@ -513,6 +542,26 @@
         assert recorder.cancelled_paths == []
         writer.close()
 
+    async def test_half_closed_caller_that_reads_slowly_gets_all(self):
+        """Guards against a close that discards the rest of a response."""
+        body = bytes(8 * 1024 * 1024)
+
+        async def handle(request, connection):
+            while connection.half_close_probe is None:
+                await asyncio.sleep(0.01)
+            return leanhttp.Response(status=200, body=body)
+
+        listener = leanserver.Listener(LOOPBACK, handle, leanserver.Limits())
+        await listener.start()
+        reader, writer = await small_buffer_connection(*listener.address)
+        writer.write(get("/1"))
+        writer.write_eof()
+        await asyncio.sleep(5 * halfclose.CHECK_SECONDS)
+        data = await asyncio.wait_for(reader.read(), 10)
+        assert len(data) > len(body)
+        await listener.close()
+        writer.close()
+
     async def test_caller_that_leaves_later_cancels_the_handler(
         self, listener, recorder
     ):
@@ -704,6 +753,34 @@
             while not large.was_abandoned:
                 await asyncio.sleep(0.01)
 
+    async def test_half_closed_caller_gets_all(self, large):
+        """Guards against taking a caller that only sends no more for gone."""
+
+        async def handle(request, connection):
+            while connection.half_close_probe is None:
+                await asyncio.sleep(0.01)
+            return await large.handle(request, connection)
+
+        listener = leanserver.Listener(LOOPBACK, handle, leanserver.Limits())
+        await listener.start()
+        reader, writer = await small_buffer_connection(*listener.address)
+        writer.write(get("/large"))
+        writer.write_eof()
+        sent_bytes = 4 * 1024 * 1024
+        large.body.feed(bytes(sent_bytes))
+        async with asyncio.timeout(10):
+            received_bytes = 0
+            while received_bytes < sent_bytes:
+                received_bytes += len(await reader.read(64 * 1024))
+            # The write buffer was full before; it is empty for a while.
+            await asyncio.sleep(5 * halfclose.CHECK_SECONDS)
+            large.body.feed(b"end")
+            large.body.finish()
+            data = await reader.read()
+        assert data.endswith(b"end\r\n" + responsewriter.LAST_CHUNK)
+        await listener.close()
+        writer.close()
+
     async def test_requests_behind_it_are_not_dispatched(self, listener, large):
         """Large responses that wait for their turn keep slots and time out."""
         reader, writer = await connect(listener)
@@ -979,6 +1056,15 @@
         assert reading.bodies == {}
         writer.close()
 
+    async def test_old_limit_of_a_body_that_is_passed_on(self, large):
+        """Guards against telling a request as not run that may have run."""
+        large.limits_are_current = lambda: False
+        reader, writer = await connect(large)
+        writer.write(post("/1", bytes(6_000_000), 100_000))
+        head, _ = await read_response(reader)
+        assert " 502 " in head
+        writer.close()
+
 
 class TestStopping:
     """Requests whose bodies are still coming when the process stops."""
@@ -996,6 +1082,26 @@
         assert recorder.requests == []
         writer.close()
 
+    async def test_request_that_has_arrived_goes_on(self, large, reading):
+        """Guards against cutting a request that was sent in full."""
+        reading.released.clear()
+        body = bytes(400_000)
+        reader, writer = await connect(large)
+        writer.write(post("/1", body))
+        await wait_for_exchange(large)
+        (connection,) = large.connections
+        async with asyncio.timeout(10):
+            while not (
+                connection.reading_paused
+                and connection.has_arrived(is_chunked_awaited=False)
+            ):
+                await asyncio.sleep(0.01)
+        large.refuse_incomplete(lambda message: False)
+        reading.released.set()
+        _, answer = await read_response(reader)
+        assert answer == str(len(body)).encode()
+        writer.close()
+
     async def test_exempt_request_goes_on(self, listener, recorder):
         """Guards against refusing the calls of requests that run."""
         reader, writer = await connect(listener)
@@ -1010,7 +1116,7 @@
     async def test_close_refuses_what_is_incomplete(self, recorder):
         """Guards against an operator that has to guess what became of it."""
         listener = leanserver.Listener(
-            LOOPBACK, recorder.handle, leanserver.Limits()
+            LOOPBACK, recorder.handle, leanserver.Limits(max_body_bytes=100)
         )
         await listener.start()
         reader, writer = await connect(listener)
@@ -1036,6 +1142,282 @@
         writer.close()
 
 
+class BlockingCaller:
+    """Sends a request in parts, and reads only once all of it is sent.
+
+    Attributes:
+      sock: its connection, which blocks.
+    """
+
+    def __init__(self, listener):
+        self.sock = socket.create_connection(listener.address)
+        self.sock.settimeout(20)
+
+    async def send(self, data):
+        """Sends bytes, however long that takes."""
+        await asyncio.to_thread(self.sock.sendall, data)
+
+    async def send_in_parts(self, data, part_count, pause_seconds):
+        """Sends bytes in parts with pauses before them."""
+        size = -(-len(data) // part_count)
+        for start in range(0, len(data), size):
+            await asyncio.sleep(pause_seconds)
+            await self.send(data[start : start + size])
+
+    async def read(self):
+        """Returns what comes until the connection ends."""
+        received = b""
+        while part := await asyncio.to_thread(self.sock.recv, 65_536):
+            received += part
+        self.sock.close()
+        return received
+
+
+class TestUnreadRequests:
+    """Requests that get their responses before they are received."""
+
+    @pytest.mark.parametrize(("part_count", "pause"), [(20, 0.1), (1, 2.2)])
+    async def test_caller_that_sends_on_gets_its_refusal(
+        self, large, reading, part_count, pause
+    ):
+        """Guards against a reset that discards the refusal of a long body."""
+        reading.early.add("/1")
+        request = post("/1", bytes(2_000_000))
+        caller = BlockingCaller(large)
+        await caller.send(request[:200_000])
+        await wait_for_half_close(large)
+        await caller.send_in_parts(request[200_000:], part_count, pause)
+        assert (await caller.read()).startswith(b"HTTP/1.1 503 ")
+
+    @pytest.mark.parametrize(("part_count", "pause"), [(20, 0.1), (1, 2.2)])
+    async def test_process_ends_after_the_refusal_was_read(
+        self, recorder, part_count, pause
+    ):
+        """Guards against a stop that resets callers that still send."""
+        listener = leanserver.Listener(
+            LOOPBACK,
+            recorder.handle,
+            leanserver.Limits(max_body_bytes=4_000_000),
+        )
+        await listener.start()
+        request = post("/1", bytes(2_000_000))
+        caller = BlockingCaller(listener)
+        await caller.send(request[:200_000])
+        await wait_for_exchange(listener)
+        listener.refuse_incomplete(lambda message: False)
+        closing = asyncio.create_task(listener.close(20))
+        await caller.send_in_parts(request[200_000:], part_count, pause)
+        assert (await caller.read()).startswith(b"HTTP/1.1 503 ")
+        async with asyncio.timeout(10):
+            assert await closing == 0
+
+    async def test_caller_that_sends_no_more_does_not_delay_the_end(
+        self, listener, monkeypatch
+    ):
+        """Guards against a stop that waits for a body that never comes."""
+        monkeypatch.setattr(unreadinput, "STALL_SECONDS", 0.1)
+        reader, writer = await connect(listener)
+        writer.write(post("/1", b"some body")[:-4])
+        await wait_for_exchange(listener)
+        async with asyncio.timeout(10):
+            assert await listener.close(20) == 0
+        assert (await read_response(reader))[0].startswith("HTTP/1.1 503")
+        writer.close()
+
+    @pytest.mark.parametrize(
+        ("limit", "value"),
+        [("MAX_SECONDS", 0.2), ("MAX_BYTES", 1_000_000)],
+    )
+    async def test_body_without_end_is_not_read_without_end(
+        self, large, reading, monkeypatch, limit, value
+    ):
+        """Guards against callers that keep connections by sending on."""
+        monkeypatch.setattr(unreadinput, limit, value)
+        monkeypatch.setattr(leanserver, "HALF_CLOSE_SECONDS", 0.1)
+        reading.early.add("/1")
+        caller = BlockingCaller(large)
+        await caller.send(post("/1", bytes(4_000_000))[:200_000])
+
+        async def send_on():
+            while True:
+                await caller.send(bytes(10_000))
+                await asyncio.sleep(0.001)
+
+        async with asyncio.timeout(10):
+            with pytest.raises(ConnectionError):
+                await send_on()
+        assert not large.connections
+        caller.sock.close()
+
+    async def test_requests_behind_it_are_not_run(self, large, reading):
+        """Guards against running what the caller takes for not read."""
+        reading.early.add("/1")
+        caller = BlockingCaller(large)
+        request = post("/1", bytes(300_000))
+        await caller.send(request[:200_000])
+        await wait_for_half_close(large)
+        await caller.send(request[200_000:] + post("/2", bytes(300_000)))
+        answer = await caller.read()
+        assert answer.count(b"HTTP/1.1 ") == 1
+        assert reading.bodies == {}
+
+
+@pytest.fixture
+def account(monkeypatch):
+    """Yields the account of the test."""
+    account = receivedbytes.Account()
+    monkeypatch.setattr(receivedbytes, "account", account)
+    return account
+
+
+async def wait_until_held(account, byte_count):
+    """Returns once so many bytes are held."""
+    async with asyncio.timeout(5):
+        while account.held_bytes < byte_count:
+            await asyncio.sleep(0.001)
+
+
+async def wait_until_released(account):
+    """Returns once no bytes are held."""
+    async with asyncio.timeout(5):
+        while account.held_bytes:
+            await asyncio.sleep(0.001)
+    assert account.holders == {}
+
+
+class TestReceivedBytes:
+    """Bodies that are not complete in their first read."""
+
+    START = post("/1", bytes(1000))[:-100]
+
+    async def test_the_greatest_body_is_refused(self, large, reading, account):
+        """Guards against small bodies on many connections that fill the memory."""
+        account.max_bytes = 1500
+        reader, writer = await connect(large)
+        writer.write(self.START)
+        await wait_until_held(account, 900)
+        other_reader, other_writer = await connect(large)
+        small = post("/2", bytes(800))
+        other_writer.write(small[:-100])
+        head, _ = await read_response(reader)
+        assert head.startswith("HTTP/1.1 503"), head
+        assert "retry-after" in head.lower()
+        other_writer.write(small[-100:])
+        head, _ = await read_response(other_reader)
+        assert head.startswith("HTTP/1.1 200"), head
+        assert reading.bodies == {"/2": bytes(800)}
+        await wait_until_released(account)
+        writer.close()
+        other_writer.close()
+
+    async def test_nothing_stays_held_of_a_complete_body(self, large, account):
+        """Guards against an account that fills up with what has ended."""
+        reader, writer = await connect(large)
+        writer.write(self.START)
+        await wait_until_held(account, 900)
+        writer.write(bytes(100))
+        head, _ = await read_response(reader)
+        assert head.startswith("HTTP/1.1 200"), head
+        await wait_until_released(account)
+        writer.close()
+
+    @pytest.mark.parametrize(
+        "end",
+        [
+            pytest.param(
+                lambda large, writer: writer.transport.abort(), id="reset"
+            ),
+            pytest.param(
+                lambda large, writer: writer.write_eof(), id="half-closed"
+            ),
+            pytest.param(
+                lambda large, writer: large.refuse_incomplete(
+                    lambda message: False
+                ),
+                id="stopping",
+            ),
+            pytest.param(
+                lambda large, writer: [
+                    connection.time_out_body()
+                    for connection in large.connections
+                ],
+                id="stalled",
+            ),
+        ],
+    )
+    async def test_nothing_stays_held(self, large, account, end):
+        """Guards against the same where the body stays incomplete."""
+        _, writer = await connect(large)
+        writer.write(self.START)
+        await wait_until_held(account, 900)
+        end(large, writer)
+        await wait_until_released(account)
+        writer.close()
+
+    async def test_nothing_stays_held_of_a_malformed_body(self, large, account):
+        """Guards against the same where an error takes the place of a request."""
+        reader, writer = await connect(large)
+        writer.write(post("/1", bytes(1000), 900)[:-100])
+        await wait_until_held(account, 900)
+        writer.write(b"none" * 100)
+        head, _ = await read_response(reader)
+        assert head.startswith("HTTP/1.1 400"), head
+        await wait_until_released(account)
+        writer.close()
+
+    async def test_nothing_stays_held_of_a_large_body(
+        self, large, reading, account
+    ):
+        """Guards against the same where the handler takes the body over."""
+        reading.released.clear()
+        reader, writer = await connect(large)
+        body = bytes(300_000)
+        data = post("/1", body)
+        writer.write(data[:50_000])
+        await wait_until_held(account, 40_000)
+        writer.write(data[50_000:])
+        reading.released.set()
+        head, _ = await read_response(reader)
+        assert head.startswith("HTTP/1.1 200"), head
+        await wait_until_released(account)
+        writer.close()
+
+    async def test_one_read_is_not_held(self, large, account):
+        """What is complete at once costs no entry."""
+        account.max_bytes = 0
+        reader, writer = await connect(large)
+        writer.write(post("/1", bytes(100)))
+        head, _ = await read_response(reader)
+        assert head.startswith("HTTP/1.1 200"), head
+        assert account.cut_count == 0
+        writer.close()
+
+    async def test_reading_pauses_while_the_account_is_scarce(
+        self, large, reading, account
+    ):
+        """Guards against cutting a large body whose caller could wait."""
+        account.max_bytes = 2_000_000
+        reading.released.clear()
+        reader, writer = await connect(large)
+        data = post("/1", bytes(600_000))
+        writer.write(data[:70_000])
+        async with asyncio.timeout(5):
+            while not large.large_requests:
+                await asyncio.sleep(0.001)
+        [connection] = large.connections
+        assert connection.reading_paused is False
+        account.hold(connection, 1_200_000)
+        assert connection.is_holding_much() is True
+        account.release(connection)
+        assert connection.is_holding_much() is False
+        reading.released.set()
+        writer.write(data[70_000:])
+        head, _ = await read_response(reader)
+        assert head.startswith("HTTP/1.1 200"), head
+        await wait_until_released(account)
+        writer.close()
+
+
 class TestPauses:
     """A process that is stopped for some seconds and goes on."""
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -11,16 +11,21 @@
 from adapter import fakeplatform
 
 from bench.soak import (
+    callers,
     checks,
     crowds,
     dialect,
+    endless,
+    endlessfaults,
     faults,
+    floods,
     history,
     judge,
     operators,
     play,
     program,
     report,
+    wire,
     world,
 )
 
@@ -239,3 +244,166 @@
         await asyncio.wait({probing})
         server.close()
         assert [each.status for each in seen.probes] == [0]
+
+
+class TestCallers:
+    """Callers on connections of their own."""
+
+    @classmethod
+    async def call(cls, serve, manner):
+        """Returns the request of one turn of a caller to a node."""
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        caller = cls.caller(port, manner)
+        await caller.turn()
+        caller.drop(history.End.LEFT)
+        server.close()
+        (request,) = caller.seen.requests
+        assert not caller.seen.strays
+        return request
+
+    @staticmethod
+    def caller(port, manner):
+        """Returns a caller of a node that is played."""
+        ports = dataclasses.replace(fakeplatform.DIALECT.ports, outside=port)
+        return callers.Caller(
+            dialect.Place(
+                name="node-1",
+                data_centre="north",
+                ip="127.0.0.1",
+                service="price",
+            ),
+            manner,
+            dataclasses.replace(fakeplatform.DIALECT, ports=ports),
+            history.History(),
+            1,
+            itertools.count(1),
+        )
+
+    async def test_half_closed_one_waits_for_its_response(self):
+        """Interim responses pass for the response, or end the connection."""
+        ended = asyncio.Event()
+
+        async def respond(reader, writer):
+            await reader.read()
+            ended.set()
+            for _ in range(2):
+                writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+                await writer.drain()
+            writer.write(b"HTTP/1.1 503 No\r\nContent-Length: 1\r\n\r\nn")
+            writer.close()
+
+        request = await self.call(respond, callers.Manner.HALF_CLOSED)
+        assert ended.is_set()
+        assert request.end is history.End.ANSWERED
+        assert request.status == 503
+
+    async def test_late_body_is_sent_in_parts(self, monkeypatch):
+        """A body that comes at once is whole before the node stops."""
+        pause = 0.02
+        monkeypatch.setattr(
+            callers,
+            "PIECE_PAUSES",
+            {callers.Manner.LATE_BODY: (pause, pause)},
+        )
+        times = []
+
+        async def respond(reader, writer):
+            head = await wire.read_head(reader)
+            times.append(asyncio.get_running_loop().time())
+            await wire.read_body(reader, head)
+            times.append(asyncio.get_running_loop().time())
+            writer.write(b"HTTP/1.1 503 No\r\nContent-Length: 1\r\n\r\nn")
+            writer.close()
+
+        request = await self.call(respond, callers.Manner.LATE_BODY)
+        assert request.status == 503
+        assert times[1] - times[0] > (callers.PIECES - 2) * pause
+
+    async def test_connection_that_was_closed_with_unsent_bytes(
+        self, monkeypatch
+    ):
+        """The run ends when its caller drops the connection."""
+        size = 20_000_000
+        monkeypatch.setattr(
+            callers, "BODIES", {callers.Manner.LARGE: (size, size)}
+        )
+        read = asyncio.Event()
+
+        async def respond(reader, writer):
+            writer.write(
+                b"HTTP/1.1 503 No\r\nContent-Length: 1\r\n"
+                b"Connection: close\r\n\r\nn"
+            )
+            await writer.drain()
+            # The caller closes its connection meanwhile.
+            await asyncio.sleep(0.2)
+            while await reader.read(size):
+                pass
+            read.set()
+            writer.close()
+
+        server = await asyncio.start_server(respond, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        caller = self.caller(port, callers.Manner.LARGE)
+        async with asyncio.timeout(20):
+            await caller.turn()
+            await read.wait()
+        caller.drop(history.End.LEFT)
+        server.close()
+        (request,) = caller.seen.requests
+        assert request.status == 503
+
+
+class TestSendersWithoutEnd:
+    """Responses and bodies that have no end."""
+
+    @pytest.mark.parametrize("form", list(endless.Form))
+    async def test_each_form_is_sent_until_the_connection_is_closed(self, form):
+        """A sender that ends by itself brings no process to its limits."""
+        message = endless.make_message(form, "POST / HTTP/1.1", {})
+        wanted = sum(map(len, message))
+        closed = asyncio.Event()
+
+        async def take(reader, writer):
+            await reader.readexactly(wanted)
+            closed.set()
+            writer.close()
+
+        server = await asyncio.start_server(take, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        async with asyncio.timeout(10):
+            await floods.send_until("127.0.0.1", port, message, 20.0)
+        assert closed.is_set()
+        server.close()
+
+    async def test_it_ends_in_time_where_nothing_is_read(self):
+        """A node that stops to read keeps the run from its end."""
+        over, closed = asyncio.Event(), asyncio.Event()
+
+        async def stay(reader, writer):
+            del reader
+            await over.wait()
+            writer.close()
+            closed.set()
+
+        server = await asyncio.start_server(stay, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        form = endless.Form.CHUNKS
+        message = endless.make_message(form, "POST / HTTP/1.1", {})
+        async with asyncio.timeout(10):
+            await floods.send_until("127.0.0.1", port, message, 0.3)
+        over.set()
+        await closed.wait()
+        server.close()
+
+    def test_the_other_faults_of_a_plan_do_not_depend_on_them(
+        self, monkeypatch
+    ):
+        """Listed seeds no longer play the faults that showed their cause."""
+        kinds = endlessfaults.EndlessResponses, endlessfaults.EndlessBodies
+        plans = [faults.plan(seed, 30, HOSTS).faults for seed in range(30)]
+        monkeypatch.setattr(faults, "ENDLESS_SEEDS", frozenset())
+        for seed, drawn in enumerate(plans):
+            others = [each for each in drawn if not isinstance(each, kinds)]
+            assert tuple(others) == faults.plan(seed, 30, HOSTS).faults
