HTTP server: a caller that stops reading holds no response for good

Cause: at the end of that time the transport is closed, which waits until the caller has read what the write buffer holds. A response that fits into the buffers of the kernel, as in the test, does not show it. A half-closed caller had no such time at all.

Change: a connection that still has bytes to write is aborted then, and the time counts for half-closed callers too.

test_stalled_caller_holds_no_memory failed before: the connection stayed open.

--- a/mangobay/leanserver.py
+++ b/mangobay/leanserver.py
@@ -665,9 +665,9 @@
             # The caller has closed its side: no input can reset the connection.
             self.half_close_probe.cancel()
             transport.close()
-            return
-        transport.write_eof()
-        transport.resume_reading()
+        else:
+            transport.write_eof()
+            transport.resume_reading()
         self.start_delivery()
         self.check_half_closed()
 
@@ -680,7 +680,11 @@
             else HALF_CLOSE_SECONDS
         )
         if self.loop.time() - self.acknowledged_at >= timeout:
-            self.transport.close()
+            if self.transport.get_write_buffer_size():
+                # An orderly end would wait until the caller reads.
+                self.transport.abort()
+            else:
+                self.transport.close()
             return
         self.half_close_timer = self.loop.call_later(
             HALF_CLOSE_SECONDS / HALF_CLOSE_CHECKS, self.check_half_closed
--- a/tests/test_leanserver.py
+++ b/tests/test_leanserver.py
@@ -352,6 +352,31 @@
         writer.close()
         await listener.close()
 
+    @pytest.mark.parametrize("sends_more", [True, False])
+    async def test_stalled_caller_holds_no_memory(self, sends_more):
+        """Guards against responses that are held for good if nobody reads."""
+
+        async def handle(request, connection):
+            while not sends_more and connection.half_close_probe is None:
+                await asyncio.sleep(0.01)
+            return leanhttp.Response(status=200, body=bytes(8 * 1024 * 1024))
+
+        listener = leanserver.Listener(
+            LOOPBACK, handle, leanserver.Limits(stall_timeout=0.2)
+        )
+        await listener.start()
+        _, writer = await small_buffer_connection(*listener.address)
+        writer.write(get("/1", "Connection: close\r\n"))
+        if not sends_more:
+            writer.write_eof()
+        async with asyncio.timeout(5):
+            while not listener.connections:
+                await asyncio.sleep(0.01)
+            while listener.connections:
+                await asyncio.sleep(0.01)
+        writer.transport.abort()
+        await listener.close()
+
     async def test_half_closed_connection_is_closed_after_a_timeout(
         self, listener, monkeypatch
     ):
