--- a/mangobay/leanserver.py
+++ b/mangobay/leanserver.py
@@ -807,15 +807,15 @@
             # The caller has closed its side: no input can reset the connection.
             self.half_close_probe.cancel()
             transport.close()
-            return
-        try:
-            transport.write_eof()
-        except OSError:
-            # The caller has reset the connection.
-            transport.abort()
-            return
+        else:
+            try:
+                transport.write_eof()
+            except OSError:
+                # The caller has reset the connection.
+                transport.abort()
+                return
+            transport.resume_reading()
         self.read_no_more(None)
-        transport.resume_reading()
         self.start_delivery()
         self.check_half_closed()
         self.count_held(0)
@@ -832,7 +832,11 @@
                 self.unread.end_at(HALF_CLOSE_SECONDS),
             )
         if self.loop.time() >= close_at:
-            self.transport.close()
+            if self.transport.get_write_buffer_size():
+                # An orderly end would wait until the caller reads.
+                self.transport.abort()
+            else:
+                self.transport.close()
             return
         self.half_close_timer = self.loop.call_later(
             HALF_CLOSE_SECONDS / HALF_CLOSE_CHECKS, self.check_half_closed
