--- a/tests/test_internal_ports.py
+++ b/tests/test_internal_ports.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from mangobay import httpparse, leanhttp, leanserver, options
+from mangobay import httpparse, leanhttp, leanserver, metricspage, options
 
 LOOPBACK = options.Address("127.0.0.1", 0)
 PIECE_BYTES = 64 * 1024
@@ -402,3 +402,30 @@
             for sender in senders:
                 head = await sender.read_head()
                 assert head.startswith(b"HTTP/1.1 200 ")
+
+
+class TestMetricsPage:
+    """Requests for the metrics."""
+
+    async def test_many_requests_render_the_page_once(self, monkeypatch):
+        """Guards against strangers that keep a process busy with its metrics."""
+        monkeypatch.setattr(metricspage, "RENDER_INTERVAL_SECONDS", 60.0)
+        pages = []
+
+        def render():
+            pages.append(b"page %d" % len(pages))
+            return pages[-1]
+
+        handle = metricspage.make_handler(render)
+        async with open_port(leanserver.internal_limits(0), handle) as port:
+            sender = await port.connect()
+            for _ in range(10):
+                await sender.send(b"GET /metrics HTTP/1.1\r\nHost: h\r\n\r\n")
+                await sender.read_head()
+                assert await sender.reader.readexactly(6) == b"page 0"
+        assert len(pages) == 1
+
+    async def test_page_is_rendered_again(self, monkeypatch):
+        monkeypatch.setattr(metricspage, "RENDER_INTERVAL_SECONDS", 0.0)
+        page = metricspage.Page(iter([b"1", b"2"]).__next__)
+        assert [page.update(), page.update()] == [b"1", b"2"]
