HTTP ports: connections that were refused go before those that begin

What was seen: beside 600 connections that send bodies without end to a node's ready port, two of eight readiness checks got no response (trial).

Cause: with all connections taken, one that had no response yet was closed first, and among the fresh ones may be that of a check whose request is still on its way. The others had been refused, and were only read until their senders close.

Change: connections that are half-closed are closed first.

test_refused_connections_are_closed_first failed before (the connection ended without a response).

--- a/mangobay/leanserver.py
+++ b/mangobay/leanserver.py
@@ -900,9 +900,11 @@
         """Returns whether nothing happens before the caller sends more."""
         return not self.exchanges or self.is_refusable()
 
-    def has_responded(self) -> bool:
-        """Returns whether the connection has had a response."""
-        return self.acknowledged_at > 0
+    def eviction_rank(self) -> tuple[bool, bool, float]:
+        """Returns a key by which connections that wait are closed in order."""
+        has_responded = self.acknowledged_at > 0
+        is_half_closed = self.half_close_timer is not None
+        return not is_half_closed, has_responded, self.last_activity
 
     def is_idle(self, cutoff: float) -> bool:
         """Returns whether the connection has been idle since a loop time."""
@@ -983,13 +985,14 @@
     def close_excess(self, newest: Connection) -> None:
         """Closes a connection, as there are too many.
 
-        Where requests are small and short, it is the one that has waited
-        longest for its caller, so that those that send nothing keep out nobody.
+        Where requests are small and short, it is one that only waits for its
+        caller to close it, or else the one that has waited longest for a
+        request, so that those that send nothing keep out nobody.
         """
         waiting = () if self.limits.pipelining else self.waiting_connections()
         stalest = min(
             (each for each in waiting if each is not newest),
-            key=lambda each: (each.has_responded(), each.last_activity),
+            key=Connection.eviction_rank,
             default=None,
         )
         if stalest is None:
--- a/tests/test_internal_ports.py
+++ b/tests/test_internal_ports.py
@@ -364,6 +364,20 @@
                 assert head.startswith(b"HTTP/1.1 200 ")
             await wait_until(lambda: len(port.listener.connections) <= 3)
 
+    async def test_refused_connections_are_closed_first(self):
+        """Guards against endless senders that displace those who begin."""
+        async with open_port(self.LIMITS) as port:
+            fresh = await port.connect()
+            await wait_until(lambda: self.newest_has_read(port, b""))
+            for _ in range(10):
+                endless = await port.connect()
+                await endless.send(request_of(100_000))
+                head = await endless.read_head()
+                assert head.startswith(b"HTTP/1.1 413 ")
+            await fresh.send(request_of(0))
+            head = await fresh.read_head()
+            assert head.startswith(b"HTTP/1.1 200 ")
+
     def newest_has_read(self, port, sent):
         """Returns whether the newest connection is open and has read bytes."""
         sock = port.senders[-1].writer.get_extra_info("socket")
