Received bytes: unread whole responses are on the account

What callers saw: callers that do not read whole responses of megabytes fill the memory of their node, which then ends with all that it has in flight.

Cause: such a response waits in the write buffer of its caller's connection. One is bounded by answer_bytes, all of them together were not.

Change: while the write buffer of a caller's connection is full, what it has is held on the account of received bytes, from 256 KiB on; large responses that are passed on in parts stay below. At the bound the connection with most is reset, so that its response is visibly incomplete.

The tests of TestUnsentResponses failed before: nothing was held or cut.

--- a/mangobay/leanserver.py
+++ b/mangobay/leanserver.py
@@ -56,6 +56,9 @@
 what the kernel still holds."""
 CLOSE_POLL = 0.01
 """Seconds between checks whether the last responses have been sent."""
+MIN_HELD_UNSENT_BYTES = 256 * 1024
+"""Responses of a caller that does not read, from which on they are on the account
+of received bytes; large responses stay below."""
 SWEEP_SECONDS = 1.0
 """Seconds between checks for idle and slow connections."""
 
@@ -110,6 +113,31 @@
     framing: responsewriter.Framing | None = None
 
 
+class UnsentResponses:
+    """Responses in the write buffer of a caller that does not read them.
+
+    Attributes:
+      transport: the connection of the caller.
+    """
+
+    __slots__ = ("__weakref__", "transport")
+
+    cut_last = False
+
+    def __init__(self, transport: asyncio.Transport):
+        self.transport = transport
+
+    def hold(self) -> None:
+        """Updates the account of received bytes, which may end the connection."""
+        unsent_bytes = self.transport.get_write_buffer_size()
+        if unsent_bytes >= MIN_HELD_UNSENT_BYTES:
+            receivedbytes.account.hold(self, unsent_bytes)
+
+    def drop_received(self) -> None:
+        """Resets the connection; its responses are visibly incomplete."""
+        self.transport.abort()
+
+
 class Connection(leanhttp.BaseConnection):
     """One connection from a caller.
 
@@ -133,6 +161,7 @@
         large response.
       starting: the request whose handler is being started, else None.
       reading_paused: reading is paused.
+      unsent: holds the responses in the write buffer while that is full.
       holder: the request behind which no other is dispatched until its
         response is written; None if there is none.
     """
@@ -155,6 +184,7 @@
         "remote",
         "starting",
         "unacknowledged_bytes",
+        "unsent",
         "write_gate",
     )
 
@@ -178,6 +208,7 @@
         self.starting: Exchange | None = None
         self.holder: Exchange | None = None
         self.reading_paused = False
+        self.unsent: UnsentResponses | None = None
 
     def connection_made(self, transport) -> None:
         """Registers the connection; closes it if there are too many."""
@@ -194,6 +225,7 @@
     def connection_lost(self, exc) -> None:
         """Cancels the requests whose responses the caller no longer awaits."""
         super().connection_lost(exc)
+        self.release_unsent()
         self.parser.close()
         if self.half_close_probe is not None:
             self.half_close_probe.cancel()
@@ -222,6 +254,14 @@
         if self.write_gate is not None:
             self.write_gate.close()
         self.pause_reading()
+        self.unsent = UnsentResponses(self.transport)
+        self.unsent.hold()
+
+    def release_unsent(self) -> None:
+        """Notes that the write buffer has drained."""
+        if self.unsent is not None:
+            receivedbytes.account.release(self.unsent)
+            self.unsent = None
 
     def resume_writing(self) -> None:
         """Resumes reading.
@@ -230,6 +270,7 @@
         disconnects, so it resumes also if no more requests are accepted.
         """
         super().resume_writing()
+        self.release_unsent()
         if self.write_gate is not None:
             self.write_gate.open()
         if not self.closing or self.is_streaming() or self.is_receiving_body():
@@ -629,6 +670,8 @@
             )
             self.delivering = True
             self.acknowledged_at = self.last_activity
+            if self.unsent is not None:
+                self.unsent.hold()
         if self.exchanges and self.exchanges[0].turn is not None:
             self.exchanges[0].turn.set()
         if should_close:
--- a/tests/test_leanserver.py
+++ b/tests/test_leanserver.py
@@ -1193,6 +1193,72 @@
         writer.close()
 
 
+class LargeAnswers:
+    """Responds with a body that no buffer of the kernel takes."""
+
+    SIZE = 16 * 1024 * 1024
+
+    async def handle(self, request, connection):
+        del connection
+        size = self.SIZE if request.path == "/large" else 5
+        return leanhttp.Response(status=200, body=bytes(size))
+
+
+@pytest.fixture
+async def large_answers():
+    started = leanserver.Listener(
+        LOOPBACK, LargeAnswers().handle, leanserver.Limits()
+    )
+    await started.start()
+    yield started
+    await started.close()
+
+
+class TestUnsentResponses:
+    """Whole responses whose callers do not read them."""
+
+    async def test_they_do_not_fill_the_memory(self, large_answers, account):
+        """Guards against a write buffer for each caller that does not read."""
+        account.max_bytes = 1_000_000
+        reader, writer = await small_buffer_connection(*large_answers.address)
+        writer.write(get("/large"))
+        async with asyncio.timeout(5):
+            while not account.cut_count:
+                await asyncio.sleep(0.001)
+        assert (account.held_bytes, account.holders) == (0, {})
+        other_reader, other_writer = await connect(large_answers)
+        other_writer.write(get("/small"))
+        head, _ = await read_response(other_reader)
+        assert head.startswith("HTTP/1.1 200"), head
+        with pytest.raises((asyncio.IncompleteReadError, OSError)):
+            await read_response(reader)
+        writer.close()
+        other_writer.close()
+
+    async def test_a_caller_that_reads_late_gets_all(
+        self, large_answers, account
+    ):
+        """Guards against cutting a response that the account has room for."""
+        reader, writer = await small_buffer_connection(*large_answers.address)
+        writer.write(get("/large"))
+        await wait_until_held(account, leanserver.MIN_HELD_UNSENT_BYTES)
+        _, body = await read_response(reader)
+        assert len(body) == LargeAnswers.SIZE
+        await wait_until_released(account)
+        assert account.cut_count == 0
+        writer.close()
+
+    async def test_nothing_stays_held_of_a_caller_that_is_gone(
+        self, large_answers, account
+    ):
+        """Guards against an account that fills up with what has ended."""
+        _, writer = await small_buffer_connection(*large_answers.address)
+        writer.write(get("/large"))
+        await wait_until_held(account, leanserver.MIN_HELD_UNSENT_BYTES)
+        writer.transport.abort()
+        await wait_until_released(account)
+
+
 class TestPauses:
     """A process that is stopped for some seconds and goes on."""
 
