Peers: no call for the account where a read leaves no long frame

The check whether a part of a frame has to be held is made in place; most reads leave none. No behaviour changes; the tests of test_peers pass.

--- a/mangobay/connections.py
+++ b/mangobay/connections.py
@@ -263,7 +263,8 @@
             return
         if self.decoder.has_partial_frame and not self.partial_frame_since:
             self.partial_frame_since = self.loop.time()
-        self.hold_received()
+        if self.is_holding or self.decoder.buffered_bytes >= MIN_HELD_BYTES:
+            self.hold_received()
 
     def hold_received(self) -> None:
         """Updates what the account of received bytes says of a long frame."""
