Received bytes: the bound has room for the longest message

Fault: the bound could be lower than one message that the other settings allow: of another process at a node with a greater frame_bytes, and at a control host, whose bound was the default whatever its sheet_bytes. Each such message would end its connection. Found by reading.

Change: a node whose received_bytes is below frame_bytes does not start, with one error. The bound of a control host is twice its longest message, 64 MiB with the defaults.

test_it_has_room_for_the_longest_message and test_control_hosts_have_room_for_two_messages failed before. In test_it_has_room_for_two_responses the figures are doubled, so that it shows the rule on answer_bytes alone.

--- a/mangobay/control.py
+++ b/mangobay/control.py
@@ -20,6 +20,7 @@
     operatorapi,
     peers,
     quarantineadmin,
+    receivedbytes,
     routespublisher,
     statemachine,
     stepdown,
@@ -70,6 +71,7 @@
 
     def __init__(self, config: settings.Control):
         self.config = config
+        receivedbytes.account.max_bytes = received_bytes_bound(config.limits)
         self.disk = disk.Disk(config.group.data)
         self.machine = statemachine.ConfigStateMachine()
         self.log = storage.Storage(self.disk)
@@ -228,3 +230,9 @@
         await self.peer_listener.close()
         await self.peer_client.close()
         self.disk.close()
+
+
+def received_bytes_bound(limits: settings.ControlLimits) -> int:
+    """Returns the bound on received bytes; two of the longest fit into it."""
+    longest = max(limits.frame_bytes, limits.sheet_bytes)
+    return max(receivedbytes.DEFAULT_MAX_BYTES, 2 * longest)
--- a/mangobay/settings.py
+++ b/mangobay/settings.py
@@ -77,6 +77,7 @@
     SettingId("quarantine", "pause"),
     SettingId("quarantine", "max_pause"),
 )
+FRAME_BYTES = SettingId("limits", "frame_bytes")
 ANSWER_BYTES = SettingId("limits", "answer_bytes")
 RECEIVED_BYTES = SettingId("limits", "received_bytes")
 TLS_FILES = section_settings("tls", "certificate", "key", "authority")
@@ -148,6 +149,15 @@
             message="must be at least twice answer_bytes, or one long answer"
             " leaves no room for others",
         ),
+        Check(
+            setting=RECEIVED_BYTES,
+            depends_on=(FRAME_BYTES,),
+            is_satisfied=lambda values: (
+                values[RECEIVED_BYTES] >= values[FRAME_BYTES]
+            ),
+            message="must be at least frame_bytes, or the longest message of"
+            " another process cannot be received",
+        ),
         TLS_CHECK,
     ),
     generated.Control: (
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from mangobay import errors, options, settings
+from mangobay import control, errors, options, settings
 from mangobay.generated import settings as generated
 
 NODE = """\
@@ -95,12 +95,29 @@
 
     def test_it_has_room_for_two_responses(self, findings_of):
         """Guards against a bound that cuts every long response."""
-        text = NODE + "[limits]\nanswer_bytes = 8388608\n"
-        [finding] = findings_of(text + "received_bytes = 16777215\n")
+        text = NODE + "[limits]\nanswer_bytes = 16777216\n"
+        [finding] = findings_of(text + "received_bytes = 33554431\n")
         assert finding.startswith(
             "x.ini:12 [limits] received_bytes: must be at least twice"
         )
 
+    def test_it_has_room_for_the_longest_message(self, findings_of):
+        """Guards against a connection that each long message closes."""
+        text = NODE + "[limits]\nframe_bytes = 50331649\n"
+        [finding] = findings_of(text)
+        assert finding.startswith(
+            "x.ini:10 [limits] received_bytes: must be at least frame_bytes"
+        )
+
+    def test_control_hosts_have_room_for_two_messages(self, tmp_path):
+        """Guards against a control host that can receive no long sheet."""
+        path = tmp_path / "control.ini"
+        path.write_text(CONTROL + "[limits]\nsheet_bytes = 100000000\n")
+        config = settings.load(
+            str(path), generated.CONTROL_SECTIONS, generated.Control
+        )
+        assert control.received_bytes_bound(config.limits) == 200_000_000
+
 
 class TestFaults:
     """All errors are reported at once, each with its line."""
