Tests: around a planned stop, what reached no server must be refused

The checks of stopfakes.py took any status for an answer where a request had reached no server, and no answer at all around the exit.

--- a/tests/stopfakes.py
+++ b/tests/stopfakes.py
@@ -291,11 +291,16 @@
         its caller. Where the one beside the server stops, a late request may be
         passed on and cut, but by its abort only.
         """
-        checks = [is_refused_truthfully, runs_once]
+        checks = [
+            is_answered,
+            is_refused_truthfully,
+            is_told_not_run,
+            runs_once,
+        ]
         if stopped is Stopped.ENTRY:
-            checks += [is_answered_or_unread, is_not_cut, is_not_passed_on_late]
+            checks += [is_not_cut, is_not_passed_on_late]
         else:
-            checks += [is_answered, is_not_cut_before_the_abort]
+            checks += [is_not_cut_before_the_abort]
         return [
             (check.__name__, result)
             for result in results
@@ -324,16 +329,6 @@
     return result.response.status > 0
 
 
-def is_answered_or_unread(stop, result):
-    """Returns whether a response came, if the node may have read the request.
-
-    LOST: "A request that crosses your close and isn't passed on doesn't count."
-    """
-    closing_at = stop.exited_at - SCHEDULING_SECONDS
-    is_unread = not result.runs and result.timing.last >= closing_at
-    return is_unread or is_answered(stop, result)
-
-
 def is_refused_truthfully(stop, result):
     """Returns whether a refused request never reached a server.
 
@@ -344,6 +339,21 @@
     return not (result.response.status in NOT_RUN_STATUSES and result.runs)
 
 
+def is_told_not_run(stop, result):
+    """Returns whether the caller of a request that reached no server knows.
+
+    A price is paid for "a request that was read and ends with a closed
+    connection, or with a 5xx of your own other than 503, without having been
+    offered to an upstream".
+    """
+    del stop
+    return (
+        bool(result.runs)
+        or result.response.status in NOT_RUN_STATUSES
+        or result.is_at_its_deadline
+    )
+
+
 def runs_once(stop, result):
     """Returns whether a request ran as often as it may.
 
