Metrics: those who ask now and then get the metrics of that moment

What was seen: test_load_reports_reach_calling_nodes_and_no_callers failed in six of six runs since, as the second of two requests within 0.1 s got the page of the first.

Cause: served each page for 0.1 s, however few asked.

Change: four pages are rendered in 0.1 s; only above that the last one is served again.

--- a/mangobay/metricspage.py
+++ b/mangobay/metricspage.py
@@ -8,31 +8,37 @@
 
 MAX_BODY_BYTES = 0
 RENDER_INTERVAL_SECONDS = 0.1
-"""Seconds for which a rendered page is served again."""
+MAX_RENDERS = 4
+"""Times that a page is rendered in that interval."""
 MEDIA_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 """Content type of the Prometheus text format."""
 
 
 class Page:
-    """The metrics as text, rendered a few times a second at most.
+    """The metrics as text, rendered a limited number of times a second.
 
     Attributes:
       render: returns the current metrics.
       text: the metrics when they were last rendered.
-      rendered_at: loop time of that.
+      interval_started_at: loop time at which the interval began.
+      render_count: times that the metrics were rendered in it.
     """
 
     def __init__(self, render: collections.abc.Callable[[], bytes]):
         self.render = render
         self.text = b""
-        self.rendered_at = float("-inf")
+        self.interval_started_at = float("-inf")
+        self.render_count = 0
 
     def update(self) -> bytes:
-        """Returns the metrics, rendered again unless that was just done."""
+        """Returns the metrics; those of before above the limit of renders."""
         now = asyncio.get_running_loop().time()
-        if now - self.rendered_at >= RENDER_INTERVAL_SECONDS:
+        if now - self.interval_started_at >= RENDER_INTERVAL_SECONDS:
+            self.interval_started_at = now
+            self.render_count = 0
+        if self.render_count < MAX_RENDERS:
             self.text = self.render()
-            self.rendered_at = now
+            self.render_count += 1
         return self.text
 
 
