Soak: links that stall or are cut

A stalled link keeps its bytes; a cut one resets its connections, old and new.

A relay refuses connections while the process behind it does not listen. Hosts whose links are interrupted are excused as frozen ones are; a control host without links counts as away. If the soak itself stands still for over 0.15 s, all links were interrupted, and its report says so.

Not played: links that fail one way only, cuts between halves, loss and delay.

--- a/bench/soak/history.py
+++ b/bench/soak/history.py
@@ -42,6 +42,8 @@
     EXIT = "exit"
     TEAR = "torn write"
     WIPE = "emptied disk"
+    CUT = "links interrupted"
+    HEAL = "links whole again"
 
 
 PROMISES = frozenset({408, 421, 429, 503})
@@ -51,6 +53,7 @@
         Action.KILL,
         Action.FREEZE,
         Action.THAW,
+        Action.CUT,
     }
 )
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,9 +1,12 @@
 """The soak: its plans, its arguments and its reports."""
 
 import asyncio
+import contextlib
 import dataclasses
 import itertools
+import json
 import pathlib
+import sys
 import types
 
 import pytest
@@ -21,6 +24,7 @@
     floods,
     history,
     judge,
+    links,
     operators,
     play,
     program,
@@ -28,6 +32,7 @@
     wire,
     world,
 )
+from mangobay import options
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 HOSTS = faults.Hosts(
@@ -66,6 +71,13 @@
             drawn = faults.plan(seed, 30, HOSTS).faults
             assert not any(isinstance(each, unplanned) for each in drawn)
 
+    def test_seeds_with_link_faults_have_no_other_unplanned_ones(self):
+        """A group without a majority accepts nothing that others must know."""
+        unplanned = (faults.Kill, faults.Freeze, faults.RestartWithSignal)
+        for seed in filter(faults.has_link_faults, range(100)):
+            drawn = faults.plan(seed, 30, HOSTS).faults
+            assert not any(isinstance(each, unplanned) for each in drawn)
+
 
 class TestArguments:
     """The command line."""
@@ -407,3 +419,117 @@
         for seed, drawn in enumerate(plans):
             others = [each for each in drawn if not isinstance(each, kinds)]
             assert tuple(others) == faults.plan(seed, 30, HOSTS).faults
+
+
+class TestLinks:
+    """Relays between the processes of a run."""
+
+    @staticmethod
+    async def echo(reader, writer):
+        """Sends back what comes."""
+        with contextlib.suppress(ConnectionError):
+            while part := await reader.read(100):
+                writer.write(part)
+        writer.close()
+
+    @classmethod
+    @contextlib.asynccontextmanager
+    async def link(cls):
+        """Yields an open link to a server that echoes."""
+        server = await asyncio.start_server(cls.echo, "127.0.0.1", 0)
+        target = options.Address(*server.sockets[0].getsockname())
+        made = links.Link(options.Address("127.0.0.1", 0), target)
+        await made.open()
+        yield made
+        made.close()
+        made.turn(links.State.CUT)
+        await asyncio.gather(*made.tasks, return_exceptions=True)
+        server.close()
+
+    @staticmethod
+    async def connect(link):
+        """Returns a new connection on a link."""
+        address = link.server.sockets[0].getsockname()
+        return await asyncio.open_connection(*address)
+
+    async def test_a_stalled_one_keeps_what_is_sent(self):
+        """A link that loses bytes looks like a peer that is faulty."""
+        async with self.link() as link, asyncio.timeout(10):
+            reader, writer = await self.connect(link)
+            writer.write(b"one")
+            assert await reader.readexactly(3) == b"one"
+            link.turn(links.State.STALLED)
+            writer.write(b"two")
+            receiving = asyncio.create_task(reader.readexactly(3))
+            done, _ = await asyncio.wait({receiving}, timeout=0.2)
+            assert not done
+            link.turn(links.State.WHOLE)
+            assert await receiving == b"two"
+            writer.close()
+
+    async def test_a_cut_one_ends_its_connections_and_takes_none(self):
+        """Processes that go on over a link that is cut are never tested."""
+        async with self.link() as link, asyncio.timeout(10):
+            reader, writer = await self.connect(link)
+            writer.write(b"one")
+            assert await reader.readexactly(3) == b"one"
+            link.turn(links.State.CUT)
+            assert await read_to_end(reader) == b""
+            writer.close()
+            reader, writer = await self.connect(link)
+            assert await read_to_end(reader) == b""
+            writer.close()
+
+    async def test_a_process_connects_to_the_relay(self, tmp_path):
+        """A run whose processes go past the relays has whole links only."""
+        script = tmp_path / "script.py"
+        script.write_text(
+            "import socket, sys\n"
+            "address = ('127.0.0.1', 1)\n"
+            "made = socket.create_connection(address)\n"
+            "made.sendall(sys.argv[1].encode())\n"
+        )
+        received = asyncio.get_running_loop().create_future()
+
+        async def receive(reader, writer):
+            received.set_result(await reader.read())
+            writer.close()
+
+        server = await asyncio.start_server(receive, "127.0.0.1", 0)
+        ip, port = server.sockets[0].getsockname()
+        table = tmp_path / "table"
+        table.write_text(json.dumps([["127.0.0.1", 1, ip, port]]))
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, str(links.SCRIPT), str(table), str(script), "word"
+        )
+        async with asyncio.timeout(20):
+            assert await process.wait() == 0
+            assert await received == b"word"
+        server.close()
+
+    @pytest.mark.parametrize("relayed", [False, True])
+    async def test_relays_that_stood_still_interrupt_all_links(
+        self, tmp_path, relayed
+    ):
+        """Peers that give up on a relay seem to be at fault."""
+        seen = history.History()
+        made = world.World(
+            ROOT,
+            tmp_path,
+            fakeplatform.DIALECT,
+            seen,
+            world.Size(),
+            relayed=relayed,
+        )
+        made.note_standstill(5.0)
+        view = checks.View(seen)
+        for host in made.places:
+            assert view.spans.disturbed(host, 5.5, 5.5) == relayed
+
+
+async def read_to_end(reader):
+    """Returns what comes until the connection ends, in whatever way."""
+    try:
+        return await reader.read()
+    except ConnectionError:
+        return b""
