Node: what waits in the kernels of both hosts is no late body

Cause: while a backend server reads slowly, reading from the caller is paused, and its bytes wait in the kernels of both hosts. looked at those of this host only.

Change: a request is ended only if its caller is what it waits for: reading is not paused, nothing has arrived unread, and nothing came for 0.1 s, or at all from 0.2 s after the end of the linger on.

test_request_that_has_arrived_goes_on, with a body above the buffer of this kernel, and test_request_that_keeps_coming_goes_on fail without the check.

--- a/mangobay/leanserver.py
+++ b/mangobay/leanserver.py
@@ -646,18 +646,18 @@
         elif newest.task is None:
             self.end_unread(newest, refusals.retry_later_response())
 
-    def has_arrived(self, is_chunked_awaited: bool) -> bool:
-        """Returns whether the rest of a body that is received is there unread.
+    def awaits_caller(self, quiet_seconds: float) -> bool:
+        """Returns whether the rest of a body has yet to come from its caller.
+
+        What it has sent may wait in the kernels of both hosts while reading is
+        paused.
 
         Args:
-          is_chunked_awaited: what to assume if anything is unread of a body
-            that does not tell its length.
+          quiet_seconds: time without input after which nothing is on its way.
         """
-        unread_bytes = sockets.count_unread_bytes(self.transport)
-        message = self.exchanges[-1].message
-        if "Content-Length" in message.headers:
-            return unread_bytes >= message.content_length - message.body_size
-        return is_chunked_awaited and unread_bytes > 0
+        if self.reading_paused or sockets.count_unread_bytes(self.transport):
+            return False
+        return self.loop.time() - self.body_received_at >= quiet_seconds
 
     def is_refusable(self) -> bool:
         """Returns whether a request is incomplete and has no handler."""
@@ -1156,20 +1156,19 @@
     def refuse_incomplete(
         self,
         is_exempt: collections.abc.Callable[[httpparse.Message], bool],
-        is_chunked_awaited: bool = False,
+        quiet_seconds: float = 0.0,
     ) -> None:
-        """Ends the requests whose bodies have not arrived in full.
+        """Ends the requests that wait for the rest of their bodies.
 
         Args:
           is_exempt: returns whether a request may go on.
-          is_chunked_awaited: whether bodies in chunks, of which something has
-            arrived unread, may go on.
+          quiet_seconds: time without input after which nothing is on its way.
         """
         for connection in list(self.connections):
             if (
                 connection.is_receiving_body()
                 and not is_exempt(connection.exchanges[-1].message)
-                and not connection.has_arrived(is_chunked_awaited)
+                and connection.awaits_caller(quiet_seconds)
             ):
                 connection.refuse_incomplete()
 
--- a/mangobay/routednode.py
+++ b/mangobay/routednode.py
@@ -28,8 +28,10 @@
 
 MAX_READY_BODY_BYTES = 0
 ARRIVAL_SECONDS = 0.2
-"""Seconds for which a leaving node reads on what has arrived of a body in chunks,
-as nothing tells whether its end is among that."""
+"""Seconds for which a leaving node reads on bodies that keep coming."""
+QUIET_SECONDS = 0.1
+"""Seconds without input after which a body does not keep coming; more than a round
+trip to callers nearby."""
 LEAVE_NOTICE_SECONDS = 0.7
 """Seconds between a leaving node's notice to the others and its first refusal.
 
@@ -327,12 +329,12 @@
         self.stopped.set()
 
     def refuse_incomplete(self) -> None:
-        """Ends the requests of callers that have not arrived in full."""
+        """Ends the requests that wait for their callers to send the rest."""
         now = asyncio.get_running_loop().time()
-        chunks_until = self.executor.shutdown.accept_until + ARRIVAL_SECONDS
+        arrives_until = self.executor.shutdown.accept_until + ARRIVAL_SECONDS
         self.outside_listener.refuse_incomplete(
             self.gateway.is_child_request,
-            is_chunked_awaited=now < chunks_until,
+            QUIET_SECONDS if now < arrives_until else 0.0,
         )
 
     def is_busy(self) -> bool:
--- a/tests/test_leanserver.py
+++ b/tests/test_leanserver.py
@@ -1108,18 +1108,18 @@
         writer.close()
 
     async def test_request_that_has_arrived_goes_on(self, large, reading):
-        """Guards against cutting a request that was sent in full."""
+        """Guards against cutting a request that was sent in full.
+
+        Most of it is in the kernels of both hosts.
+        """
         reading.released.clear()
-        body = bytes(400_000)
+        body = bytes(4_000_000)
         reader, writer = await connect(large)
         writer.write(post("/1", body))
         await wait_for_exchange(large)
         (connection,) = large.connections
         async with asyncio.timeout(10):
-            while not (
-                connection.reading_paused
-                and connection.has_arrived(is_chunked_awaited=False)
-            ):
+            while not connection.reading_paused:
                 await asyncio.sleep(0.01)
         large.refuse_incomplete(lambda message: False)
         reading.released.set()
@@ -1127,6 +1127,17 @@
         assert answer == str(len(body)).encode()
         writer.close()
 
+    async def test_request_that_keeps_coming_goes_on(self, listener):
+        """Guards against cutting a request between two of its packets."""
+        reader, writer = await connect(listener)
+        writer.write(post("/1", b"some body")[:-4])
+        await wait_for_exchange(listener)
+        listener.refuse_incomplete(lambda message: False, quiet_seconds=60)
+        writer.write(b"body")
+        head, _ = await read_response(reader)
+        assert head.startswith("HTTP/1.1 200"), head
+        writer.close()
+
     async def test_exempt_request_goes_on(self, listener, recorder):
         """Guards against refusing the calls of requests that run."""
         reader, writer = await connect(listener)
