--- a/mangobay/leanserver.py
+++ b/mangobay/leanserver.py
@@ -40,6 +40,8 @@
 """Large requests of a listener that are handled concurrently."""
 INTERNAL_CONNECTIONS = 256
 """Connections of a port that no caller uses."""
+INTERNAL_PIECE_BYTES = 4 * 1024
+"""Bytes parsed at a time on a port without pipelining."""
 INTERNAL_REQUEST_BYTES = 4 * 1024 * 1024
 """Bytes that the requests of a port hold that no caller uses."""
 BODY_STALL_SECONDS = 10.0
@@ -63,6 +65,9 @@
 what the kernel still holds."""
 CLOSE_POLL = 0.01
 """Seconds between checks whether the last responses have been sent."""
+MIN_HELD_UNSENT_BYTES = 256 * 1024
+"""Responses of a caller that does not read, from which on they are on the account
+of received bytes; large responses stay below."""
 SWEEP_SECONDS = 1.0
 """Seconds between checks for idle and slow connections."""
 
@@ -137,6 +142,31 @@
     framing: responsewriter.Framing | None = None
 
 
+class UnsentResponses:
+    """Responses in the write buffer of a caller that does not read them.
+
+    Attributes:
+      transport: the connection of the caller.
+    """
+
+    __slots__ = ("__weakref__", "transport")
+
+    cut_last = False
+
+    def __init__(self, transport: asyncio.Transport):
+        self.transport = transport
+
+    def hold(self) -> None:
+        """Updates the account of received bytes, which may end the connection."""
+        unsent_bytes = self.transport.get_write_buffer_size()
+        if unsent_bytes >= MIN_HELD_UNSENT_BYTES:
+            receivedbytes.account.hold(self, unsent_bytes)
+
+    def drop_received(self) -> None:
+        """Resets the connection; its responses are visibly incomplete."""
+        self.transport.abort()
+
+
 class Connection(leanhttp.BaseConnection):
     """One connection from a caller.
 
@@ -161,9 +191,11 @@
         large response.
       starting: the request whose handler is being started, else None.
       reading_paused: reading is paused.
+      unsent: holds the responses in the write buffer while that is full.
       holder: the request behind which no other is dispatched until its
         response is written; None if there is none.
       held_bytes: bytes received since no request was incomplete or unanswered.
+      requests_in_read: requests that began in the bytes of the last read.
     """
 
     __slots__ = (
@@ -183,9 +215,11 @@
         "parser",
         "reading_paused",
         "remote",
+        "requests_in_read",
         "starting",
         "unacknowledged_bytes",
         "unread",
+        "unsent",
         "write_gate",
     )
 
@@ -210,7 +244,9 @@
         self.starting: Exchange | None = None
         self.holder: Exchange | None = None
         self.held_bytes = 0
+        self.requests_in_read = 0
         self.reading_paused = False
+        self.unsent: UnsentResponses | None = None
 
     def connection_made(self, transport) -> None:
         """Registers the connection; closes one if there are too many."""
@@ -227,6 +263,7 @@
     def connection_lost(self, exc) -> None:
         """Cancels the requests whose responses the caller no longer awaits."""
         super().connection_lost(exc)
+        self.release_unsent()
         self.parser.close()
         if self.half_close_probe is not None:
             self.half_close_probe.cancel()
@@ -256,6 +293,14 @@
         if self.write_gate is not None:
             self.write_gate.close()
         self.pause_reading()
+        self.unsent = UnsentResponses(self.transport)
+        self.unsent.hold()
+
+    def release_unsent(self) -> None:
+        """Notes that the write buffer has drained."""
+        if self.unsent is not None:
+            receivedbytes.account.release(self.unsent)
+            self.unsent = None
 
     def resume_writing(self) -> None:
         """Resumes reading.
@@ -264,6 +309,7 @@
         disconnects, so it resumes also if no more requests are accepted.
         """
         super().resume_writing()
+        self.release_unsent()
         if self.write_gate is not None:
             self.write_gate.open()
         if not self.closing or self.is_streaming() or self.is_receiving_body():
@@ -324,9 +370,24 @@
         if self.closing and not self.is_receiving_body():
             self.discard(data)
             return
-        self.handle_data(data)
+        if self.listener.limits.pipelining:
+            self.handle_data(data)
+        else:
+            self.handle_in_pieces(data)
         self.count_held(len(data))
 
+    def handle_in_pieces(self, data: bytes) -> None:
+        """Parses bytes up to the second request in them.
+
+        A read may hold thousands of requests, and parsing them would delay
+        everything else.
+        """
+        self.requests_in_read = 0
+        for start in range(0, len(data), INTERNAL_PIECE_BYTES):
+            if self.closing and not self.is_receiving_body():
+                return
+            self.handle_data(data[start : start + INTERNAL_PIECE_BYTES])
+
     def handle_data(self, data: bytes) -> None:
         """Parses bytes of which the connection still takes notice."""
         receiving = self.exchanges[-1] if self.is_receiving_body() else None
@@ -378,8 +439,11 @@
         if self.exchanges:
             self.exchanges[-1].should_close = True
             self.closing = True
+        elif self.requests_in_read:
+            self.close()
         elif len(new_messages) > 1:
             new_messages[0].should_close = True
+        self.requests_in_read += len(new_messages)
 
     def count_held(self, received_bytes: int) -> None:
         """Updates what the requests of the connection hold.
@@ -582,18 +646,18 @@
         elif newest.task is None:
             self.end_unread(newest, refusals.retry_later_response())
 
-    def has_arrived(self, is_chunked_awaited: bool) -> bool:
-        """Returns whether the rest of a body that is received is there unread.
+    def awaits_caller(self, quiet_seconds: float) -> bool:
+        """Returns whether the rest of a body has yet to come from its caller.
+
+        What it has sent may wait in the kernels of both hosts while reading is
+        paused.
 
         Args:
-          is_chunked_awaited: what to assume if anything is unread of a body
-            that does not tell its length.
+          quiet_seconds: time without input after which nothing is on its way.
         """
-        unread_bytes = sockets.count_unread_bytes(self.transport)
-        message = self.exchanges[-1].message
-        if "Content-Length" in message.headers:
-            return unread_bytes >= message.content_length - message.body_size
-        return is_chunked_awaited and unread_bytes > 0
+        if self.reading_paused or sockets.count_unread_bytes(self.transport):
+            return False
+        return self.loop.time() - self.body_received_at >= quiet_seconds
 
     def is_refusable(self) -> bool:
         """Returns whether a request is incomplete and has no handler."""
@@ -760,6 +824,8 @@
             )
             self.delivering = True
             self.acknowledged_at = self.last_activity
+            if self.unsent is not None:
+                self.unsent.hold()
         if self.exchanges and self.exchanges[0].turn is not None:
             self.exchanges[0].turn.set()
         if should_close:
@@ -807,15 +873,15 @@
             # The caller has closed its side: no input can reset the connection.
             self.half_close_probe.cancel()
             transport.close()
-            return
-        try:
-            transport.write_eof()
-        except OSError:
-            # The caller has reset the connection.
-            transport.abort()
-            return
+        else:
+            try:
+                transport.write_eof()
+            except OSError:
+                # The caller has reset the connection.
+                transport.abort()
+                return
+            transport.resume_reading()
         self.read_no_more(None)
-        transport.resume_reading()
         self.start_delivery()
         self.check_half_closed()
         self.count_held(0)
@@ -832,7 +898,11 @@
                 self.unread.end_at(HALF_CLOSE_SECONDS),
             )
         if self.loop.time() >= close_at:
-            self.transport.close()
+            if self.transport.get_write_buffer_size():
+                # An orderly end would wait until the caller reads.
+                self.transport.abort()
+            else:
+                self.transport.close()
             return
         self.half_close_timer = self.loop.call_later(
             HALF_CLOSE_SECONDS / HALF_CLOSE_CHECKS, self.check_half_closed
@@ -952,9 +1022,11 @@
         """Returns whether nothing happens before the caller sends more."""
         return not self.exchanges or self.is_refusable()
 
-    def has_responded(self) -> bool:
-        """Returns whether the connection has had a response."""
-        return self.acknowledged_at > 0
+    def eviction_rank(self) -> tuple[bool, bool, float]:
+        """Returns a key by which connections that wait are closed in order."""
+        has_responded = self.acknowledged_at > 0
+        is_half_closed = self.half_close_timer is not None
+        return not is_half_closed, has_responded, self.last_activity
 
     def is_idle(self, cutoff: float) -> bool:
         """Returns whether the connection has been idle since a loop time."""
@@ -1035,13 +1107,14 @@
     def close_excess(self, newest: Connection) -> None:
         """Closes a connection, as there are too many.
 
-        Where requests are small and short, it is the one that has waited
-        longest for its caller, so that those that send nothing keep out nobody.
+        Where requests are small and short, it is one that only waits for its
+        caller to close it, or else the one that has waited longest for a
+        request, so that those that send nothing keep out nobody.
         """
         waiting = () if self.limits.pipelining else self.waiting_connections()
         stalest = min(
             (each for each in waiting if each is not newest),
-            key=lambda each: (each.has_responded(), each.last_activity),
+            key=Connection.eviction_rank,
             default=None,
         )
         if stalest is None:
@@ -1083,20 +1156,19 @@
     def refuse_incomplete(
         self,
         is_exempt: collections.abc.Callable[[httpparse.Message], bool],
-        is_chunked_awaited: bool = False,
+        quiet_seconds: float = 0.0,
     ) -> None:
-        """Ends the requests whose bodies have not arrived in full.
+        """Ends the requests that wait for the rest of their bodies.
 
         Args:
           is_exempt: returns whether a request may go on.
-          is_chunked_awaited: whether bodies in chunks, of which something has
-            arrived unread, may go on.
+          quiet_seconds: time without input after which nothing is on its way.
         """
         for connection in list(self.connections):
             if (
                 connection.is_receiving_body()
                 and not is_exempt(connection.exchanges[-1].message)
-                and not connection.has_arrived(is_chunked_awaited)
+                and connection.awaits_caller(quiet_seconds)
             ):
                 connection.refuse_incomplete()
 
--- a/tests/test_internal_ports.py
+++ b/tests/test_internal_ports.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from mangobay import leanhttp, leanserver, options
+from mangobay import httpparse, leanhttp, leanserver, metricspage, options
 
 LOOPBACK = options.Address("127.0.0.1", 0)
 PIECE_BYTES = 64 * 1024
@@ -270,6 +270,42 @@
             assert await sender.reader.read() == b""
             assert paths == ["/0"]
 
+    async def test_requests_behind_the_first_are_not_parsed(self, monkeypatch):
+        """Guards against parsing thousands of requests that are not handled."""
+        parsed = []
+        read_start_line = httpparse.RequestParser.read_start_line
+
+        def record(parser, message):
+            parsed.append(message)
+            read_start_line(parser, message)
+
+        monkeypatch.setattr(httpparse.RequestParser, "read_start_line", record)
+        async with open_port(leanserver.internal_limits(0)) as port:
+            sender = await port.connect()
+            await sender.send(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n" * 1000)
+            await sender.read_head()
+            assert await sender.reader.read() == b""
+            assert len(parsed) < 200
+
+    async def test_only_the_first_of_large_requests_is_handled(self):
+        """Guards against handling a request for each piece that is parsed."""
+        paths = []
+
+        async def handle(request, connection):
+            del connection
+            paths.append(request.path)
+            return leanhttp.Response(status=200)
+
+        request = b"GET /%d HTTP/1.1\r\nHost: h\r\nX-Any: %b\r\n\r\n"
+        async with open_port(leanserver.internal_limits(0), handle) as port:
+            sender = await port.connect()
+            await sender.send(
+                b"".join(request % (n, b"x" * 5000) for n in range(10))
+            )
+            await sender.read_head()
+            assert await sender.reader.read() == b""
+            assert paths == ["/0"]
+
     async def test_request_behind_one_that_is_handled(self):
         """Guards against handling many slow requests of one connection."""
         paths = []
@@ -328,6 +364,20 @@
                 assert head.startswith(b"HTTP/1.1 200 ")
             await wait_until(lambda: len(port.listener.connections) <= 3)
 
+    async def test_refused_connections_are_closed_first(self):
+        """Guards against endless senders that displace those who begin."""
+        async with open_port(self.LIMITS) as port:
+            fresh = await port.connect()
+            await wait_until(lambda: self.newest_has_read(port, b""))
+            for _ in range(10):
+                endless = await port.connect()
+                await endless.send(request_of(100_000))
+                head = await endless.read_head()
+                assert head.startswith(b"HTTP/1.1 413 ")
+            await fresh.send(request_of(0))
+            head = await fresh.read_head()
+            assert head.startswith(b"HTTP/1.1 200 ")
+
     def newest_has_read(self, port, sent):
         """Returns whether the newest connection is open and has read bytes."""
         sock = port.senders[-1].writer.get_extra_info("socket")
@@ -366,3 +416,31 @@
             for sender in senders:
                 head = await sender.read_head()
                 assert head.startswith(b"HTTP/1.1 200 ")
+
+
+class TestMetricsPage:
+    """Requests for the metrics."""
+
+    async def test_many_requests_render_few_pages(self, monkeypatch):
+        """Guards against strangers that keep a process busy with its metrics."""
+        monkeypatch.setattr(metricspage, "RENDER_INTERVAL_SECONDS", 60.0)
+        pages = []
+
+        def render():
+            pages.append(b"page %d" % len(pages))
+            return pages[-1]
+
+        handle = metricspage.make_handler(render)
+        async with open_port(leanserver.internal_limits(0), handle) as port:
+            sender = await port.connect()
+            for number in range(10):
+                await sender.send(b"GET /metrics HTTP/1.1\r\nHost: h\r\n\r\n")
+                await sender.read_head()
+                page = await sender.reader.readexactly(6)
+                assert page == b"page %d" % min(number, 3)
+        assert len(pages) == 4
+
+    async def test_page_is_rendered_again(self, monkeypatch):
+        monkeypatch.setattr(metricspage, "RENDER_INTERVAL_SECONDS", 0.0)
+        page = metricspage.Page(iter(range(10)).__next__)
+        assert [page.update() for _ in range(10)] == list(range(10))
