Review: a request that offers an upgrade runs without its body

Cause: llhttp ends a request with `Upgrade` and `Connection: Upgrade` at its head and marks it complete. The parser records an error, but the message is already among the new ones, and the server dispatches it without its body.

The small fleet that cases 8 and 9 start is shared in review/standins-2.

--- a/review/standins-2/serverstandin.py
+++ b/review/standins-2/serverstandin.py
@@ -21,6 +21,7 @@
       sizes: sizes of the answers' bodies by attempt id; the others are short.
       part_seconds: pause behind each part of a body.
       runs: how often each attempt ran.
+      received: the body with which each attempt ran.
     """
 
     def __init__(self, platform, machine, record):
@@ -32,6 +33,7 @@
         self.sizes = {}
         self.part_seconds = 0.01
         self.runs = {}
+        self.received = {}
         self.server = None
         self.heartbeats = None
 
@@ -89,7 +91,8 @@
             while True:
                 head = (await reader.readuntil(b"\r\n\r\n")).decode()
                 headers = parse_headers(head)
-                await reader.readexactly(int(headers.get("content-length", 0)))
+                length = int(headers.get("content-length", 0))
+                body = await reader.readexactly(length)
                 if head.startswith("GET /healthz "):
                     writer.write(
                         b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n"
@@ -98,7 +101,7 @@
                         + b"\r\n\r\n"
                     )
                     continue
-                await self.run(headers, writer)
+                await self.run(headers, body, writer)
         except (
             asyncio.IncompleteReadError,
             asyncio.CancelledError,
@@ -107,11 +110,17 @@
             # The streams of asyncio log a task that ends as cancelled.
             writer.close()
 
-    async def run(self, headers, writer):
+    async def run(self, headers, received, writer):
         """Runs one request and writes its answer."""
         attempt_id = headers["x-mangobay-attempt-id"]
         self.runs[attempt_id] = self.runs.get(attempt_id, 0) + 1
-        self.record.write("runs", upstream=self.instance, attempt=attempt_id)
+        self.received[attempt_id] = received
+        self.record.write(
+            "runs",
+            upstream=self.instance,
+            attempt=attempt_id,
+            body_bytes=len(received),
+        )
         body = body_of(attempt_id, self.sizes.get(attempt_id, 64))
         head = (
             "HTTP/1.1 200 OK\r\n"
