--- a/review/standins-2/memorywatch.py
+++ b/review/standins-2/memorywatch.py
@@ -4,7 +4,20 @@
 import threading
 
 POLL_SECONDS = 0.01
-ANONYMOUS = re.compile(r"RssAnon:\s+(\d+) kB")
+FIGURE = re.compile(r"^(VmHWM|RssAnon|RssFile|RssShmem):\s+(\d+) kB$", re.M)
+
+
+def used_mb(status):
+    """Returns the largest memory of a process's own so far, in MiB.
+
+    The kernel keeps the peak of all memory; what belongs to files and libraries
+    is taken off as it is now.
+    """
+    figures = {name: int(value) for name, value in FIGURE.findall(status)}
+    if len(figures) < 4:
+        return 0.0
+    peak = figures["VmHWM"] - figures["RssFile"] - figures["RssShmem"]
+    return max(peak, figures["RssAnon"]) / 1024
 
 
 class MemoryWatch:
@@ -43,22 +56,17 @@
             return
         try:
             with open(f"/proc/{machine.process.pid}/status") as status:
-                found = ANONYMOUS.search(status.read())
+                used = used_mb(status.read())
         except OSError:
             return
-        if found is None:
-            return
-        used_mb = int(found[1]) / 1024
-        self.peaks[machine.name] = max(
-            self.peaks.get(machine.name, 0.0), used_mb
-        )
-        if used_mb <= self.limit_mb:
+        self.peaks[machine.name] = max(self.peaks.get(machine.name, 0.0), used)
+        if used <= self.limit_mb:
             return
         self.ends[machine.name] = self.ends.get(machine.name, 0) + 1
         self.record.write(
             "memory over the limit",
             machine=machine.name,
-            used_mb=round(used_mb),
+            used_mb=round(used),
             limit_mb=self.limit_mb,
         )
         self.platform.kill(machine)
