--- a/review/7/case.py
+++ b/review/7/case.py
@@ -95,21 +95,26 @@
                 record.write("log", machine=machine.name, kind=kind, **facts)
 
 
-def run(platform, operator, record, trouble):
-    """Runs the case; returns whether the rule held."""
-    machines = start_first(platform, operator)
-    replace_one(platform, machines, trouble)
-    if not operator.replace(
-        operatorstandin.manifest(["archive", "booking"]), FIRST_SECONDS
+class TestReplacedWhileDown:
+    """Two lost disks after a replacement, all machines being back."""
+
+    def test_the_manifest_outlives_two_lost_disks(
+        self, platform, operator, record, trouble
     ):
-        raise platformstandin.CannotRunError("no second manifest")
-    status, _ = operator.describe(FIRST_SECONDS)
-    if status != 200:
-        raise platformstandin.CannotRunError("the manifest cannot be read")
-    lose_two_disks(platform, machines[1:3])
-    status, found = operator.describe(RECOVERY_SECONDS + CATCH_UP)
-    log_votes(platform, record)
-    return status == 200 and found == operator.manifest
+        """Runs the case; returns whether the rule held."""
+        machines = start_first(platform, operator)
+        replace_one(platform, machines, trouble)
+        if not operator.replace(
+            operatorstandin.manifest(["archive", "booking"]), FIRST_SECONDS
+        ):
+            raise platformstandin.CannotRunError("no second manifest")
+        status, _ = operator.describe(FIRST_SECONDS)
+        if status != 200:
+            raise platformstandin.CannotRunError("the manifest cannot be read")
+        lose_two_disks(platform, machines[1:3])
+        status, found = operator.describe(RECOVERY_SECONDS + CATCH_UP)
+        log_votes(platform, record)
+        return status == 200 and found == operator.manifest
 
 
 def main():
@@ -119,7 +124,11 @@
     platform = platformstandin.Platform(record)
     operator = operatorstandin.Operator(platform, record)
     try:
-        held = run(platform, operator, record, trouble)
+        held = (
+            TestReplacedWhileDown().test_the_manifest_outlives_two_lost_disks(
+                platform, operator, record, trouble
+            )
+        )
     except (platformstandin.CannotRunError, OSError) as error:
         record.write("cannot run", why=str(error))
         return 2
--- a/review/standins-2/platformstandin.py
+++ b/review/standins-2/platformstandin.py
@@ -41,6 +41,17 @@
     """The case could not be run."""
 
 
+def exit_on_signals():
+    """Makes a case that is told to stop end its processes, and exit with 2."""
+
+    def stop(number, frame):
+        del number, frame
+        raise SystemExit(2)
+
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, stop)
+
+
 class Record:
     """Writes what happens to a file, a JSON object a line."""
 
@@ -81,6 +92,7 @@
     """
 
     def __init__(self, record):
+        exit_on_signals()
         self.record = record
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
         self.roles = settingsfile.load_roles(ROOT)
