HTTP parser: the limit of a head holds for all its lines together

Callers that send heads of many long lines, ended or not, filled a node: 100 connections with 120 lines of 16,000 bytes each made it 422 MB large (test_unruly_clients_processes.py::TestNode::test_heads_without_end, bound 150).

The limit of the manifest, which is one of the request line and the headers together, was applied to each line, and 128 lines are allowed. The parser now counts the target and all headers of a message, also the line that is not ended yet. Ports without routes allow 64 KiB, four times the longest line. The method and separators are not counted, so no head within the limit is refused.

The process test and test_sum_of_headers_above_the_limit failed before.

--- a/mangobay/httpparse.py
+++ b/mangobay/httpparse.py
@@ -1,8 +1,8 @@
 """Strict incremental parsers of HTTP/1.1 messages, one for each connection.
 
 The bytes are parsed by llhttp in its strict mode, through `httptools`.  This
-module adds the limits that llhttp lacks: on the length of lines, including
-lines that never end, and on the number of headers.
+module adds the limits that llhttp lacks: on the length of lines and of the whole
+head, including those that never end, and on the number of headers.
 """
 
 import dataclasses
@@ -12,6 +12,8 @@
 import multidict
 
 MAX_HEADERS = 128
+MAX_HEAD_BYTES = 64 * 1024
+"""Bytes of a request target and all headers together."""
 MAX_FRAMING_BYTES = 256 * 1024
 """Bytes outside of heads that may come without any byte of a body.
 
@@ -133,6 +135,7 @@
 
     Attributes:
       max_line_bytes: limit of the start line, and of each header.
+      max_head_bytes: limit of the target and all headers together.
       error: why parsing has stopped; None while there was no error.
       new_messages: messages whose heads were completed by the last piece.
       message: the message that is being received, None between messages.
@@ -140,13 +143,19 @@
       message_completed: a message was completed by the last piece.
       partial_line_bytes: length of the last line, which is not ended yet.
       framing_bytes: bytes outside of heads since the last byte of a body.
+      head_bytes: bytes of the target and the headers of `message` so far.
       header_count: headers and trailers of `message` so far.
       target_parts: the request target in the pieces received so far.
       native_parser: the llhttp parser, which calls the `on_` methods.
     """
 
-    def __init__(self, max_line_bytes: int):
+    def __init__(
+        self,
+        max_line_bytes: int,
+        max_head_bytes: int = MAX_HEAD_BYTES,
+    ):
         self.max_line_bytes = max_line_bytes
+        self.max_head_bytes = max_head_bytes
         self.error: ParseError | None = None
         self.new_messages: list[Message] = []
         self.message: Message | None = None
@@ -154,6 +163,7 @@
         self.message_completed = False
         self.partial_line_bytes = 0
         self.framing_bytes = 0
+        self.head_bytes = 0
         self.header_count = 0
         self.target_parts: list[bytes] = []
         self.native_parser = self.make_native_parser()
@@ -215,8 +225,12 @@
         if self.message_completed:
             # The bytes after the last line feed may include a body.
             self.partial_line_bytes = 0
-        if self.in_head and self.partial_line_bytes > self.max_line_bytes:
+        if not self.in_head:
+            return
+        if self.partial_line_bytes > self.max_line_bytes:
             self.error = ParseError(431, "a line of the head is too long")
+        elif self.head_bytes + self.partial_line_bytes > self.max_head_bytes:
+            self.error = ParseError(431, "the head is too large")
 
     def on_message_begin(self) -> None:
         """Starts a new message."""
@@ -224,12 +238,14 @@
         self.in_head = True
         self.framing_bytes = 0
         self.target_parts = []
+        self.head_bytes = 0
         self.header_count = 0
 
     def on_url(self, data: bytes) -> None:
         """Stores a piece of the request target."""
         self.target_parts.append(data)
-        if sum(map(len, self.target_parts)) > self.max_line_bytes:
+        self.head_bytes += len(data)
+        if self.head_bytes > self.max_line_bytes:
             raise ParseError(431, "request target is too long")
 
     def on_header(self, name: bytes, value: bytes) -> None:
@@ -242,6 +258,9 @@
         if not self.in_head:
             # A trailer comes after the decisions that headers are read for.
             return
+        self.head_bytes += len(name) + len(value)
+        if self.head_bytes > self.max_head_bytes:
+            raise ParseError(431, "the head is too large")
         value = value.strip(b" \t")
         self.message.raw_headers.append((name, value))
         self.message.headers.add(
--- a/mangobay/leanserver.py
+++ b/mangobay/leanserver.py
@@ -78,6 +78,7 @@
 
     Attributes:
       max_line_bytes: limit of the request line, and of each header.
+      max_head_bytes: limit of the request target and all headers together.
       max_body_bytes: limit of a request body; 0 if the port expects none.
       read_timeout: seconds from the first byte of a request to the end of its
         head.
@@ -92,6 +93,7 @@
     """
 
     max_line_bytes: int = leanhttp.MAX_LINE_BYTES
+    max_head_bytes: int = httpparse.MAX_HEAD_BYTES
     max_body_bytes: int = 0
     max_request_bytes: int | None = None
     read_timeout: float = 10.0
@@ -226,7 +228,9 @@
     def __init__(self, listener: "Listener"):
         loop = asyncio.get_running_loop()
         super().__init__(loop)
-        self.parser = httpparse.RequestParser(listener.limits.max_line_bytes)
+        self.parser = httpparse.RequestParser(
+            listener.limits.max_line_bytes, listener.limits.max_head_bytes
+        )
         self.listener = listener
         self.remote = ""
         self.exchanges: collections.deque[Exchange] = collections.deque()
--- a/mangobay/routednode.py
+++ b/mangobay/routednode.py
@@ -285,6 +285,7 @@
         )
         limits = self.outside_listener.limits
         limits.max_line_bytes = document.limits.max_header_bytes
+        limits.max_head_bytes = document.limits.max_header_bytes
         limits.max_body_bytes = document.limits.max_body_bytes
         limits.idle_timeout = document.limits.idle_timeout
         limits.read_timeout = document.limits.header_timeout
--- a/tests/test_httpparse.py
+++ b/tests/test_httpparse.py
@@ -125,6 +125,23 @@
         _, parser = parse(b"GET /" + b"x" * LINE_BYTES + b" HTTP/1.1\r\n")
         assert parser.error.status == 431
 
+    @pytest.mark.parametrize("end", [b"X: y", b"\r\n"])
+    def test_sum_of_headers_above_the_limit(self, end):
+        """Guards against many headers, each within the limit of its line."""
+        line = b"X: " + b"x" * (LINE_BYTES // 2) + b"\r\n"
+        parser = httpparse.RequestParser(LINE_BYTES, 4 * LINE_BYTES)
+        parser.feed(b"GET / HTTP/1.1\r\n" + HOST + 7 * line)
+        assert parser.error is None
+        parser.feed(line + end)
+        assert parser.error.status == 431
+
+    def test_head_at_the_limit(self):
+        """Guards against refusing a head of the size that is allowed."""
+        head = request(HOST + b"X: y\r\n")
+        parser = httpparse.RequestParser(len(head), len(head))
+        (message,) = parser.feed(head)
+        assert message.complete
+
     def test_header_count_above_the_limit(self):
         headers = b"X: y\r\n" * httpparse.MAX_HEADERS
         _, parser = parse(request(HOST + headers))
--- a/tests/test_internal_ports.py
+++ b/tests/test_internal_ports.py
@@ -166,7 +166,9 @@
     """What all requests of a port hold together."""
 
     LIMITS = leanserver.Limits(
-        max_body_bytes=200_000, max_request_bytes=300_000
+        max_head_bytes=100_000,
+        max_body_bytes=200_000,
+        max_request_bytes=300_000,
     )
 
     async def test_request_that_holds_most_is_refused(self):
