HTTP server: requests sent ahead wait unparsed, and take turns

Callers that sent many requests ahead and read nothing filled a node: 300 connections with 64 heads of 10 kB, 400 with 64 small requests, and 50 with 20,000 each made it exceed 150,256 kB (seen when the watch stopped: 188,632, 150,332 and 155,756), and it answered nobody else for seconds.

A read of 256 KiB was parsed and dispatched whole before reading paused, and the 64 requests that a connection may have in hand were bounded by nothing over all connections. Now a read has 16 KiB outside of bodies (smallreads), parsing ends behind each message, and stops while a connection has 16 requests in hand, or all of them 1,024 besides their first ones; the rest of the read waits, and the sender's window fills. Four requests of a read start as they come; the others take turns with those of other connections, 16 in an iteration of the event loop (turns). A head that is not read does not time out.

test_cut_off_keeps_the_response_before relied on both requests being dispatched in one read although the first response had filled the write buffer; its first handler now waits until the second request is handled, so that the case is as it was.

--- a/mangobay/httpparse.py
+++ b/mangobay/httpparse.py
@@ -6,6 +6,7 @@
 """
 
 import dataclasses
+import re
 import typing
 
 import httptools
@@ -31,6 +32,10 @@
 What follows the end of a head or of a body is counted from the next piece on, as
 llhttp does not tell where either ends.
 """
+HEAD_END = b"\r\n\r\n"
+CHUNKED_PIECE_BYTES = 1024
+"""Bytes of a chunked body that are parsed at a time at least."""
+EMPTY_LINES = re.compile(rb"[\r\n]*")
 PART_OVERHEAD_BYTES = 64
 """Memory of each part of a body besides its bytes."""
 TARGET_PREFIXES = ("/", "http://", "https://")
@@ -205,6 +210,27 @@
         new_messages, self.new_messages = self.new_messages, []
         return new_messages
 
+    def next_piece(self, data: bytes, start: int) -> int:
+        """Returns the end of the bytes that complete one message at most.
+
+        A message that began in an earlier piece may come on top.
+
+        Args:
+          data: bytes that have not been parsed yet.
+          start: index of the first of them.
+        """
+        message = self.message
+        search_from = start
+        if message is not None and not self.in_head:
+            missing_bytes = message.content_length - message.body_size
+            if missing_bytes > 0:
+                return min(start + missing_bytes, len(data))
+            search_from = start + CHUNKED_PIECE_BYTES
+        elif message is None:
+            search_from = EMPTY_LINES.match(data, start).end()
+        found = data.find(HEAD_END, search_from)
+        return len(data) if found < 0 else found + len(HEAD_END)
+
     def close(self) -> None:
         """Releases the llhttp parser, which refers back to this object."""
         self.native_parser = None
--- a/mangobay/leanserver.py
+++ b/mangobay/leanserver.py
@@ -21,7 +21,9 @@
     requestmemory,
     responsestream,
     responsewriter,
+    smallreads,
     sockets,
+    turns,
     unreadinput,
 )
 
@@ -32,8 +34,13 @@
 
 BACKLOG = 1024
 """Connections in the accept queue; a burst of callers opens hundreds."""
-MAX_PIPELINED_REQUESTS = 64
-"""Requests of one connection handled concurrently; reading pauses above it."""
+MAX_PIPELINED_REQUESTS = 16
+"""Requests of one connection handled concurrently; others wait unparsed."""
+MAX_REQUESTS_AHEAD = 1024
+"""Requests of a listener handled concurrently besides the first one of each
+connection; others wait unparsed."""
+DIRECT_REQUESTS = 4
+"""Requests that a connection starts as it reads them; others take turns."""
 MAX_HELD_BYTES = 256 * 1024
 """Bytes of the unanswered requests of a connection; reading pauses above it."""
 MAX_LARGE_REQUESTS = 64
@@ -169,7 +176,7 @@
         self.transport.abort()
 
 
-class Connection(leanhttp.BaseConnection):
+class Connection(leanhttp.BaseConnection, smallreads.SmallReads):
     """One connection from a caller.
 
     Attributes:
@@ -198,11 +205,14 @@
         response is written; None if there is none.
       held_bytes: bytes received since no request was incomplete or unanswered.
       requests_in_read: requests that began in the bytes of the last read.
+      unparsed: received bytes that wait to be parsed, while reading is paused.
+      ahead_count: requests besides the first one that are in hand.
     """
 
     __slots__ = (
         "__weakref__",
         "acknowledged_at",
+        "ahead_count",
         "body_received_at",
         "last_activity",
         "request_started_at",
@@ -220,6 +230,7 @@
         "requests_in_read",
         "starting",
         "unacknowledged_bytes",
+        "unparsed",
         "unread",
         "unsent",
         "write_gate",
@@ -249,6 +260,8 @@
         self.holder: Exchange | None = None
         self.held_bytes = 0
         self.requests_in_read = 0
+        self.unparsed = b""
+        self.ahead_count = 0
         self.reading_paused = False
         self.unsent: UnsentResponses | None = None
 
@@ -274,6 +287,7 @@
         if self.half_close_timer is not None:
             self.half_close_timer.cancel()
         self.listener.connection_check.discard(self)
+        self.drop_unparsed()
         self.cancel_exchanges()
         self.holder = None
         self.count_held(0)
@@ -287,6 +301,13 @@
             if exchange.rest is not None:
                 exchange.rest.cut_off("the connection of the caller has ended")
         self.exchanges.clear()
+        self.count_ahead()
+
+    def count_ahead(self) -> None:
+        """Updates the number of requests in hand besides the first one."""
+        ahead_count = max(len(self.exchanges) - 1, 0)
+        self.listener.requests_ahead += ahead_count - self.ahead_count
+        self.ahead_count = ahead_count
 
     def pause_writing(self) -> None:
         """Pauses reading while the caller does not read its responses.
@@ -334,7 +355,12 @@
             return
         if self.writing_paused or self.is_holding_much():
             return
+        if self.unparsed:
+            self.listener.turns.add(self)
+            return
         self.reading_paused = False
+        if self.parser.in_head:
+            self.request_started_at = self.loop.time()
         self.body_received_at = self.loop.time()
         self.transport.resume_reading()
 
@@ -351,7 +377,7 @@
         if count == 1:
             # Nothing else on the connection has to be answered first.
             return False
-        if count > MAX_PIPELINED_REQUESTS:
+        if count >= MAX_PIPELINED_REQUESTS:
             return True
         held_bytes = sum(
             exchange.message.body_size
@@ -371,15 +397,73 @@
     def data_received(self, data: bytes) -> None:
         """Parses bytes and dispatches the requests that they complete."""
         self.last_activity = self.loop.time()
-        if self.closing and not self.is_receiving_body():
+        if self.listener.limits.pipelining:
+            self.unparsed += data
+            if self.handle_unparsed(DIRECT_REQUESTS):
+                self.listener.turns.add(self)
+        elif self.closing and not self.is_receiving_body():
             self.discard(data)
             return
-        if self.listener.limits.pipelining:
-            self.handle_data(data)
         else:
             self.handle_in_pieces(data)
         self.count_held(len(data))
 
+    def max_read_bytes(self) -> int:
+        """Returns how much the next read may return."""
+        if self.is_receiving_body():
+            return smallreads.BODY_READ_BYTES
+        return smallreads.READ_BYTES
+
+    def handle_unparsed(self, request_count: int) -> bool:
+        """Parses received bytes up to the end of some requests.
+
+        Reading is paused while any are left.
+
+        Returns:
+          Whether the next request may start at once.
+        """
+        data, self.unparsed = self.unparsed, b""
+        start = 0
+        while start < len(data):
+            if self.closing and not self.is_receiving_body():
+                self.discard(data[start:])
+                return False
+            waits = self.must_wait()
+            if waits or request_count <= 0:
+                self.unparsed = data[start:]
+                self.pause_reading()
+                return not waits
+            end = self.parser.next_piece(data, start)
+            whole = start == 0 and end == len(data)
+            self.handle_data(data if whole else data[start:end])
+            request_count -= not self.parser.in_head
+            start = end
+        return False
+
+    def must_wait(self) -> bool:
+        """Returns whether nothing is parsed before responses are written."""
+        if self.writing_paused or self.is_holding_much():
+            return True
+        return (
+            bool(self.exchanges)
+            and not self.is_receiving_body()
+            and self.listener.requests_ahead >= MAX_REQUESTS_AHEAD
+        )
+
+    def take_turn(self) -> bool:
+        """Starts the next request; returns whether another one may follow."""
+        if self.transport is None or not self.unparsed:
+            return False
+        if self.handle_unparsed(1):
+            return True
+        self.resume_reading()
+        return False
+
+    def drop_unparsed(self) -> None:
+        """Drops what was not parsed: it is behind the last request."""
+        self.unparsed = b""
+        self.listener.turns.discard(self)
+
     def handle_in_pieces(self, data: bytes) -> None:
         """Parses bytes up to the second request in them.
 
@@ -493,6 +577,7 @@
             should_close=message.should_close,
         )
         self.exchanges.append(exchange)
+        self.count_ahead()
         self.closing = self.closing or exchange.should_close
         if message.complete and not message.body_size:
             self.dispatch(exchange)
@@ -778,6 +863,7 @@
     def end_stream(self, exchange: Exchange, complete: bool) -> None:
         """Continues after a large response, or closes the connection."""
         self.exchanges.popleft()
+        self.count_ahead()
         self.start_delivery()
         if exchange.should_close or not complete:
             self.close()
@@ -830,6 +916,7 @@
             self.acknowledged_at = self.last_activity
             if self.unsent is not None:
                 self.unsent.hold()
+        self.count_ahead()
         if self.exchanges and self.exchanges[0].turn is not None:
             self.exchanges[0].turn.set()
         if should_close:
@@ -885,6 +972,7 @@
                 transport.abort()
                 return
             transport.resume_reading()
+        self.drop_unparsed()
         self.read_no_more(None)
         self.start_delivery()
         self.check_half_closed()
@@ -991,6 +1079,7 @@
         """
         return (
             0 < self.request_started_at < cutoff
+            and not self.reading_paused
             and self.half_close_timer is None
         )
 
@@ -1052,6 +1141,9 @@
       continues_bodies: whether the handler takes large requests before their
         end; otherwise it gets whole bodies only.
       large_requests: number of large requests that are handled.
+      requests_ahead: requests that are handled besides the first one of each
+        connection.
+      turns: the order in which requests sent ahead are started.
       replay_budget: bounds what is kept of large requests.
       request_memory: bounds what all requests hold; None without that limit.
       limits_are_current: returns whether the limits of what callers may send
@@ -1070,6 +1162,8 @@
         self.leaving = False
         self.continues_bodies = False
         self.large_requests = 0
+        self.requests_ahead = 0
+        self.turns = turns.Turns()
         self.replay_budget = requestbody.ReplayBudget()
         self.request_memory = (
             None
--- a/tests/test_leanserver.py
+++ b/tests/test_leanserver.py
@@ -126,6 +126,67 @@
         assert bodies == [b"/1", b"/2", b"/3"]
         writer.close()
 
+    async def test_requests_ahead_wait_unparsed(self, listener, recorder):
+        """Guards against handling all requests of one read at once."""
+        recorder.release_events["/held"] = asyncio.Event()
+        reader, writer = await connect(listener)
+        writer.write(get("/held") * 300 + get("/last"))
+        await asyncio.sleep(0.05)
+        count = len(recorder.requests)
+        assert 1 < count <= leanserver.MAX_PIPELINED_REQUESTS
+        recorder.release_events["/held"].set()
+        bodies = [(await read_response(reader))[1] for _ in range(301)]
+        assert bodies == [b"/held"] * 300 + [b"/last"]
+        assert listener.requests_ahead == 0
+        writer.close()
+
+    async def test_requests_ahead_are_bounded_over_all_connections(
+        self, listener, recorder, monkeypatch
+    ):
+        """Guards against a bound for each connection and none for their sum."""
+        monkeypatch.setattr(leanserver, "MAX_REQUESTS_AHEAD", 4)
+        recorder.release_events["/held"] = asyncio.Event()
+        callers = [await connect(listener) for _ in range(5)]
+        for _, writer in callers:
+            writer.write(get("/held") * 10)
+        await asyncio.sleep(0.05)
+        assert len(recorder.requests) == len(callers) + 4
+        recorder.release_events["/held"].set()
+        for reader, writer in callers:
+            bodies = [(await read_response(reader))[1] for _ in range(10)]
+            assert bodies == [b"/held"] * 10
+            writer.close()
+
+    async def test_caller_that_leaves_releases_its_requests_ahead(
+        self, listener, recorder
+    ):
+        """Guards against a bound that fills up with what has ended."""
+        recorder.release_events["/held"] = asyncio.Event()
+        _, writer = await connect(listener)
+        writer.write(get("/held") * 3)
+        async with asyncio.timeout(5):
+            while listener.requests_ahead != 2:
+                await asyncio.sleep(0.01)
+            writer.transport.abort()
+            while listener.requests_ahead:
+                await asyncio.sleep(0.01)
+
+    async def test_head_behind_many_requests_does_not_time_out(
+        self, listener, recorder
+    ):
+        """Guards against a timeout of a head that the server does not read."""
+        listener.limits.read_timeout = 0.1
+        recorder.release_events["/held"] = asyncio.Event()
+        reader, writer = await connect(listener)
+        data = get("/held") * 20
+        writer.write(data[:-5])
+        await asyncio.sleep(2 * leanserver.SWEEP_SECONDS)
+        recorder.release_events["/held"].set()
+        writer.write(data[-5:])
+        bodies = [(await read_response(reader))[1] for _ in range(20)]
+        assert bodies == [b"/held"] * 20
+        writer.close()
+
     async def test_requests_after_connection_close_are_ignored(
         self, listener, recorder
     ):
@@ -837,10 +898,13 @@
     async def test_cut_off_keeps_the_response_before(self, recorder):
         """A reset destroys a complete response that is not read yet."""
         size = 4 * 1024 * 1024
+        started = asyncio.Event()
 
         async def handle(request, connection):
             if request.path == "/1":
+                await started.wait()
                 return leanhttp.Response(status=200, body=bytes(size))
+            started.set()
             return await recorder.handle(request, connection)
 
         listener = leanserver.Listener(LOOPBACK, handle, leanserver.Limits())
