HTTP server: heads, waiting requests and answers are on the account

The account of received bytes knew incomplete bodies, and write buffers from 256 KiB on. Heads, requests in hand and answers that wait for the one before them were on no account. Each connection now holds all of these from 16 KiB on, and its write buffer is full at 16 KiB instead of 64. Where the greatest holder has an incomplete request, it is refused (503, not run), else its connection is reset: a request that is handled may have had its effect. While the account is scarce, nothing is started ahead.

--- a/mangobay/httpparse.py
+++ b/mangobay/httpparse.py
@@ -36,6 +36,10 @@
 CHUNKED_PIECE_BYTES = 1024
 """Bytes of a chunked body that are parsed at a time at least."""
 EMPTY_LINES = re.compile(rb"[\r\n]*")
+HEADER_COPIES = 2
+"""Copies of each header in memory: as received, and decoded."""
+HEADER_OVERHEAD_BYTES = 320
+"""Memory of each header besides its bytes."""
 PART_OVERHEAD_BYTES = 64
 """Memory of each part of a body besides its bytes."""
 TARGET_PREFIXES = ("/", "http://", "https://")
@@ -77,6 +81,7 @@
       should_close: the connection is closed after the message.
       until_eof: the body of the response ends when the connection closes.
       complete: the end of the message has been received.
+      head_memory: memory of the headers and the target in bytes.
     """
 
     method: str = ""
@@ -96,6 +101,7 @@
     should_close: bool = False
     until_eof: bool = False
     complete: bool = False
+    head_memory: int = 0
 
     @property
     def body(self) -> bytes:
@@ -210,6 +216,17 @@
         new_messages, self.new_messages = self.new_messages, []
         return new_messages
 
+    @property
+    def head_memory(self) -> int:
+        """Memory of the head that is being received, in bytes."""
+        if not self.in_head:
+            return 0
+        head_bytes = self.head_bytes + self.partial_line_bytes
+        return (
+            HEADER_COPIES * head_bytes
+            + HEADER_OVERHEAD_BYTES * self.header_count
+        )
+
     def next_piece(self, data: bytes, start: int) -> int:
         """Returns the end of the bytes that complete one message at most.
 
@@ -297,6 +314,8 @@
     def on_headers_complete(self) -> None:
         """Hands out the message, whose body may still follow."""
         message = self.message
+        self.partial_line_bytes = 0
+        message.head_memory = self.head_memory
         self.in_head = False
         for name in SINGLETON_HEADERS:
             if len(message.headers.getall(name, ())) > 1:
--- a/mangobay/leanserver.py
+++ b/mangobay/leanserver.py
@@ -72,9 +72,11 @@
 what the kernel still holds."""
 CLOSE_POLL = 0.01
 """Seconds between checks whether the last responses have been sent."""
-MIN_HELD_UNSENT_BYTES = 256 * 1024
-"""Responses of a caller that does not read, from which on they are on the account
-of received bytes; large responses stay below."""
+MAX_UNHELD_BYTES = 16 * 1024
+"""Memory of a connection that is not on the account of received bytes; the same
+of its write buffer, which is full above it."""
+REQUEST_MEMORY_BYTES = 8 * 1024
+"""Memory of a request that is handled, besides its head and body."""
 SWEEP_SECONDS = 1.0
 """Seconds between checks for idle and slow connections."""
 
@@ -150,6 +152,18 @@
     turn: asyncio.Event | None = None
     framing: responsewriter.Framing | None = None
 
+    @property
+    def memory_bytes(self) -> int:
+        """Memory of the request and of its response."""
+        held_bytes = len(self.response_bytes)
+        if self.task is not None:
+            held_bytes += REQUEST_MEMORY_BYTES
+        if self.message is not None:
+            held_bytes += self.message.head_memory
+            if self.rest is None:
+                held_bytes += self.message.held_bytes
+        return held_bytes
+
 
 class UnsentResponses:
     """Responses in the write buffer of a caller that does not read them.
@@ -168,8 +182,7 @@
     def hold(self) -> None:
         """Updates the account of received bytes, which may end the connection."""
         unsent_bytes = self.transport.get_write_buffer_size()
-        if unsent_bytes >= MIN_HELD_UNSENT_BYTES:
-            receivedbytes.account.hold(self, unsent_bytes)
+        receivedbytes.account.hold(self, unsent_bytes)
 
     def drop_received(self) -> None:
         """Resets the connection; its responses are visibly incomplete."""
@@ -207,6 +220,7 @@
       requests_in_read: requests that began in the bytes of the last read.
       unparsed: received bytes that wait to be parsed, while reading is paused.
       ahead_count: requests besides the first one that are in hand.
+      is_held: the connection is on the account of received bytes.
     """
 
     __slots__ = (
@@ -223,6 +237,7 @@
         "exchanges",
         "held_bytes",
         "holder",
+        "is_held",
         "listener",
         "parser",
         "reading_paused",
@@ -262,6 +277,7 @@
         self.requests_in_read = 0
         self.unparsed = b""
         self.ahead_count = 0
+        self.is_held = False
         self.reading_paused = False
         self.unsent: UnsentResponses | None = None
 
@@ -270,6 +286,7 @@
         super().connection_made(transport)
         peer = transport.get_extra_info("peername")
         self.remote = peer[0] if peer else ""
+        transport.set_write_buffer_limits(high=MAX_UNHELD_BYTES)
         self.listener.connection_check.add(self)
         if (
             len(self.listener.connections)
@@ -309,6 +326,26 @@
         self.listener.requests_ahead += ahead_count - self.ahead_count
         self.ahead_count = ahead_count
 
+    def update_held(self) -> None:
+        """Updates what the connection holds of the account of received bytes.
+
+        This may end the connection.
+        """
+        transport = self.transport
+        held_bytes = 0
+        if transport is not None and not transport.is_closing():
+            held_bytes = len(self.unparsed) + self.parser.head_memory
+            for exchange in self.exchanges:
+                held_bytes += exchange.memory_bytes
+        if held_bytes > MAX_UNHELD_BYTES or (
+            held_bytes and self.is_receiving_body() and self.is_refusable()
+        ):
+            self.is_held = True
+            receivedbytes.account.hold(self, held_bytes)
+        elif self.is_held:
+            self.is_held = False
+            receivedbytes.account.release(self)
+
     def pause_writing(self) -> None:
         """Pauses reading while the caller does not read its responses.
 
@@ -407,6 +444,7 @@
         else:
             self.handle_in_pieces(data)
         self.count_held(len(data))
+        self.update_held()
 
     def max_read_bytes(self) -> int:
         """Returns how much the next read may return."""
@@ -447,17 +485,21 @@
         return (
             bool(self.exchanges)
             and not self.is_receiving_body()
-            and self.listener.requests_ahead >= MAX_REQUESTS_AHEAD
+            and (
+                self.listener.requests_ahead >= MAX_REQUESTS_AHEAD
+                or receivedbytes.account.is_scarce
+            )
         )
 
     def take_turn(self) -> bool:
         """Starts the next request; returns whether another one may follow."""
         if self.transport is None or not self.unparsed:
             return False
-        if self.handle_unparsed(1):
-            return True
-        self.resume_reading()
-        return False
+        goes_on = self.handle_unparsed(1)
+        self.update_held()
+        if not goes_on:
+            self.resume_reading()
+        return goes_on
 
     def drop_unparsed(self) -> None:
         """Drops what was not parsed: it is behind the last request."""
@@ -481,7 +523,6 @@
         receiving = self.exchanges[-1] if self.is_receiving_body() else None
         new_messages = self.parser.feed(data)
         if receiving is not None:
-            receivedbytes.account.release(self)
             self.receive_body(receiving)
         if not self.listener.limits.pipelining:
             self.end_pipelining(new_messages)
@@ -604,12 +645,16 @@
             message.complete or self.is_large(message)
         ):
             self.dispatch(exchange)
-        if exchange.task is None and self.is_receiving_body():
-            receivedbytes.account.hold(self, message.held_bytes)
 
     def drop_received(self) -> None:
-        """Refuses the request whose body is being received."""
-        self.refuse_incomplete()
+        """Refuses the request that is being received, or resets the connection.
+
+        Requests that are handled are not refused: they may have had an effect.
+        """
+        if self.is_refusable():
+            self.refuse_received()
+        else:
+            self.transport.abort()
 
     def is_large(self, message: httpparse.Message) -> bool:
         """Returns whether a request is handled while its body is received."""
@@ -923,6 +968,7 @@
             self.close()
         else:
             self.count_held(0)
+            self.update_held()
             self.resume_reading()
 
     def time_out(self) -> None:
