HTTP server: a few empty lines before a request, not 256 KiB of them

Callers that send empty lines without end occupied a process: each connection was read up to 256 KiB of them, and the next one after it. RFC 9112, 2.2 asks to bear one. More than 16 bytes of them before a request get 400 now, and the connection is closed. test_empty_lines_before_a_request failed before (it was answered nothing); memory never grew by them.

--- a/mangobay/httpparse.py
+++ b/mangobay/httpparse.py
@@ -36,6 +36,8 @@
 CHUNKED_PIECE_BYTES = 1024
 """Bytes of a chunked body that are parsed at a time at least."""
 EMPTY_LINES = re.compile(rb"[\r\n]*")
+MAX_EMPTY_BYTES = 16
+"""Bytes of empty lines before a request; some clients send one after a body."""
 HEADER_COPIES = 2
 """Copies of each header in memory: as received, and decoded."""
 HEADER_OVERHEAD_BYTES = 320
@@ -154,6 +156,7 @@
       message_completed: a message was completed by the last piece.
       partial_line_bytes: length of the last line, which is not ended yet.
       framing_bytes: bytes outside of heads since the last byte of a body.
+      empty_bytes: bytes of empty lines since the last message.
       head_bytes: bytes of the target and the headers of `message` so far.
       header_count: headers and trailers of `message` so far.
       target_parts: the request target in the pieces received so far.
@@ -174,6 +177,7 @@
         self.message_completed = False
         self.partial_line_bytes = 0
         self.framing_bytes = 0
+        self.empty_bytes = 0
         self.head_bytes = 0
         self.header_count = 0
         self.target_parts: list[bytes] = []
@@ -230,7 +234,8 @@
     def next_piece(self, data: bytes, start: int) -> int:
         """Returns the end of the bytes that complete one message at most.
 
-        A message that began in an earlier piece may come on top.
+        A message that began in an earlier piece may come on top. Sets `error` if
+        there are too many empty lines before the next one.
 
         Args:
           data: bytes that have not been parsed yet.
@@ -244,10 +249,23 @@
                 return min(start + missing_bytes, len(data))
             search_from = start + CHUNKED_PIECE_BYTES
         elif message is None:
-            search_from = EMPTY_LINES.match(data, start).end()
+            search_from = self.skip_empty_lines(data, start)
         found = data.find(HEAD_END, search_from)
         return len(data) if found < 0 else found + len(HEAD_END)
 
+    def skip_empty_lines(self, data: bytes, start: int) -> int:
+        """Returns the end of the empty lines at an index.
+
+        Sets `error` if there are too many of them before the next message.
+        """
+        if self.message is not None:
+            return start
+        end = EMPTY_LINES.match(data, start).end()
+        self.empty_bytes += end - start
+        if self.empty_bytes > MAX_EMPTY_BYTES:
+            self.error = ParseError(400, "too many empty lines")
+        return end
+
     def close(self) -> None:
         """Releases the llhttp parser, which refers back to this object."""
         self.native_parser = None
@@ -280,6 +298,7 @@
         self.message = Message()
         self.in_head = True
         self.framing_bytes = 0
+        self.empty_bytes = 0
         self.target_parts = []
         self.head_bytes = 0
         self.header_count = 0
--- a/mangobay/leanserver.py
+++ b/mangobay/leanserver.py
@@ -472,6 +472,8 @@
                 self.pause_reading()
                 return not waits
             end = self.parser.next_piece(data, start)
+            if self.rejects_empty_lines():
+                return False
             whole = start == 0 and end == len(data)
             self.handle_data(data if whole else data[start:end])
             request_count -= not self.parser.in_head
@@ -516,8 +518,19 @@
         for start in range(0, len(data), INTERNAL_PIECE_BYTES):
             if self.closing and not self.is_receiving_body():
                 return
+            self.parser.skip_empty_lines(data, start)
+            if self.rejects_empty_lines():
+                return
             self.handle_data(data[start : start + INTERNAL_PIECE_BYTES])
 
+    def rejects_empty_lines(self) -> bool:
+        """Returns whether empty lines without end were rejected."""
+        error = self.parser.error
+        if error is None or self.closing:
+            return False
+        self.send_error(error)
+        return True
+
     def handle_data(self, data: bytes) -> None:
         """Parses bytes of which the connection still takes notice."""
         receiving = self.exchanges[-1] if self.is_receiving_body() else None
--- a/tests/test_leanserver.py
+++ b/tests/test_leanserver.py
@@ -533,6 +533,19 @@
         assert recorder.requests == []
         writer.close()
 
+    async def test_empty_lines_before_a_request(self, listener):
+        """Guards against empty lines that a connection sends without end."""
+        reader, writer = await connect(listener)
+        for _ in range(2):
+            writer.write(b"\r\n\r\n" + get("/1"))
+            head, _ = await read_response(reader)
+            assert head.startswith("HTTP/1.1 200"), head
+        writer.write(b"\r\n" * 1000)
+        head, _ = await read_response(reader)
+        assert head.startswith("HTTP/1.1 400"), head
+        assert await reader.read() == b""
+        writer.close()
+
     async def test_header_above_the_limit_gets_status_431(
         self, listener, recorder
     ):
