aiohttp listeners: heads and unread responses are bounded and on the account

Callers that sent heads without end, or requests ahead with large heads, filled the programs whose listeners are aiohttp's: a node alone, at both its ports, and a control host at the operators' port exceeded 150,256 kB (seen when the watch stopped: 245,612, 245,656, 151,928, 409,304 and 176,880).

aiohttp bounds a line and the number of headers, some 2 MB a connection; behind 32 queued requests its parser keeps the rest of a read of 256 KiB; and a response that is not read stays in the write buffer.

--- a/mangobay/connectionlimits.py
+++ b/mangobay/connectionlimits.py
@@ -5,7 +5,7 @@
 
 from aiohttp import web
 
-from mangobay import listening, options
+from mangobay import boundedrequests, listening, options
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -63,9 +63,11 @@
         """Returns the protocol of a new connection."""
         if len(server.connections) >= self.limits.max_connections:
             return RefusedConnection()
-        connection = server()
-        self.awaiting_request.add(connection)
         loop = asyncio.get_running_loop()
+        connection = boundedrequests.Connection(
+            server, loop=loop, access_log=None
+        )
+        self.awaiting_request.add(connection)
         loop.call_later(
             self.limits.request_timeout, self.close_if_no_request, connection
         )
--- a/mangobay/httpserver.py
+++ b/mangobay/httpserver.py
@@ -9,6 +9,7 @@
 
 from mangobay import (
     bodyreceiver,
+    boundedrequests,
     calls,
     errors,
     httpheaders,
@@ -39,7 +40,7 @@
 ]
 
 
-class Connection(web.RequestHandler):
+class Connection(boundedrequests.Connection):
     """One connection of a caller.
 
     Attributes:
