Backend clients: a status outside of 100 to 599 is no answer

A backend server in trouble answers with status 000. Its caller waited for the deadline of the route and got 504, with the slot and the connection taken: what is below 200 counted as an interim response; so did 001, 099, and 150 with a body. 600 and 999 were passed on as answers. Through aiohttp, 000 and 600 were passed on.

By RFC 9110, 15, such a status is invalid. It makes the response unreadable at once now, in both clients and so in health checks and what nodes pass on: the connection is closed, and the request goes on as after any other broken response.

--- a/mangobay/aiohttpbackend.py
+++ b/mangobay/aiohttpbackend.py
@@ -10,6 +10,7 @@
     backend,
     errors,
     httpheaders,
+    httpparse,
     invariants,
     leanhttp,
     options,
@@ -143,6 +144,10 @@
             data=request.body or None,
             allow_redirects=False,
         ) as response:
+            if response.status not in httpparse.STATUSES:
+                raise errors.BackendBrokenError(
+                    f"{response.status} is no status"
+                )
             body = await self.read_body(request.method, response)
             return backend.Response(
                 status=response.status,
--- a/mangobay/httpparse.py
+++ b/mangobay/httpparse.py
@@ -45,6 +45,10 @@
 PART_OVERHEAD_BYTES = 64
 """Memory of each part of a body besides its bytes."""
 TARGET_PREFIXES = ("/", "http://", "https://")
+STATUSES = range(100, 600)
+"""Statuses of responses, RFC 9110, 15."""
+FIRST_FINAL_STATUS = 200
+"""Responses with lower statuses are interim responses."""
 NO_BODY_STATUSES = frozenset({204, 304})
 """Statuses of responses that never have a body."""
 
@@ -394,6 +398,13 @@
     def read_start_line(self, message: Message) -> None:
         """Fills in the status."""
         message.status = self.native_parser.get_status_code()
+        if message.status not in STATUSES:
+            raise ParseError(502, f"{message.status} is no status")
+        if message.status < FIRST_FINAL_STATUS and (
+            message.headers.get("Content-Length", "0") != "0"
+            or "Transfer-Encoding" in message.headers
+        ):
+            raise ParseError(502, "an interim response has a body")
         transfer_coding = message.headers.get("Transfer-Encoding", "").lower()
         message.until_eof = (
             "Content-Length" not in message.headers
--- a/mangobay/leanclient.py
+++ b/mangobay/leanclient.py
@@ -34,8 +34,6 @@
 KEEP_ALIVE_SHARE = 0.5
 """Share of the Keep-Alive timeout for which an idle connection is reused; the
 rest covers a close that is already on its way."""
-FIRST_FINAL_STATUS = 200
-"""Responses with lower statuses are interim responses."""
 MAX_INTERIM_RESPONSES = 64
 """Interim responses to one request; a server may send them without end."""
 FIRST_REPEATABLE_STATUS = 300
@@ -255,7 +253,7 @@
 
     def handle_head(self, message: httpparse.Message) -> None:
         """Accepts a response whose head is complete."""
-        if message.status < FIRST_FINAL_STATUS:
+        if message.status < httpparse.FIRST_FINAL_STATUS:
             self.count_interim()
             return
         if self.pending is None or self.message is not None:
--- a/tests/test_backend.py
+++ b/tests/test_backend.py
@@ -195,6 +195,14 @@
                 errors.ResponseTooLargeError,
             ),
             (b"rubbish\r\n\r\n", errors.BackendBrokenError),
+            (
+                b"HTTP/1.1 000 Odd\r\nContent-Length: 5\r\n\r\nhello",
+                errors.BackendBrokenError,
+            ),
+            (
+                b"HTTP/1.1 600 Odd\r\nContent-Length: 5\r\n\r\nhello",
+                errors.BackendBrokenError,
+            ),
         ],
     )
     async def test_incomplete_or_too_large_response_is_an_error(
--- a/tests/test_leanclient.py
+++ b/tests/test_leanclient.py
@@ -208,6 +208,18 @@
                 await server.send()
             assert server.attempt.sent
 
+    @pytest.mark.parametrize(
+        "status",
+        ["000", "001", "099", "600", "999", "0", "99", "1000", "150", "103"],
+    )
+    async def test_status_of_no_final_response_raises(self, status):
+        """Guards against answers that are none, passed on or waited for."""
+        script = [response_bytes().replace(b" 200 ", b" %s " % status.encode())]
+        async with ScriptedBackendServer(script) as server:
+            with pytest.raises(errors.BackendBrokenError):
+                await server.send()
+            assert server.attempt.sent
+
     async def test_duplicate_response_is_not_taken_for_the_next(self):
         """A caller gets the response to another caller's request.
 
