HTTP server: a request that offers an upgrade runs with its body

An offered upgrade is ignored now, as RFC 9110, 7.8 allows: the parser goes on behind the head with a new llhttp parser that knows the framing alone, reads the body, and the connection closes after the response.

--- a/mangobay/httpparse.py
+++ b/mangobay/httpparse.py
@@ -24,6 +24,7 @@
 SINGLETON_HEADERS = ("Content-Length", "Host")
 """Headers that must not repeat: two servers could read different requests from
 the same bytes (request smuggling)."""
+FRAMING_HEADERS = (b"content-length", b"transfer-encoding")
 JOINED_PARTS = 256
 """Parts of a body that are joined; a part of one byte takes dozens of bytes."""
 PIECE_BYTES = 32 * 1024
@@ -207,7 +208,7 @@
             # Reset by the first byte of a body or of the next head.
             self.framing_bytes += len(data)
         try:
-            self.native_parser.feed_data(data)
+            self.feed_native(data)
         except httptools.HttpParserUpgrade:
             # The bytes that follow belong to a protocol that is not supported.
             self.error = ParseError(400, "protocol upgrades are not supported")
@@ -224,6 +225,10 @@
         new_messages, self.new_messages = self.new_messages, []
         return new_messages
 
+    def feed_native(self, data: bytes) -> None:
+        """Passes bytes to llhttp."""
+        self.native_parser.feed_data(data)
+
     @property
     def head_memory(self) -> int:
         """Memory of the head that is being received, in bytes."""
@@ -369,12 +374,74 @@
 
 
 class RequestParser(Parser):
-    """Parses the requests of one connection."""
+    """Parses the requests of one connection.
+
+    An upgrade that a request offers is ignored, and its body is read.
+
+    Attributes:
+      is_resuming: a new llhttp parser is brought to the start of a body.
+    """
+
+    is_resuming = False
 
     def make_native_parser(self) -> httptools.HttpRequestParser:
         """Returns the llhttp parser."""
         return httptools.HttpRequestParser(self)
 
+    def feed_native(self, data: bytes) -> None:
+        """Passes bytes to llhttp, which stops behind a head with an upgrade."""
+        try:
+            self.native_parser.feed_data(data)
+        except httptools.HttpParserUpgrade as error:
+            (head_end,) = error.args
+            self.resume_at_body(self.message)
+            if head_end < len(data):
+                self.native_parser.feed_data(data[head_end:])
+
+    def resume_at_body(self, message: Message) -> None:
+        """Continues behind the head of a message with a new llhttp parser.
+
+        The connection closes after it, so it needs no more than the framing.
+        """
+        lines = [b"POST / HTTP/1.1", b"Host: x", b"Connection: close"]
+        lines += [
+            name + b": " + value
+            for name, value in message.raw_headers
+            if name.lower() in FRAMING_HEADERS
+        ]
+        self.native_parser = self.make_native_parser()
+        self.is_resuming = True
+        self.native_parser.feed_data(b"\r\n".join(lines) + HEAD_END)
+        self.is_resuming = False
+
+    def on_message_begin(self) -> None:
+        """Starts a new message."""
+        if not self.is_resuming:
+            super().on_message_begin()
+
+    def on_url(self, data: bytes) -> None:
+        """Stores a piece of the request target."""
+        if not self.is_resuming:
+            super().on_url(data)
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Stores a header; ignores a trailer."""
+        if not self.is_resuming:
+            super().on_header(name, value)
+
+    def on_headers_complete(self) -> None:
+        """Hands out the message, whose body may still follow."""
+        if not self.is_resuming:
+            super().on_headers_complete()
+
+    def on_message_complete(self) -> None:
+        """Marks the message as complete.
+
+        For llhttp, one that offers an upgrade ends with its head.
+        """
+        if not self.native_parser.should_upgrade():
+            super().on_message_complete()
+
     def read_start_line(self, message: Message) -> None:
         """Fills in the method and the target."""
         message.method = self.native_parser.get_method().decode("ascii")
--- a/tests/test_httpparse.py
+++ b/tests/test_httpparse.py
@@ -113,6 +113,23 @@
         assert message.should_close
         assert parser.error is not None
 
+    @pytest.mark.parametrize("cut", [0, 40, 100, 107, 120])
+    @pytest.mark.parametrize(
+        "framing, body",
+        [
+            (b"Content-Length: 5\r\n", b"hello"),
+            (b"Transfer-Encoding: chunked\r\n", b"5\r\nhello\r\n0\r\n\r\n"),
+        ],
+    )
+    def test_body_of_a_request_that_offers_an_upgrade(self, framing, body, cut):
+        """Guards against running a request without the body that it has."""
+        upgrade = HOST + b"Upgrade: h2c\r\nConnection: Upgrade\r\n" + framing
+        data = request(upgrade, body)
+        (message,), parser = parse(data[:cut], data[cut:])
+        assert message.complete
+        assert message.body == b"hello"
+        assert parser.error is None
+
 
 class TestLimits:
     """Limits on the size of a head."""
