HTTP server: an interim response waits for the response before it

It is written now when its request is the oldest one in hand, from the place that also lets a large response begin; until then its body does not time out. The other writers, looked at: errors of the parser, refusals, timeouts and stops queue an exchange and go through flush; the probe of half-closed callers asks for a response in progress; aiohttp's listener handles one request at a time.

--- a/mangobay/leanserver.py
+++ b/mangobay/leanserver.py
@@ -141,6 +141,8 @@
       turn: set once a large response may be written, after the responses to
         the requests before; None for other responses.
       framing: framing of a large response whose turn has come.
+      awaits_continue: the caller waits for an interim response before it sends
+        the body.
     """
 
     message: httpparse.Message | None
@@ -151,6 +153,7 @@
     should_close: bool = False
     turn: asyncio.Event | None = None
     framing: responsewriter.Framing | None = None
+    awaits_continue: bool = False
 
     @property
     def memory_bytes(self) -> int:
@@ -640,7 +643,21 @@
         if message.complete or exchange.response_bytes:
             return
         expected = message.headers.get("Expect", "").lower()
-        if expected == "100-continue" and self.transport is not None:
+        exchange.awaits_continue = expected == "100-continue"
+        self.send_continue()
+
+    def send_continue(self) -> None:
+        """Asks for the body of the oldest request if its caller waits for that.
+
+        Within or before another response, its caller would take the interim
+        response for a part of that one.
+        """
+        if len(self.exchanges) != 1 or self.transport is None:
+            return
+        (oldest,) = self.exchanges
+        if oldest.awaits_continue and self.is_receiving_body():
+            oldest.awaits_continue = False
+            oldest.received_at = self.body_received_at = self.loop.time()
             self.transport.write(leanhttp.CONTINUE_RESPONSE)
 
     def receive_body(self, exchange: Exchange) -> None:
@@ -977,6 +994,7 @@
         self.count_ahead()
         if self.exchanges and self.exchanges[0].turn is not None:
             self.exchanges[0].turn.set()
+        self.send_continue()
         if should_close:
             self.close()
         else:
@@ -1151,6 +1169,8 @@
         ):
             return False
         newest = self.exchanges[-1]
+        if newest.awaits_continue:
+            return False
         if (
             newest.rest is None
             and now - newest.received_at > MAX_PREFIX_SECONDS
--- a/tests/test_leanserver.py
+++ b/tests/test_leanserver.py
@@ -970,6 +970,124 @@
         writer.transport.abort()
 
 
+class SlowHandler:
+    """Responds after pauses with the body of the request, whole or in parts."""
+
+    def __init__(self, rng):
+        self.rng = rng
+
+    def consumed(self, byte_count):
+        pass
+
+    def abandoned(self):
+        pass
+
+    async def handle(self, request, connection):
+        in_parts = request.path.startswith("/parts")
+        if in_parts:
+            connection.hold_pipelining()
+        await asyncio.sleep(self.rng.random() * 0.02)
+        data = f"{request.path}:".encode() + request.body
+        if not in_parts:
+            return leanhttp.Response(status=200, body=data)
+        body = responsestream.Body(len(data), self)
+        asyncio.create_task(self.feed(body, data))
+        return leanhttp.Response(status=200, stream=body)
+
+    async def feed(self, body, data):
+        """Feeds a body in small pieces."""
+        for start in range(0, len(data), 5):
+            body.feed(data[start : start + 5])
+            await asyncio.sleep(0.002)
+        body.finish()
+
+
+async def read_final_response(reader):
+    """Returns the body of the next response, and the interim ones before it."""
+    interim_count = 0
+    while True:
+        head, body = await read_response(reader)
+        if not head.startswith("HTTP/1.1 100 "):
+            assert head.startswith("HTTP/1.1 200 "), head
+            return body, interim_count
+        interim_count += 1
+
+
+class TestOrderOfBytes:
+    """Every response begins where the one before it ends."""
+
+    @pytest.mark.parametrize("seed", range(12))
+    async def test_each_request_gets_its_own_whole_response(self, seed):
+        """Guards against bytes of one response, or an interim one, in another."""
+        rng = random.Random(seed)
+        listener = leanserver.Listener(
+            LOOPBACK,
+            SlowHandler(rng).handle,
+            leanserver.Limits(max_body_bytes=1000),
+        )
+        await listener.start()
+        reader, writer = await connect(listener)
+        expected, bodies = [], []
+        for number in range(12):
+            path = rng.choice(["/parts", "/whole"]) + str(number)
+            body = b"b" * rng.choice([0, 8])
+            asks = bool(body) and rng.random() < 0.6
+            head = get(path, "Expect: 100-continue\r\n" if asks else "")
+            if body:
+                head = head.replace(b"GET", b"POST").replace(
+                    b"\r\n\r\n", b"\r\nContent-Length: 8\r\n\r\n"
+                )
+            expected.append((f"{path}:".encode() + body, asks))
+            bodies.append((head, body))
+
+        async def send():
+            for head, body in bodies:
+                writer.write(head)
+                await asyncio.sleep(rng.choice([0, 0.005, 0.05]))
+                writer.write(body)
+
+        sending = asyncio.create_task(send())
+        async with asyncio.timeout(10):
+            for data, asks in expected:
+                body, interim_count = await read_final_response(reader)
+                assert body == data
+                assert interim_count <= int(asks)
+        await sending
+        writer.close()
+        await listener.close()
+
+    async def test_body_is_asked_for_behind_the_response_before(
+        self, large_recorder
+    ):
+        """Guards against a caller that waits for the interim response forever."""
+        large, listener = large_recorder
+        reader, writer = await connect(listener)
+        expect = "Expect: 100-continue\r\nContent-Length: 2\r\n"
+        writer.write(get("/large") + get("/2", expect))
+        large.body.feed(b"ab")
+        await asyncio.sleep(0.05)
+        large.body.finish()
+        head = await reader.readuntil(b"\r\n\r\n")
+        assert b"chunked" in head
+        body = await reader.readuntil(b"0\r\n\r\n")
+        assert body == b"2\r\nab\r\n0\r\n\r\n"
+        interim = await reader.readuntil(b"\r\n\r\n")
+        assert interim == leanhttp.CONTINUE_RESPONSE
+        writer.write(b"hi")
+        assert (await read_response(reader))[1] == b"/2"
+        writer.close()
+
+    @pytest.fixture
+    async def large_recorder(self):
+        large = LargeResponses()
+        listener = leanserver.Listener(
+            LOOPBACK, large.handle, leanserver.Limits(max_body_bytes=100)
+        )
+        await listener.start()
+        yield large, listener
+        await listener.close()
+
+
 class ReadingHandler:
     """Reads the rest of each request, and responds with its size.
 
