Control group: a voter that no leader speaks to asks to join

Its log named it a voter, so it sent no join requests, and a leader that had started since knew neither its address nor that it existed; the replaced machine stayed a voter that nobody could replace.

Who belongs is told by the group, not by the log of a host that was away: a voter that hears no leader for a second sends join requests like a host without a place, also to the voters of its own log. A leader replicates to it then, and it learns that it is a learner, and takes the place of the voter that is gone.

--- a/mangobay/joining.py
+++ b/mangobay/joining.py
@@ -20,6 +20,9 @@
 the time within which a replaced host should be back."""
 VOTER_CHECK_SECONDS = 1.0
 """Time between checks whether this host is still a voter."""
+SILENT_SECONDS = 1.0
+"""Time without a request of a leader after which a voter asks to join: its place
+may have been given away, and a new leader need not know its address."""
 REPLY_TIMEOUT_SECONDS = 0.25
 """Short, so that an unreachable seed does not delay the others."""
 
@@ -63,12 +66,20 @@
 async def run(
     group: "consensus.Group", transport: "peers.Transport"
 ) -> typing.NoReturn:
-    """Sends join requests while this host is not a voter, until cancelled."""
-    known_addresses = set(group.settings.hosts) - {group.address}
+    """Sends join requests while this host is not a voter, until cancelled.
+
+    Only the others can know whether it is one still.
+    """
+    started_at = group.now()
+    known_addresses = set(group.settings.hosts)
     while True:
-        if group.is_voter:
+        if is_known_voter(group, started_at):
             await asyncio.sleep(VOTER_CHECK_SECONDS)
             continue
+        known_addresses |= {
+            options.parse_address(text) for text in group.voter_addresses()
+        }
+        known_addresses.discard(group.address)
         replies = await asyncio.gather(
             *(
                 request_join(group, transport, address)
@@ -77,10 +88,22 @@
         )
         for addresses in replies:
             known_addresses |= addresses
-        known_addresses.discard(group.address)
         await asyncio.sleep(JOIN_INTERVAL_SECONDS)
 
 
+def is_known_voter(group: "consensus.Group", started_at: float) -> bool:
+    """Returns whether this host is a voter to which a leader replicates.
+
+    Args:
+      group: the group, as this host knows it.
+      started_at: loop time from which on a leader is awaited.
+    """
+    if not group.is_voter:
+        return False
+    heard_at = max(group.leader_contact_at, started_at)
+    return group.leading.is_set() or group.now() - heard_at <= SILENT_SECONDS
+
+
 async def request_join(
     group: "consensus.Group",
     transport: "peers.Transport",
--- a/tests/groupfakes.py
+++ b/tests/groupfakes.py
@@ -5,7 +5,7 @@
 import errno
 import random
 
-from mangobay import consensus, errors, ids, options, storage
+from mangobay import consensus, errors, ids, joining, options, storage
 from mangobay.generated import messages, settings
 
 ELECTION_TIMEOUT = 0.6
@@ -181,7 +181,10 @@
         if group is None:
             raise errors.PeerUnreachableError(str(receiver))
         try:
-            reply = await group.handle(body)
+            if isinstance(body, messages.GroupJoin):
+                reply = joining.handle_join(group, body)
+            else:
+                reply = await group.handle(body)
         except (errors.StorageError, asyncio.CancelledError) as error:
             raise errors.PeerBrokenError(str(error)) from error
         return await self.deliver(receiver, sender, reply)
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -6,7 +6,7 @@
 import pytest
 import xxhash
 
-from mangobay import errors, snapshottransfer, stepdown, storage
+from mangobay import errors, joining, snapshottransfer, stepdown, storage
 from mangobay.generated import messages
 
 pytestmark = pytest.mark.looptime
@@ -590,6 +590,48 @@
             assert not new.group.is_voter
             assert len(new.group.voters.newest()) == 3
 
+    @pytest.mark.parametrize("absence", ["crashed", "isolated"])
+    async def test_voter_whose_place_was_taken_while_it_was_away_joins(
+        self, absence
+    ):
+        """Guards against a host that takes itself for a voter and stays outside.
+
+        The hosts that have started since know only the seeds and the voters.
+        """
+        async with groupfakes.Cluster(voters=3) as cluster:
+            seeds = cluster.addresses
+            await cluster.commit("1")
+            leader = await cluster.leader()
+            lost, kept = cluster.others(leader)
+            await lost.crash()
+            away = await self.start_joining_host(cluster)
+            await cluster.wait_until(lambda: away.group.is_voter)
+            if absence == "crashed":
+                await away.crash(power_lost=False)
+            else:
+                cluster.isolate(away)
+            successor = await self.start_joining_host(cluster)
+            await cluster.wait_until(lambda: successor.group.is_voter)
+            group = [leader, kept, successor]
+            for host in group:
+                await host.crash(power_lost=False)
+            cluster.addresses = seeds
+            for host in group:
+                host.start()
+            await cluster.commit("2")
+            cluster.heal()
+            if absence == "crashed":
+                away.start(join=True)
+            joining_task = asyncio.create_task(
+                joining.run(away.group, away.group.transport)
+            )
+            await cluster.wait_until(lambda: not away.group.is_voter)
+            await kept.crash()
+            await cluster.wait_until(lambda: away.group.is_voter)
+            joining_task.cancel()
+            await successor.crash()
+            assert await cluster.commit("3") in (leader, away)
+
     async def test_returning_replaced_voter_elects_no_leader(self):
         """Two leaders accept changes, one of them elected by a former voter.
 
