Control group: the log is cut by its size, too, and kept once

The log was cut after 1,000 entries, whatever their size; an entry holds a whole document; a running process kept each entry decoded and encoded, and a start held the log three times.

--- a/bench/controlslopes.py
+++ b/bench/controlslopes.py
@@ -230,6 +230,7 @@
         heartbeat_interval=0.01,
         data=str(folder),
         snapshot_entries=1_000_000,
+        snapshot_bytes=1 << 30,
         join=False,
         seeds=(),
         voters=0,
--- a/mangobay/compaction.py
+++ b/mangobay/compaction.py
@@ -9,8 +9,8 @@
     from mangobay import consensus
 
 TRAILING_DIVISOR = 10
-"""The snapshot interval divided by this is the number of entries that a
-compacted log keeps before the snapshot's index."""
+"""The snapshot interval divided by this is the number and size of the entries
+that a compacted log keeps before the snapshot's index."""
 
 
 def restore_from_log(group: "consensus.Group") -> None:
@@ -27,6 +27,17 @@
     group.commit_and_apply(group.log.hard_state.commit)
 
 
+def is_snapshot_due(group: "consensus.Group") -> bool:
+    """Returns whether the log is so long or large that it is compacted."""
+    first_index = group.log.snapshot.last_index + 1
+    entry_count = group.applied_index + 1 - first_index
+    byte_count = group.log.bytes_between(first_index, group.applied_index)
+    return (
+        entry_count >= group.settings.snapshot_entries
+        or byte_count >= group.settings.snapshot_bytes
+    )
+
+
 async def take_snapshots(group: "consensus.Group") -> None:
     """Takes a snapshot and compacts the log whenever one is due.
 
@@ -34,6 +45,7 @@
       errors.StorageError: the disk failed.
     """
     trailing = group.settings.snapshot_entries // TRAILING_DIVISOR
+    trailing_bytes = group.settings.snapshot_bytes // TRAILING_DIVISOR
     while True:
         await group.snapshot_due.wait()
         async with group.lock:
@@ -50,7 +62,7 @@
             if snapshot.last_index <= group.log.snapshot.last_index:
                 continue
             await group.log.install_staged(
-                storage.STAGED_FILE, snapshot, data, trailing
+                storage.STAGED_FILE, snapshot, data, trailing, trailing_bytes
             )
             group.voters.restore_snapshot(snapshot)
 
--- a/mangobay/consensus.py
+++ b/mangobay/consensus.py
@@ -489,8 +489,5 @@
             self.machine.apply(entry)
             self.applied_index = entry.index
             self.waiters.resolve_proposal(entry)
-        entries_since_snapshot = (
-            self.applied_index - self.log.snapshot.last_index
-        )
-        if entries_since_snapshot >= self.settings.snapshot_entries:
+        if compaction.is_snapshot_due(self):
             self.snapshot_due.set()
--- a/mangobay/snapshottransfer.py
+++ b/mangobay/snapshottransfer.py
@@ -186,7 +186,7 @@
     Raises:
       errors.StorageError: the disk failed.
     """
-    await group.log.install_staged(storage.RECEIVED_FILE, snapshot, data, 0)
+    await group.log.install_staged(storage.RECEIVED_FILE, snapshot, data, 0, 0)
     group.voters.truncate(group.log.last_index + 1)
     group.voters.restore_snapshot(snapshot)
     group.machine.restore(snapshot)
--- a/mangobay/storage.py
+++ b/mangobay/storage.py
@@ -23,10 +23,25 @@
 
 @dataclasses.dataclass(slots=True)
 class Record:
-    """A log entry, decoded and as encoded on the disk."""
+    """A log entry.
+
+    Attributes:
+      entry: the entry.
+      size: its size on the disk, in bytes.
+      end: sum of the sizes up to here since the start of the process.
+      data: the encoded entry until it is synced; None afterwards.
+    """
 
     entry: messages.LogEntry
-    data: bytes
+    size: int
+    end: int = dataclasses.field(compare=False)
+    data: bytes | None = None
+
+    def encode(self) -> bytes:
+        """Returns the encoded entry."""
+        if self.data is not None:
+            return self.data
+        return messages.encode_log_entry(self.entry)
 
 
 class Storage:
@@ -120,11 +135,10 @@
             # power loss.
             self.disk.sync(LOG_FILE)
         self.first_index = scan.frames[0].first_index if scan.frames else 1
-        self.records = [
-            Record(messages.decode_log_entry(data), data)
-            for frame in scan.frames
-            for data in frame.records
-        ]
+        for frame in scan.frames:
+            for encoded in frame.records:
+                self.add_record(messages.decode_log_entry(encoded), encoded)
+                self.records[-1].data = None
         self.discard_replaced_entries()
         if scan.frames and not self.records:
             # Power was lost after a snapshot was installed and before the log
@@ -235,6 +249,20 @@
             return self.snapshot.last_term
         return None
 
+    def add_record(self, entry: messages.LogEntry, data: bytes) -> None:
+        """Adds an entry in memory."""
+        end = self.records[-1].end if self.records else 0
+        self.records.append(Record(entry, len(data), end + len(data), data))
+
+    def bytes_between(self, first_index: int, last_index: int) -> int:
+        """Returns the size of the entries in memory from one to another."""
+        first = max(first_index, self.first_index) - self.first_index
+        last = last_index - self.first_index
+        if not first <= last < len(self.records):
+            return 0
+        record = self.records[first]
+        return self.records[last].end - record.end + record.size
+
     def entry(self, index: int) -> messages.LogEntry:
         """Returns an entry that is in memory."""
         return self.records[index - self.first_index].entry
@@ -244,7 +272,7 @@
         entries: list[messages.LogEntry] = []
         size = 0
         for record in self.records[start - self.first_index :]:
-            size += len(record.data)
+            size += record.size
             if entries and size > max_bytes:
                 break
             entries.append(record.entry)
@@ -253,8 +281,7 @@
     def append(self, entries: list[messages.LogEntry]) -> None:
         """Appends entries in memory; the next `flush` makes them durable."""
         for entry in entries:
-            data = messages.encode_log_entry(entry)
-            self.records.append(Record(entry, data))
+            self.add_record(entry, messages.encode_log_entry(entry))
 
     async def flush(self) -> None:
         """Makes all entries durable that were appended before the call.
@@ -267,14 +294,15 @@
         last_index = self.last_index
         if start > last_index:
             return
-        records = [
-            record.data for record in self.records[start - self.first_index :]
-        ]
+        records = self.records[start - self.first_index :]
+        data = [record.encode() for record in records]
         is_new_file = start == self.first_index
         await self.run_disk_work(
-            lambda: self.write_frame(start, records, is_new_file)
+            lambda: self.write_frame(start, data, is_new_file)
         )
         self.synced_index = last_index
+        for record in records:
+            record.data = None
 
     def write_frame(
         self, start: int, records: list[bytes], is_new_file: bool
@@ -317,7 +345,7 @@
         # Truncating the file in place and appending the kept part of a frame
         # again would lose acknowledged entries in a crash between the two.
         kept = [
-            record.data
+            record.encode()
             for record in self.records[
                 : max(0, last_index - self.first_index + 1)
             ]
@@ -366,6 +394,7 @@
         snapshot: messages.Snapshot,
         data: bytes,
         trailing: int,
+        trailing_bytes: int,
     ) -> None:
         """Makes a staged snapshot the newest and compacts the log.
 
@@ -375,6 +404,7 @@
           data: the snapshot, encoded.
           trailing: number of entries before the snapshot's index to keep, for
             hosts that are slightly behind.
+          trailing_bytes: greatest size of these.
 
         Raises:
           errors.StorageError: the disk is full or failed.
@@ -384,6 +414,12 @@
         self.snapshot_data = data
         self.discard_replaced_entries()
         first_kept = max(self.first_index, snapshot.last_index + 1 - trailing)
+        while (
+            first_kept <= snapshot.last_index
+            and self.bytes_between(first_kept, snapshot.last_index)
+            > trailing_bytes
+        ):
+            first_kept += 1
         del self.records[: first_kept - self.first_index]
         self.first_index = first_kept
         # Entries that the snapshot replaced no longer count as synced.
--- a/tests/groupfakes.py
+++ b/tests/groupfakes.py
@@ -12,6 +12,7 @@
 HEARTBEAT_INTERVAL = 0.1
 REPLACE_AFTER = 1.5
 SNAPSHOT_ENTRIES = 40
+SNAPSHOT_BYTES = 1 << 24
 LOST_DELAY_SECONDS = 5.0
 
 
@@ -226,6 +227,7 @@
                 heartbeat_interval=HEARTBEAT_INTERVAL,
                 data="",
                 snapshot_entries=self.cluster.snapshot_entries,
+                snapshot_bytes=self.cluster.snapshot_bytes,
                 join=join,
                 seeds=(),
                 voters=self.cluster.voters,
@@ -272,6 +274,7 @@
         seed=1,
         size=3,
         snapshot_entries=SNAPSHOT_ENTRIES,
+        snapshot_bytes=SNAPSHOT_BYTES,
         voters=0,
         tolerance=0,
     ):
@@ -279,6 +282,7 @@
         self.voters = voters
         self.tolerance = tolerance
         self.snapshot_entries = snapshot_entries
+        self.snapshot_bytes = snapshot_bytes
         self.network = FakeNetwork(self.rng)
         self.committed: dict[int, messages.LogEntry] = {}
         self.addresses: tuple[options.Address, ...] = ()
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -549,6 +549,37 @@
             assert versions == [*map(str, range(1000)), "last"]
 
 
+class TestLogSize:
+    """The log of a day with large entries."""
+
+    async def test_log_is_cut_by_its_size(self):
+        """Guards against a log that fits into no process that starts."""
+        max_bytes = 100_000
+        async with groupfakes.Cluster(
+            snapshot_entries=5000, snapshot_bytes=max_bytes
+        ) as cluster:
+            for number in range(60):
+                await cluster.commit(f"{number}-{'x' * 10_000}")
+            await cluster.commit("last")
+            await asyncio.sleep(1)
+            sizes = [
+                sum(record.size for record in host.group.log.records)
+                for host in cluster.hosts
+            ]
+            file_sizes = [
+                len(host.disk.files[storage.LOG_FILE]) for host in cluster.hosts
+            ]
+            assert max(sizes + file_sizes) < 1.3 * max_bytes
+            for host in cluster.hosts:
+                await host.crash()
+            for host in cluster.hosts:
+                host.start()
+            leader = await cluster.commit("after")
+            versions = [version for _, version in leader.machine.sheets]
+            assert len(versions) == 62
+            assert versions[-2:] == ["last", "after"]
+
+
 class TestJoin:
     """Hosts that join without being in the settings of the others."""
 
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -11,6 +11,8 @@
 from mangobay import disk, errors, ids, storage
 from mangobay.generated import messages
 
+TRAILING_BYTES = 1 << 24
+
 
 def entry(index: int, term: int = 1) -> messages.LogEntry:
     body = messages.SheetChange(version=f"{term}.{index}")
@@ -31,7 +33,9 @@
 async def save_snapshot(log, snapshot, trailing: int) -> None:
     """Stages and installs a snapshot, as a host does to compact its log."""
     data = await log.stage(snapshot)
-    await log.install_staged(storage.STAGED_FILE, snapshot, data, trailing)
+    await log.install_staged(
+        storage.STAGED_FILE, snapshot, data, trailing, TRAILING_BYTES
+    )
 
 
 def reopen(files) -> storage.Storage:
@@ -216,7 +220,9 @@
         if index % 50 == 0:
             snapshot = messages.Snapshot(last_index=index)
             data = await log.stage(snapshot)
-            await log.install_staged(storage.STAGED_FILE, snapshot, data, 5)
+            await log.install_staged(
+                storage.STAGED_FILE, snapshot, data, 5, 1 << 24
+            )
         print(index, flush=True)
 
 asyncio.run(main())
