Refused input is counted, and logged once a minute

A head that is malformed or above a limit left no trace, or would have filled the log. Both HTTP servers count such input (mangobay_refused_input) and log one line a minute with the number so far.

--- a/mangobay/boundedrequests.py
+++ b/mangobay/boundedrequests.py
@@ -2,7 +2,7 @@
 
 from aiohttp import web
 
-from mangobay import httpparse, leanhttp, receivedbytes, smallreads
+from mangobay import badinput, httpparse, leanhttp, receivedbytes, smallreads
 
 HEADER_COPIES = 4
 """Copies of the bytes of a head in memory, with the objects around them."""
@@ -96,6 +96,7 @@
             self.head_bytes += len(data)
             if self.head_bytes > httpparse.MAX_HEAD_BYTES:
                 self.head_refused = True
+                badinput.refused.record("the head is too large")
                 super().data_received(TOO_LONG_LINE)
                 return
         self.hold(len(data))
--- a/mangobay/leanserver.py
+++ b/mangobay/leanserver.py
@@ -7,6 +7,7 @@
 import functools
 
 from mangobay import (
+    badinput,
     eager,
     halfclose,
     httpparse,
@@ -948,6 +949,7 @@
 
     def send_error(self, error: httpparse.ParseError) -> None:
         """Responds to malformed input after the responses that are due."""
+        badinput.refused.record(error.text)
         response = leanhttp.Response(status=error.status)
         if error.status == HEAD_TOO_LARGE_STATUS:
             response = self.listener.limit_response(error.status)
--- a/mangobay/nodegauges.py
+++ b/mangobay/nodegauges.py
@@ -4,6 +4,7 @@
 import typing
 
 from mangobay import (
+    badinput,
     callresolution,
     clock,
     metrics,
@@ -190,6 +191,12 @@
             for state in responsestream.State
             if state is not responsestream.State.OPEN
         ),
+        metrics.Gauge(
+            name="refused_input",
+            help="Malformed request heads, and those above a limit, that were "
+            "refused since the start.",
+            read_value=lambda: badinput.refused.count,
+        ),
         metrics.Gauge(
             name="received_bytes",
             help="Bytes received that this node cannot pass on yet.",
--- a/tests/test_leanserver.py
+++ b/tests/test_leanserver.py
@@ -12,6 +12,7 @@
 import pytest
 
 from mangobay import (
+    badinput,
     errors,
     halfclose,
     httpparse,
@@ -533,6 +534,27 @@
         assert recorder.requests == []
         writer.close()
 
+    async def test_is_counted_and_logged_once_a_minute(
+        self, listener, monkeypatch
+    ):
+        """Guards against a log that strangers fill."""
+        lines = []
+        monkeypatch.setattr(badinput, "refused", badinput.RefusedInput())
+        monkeypatch.setattr(
+            badinput.logs,
+            "log_event",
+            lambda component, text, **more: lines.append((text, more)),
+        )
+        for _ in range(3):
+            reader, writer = await connect(listener)
+            writer.write(b"GET / HTTP/1.1\r\nHost : h\r\n\r\n")
+            head, _ = await read_response(reader)
+            assert head.startswith("HTTP/1.1 400"), head
+            writer.close()
+        assert badinput.refused.count == 3
+        refusals = [more for text, more in lines if text == "input refused"]
+        assert [more["count"] for more in refusals] == [1]
+
     async def test_empty_lines_before_a_request(self, listener):
         """Guards against empty lines that a connection sends without end."""
         reader, writer = await connect(listener)
