--- a/tests/test_unruly_clients_processes.py
+++ b/tests/test_unruly_clients_processes.py
@@ -3,6 +3,7 @@
 import contextlib
 import functools
 import itertools
+import random
 import socket
 import subprocess
 import sys
@@ -170,6 +171,51 @@
         await self.check(fleet, 100, crowdfakes.empty_lines)
 
 
+def random_pieces(rng):
+    """Returns what the connections of a random crowd send."""
+    service = rng.choice(["a", "b"])
+    return rng.choice(
+        [
+            lambda: crowdfakes.head_without_end(rng.randrange(100, 16_000)),
+            lambda: crowdfakes.requests_ahead(
+                service, rng.choice([1, 64, 2000]), rng.randrange(12_000)
+            ),
+            crowdfakes.empty_lines,
+            lambda: [b"POST /x HTTP/1.1\r\nHost: a.example\r\n"],
+        ]
+    )
+
+
+@pytest.mark.soak
+class TestMixes:
+    """Several crowds at once at the port of a node that callers reach."""
+
+    @pytest.mark.parametrize("seed", range(10))
+    async def test_random_crowds(self, fleet, seed):
+        """Guards against clients whose mix costs more than each kind of them."""
+        rng = random.Random(seed)
+        attempts = itertools.count()
+        async with contextlib.AsyncExitStack() as stack:
+            for _ in range(3):
+                await stack.enter_async_context(
+                    crowdfakes.crowd(
+                        fleet.ip(ENTRY),
+                        platformfakes.OUTSIDE,
+                        rng.randrange(20, 130),
+                        random_pieces(rng),
+                    )
+                )
+            await check(
+                list(fleet.processes.values()),
+                lambda: fleet.request(ENTRY, "a", f"beside-{next(attempts)}"),
+                {200},
+                fleet.ip(ENTRY),
+                platformfakes.OUTSIDE,
+                rng.randrange(1, 100),
+                random_pieces(rng),
+            )
+
+
 STANDALONE_NODE = f"""
 [host]
 name = alone
