HTTP server: exchanges, delivery and unsent responses are modules of their own

No change of behaviour. Connection had all of this in one class: what a request holds, what its caller has acknowledged, and what stands in its write buffer, which the aiohttp listeners now share. The reading of requests, the order of responses and the end of a connection are still one class.

--- a/mangobay/boundedrequests.py
+++ b/mangobay/boundedrequests.py
@@ -2,7 +2,14 @@
 
 from aiohttp import web
 
-from mangobay import badinput, httpparse, leanhttp, receivedbytes, smallreads
+from mangobay import (
+    badinput,
+    httpparse,
+    leanhttp,
+    receivedbytes,
+    smallreads,
+    unsentresponses,
+)
 
 HEADER_COPIES = 4
 """Copies of the bytes of a head in memory, with the objects around them."""
@@ -13,26 +20,6 @@
 """What the parser rejects in every state within a head."""
 
 
-class UnsentResponse:
-    """A response in the write buffer of a caller that does not read it.
-
-    Attributes:
-      connection: the connection of the caller.
-    """
-
-    __slots__ = ("__weakref__", "connection")
-
-    cut_last = False
-
-    def __init__(self, connection: "Connection"):
-        self.connection = connection
-
-    def drop_received(self) -> None:
-        """Resets the connection; its response is visibly incomplete."""
-        if self.connection.transport is not None:
-            self.connection.transport.abort()
-
-
 class Connection(web.RequestHandler, smallreads.SmallReads):
     """One connection of a caller.
 
@@ -64,7 +51,7 @@
         self.held_bytes = 0
         self.head_refused = False
         self.newest_body = None
-        self.unsent: UnsentResponse | None = None
+        self.unsent: unsentresponses.UnsentResponses | None = None
 
     def connection_made(self, transport) -> None:
         """Bounds the write buffer."""
@@ -132,10 +119,7 @@
     def pause_writing(self) -> None:
         """Puts the response that is not read on the account."""
         super().pause_writing()
-        self.unsent = UnsentResponse(self)
-        receivedbytes.account.hold(
-            self.unsent, self.transport.get_write_buffer_size()
-        )
+        self.unsent = unsentresponses.UnsentResponses(self.transport)
 
     def resume_writing(self) -> None:
         """Notes that the write buffer has drained."""
@@ -145,5 +129,5 @@
     def release_unsent(self) -> None:
         """Takes the response off the account."""
         if self.unsent is not None:
-            receivedbytes.account.release(self.unsent)
+            self.unsent.release()
             self.unsent = None
--- a/mangobay/leanserver.py
+++ b/mangobay/leanserver.py
@@ -8,7 +8,9 @@
 
 from mangobay import (
     badinput,
+    delivery,
     eager,
+    exchanges,
     halfclose,
     httpparse,
     leanhttp,
@@ -26,6 +28,7 @@
     sockets,
     turns,
     unreadinput,
+    unsentresponses,
 )
 
 Handler = collections.abc.Callable[
@@ -76,8 +79,6 @@
 MAX_UNHELD_BYTES = 16 * 1024
 """Memory of a connection that is not on the account of received bytes; the same
 of its write buffer, which is full above it."""
-REQUEST_MEMORY_BYTES = 8 * 1024
-"""Memory of a request that is handled, besides its head and body."""
 SWEEP_SECONDS = 1.0
 """Seconds between checks for idle and slow connections."""
 
@@ -127,72 +128,6 @@
     )
 
 
-@dataclasses.dataclass(slots=True, eq=False)
-class Exchange:
-    """One request of a connection and its response.
-
-    Attributes:
-      message: the request as received so far; None if it was malformed.
-      rest: what follows the first bytes of a large body; None for others, and
-        until the request is handled.
-      received_at: loop time at which the head was complete.
-      task: handles the request; None until the body is complete or large.
-      response_bytes: the encoded response; empty until it is available.
-      should_close: the connection is closed after the response.
-      turn: set once a large response may be written, after the responses to
-        the requests before; None for other responses.
-      framing: framing of a large response whose turn has come.
-      awaits_continue: the caller waits for an interim response before it sends
-        the body.
-    """
-
-    message: httpparse.Message | None
-    rest: requestbody.RequestBody | None = None
-    received_at: float = 0.0
-    task: asyncio.Task | None = None
-    response_bytes: bytes = b""
-    should_close: bool = False
-    turn: asyncio.Event | None = None
-    framing: responsewriter.Framing | None = None
-    awaits_continue: bool = False
-
-    @property
-    def memory_bytes(self) -> int:
-        """Memory of the request and of its response."""
-        held_bytes = len(self.response_bytes)
-        if self.task is not None:
-            held_bytes += REQUEST_MEMORY_BYTES
-        if self.message is not None:
-            held_bytes += self.message.head_memory
-            if self.rest is None:
-                held_bytes += self.message.held_bytes
-        return held_bytes
-
-
-class UnsentResponses:
-    """Responses in the write buffer of a caller that does not read them.
-
-    Attributes:
-      transport: the connection of the caller.
-    """
-
-    __slots__ = ("__weakref__", "transport")
-
-    cut_last = False
-
-    def __init__(self, transport: asyncio.Transport):
-        self.transport = transport
-
-    def hold(self) -> None:
-        """Updates the account of received bytes, which may end the connection."""
-        unsent_bytes = self.transport.get_write_buffer_size()
-        receivedbytes.account.hold(self, unsent_bytes)
-
-    def drop_received(self) -> None:
-        """Resets the connection; its responses are visibly incomplete."""
-        self.transport.abort()
-
-
 class Connection(leanhttp.BaseConnection, smallreads.SmallReads):
     """One connection from a caller.
 
@@ -209,10 +144,7 @@
         it awaits responses.
       half_close_timer: set once the connection is half-closed; closes it.
       unread: what comes after the last request that is read; None before.
-      delivering: responses were written that may not be acknowledged yet.
-      unacknowledged_bytes: written bytes that were not acknowledged at the last
-        check.
-      acknowledged_at: loop time at which their number last changed.
+      delivery: what the caller has acknowledged of its responses.
       write_gate: closed while the write buffer is full; None before the first
         large response.
       starting: the request whose handler is being started, else None.
@@ -229,7 +161,6 @@
 
     __slots__ = (
         "__weakref__",
-        "acknowledged_at",
         "ahead_count",
         "body_received_at",
         "last_activity",
@@ -237,7 +168,7 @@
         "half_close_probe",
         "half_close_timer",
         "closing",
-        "delivering",
+        "delivery",
         "exchanges",
         "held_bytes",
         "holder",
@@ -248,7 +179,6 @@
         "remote",
         "requests_in_read",
         "starting",
-        "unacknowledged_bytes",
         "unparsed",
         "unread",
         "unsent",
@@ -263,7 +193,9 @@
         )
         self.listener = listener
         self.remote = ""
-        self.exchanges: collections.deque[Exchange] = collections.deque()
+        self.exchanges: collections.deque[exchanges.Exchange] = (
+            collections.deque()
+        )
         self.last_activity = loop.time()
         self.request_started_at = 0.0
         self.body_received_at = 0.0
@@ -271,19 +203,17 @@
         self.half_close_probe: halfclose.HalfCloseProbe | None = None
         self.half_close_timer: asyncio.TimerHandle | None = None
         self.unread: unreadinput.UnreadInput | None = None
-        self.delivering = False
-        self.unacknowledged_bytes = 0
-        self.acknowledged_at = 0.0
+        self.delivery = delivery.Delivery()
         self.write_gate: responsestream.WriteGate | None = None
-        self.starting: Exchange | None = None
-        self.holder: Exchange | None = None
+        self.starting: exchanges.Exchange | None = None
+        self.holder: exchanges.Exchange | None = None
         self.held_bytes = 0
         self.requests_in_read = 0
         self.unparsed = b""
         self.ahead_count = 0
         self.is_held = False
         self.reading_paused = False
-        self.unsent: UnsentResponses | None = None
+        self.unsent: unsentresponses.UnsentResponses | None = None
 
     def connection_made(self, transport) -> None:
         """Registers the connection; closes one if there are too many."""
@@ -359,13 +289,12 @@
         if self.write_gate is not None:
             self.write_gate.close()
         self.pause_reading()
-        self.unsent = UnsentResponses(self.transport)
-        self.unsent.hold()
+        self.unsent = unsentresponses.UnsentResponses(self.transport)
 
     def release_unsent(self) -> None:
         """Notes that the write buffer has drained."""
         if self.unsent is not None:
-            receivedbytes.account.release(self.unsent)
+            self.unsent.release()
             self.unsent = None
 
     def resume_writing(self) -> None:
@@ -629,7 +558,7 @@
 
     def handle_head(self, message: httpparse.Message) -> None:
         """Registers a request and dispatches it if it is complete."""
-        exchange = Exchange(
+        exchange = exchanges.Exchange(
             message,
             received_at=self.last_activity,
             should_close=message.should_close,
@@ -661,7 +590,7 @@
             oldest.received_at = self.body_received_at = self.loop.time()
             self.transport.write(leanhttp.CONTINUE_RESPONSE)
 
-    def receive_body(self, exchange: Exchange) -> None:
+    def receive_body(self, exchange: exchanges.Exchange) -> None:
         """Takes the received part of a body; dispatches the request if it may."""
         self.body_received_at = self.last_activity
         message = exchange.message
@@ -694,7 +623,7 @@
             and self.listener.continues_bodies
         )
 
-    def dispatch(self, exchange: Exchange) -> None:
+    def dispatch(self, exchange: exchanges.Exchange) -> None:
         """Handles a complete request, at once unless another one holds it."""
         if self.holder is None:
             self.start(exchange)
@@ -708,7 +637,7 @@
         """
         self.holder = self.starting
 
-    def release_held(self, exchange: Exchange) -> None:
+    def release_held(self, exchange: exchanges.Exchange) -> None:
         """Dispatches the requests behind a request if it holds them."""
         if self.holder is exchange:
             # Handlers start at once only outside of tasks.
@@ -730,7 +659,7 @@
                 self.start(exchange)
         self.resume_reading()
 
-    def start(self, exchange: Exchange) -> None:
+    def start(self, exchange: exchanges.Exchange) -> None:
         """Starts the handler of a complete request."""
         message = exchange.message
         body = message.body
@@ -757,7 +686,7 @@
                 functools.partial(self.listener.end_large_request, exchange)
             )
 
-    def continue_body(self, exchange: Exchange) -> bytes:
+    def continue_body(self, exchange: exchanges.Exchange) -> bytes:
         """Returns the first bytes of a large body; the rest follows them."""
         receivedbytes.account.release(self)
         message = exchange.message
@@ -774,7 +703,7 @@
             exchange.rest.finish()
         return received[: requestbody.PREFIX_BYTES]
 
-    def reject_body_size(self, exchange: Exchange) -> None:
+    def reject_body_size(self, exchange: exchanges.Exchange) -> None:
         """Rejects a body above the limit."""
         response = self.listener.limit_response(BODY_TOO_LARGE_STATUS)
         if exchange.task is not None:
@@ -785,7 +714,7 @@
                 response = leanhttp.Response(status=refusals.UNKNOWN_STATUS)
         self.end_unread(exchange, response)
 
-    def refuse(self, exchange: Exchange) -> None:
+    def refuse(self, exchange: exchanges.Exchange) -> None:
         """Refuses a request that was not handled."""
         exchange.message.take_body()
         response = refusals.retry_later_response()
@@ -843,7 +772,7 @@
             self.unread.message = None
 
     def end_unread(
-        self, exchange: Exchange, response: leanhttp.Response
+        self, exchange: exchanges.Exchange, response: leanhttp.Response
     ) -> None:
         """Responds to a request of which no more is read."""
         receivedbytes.account.release(self)
@@ -857,7 +786,7 @@
         self.flush()
 
     async def respond(
-        self, exchange: Exchange, request: leanhttp.Request
+        self, exchange: exchanges.Exchange, request: leanhttp.Request
     ) -> None:
         """Runs the handler on a request and writes its response."""
         try:
@@ -888,7 +817,7 @@
         self.release_held(exchange)
 
     async def write_stream(
-        self, exchange: Exchange, response: leanhttp.Response
+        self, exchange: exchanges.Exchange, response: leanhttp.Response
     ) -> None:
         """Writes a large response once those before it are written."""
         exchange.turn = asyncio.Event()
@@ -920,7 +849,7 @@
             self.transport, self.write_gate, self.listener.limits.stall_timeout
         )
 
-    def replace_stream(self, exchange: Exchange) -> None:
+    def replace_stream(self, exchange: exchanges.Exchange) -> None:
         """Responds with an error in place of a body that was cut off."""
         exchange.turn = None
         exchange.response_bytes = leanhttp.encode_response(
@@ -936,11 +865,11 @@
         turn = self.exchanges[0].turn
         return turn is not None and turn.is_set()
 
-    def end_stream(self, exchange: Exchange, complete: bool) -> None:
+    def end_stream(self, exchange: exchanges.Exchange, complete: bool) -> None:
         """Continues after a large response, or closes the connection."""
         self.exchanges.popleft()
         self.count_ahead()
-        self.start_delivery()
+        self.delivery.start(self.loop.time())
         if exchange.should_close or not complete:
             self.close()
         else:
@@ -963,7 +892,7 @@
         self.closing = True
         receivedbytes.account.release(self)
         response_bytes = leanhttp.encode_response(response, True, False)
-        exchange = Exchange(
+        exchange = exchanges.Exchange(
             None, response_bytes=response_bytes, should_close=True
         )
         self.exchanges.append(exchange)
@@ -989,8 +918,7 @@
             transport.write(
                 encoded[0] if len(encoded) == 1 else b"".join(encoded)
             )
-            self.delivering = True
-            self.acknowledged_at = self.last_activity
+            self.delivery.start(self.last_activity)
             if self.unsent is not None:
                 self.unsent.hold()
         self.count_ahead()
@@ -1053,19 +981,19 @@
             transport.resume_reading()
         self.drop_unparsed()
         self.read_no_more(None)
-        self.start_delivery()
+        self.delivery.start(self.loop.time())
         self.check_half_closed()
         self.count_held(0)
 
     def check_half_closed(self) -> None:
         """Closes a half-closed connection that its caller does not close."""
-        self.update_unacknowledged()
-        if self.unacknowledged_bytes:
+        self.delivery.update(self.transport, self.loop.time())
+        if self.delivery.unacknowledged_bytes:
             stall_timeout = self.listener.limits.stall_timeout
-            close_at = self.acknowledged_at + stall_timeout
+            close_at = self.delivery.acknowledged_at + stall_timeout
         else:
             close_at = max(
-                self.acknowledged_at + HALF_CLOSE_SECONDS,
+                self.delivery.acknowledged_at + HALF_CLOSE_SECONDS,
                 self.unread.end_at(HALF_CLOSE_SECONDS),
             )
         if self.loop.time() >= close_at:
@@ -1079,21 +1007,6 @@
             HALF_CLOSE_SECONDS / HALF_CLOSE_CHECKS, self.check_half_closed
         )
 
-    def start_delivery(self) -> None:
-        """Notes that bytes were written."""
-        self.delivering = True
-        self.acknowledged_at = self.loop.time()
-
-    def update_unacknowledged(self) -> None:
-        """Updates the number of written bytes without an acknowledgement."""
-        if not self.delivering:
-            return
-        count = sockets.count_unacknowledged_bytes(self.transport)
-        if count != self.unacknowledged_bytes:
-            self.unacknowledged_bytes = count
-            self.acknowledged_at = self.loop.time()
-        self.delivering = count > 0
-
     def eof_received(self) -> bool:
         """Returns whether the connection stays open for due responses."""
         if not self.may_await_responses():
@@ -1146,9 +1059,9 @@
             return False
         if self.unread is not None and self.unread.is_awaited(self.loop.time()):
             return True
-        self.update_unacknowledged()
-        stalled_for = self.loop.time() - self.acknowledged_at
-        return self.delivering and stalled_for < SHUTDOWN_STALL_SECONDS
+        self.delivery.update(self.transport, self.loop.time())
+        stalled_for = self.loop.time() - self.delivery.acknowledged_at
+        return self.delivery.pending and stalled_for < SHUTDOWN_STALL_SECONDS
 
     def is_slow(self, cutoff: float) -> bool:
         """Returns whether an incomplete request began before a loop time.
@@ -1198,7 +1111,7 @@
 
     def eviction_rank(self) -> tuple[bool, bool, float]:
         """Returns a key by which connections that wait are closed in order."""
-        has_responded = self.acknowledged_at > 0
+        has_responded = self.delivery.acknowledged_at > 0
         is_half_closed = self.half_close_timer is not None
         return not is_half_closed, has_responded, self.last_activity
 
@@ -1277,7 +1190,9 @@
             return leanhttp.Response(status=status)
         return refusals.retry_later_response()
 
-    def end_large_request(self, exchange: Exchange, task: asyncio.Task) -> None:
+    def end_large_request(
+        self, exchange: exchanges.Exchange, task: asyncio.Task
+    ) -> None:
         """Counts the end of a large request, and releases its body."""
         del task
         exchange.rest.abandon()
--- a/tests/test_leanserver.py
+++ b/tests/test_leanserver.py
@@ -371,7 +371,9 @@
         reader, writer = await small_buffer_connection(*listener.address)
         writer.write(get("/1"))
         async with asyncio.timeout(10):
-            while not any(each.delivering for each in listener.connections):
+            while not any(
+                each.delivery.pending for each in listener.connections
+            ):
                 await asyncio.sleep(0.01)
         (connection,) = listener.connections
         assert connection.transport.get_write_buffer_size() == 0
