HTTP server: parts of a body take no turns, and nothing follows a closing response

A body in chunks with empty lines would have been parsed in pieces of 1 kB, each of which counted as a request sent ahead; and a request behind a closing response could have been asked for its body. Found by reading; no run showed either.

--- a/mangobay/leanserver.py
+++ b/mangobay/leanserver.py
@@ -409,7 +409,7 @@
                 return False
             whole = start == 0 and end == len(data)
             self.handle_data(data if whole else data[start:end])
-            request_count -= not self.parser.in_head
+            request_count -= self.parser.message is None
             start = end
         return False
 
@@ -924,10 +924,10 @@
         self.count_ahead()
         if self.exchanges and self.exchanges[0].turn is not None:
             self.exchanges[0].turn.set()
-        self.send_continue()
         if should_close:
             self.close()
         else:
+            self.send_continue()
             self.count_held(0)
             self.update_held()
             self.resume_reading()
