Control group: former voters are named, and leaders reach for them

Each side relied on the other to know an address, and only the log outlives all of them. So a change of voters names those that lost their place to another host as learners (a field that the schema had and nobody used), up to two for each voter, and a leader replicates to them like to any follower, once a second while they are silent.

--- a/mangobay/consensus.py
+++ b/mangobay/consensus.py
@@ -177,8 +177,8 @@
             self.task_group.create_task(replication.replicate(self, follower))
 
     def add_voter_followers(self) -> None:
-        """Starts replicating to every voter of the newest configuration."""
-        for peer in self.voters.newest():
+        """Starts replicating to every host of the newest configuration."""
+        for peer in self.voters.newest() + self.voters.newest_learners():
             self.add_follower(options.parse_address(peer.address))
 
     def voter_addresses(self) -> list[str]:
--- a/mangobay/membership.py
+++ b/mangobay/membership.py
@@ -5,16 +5,24 @@
 learner. Once the learner has caught up, the leader makes its disk a voter in
 place of the former disk of the same address. There is at most one uncommitted
 change at a time.
+
+A voter that loses its place to another host is named a learner. It may be
+running and unreachable, and by the time it is back, it may know the address of
+no other host, so that the leader has to know its address.
 """
 
 import typing
 
-from mangobay import logs, progress
+from mangobay import logs, progress, voters
 from mangobay.generated import messages
 
 if typing.TYPE_CHECKING:
     from mangobay import consensus
 
+LEARNERS_PER_VOTER = 2
+"""Former voters that are named for each voter. A host that was away while each
+of the others was replaced is among them."""
+
 
 def promote_learner(group: "consensus.Group") -> None:
     """Makes one learner that has caught up a voter, if no change is pending."""
@@ -65,17 +73,16 @@
     """
     current = group.voters.newest()
     if any(voter.address == peer.address for voter in current):
-        return with_voter(current, peer)
+        return with_voter(group.voters, peer)
     max_voters = group.settings.voters and max(
         group.settings.voters, min_voters(group)
     )
     if not max_voters or len(current) < max_voters:
-        return with_voter(current, peer)
-    replaced = find_replaceable_voter(group, current)
+        return with_voter(group.voters, peer)
+    replaced = find_replaceable_voter(group)
     if replaced is None:
         return None
-    kept = [voter for voter in current if voter.identity != replaced.identity]
-    return messages.VoterChange(voters=[*kept, peer])
+    return with_voter(group.voters, peer, replaced)
 
 
 def min_voters(group: "consensus.Group") -> int:
@@ -97,37 +104,66 @@
 
 
 def find_replaceable_voter(
-    group: "consensus.Group", current: list[messages.Peer]
+    group: "consensus.Group",
 ) -> messages.Peer | None:
     """Returns the voter to replace, None if all were heard recently."""
+    return min(
+        find_silent_voters(group),
+        key=lambda voter: last_contact_at(group, voter),
+        default=None,
+    )
+
+
+def find_silent_voters(group: "consensus.Group") -> list[messages.Peer]:
+    """Returns the voters that have not answered this leader for too long."""
     replaceable_before = group.now() - group.settings.replace_after
-    if group.elected_at > replaceable_before:
+    if not group.leading.is_set() or group.elected_at > replaceable_before:
         # A new leader has not heard from anybody yet.
-        return None
-    others = [voter for voter in current if voter.identity != group.identity]
-    last_contacts = {
-        voter.identity: group.followers.value_of(
-            voter.identity, progress.Measure.LAST_CONTACT
-        )
-        for voter in others
-    }
-    longest_silent = min(
-        others, key=lambda voter: last_contacts[voter.identity], default=None
+        return []
+    return [
+        voter
+        for voter in group.voters.newest()
+        if voter.identity != group.identity
+        and last_contact_at(group, voter) <= replaceable_before
+    ]
+
+
+def last_contact_at(group: "consensus.Group", voter: messages.Peer) -> float:
+    """Returns the loop time of the last request that a voter answered."""
+    return group.followers.value_of(
+        voter.identity, progress.Measure.LAST_CONTACT
     )
-    if (
-        longest_silent is None
-        or last_contacts[longest_silent.identity] > replaceable_before
-    ):
-        return None
-    return longest_silent
 
 
 def with_voter(
-    current: list[messages.Peer], peer: messages.Peer
+    known: voters.Voters,
+    peer: messages.Peer,
+    replaced: messages.Peer | None = None,
 ) -> messages.VoterChange:
-    """Returns the voters with one added, in place of that of its address."""
-    others = [voter for voter in current if voter.address != peer.address]
-    return messages.VoterChange(voters=[*others, peer])
+    """Returns the voters with one added, in place of that of its address.
+
+    Args:
+      known: the voters so far.
+      peer: the new voter.
+      replaced: a voter of another address that becomes a learner.
+    """
+    kept = [
+        voter
+        for voter in known.newest()
+        if voter != replaced and voter.address != peer.address
+    ]
+    named = [*kept, peer]
+    former = [*known.newest_learners(), *([replaced] if replaced else [])]
+    addresses = {voter.address for voter in named}
+    learners = {
+        learner.address: learner
+        for learner in former
+        if learner.address not in addresses
+    }
+    max_learners = LEARNERS_PER_VOTER * len(named)
+    return messages.VoterChange(
+        voters=named, learners=list(learners.values())[-max_learners:]
+    )
 
 
 async def persist_voter_commit(group: "consensus.Group") -> None:
--- a/mangobay/replication.py
+++ b/mangobay/replication.py
@@ -18,6 +18,9 @@
 
 MAX_BATCH_BYTES = 1 << 20
 """Size limit of the entries in one request, which has at least one entry."""
+ABSENT_LEARNER_INTERVAL_SECONDS = 1.0
+"""Time between requests to a former voter that does not answer. Most are gone
+for good; one that is back also makes itself known."""
 FollowerReply = messages.AppendReply | messages.SnapshotReply
 
 
@@ -51,6 +54,8 @@
     if not answered:
         # Without the delay, a host that refuses connections would be sent
         # requests in a busy loop.
+        if is_absent_learner(group, follower):
+            interval = max(interval, ABSENT_LEARNER_INTERVAL_SECONDS)
         await asyncio.sleep(interval)
         return
     try:
@@ -60,6 +65,17 @@
         return
 
 
+def is_absent_learner(
+    group: "consensus.Group", follower: progress.Follower
+) -> bool:
+    """Returns whether a follower is a former voter that does not answer."""
+    silent_seconds = group.now() - follower.last_contact_at
+    return silent_seconds > group.settings.replace_after and any(
+        learner.address == str(follower.address)
+        for learner in group.voters.newest_learners()
+    )
+
+
 async def send_next(
     group: "consensus.Group", follower: progress.Follower
 ) -> bool:
--- a/mangobay/voters.py
+++ b/mangobay/voters.py
@@ -92,6 +92,10 @@
         """Returns the voters of the newest configuration."""
         return self.configs[-1].change.voters if self.configs else []
 
+    def newest_learners(self) -> list[messages.Peer]:
+        """Returns the former voters that the newest configuration names."""
+        return self.configs[-1].change.learners if self.configs else []
+
     def has_pending_change(self, commit_index: int) -> bool:
         """Returns whether the newest configuration is not yet committed."""
         return bool(self.configs) and self.configs[-1].index > commit_index
--- a/schema/messages.capnp
+++ b/schema/messages.capnp
@@ -621,6 +621,7 @@
   # A log entry: the voters of the control group from here on.
   voters @0 :List(Peer);
   learners @1 :List(Peer);
+  # Former voters that may come back; leaders replicate to them.
 }
 
 struct Peer {
--- a/tests/groupfakes.py
+++ b/tests/groupfakes.py
@@ -147,18 +147,25 @@
         self.groups: dict[options.Address, consensus.Group] = {}
         self.cut_links: set[tuple[options.Address, options.Address]] = set()
         self.frozen_hosts: set[options.Address] = set()
+        self.mute_hosts: set[options.Address] = set()
+        self.deaf_hosts: set[options.Address] = set()
         self.deliveries: set[asyncio.Task] = set()
         self.loss_rate = 0.0
         self.delay_seconds = 0.003
+        self.frozen_poll_seconds = 0.05
 
     def is_lost(self, sender, receiver) -> bool:
-        lost = self.rng.random() < self.loss_rate
-        return lost or (sender, receiver) in self.cut_links
+        return (
+            self.rng.random() < self.loss_rate
+            or (sender, receiver) in self.cut_links
+            or sender in self.mute_hosts
+            or receiver in self.deaf_hosts
+        )
 
     async def deliver(self, sender, receiver, body):
         await asyncio.sleep(self.delay_seconds * (0.5 + self.rng.random()))
         while sender in self.frozen_hosts or receiver in self.frozen_hosts:
-            await asyncio.sleep(0.05)
+            await asyncio.sleep(self.frozen_poll_seconds)
         if self.is_lost(sender, receiver):
             await asyncio.sleep(LOST_DELAY_SECONDS)
         return copy.deepcopy(body)
@@ -213,6 +220,7 @@
         self.name = ids.HostId(f"control-{address.port}")
         self.disk = FakeDisk(cluster.rng)
         self.task: asyncio.Task | None = None
+        self.joining_task: asyncio.Task | None = None
         self.group: consensus.Group
         self.machine: FakeStateMachine
 
@@ -222,7 +230,7 @@
         self.machine = self.make_machine()
         self.group = consensus.Group(
             settings.ControlGroup(
-                hosts=self.cluster.addresses,
+                hosts=self.cluster.configured_addresses(),
                 election_timeout=ELECTION_TIMEOUT,
                 heartbeat_interval=HEARTBEAT_INTERVAL,
                 data="",
@@ -243,6 +251,10 @@
         )
         self.cluster.network.groups[self.address] = self.group
         self.task = asyncio.create_task(self.group.run())
+        if self.cluster.joins:
+            self.joining_task = asyncio.create_task(
+                joining.run(self.group, self.group.transport)
+            )
 
     def make_machine(self):
         return FakeStateMachine(self.cluster.committed)
@@ -251,9 +263,10 @@
         if self.task is None:
             return
         self.cluster.network.groups.pop(self.address, None)
-        self.task.cancel()
-        await asyncio.wait([self.task])
-        self.task = None
+        for task in filter(None, (self.task, self.joining_task)):
+            task.cancel()
+            await asyncio.wait([task])
+        self.task = self.joining_task = None
         if power_lost:
             self.disk.crash()
 
@@ -267,7 +280,11 @@
 
 
 class Cluster:
-    """Control hosts on one fake network."""
+    """Control hosts on one fake network.
+
+    Attributes:
+      joins: whether hosts look for the group, as with `[group] seeds`.
+    """
 
     def __init__(
         self,
@@ -277,8 +294,10 @@
         snapshot_bytes=SNAPSHOT_BYTES,
         voters=0,
         tolerance=0,
+        joins=False,
     ):
         self.rng = random.Random(seed)
+        self.joins = joins
         self.voters = voters
         self.tolerance = tolerance
         self.snapshot_entries = snapshot_entries
@@ -296,6 +315,10 @@
             self.addresses += (address,)
             self.hosts.append(FakeHost(self, address))
 
+    def configured_addresses(self) -> tuple[options.Address, ...]:
+        """Returns the addresses in the settings of a host that starts now."""
+        return self.addresses
+
     async def __aenter__(self):
         for host in self.hosts:
             host.start()
@@ -318,6 +341,8 @@
     def heal(self) -> None:
         self.network.cut_links.clear()
         self.network.frozen_hosts.clear()
+        self.network.mute_hosts.clear()
+        self.network.deaf_hosts.clear()
         self.network.loss_rate = 0.0
         self.network.delay_seconds = 0.003
 
