Control group: how long a voter waits for its leader follows the settings

A voter asked to join after 1.0 s without a leader, beside an election timeout that is a setting. With heartbeats every 3 s every sound voter sent join requests to all others between any two of them, and with an election timeout of some seconds at each election.

The test (election timeout 10 s, heartbeats 3 s) failed before with requests in each interval.

--- a/mangobay/joining.py
+++ b/mangobay/joining.py
@@ -20,9 +20,10 @@
 the time within which a replaced host should be back."""
 VOTER_CHECK_SECONDS = 1.0
 """Time between checks whether this host is still a voter."""
-SILENT_SECONDS = 1.0
-"""Time without a request of a leader after which a voter asks to join: its place
-may have been given away, and a new leader need not know its address."""
+SILENT_ELECTION_TIMEOUTS = 2
+"""Time without a request of a leader after which a voter asks to join, in election
+timeouts: by then it has campaigned, and a leader that was elected instead has
+sent it a heartbeat, unless its place was given away and its address forgotten."""
 REPLY_TIMEOUT_SECONDS = 0.25
 """Short, so that an unreachable seed does not delay the others."""
 
@@ -100,8 +101,9 @@
     """
     if not group.is_voter:
         return False
-    heard_at = max(group.leader_contact_at, started_at)
-    return group.leading.is_set() or group.now() - heard_at <= SILENT_SECONDS
+    silent_seconds = group.now() - max(group.leader_contact_at, started_at)
+    max_silence = SILENT_ELECTION_TIMEOUTS * group.settings.election_timeout
+    return group.leading.is_set() or silent_seconds <= max_silence
 
 
 async def request_join(
--- a/tests/test_joining.py
+++ b/tests/test_joining.py
@@ -6,9 +6,10 @@
 import random
 
 import absencefakes
+import groupfakes
 import pytest
 
-from mangobay import membership, voters
+from mangobay import joining, membership, voters
 from mangobay.generated import messages
 
 pytestmark = pytest.mark.looptime
@@ -149,6 +150,28 @@
             await cluster.wait_for_voters(cluster.running(), 8.0)
 
 
+class TestJoinRequests:
+    """Who sends join requests, and when."""
+
+    async def test_a_voter_that_hears_its_leader_sends_none(self, monkeypatch):
+        """Guards against requests without end between rare heartbeats."""
+        monkeypatch.setattr(groupfakes, "ELECTION_TIMEOUT", 10.0)
+        monkeypatch.setattr(groupfakes, "HEARTBEAT_INTERVAL", 3.0)
+        requests = []
+        request_join = joining.request_join
+
+        def record(group, transport, address):
+            requests.append(address)
+            return request_join(group, transport, address)
+
+        async with absencefakes.SeededCluster() as cluster:
+            await cluster.wait_for_voters(cluster.hosts, 60)
+            await asyncio.sleep(10.0)
+            monkeypatch.setattr(joining, "request_join", record)
+            await asyncio.sleep(60.0)
+        assert not requests
+
+
 class TestLearners:
     """The former voters that a configuration names."""
 
