Control group: a voter that does not answer is logged and counted

- The leader logs once when a voter has been silent for `replace_after`, and once when it answers again or is replaced: `voter does not answer`, `voter answers again`, `silent voter is replaced`.
- A host logs when it begins to ask to join and when it votes again, with what its own log says; whoever learns of it that way logs `host asks to join`.

--- a/mangobay/consensus.py
+++ b/mangobay/consensus.py
@@ -20,6 +20,7 @@
     stepdown,
     storage,
     voters,
+    voterwatch,
     waiters,
 )
 from mangobay.generated import messages, settings
@@ -75,6 +76,7 @@
       leading: set while this host is the leader.
       snapshot_due: set when the log is long enough for a snapshot.
       followers: the other control hosts.
+      voter_watch: logs voters that do not answer this host as the leader.
       waiters: the callers that wait for this host as the leader.
       incoming_snapshot: the snapshot that the leader is sending, if any.
       install_lock: held while a received snapshot is staged and installed;
@@ -115,6 +117,7 @@
         self.elected_at = 0.0
         self.leader_of_term = (0, ids.DiskId(""))
         self.voters = voters.Voters()
+        self.voter_watch = voterwatch.VoterWatch()
         self.waiters = waiters.Waiters()
         self.flush_needed = asyncio.Event()
         self.leading = asyncio.Event()
@@ -168,13 +171,14 @@
         finally:
             self.stop()
 
-    def add_follower(self, address: options.Address) -> None:
-        """Starts replicating to another control host."""
+    def add_follower(self, address: options.Address) -> bool:
+        """Starts replicating to a control host; returns whether it is new."""
         if address == self.address or self.followers.find(address):
-            return
+            return False
         follower = self.followers.add(address, self.log.last_index + 1)
         if self.task_group is not None:
             self.task_group.create_task(replication.replicate(self, follower))
+        return True
 
     def add_voter_followers(self) -> None:
         """Starts replicating to every host of the newest configuration."""
@@ -185,6 +189,10 @@
         """Returns the peer addresses of the voters."""
         return [peer.address for peer in self.voters.newest()]
 
+    def silent_voter_count(self) -> int:
+        """Returns how many voters do not answer; 0 unless this host leads."""
+        return len(membership.find_silent_voters(self))
+
     def stop(self) -> None:
         """Steps down, blocks further writes and cancels background tasks."""
         self.step_down()
--- a/mangobay/election.py
+++ b/mangobay/election.py
@@ -107,6 +107,7 @@
 async def run_election_timer(group: "consensus.Group") -> None:
     """Campaigns at timeouts; checks quorum and voters while leading."""
     while True:
+        group.voter_watch.update(group)
         if group.role is Role.LEADER:
             await asyncio.sleep(group.settings.heartbeat_interval)
             check_quorum(group)
--- a/mangobay/joining.py
+++ b/mangobay/joining.py
@@ -9,7 +9,7 @@
 import dataclasses
 import typing
 
-from mangobay import errors, options
+from mangobay import errors, logs, options
 from mangobay.generated import messages, settings
 
 if typing.TYPE_CHECKING:
@@ -73,8 +73,13 @@
     """
     started_at = group.now()
     known_addresses = set(group.settings.hosts)
+    was_known = True
     while True:
-        if is_known_voter(group, started_at):
+        is_known = is_known_voter(group, started_at)
+        if is_known is not was_known:
+            log_state(group, is_known)
+        was_known = is_known
+        if is_known:
             await asyncio.sleep(VOTER_CHECK_SECONDS)
             continue
         known_addresses |= {
@@ -106,6 +111,19 @@
     return group.leading.is_set() or silent_seconds <= max_silence
 
 
+def log_state(group: "consensus.Group", is_known: bool) -> None:
+    """Logs that this host begins or ends to send join requests."""
+    logs.log_event(
+        logs.Component.GROUP,
+        "is a voter" if is_known else "asks to join",
+        address=str(group.address),
+        voter_by_own_log=group.voters.is_voter(group.identity),
+        leader=group.leader,
+        term=group.term,
+        commit_index=group.commit_index,
+    )
+
+
 async def request_join(
     group: "consensus.Group",
     transport: "peers.Transport",
@@ -133,9 +151,13 @@
       errors.PeerProtocolError: the request has no valid address.
     """
     try:
-        group.add_follower(options.parse_address(body.address))
+        address = options.parse_address(body.address)
     except ValueError as error:
         raise errors.PeerProtocolError(f"no address: {error}") from None
+    if group.add_follower(address):
+        logs.log_event(
+            logs.Component.GROUP, "host asks to join", address=body.address
+        )
     addresses = set(group.voter_addresses())
     if group.leader_address:
         addresses.add(group.leader_address)
--- a/mangobay/operatorapi.py
+++ b/mangobay/operatorapi.py
@@ -60,6 +60,10 @@
     commit_index: ids.LogIndex
     is_voter: bool
 
+    def silent_voter_count(self) -> int:
+        """Returns how many voters do not answer this host as the leader."""
+        ...
+
 
 class OperatorApi:
     """Serves the operator API.
--- a/tests/controlfakes.py
+++ b/tests/controlfakes.py
@@ -45,6 +45,9 @@
     def voter_addresses(self):
         return [self.leader_address]
 
+    def silent_voter_count(self):
+        return 0
+
     def append(self, body):
         self.last_index += 1
         entry = messages.LogEntry(
--- a/tests/test_joining.py
+++ b/tests/test_joining.py
@@ -9,7 +9,7 @@
 import groupfakes
 import pytest
 
-from mangobay import joining, membership, voters
+from mangobay import joining, logs, membership, voters
 from mangobay.generated import messages
 
 pytestmark = pytest.mark.looptime
@@ -172,6 +172,35 @@
         assert not requests
 
 
+class TestSilentVoters:
+    """What operators see of voters that do not answer."""
+
+    async def test_a_voter_that_never_answered_is_counted_and_logged_once(
+        self, monkeypatch
+    ):
+        """Guards against a group that tolerates fewer losses without notice."""
+        events = []
+        monkeypatch.setattr(
+            logs, "log_event", lambda _, event, **facts: events.append(event)
+        )
+        async with absencefakes.SeededCluster() as cluster:
+            await cluster.grow()
+            leader = await cluster.leader()
+            gone, *kept = cluster.others(leader)
+            await gone.crash()
+            await cluster.restart([leader, *kept])
+            await asyncio.sleep(CATCH_UP_SECONDS)
+            leader = await cluster.leader()
+            assert leader.group.silent_voter_count() == 1
+            assert [h.group.silent_voter_count() for h in kept].count(1) <= 1
+            assert events.count("voter does not answer") == 1
+            cluster.add_host()
+            await cluster.wait_for_voters(cluster.running())
+            await asyncio.sleep(1.0)
+            assert leader.group.silent_voter_count() == 0
+            assert events.count("silent voter is replaced") == 1
+
+
 class TestLearners:
     """The former voters that a configuration names."""
 
