Control group: a control host asks to join as soon as it starts

A process that has just started cannot know whether its place was given away while it was down.

Now it asks at once, and looks three times a second whether it has to; the leader's answer ends it. Only what goes on for a second round is logged.

--- a/mangobay/controlmetrics.py
+++ b/mangobay/controlmetrics.py
@@ -24,7 +24,7 @@
         ("leads", "1 while this host leads."),
         ("term", "Newest term this host has heard of."),
         ("commit_index", "Newest committed entry."),
-        ("votes", "1 while this host's disk is a voter."),
+        ("votes", "1 while this host is a voter by its own log."),
         ("voters", "Voters that this host knows of."),
         ("silent_voters", "Voters that do not answer; leader only."),
         ("revision", "Newest accepted revision."),
--- a/mangobay/joining.py
+++ b/mangobay/joining.py
@@ -16,10 +16,12 @@
     from mangobay import consensus, peers
 
 JOIN_INTERVAL_SECONDS = 0.3
-"""Time between join requests while this host is not a voter. Ten rounds fit into
-the time within which a replaced host should be back."""
-VOTER_CHECK_SECONDS = 1.0
-"""Time between checks whether this host is still a voter."""
+"""Time between join requests while this host is not a voter, and between checks
+whether it still is one. Ten rounds fit into the time within which a replaced host
+should be back."""
+LOGGED_ROUNDS = 2
+"""Rounds of join requests after which they are logged: the first one is also sent
+at a start and when a leader hands over."""
 SILENT_ELECTION_TIMEOUTS = 2
 """Time without a request of a leader after which a voter asks to join, in election
 timeouts: by then it has campaigned, and a leader that was elected instead has
@@ -71,17 +73,18 @@
 
     Only the others can know whether it is one still.
     """
-    started_at = group.now()
     known_addresses = set(group.settings.hosts)
-    was_known = True
+    rounds = 0
     while True:
-        is_known = is_known_voter(group, started_at)
-        if is_known is not was_known:
-            log_state(group, is_known)
-        was_known = is_known
-        if is_known:
-            await asyncio.sleep(VOTER_CHECK_SECONDS)
+        if is_known_voter(group):
+            if rounds >= LOGGED_ROUNDS:
+                log_state(group, "is a voter")
+            rounds = 0
+            await asyncio.sleep(JOIN_INTERVAL_SECONDS)
             continue
+        rounds += 1
+        if rounds == LOGGED_ROUNDS:
+            log_state(group, "asks to join")
         known_addresses |= {
             options.parse_address(text) for text in group.voter_addresses()
         }
@@ -97,25 +100,23 @@
         await asyncio.sleep(JOIN_INTERVAL_SECONDS)
 
 
-def is_known_voter(group: "consensus.Group", started_at: float) -> bool:
+def is_known_voter(group: "consensus.Group") -> bool:
     """Returns whether this host is a voter to which a leader replicates.
 
-    Args:
-      group: the group, as this host knows it.
-      started_at: loop time from which on a leader is awaited.
+    A process that has just started does not know, so that it asks at once.
     """
     if not group.is_voter:
         return False
-    silent_seconds = group.now() - max(group.leader_contact_at, started_at)
+    silent_seconds = group.now() - group.leader_contact_at
     max_silence = SILENT_ELECTION_TIMEOUTS * group.settings.election_timeout
     return group.leading.is_set() or silent_seconds <= max_silence
 
 
-def log_state(group: "consensus.Group", is_known: bool) -> None:
+def log_state(group: "consensus.Group", event: str) -> None:
     """Logs that this host begins or ends to send join requests."""
     logs.log_event(
         logs.Component.GROUP,
-        "is a voter" if is_known else "asks to join",
+        event,
         address=str(group.address),
         voter_by_own_log=group.voters.is_voter(group.identity),
         leader=group.leader,
--- a/tests/platformfakes.py
+++ b/tests/platformfakes.py
@@ -318,7 +318,7 @@
         self.third_octet = random.SystemRandom().randrange(1, 250)
         self.voters = voters
         self.tolerance = tolerance
-        self.seed_count = seeds
+        self.seed_numbers = range(1, seeds + 1)
         self.processes = {}
         self.backends = []
         self.backend_class = BackendServer
@@ -329,8 +329,7 @@
     @property
     def seeds(self):
         return " ".join(
-            f"{self.ip(number)}:{OPERATOR}"
-            for number in range(1, self.seed_count + 1)
+            f"{self.ip(number)}:{OPERATOR}" for number in self.seed_numbers
         )
 
     def start(self, name, template, program, **values):
