Quarantine: a node that starts asks the others before its server is there

**Class: a fresh process acts on what it does not know yet.** Which service a node will serve stands in its settings, and who serves it now comes with the routes. Runs that are due while the answers are on their way wait for them, 0.25 s at most: a silent node must not keep a service from its only free server.

The three new tests of tests/test_runguard.py failed before.

--- a/mangobay/quarantinenotices.py
+++ b/mangobay/quarantinenotices.py
@@ -31,6 +31,9 @@
 
 They are drawn by lot: a rack of nodes that restart together would ask each other.
 """
+ANSWER_WAIT_SECONDS = 0.25
+"""How long runs wait for the answers of the nodes that are asked after a start. A
+node that is frozen or cut off must not keep a service from its only free server."""
 KEEPERS = 3
 """Members that keep the claims of one request; a majority permits a run."""
 CLAIM_TIMEOUT_SECONDS = 0.5
@@ -60,6 +63,19 @@
     )
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Question:
+    """What other members are asked after a start.
+
+    Attributes:
+      asked_at: loop time at which they were asked.
+      tasks: one for each asked member, with whether it has replied.
+    """
+
+    asked_at: float
+    tasks: list[asyncio.Task[bool]]
+
+
 class QuarantineExchange:
     """Tells the other nodes of a service, and merges what they know.
 
@@ -72,8 +88,11 @@
       quarantine: the state of this node.
       views: who serves what.
       served: the services of the backend server on this host.
+      expected: the service that it will serve, as the settings say; empty if
+        they do not.
       asked: the services whose members are asked for everything, or were and
         have replied.
+      questions: the open ones of these questions, by service.
       batches: changes not sent yet, by service and delay.
       tasks: the messages that are being sent.
       resending: members that are told again, as they could not be told.
@@ -92,7 +111,9 @@
         self.quarantine = known
         self.views: Views = {}
         self.served: list[ids.ServiceName] = []
+        self.expected = ids.ServiceName("")
         self.asked: set[ids.ServiceName] = set()
+        self.questions: dict[ids.ServiceName, Question] = {}
         self.batches: dict[tuple[ids.ServiceName, float], Batch] = {}
         self.tasks: set[asyncio.Task] = set()
         self.resending: set[ids.HostId] = set()
@@ -102,7 +123,7 @@
     def update_views(self, views: Views) -> None:
         """Notes who serves what."""
         self.views = views
-        for service in self.served:
+        for service in {*self.served, self.expected}:
             self.ask_others(service)
 
     def update_served(self, services: list[ids.ServiceName]) -> None:
@@ -119,7 +140,9 @@
     def ask_others(self, service: ids.ServiceName) -> None:
         """Asks some other members for what they know, until one has replied.
 
-        This process may have been restarted and have forgotten it.
+        This process may have been restarted and have forgotten it. It asks as
+        soon as it knows the members: by the time its backend server is there,
+        the last one that remembers may have ended.
         """
         members = self.other_members(service)
         if service in self.asked or not members:
@@ -133,16 +156,30 @@
             )
         ]
 
-        def ask_again_if_silent(task: asyncio.Task) -> None:
+        question = Question(asyncio.get_running_loop().time(), tasks)
+        self.questions[service] = question
+
+        def note_answer(task: asyncio.Task) -> None:
             del task
-            if all(
-                each.done() and (each.cancelled() or not each.result())
-                for each in tasks
-            ):
+            if not all(each.done() for each in tasks):
+                return
+            if self.questions.get(service) is question:
+                del self.questions[service]
+            if all(each.cancelled() or not each.result() for each in tasks):
                 self.asked.discard(service)
 
         for task in tasks:
-            task.add_done_callback(ask_again_if_silent)
+            task.add_done_callback(note_answer)
+
+    async def wait_for_answers(self, service: ids.ServiceName) -> None:
+        """Waits for the other members that are asked since the start."""
+        question = self.questions.get(service)
+        if question is None:
+            return
+        now = asyncio.get_running_loop().time()
+        seconds = question.asked_at + ANSWER_WAIT_SECONDS - now
+        if seconds > 0:
+            await asyncio.wait(question.tasks, timeout=seconds)
 
     def other_members(self, service: ids.ServiceName) -> list[messages.Member]:
         """Returns the members of a service without this host."""
--- a/mangobay/routednode.py
+++ b/mangobay/routednode.py
@@ -134,6 +134,9 @@
     def make_quarantine(self) -> None:
         """Creates the guard of the backend server, unless it is off."""
         super().make_quarantine()
+        self.quarantine_exchange.expected = ids.ServiceName(
+            self.config.backend.service
+        )
         guard = self.executor.guard
         if guard is not None:
             guard.has_open_connection = self.backend.has_open_connection
--- a/mangobay/runguard.py
+++ b/mangobay/runguard.py
@@ -274,6 +274,8 @@
         A suspected request claims an end first, so that the others count it
         even if this node ends with its backend server.
         """
+        if self.exchange.questions:
+            await self.exchange.wait_for_answers(call.service)
         if self.quarantine.is_empty:
             return None
         refusal = self.refuse(call, running_call)
--- a/tests/test_runguard.py
+++ b/tests/test_runguard.py
@@ -277,6 +277,50 @@
         await asyncio.sleep(0.1)
         assert refuse(restarted) is not None
 
+    async def test_a_restarted_node_asks_before_its_server_is_announced(self):
+        """Guards against ends that are forgotten as the last other node ends."""
+        network = Network()
+        guard = network.add_node(1)
+        network.add_node(2)
+        network.publish_view([1, 2])
+        await Run(guard).crash("e1")
+        restarted = network.add_node(2)
+        exchange = network.exchanges[2]
+        exchange.expected = "stock"
+        exchange.update_views(network.exchanges[1].views)
+        await asyncio.sleep(0.1)
+        network.cut.add(1)
+        exchange.update_served(["stock"])
+        await asyncio.sleep(0.1)
+        assert list(restarted.quarantine.suspects) == [
+            requestdigest.digest_of(CALL)
+        ]
+
+    async def test_runs_wait_for_the_answers_after_a_restart(self):
+        """Guards against a first run of what the others know as quarantined."""
+        network = Network(delay=0.1)
+        guard = network.add_node(1)
+        network.add_node(2)
+        network.publish_view([1, 2])
+        await quarantine_at(guard)
+        restarted = network.add_node(2)
+        network.publish_view([1, 2])
+        refusal = await begin(restarted)
+        assert refusal.reason is Reason.QUARANTINED
+
+    async def test_runs_do_not_wait_long_for_answers(self):
+        """Guards against a silent node that keeps others from serving."""
+        network = Network()
+        network.add_node(1)
+        restarted = network.add_node(2)
+        network.cut.add(1)
+        network.publish_view([1, 2])
+        began_at = asyncio.get_running_loop().time()
+        for _ in range(3):
+            assert await begin(restarted) is None
+        waited = asyncio.get_running_loop().time() - began_at
+        assert waited == pytest.approx(quarantinenotices.ANSWER_WAIT_SECONDS)
+
     async def test_a_node_whose_question_was_lost_asks_again(self):
         """A node that could not ask at its start runs what others refuse."""
         network = Network()
