--- a/tests/test_soak_processes.py
+++ b/tests/test_soak_processes.py
@@ -3,6 +3,7 @@
 import dataclasses
 import pathlib
 
+import pytest
 from adapter import fakeplatform
 
 from bench.soak import bounds, judge, play, report, world
@@ -16,6 +17,8 @@
 CRASH_SECONDS = 6.0
 MANNERS_SEED = 57144
 MANNERS_SECONDS = 10.0
+EMPTIED_SEED = 316807
+EMPTIED_SECONDS = 20.0
 BUSY = dataclasses.replace(
     bounds.TARGET, loss_slack=1.0, config_apply=5.0, freed=2.0
 )
@@ -77,3 +80,15 @@
             BUSY,
         )
         assert not found, explanation
+
+    @pytest.mark.soak
+    async def test_one_control_host_frozen_and_another_emptied(self, tmp_path):
+        """Guards against a node that serves by an outdated configuration."""
+        found, explanation = await find_breaks(
+            tmp_path,
+            EMPTIED_SEED,
+            EMPTIED_SECONDS,
+            world.Size(nodes=6, controls=3),
+            bounds.TARGET,
+        )
+        assert not found, explanation
