Platform: a process that has closed everything ends at once

Told to stop at 12.400, it logged `node: stopped` at 18.053, was killed at 18.499, and its exit code of 18.522 is its own: it had been freeing its objects for 0.45 s. The schedule of a stop keeps 0.4 s for that.

All sockets, files and threads are closed by then, output is flushed first.

The test has an exit handler that sleeps; the function is new.

--- a/mangobay/program.py
+++ b/mangobay/program.py
@@ -3,6 +3,7 @@
 import argparse
 import asyncio
 import enum
+import os
 import signal
 import sys
 import typing
@@ -21,6 +22,18 @@
     BAD_SETTINGS = 2
 
 
+def exit_process(code: int) -> typing.NoReturn:
+    """Ends this process without tearing down the interpreter.
+
+    A daemon has closed everything by then. On a busy host the interpreter takes
+    about half a second to free its objects, and a process that is killed
+    meanwhile looks as if it had not stopped in time.
+    """
+    sys.stdout.flush()
+    sys.stderr.flush()
+    os._exit(code)
+
+
 class Program:
     """A daemon; subclasses define its name, settings and work.
 
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -35,6 +35,14 @@
 sys.exit(code)
 """
 
+EXIT_PROGRAM = """import atexit, sys, time
+from mangobay import program
+
+atexit.register(time.sleep, 600)
+print("last line", end="")
+program.exit_process(3)
+"""
+
 
 @pytest.fixture
 def pipe(tmp_path):
@@ -121,3 +129,18 @@
         ]
         process = start_process([*command, "--settings", path])
         assert wait_for_exit(process) == (0, "")
+
+
+class TestExit:
+    """The end of a process that has closed everything."""
+
+    def test_nothing_is_torn_down(self):
+        """Guards against a kill at the end of the grace while objects are freed."""
+        ended = subprocess.run(
+            [sys.executable, "-c", EXIT_PROGRAM],
+            capture_output=True,
+            text=True,
+            timeout=WAIT_SECONDS,
+            check=False,
+        )
+        assert (ended.returncode, ended.stdout) == (3, "last line")
