--- a/mangobay/joining.py
+++ b/mangobay/joining.py
@@ -19,7 +19,7 @@
 """Time between join requests while this host is not a voter, and between checks
 whether it still is one. Ten rounds fit into the time within which a replaced host
 should be back."""
-LOGGED_ROUNDS = 2
+ROUNDS_UNTIL_LOGGED = 2
 """Rounds of join requests after which they are logged: the first one is also sent
 at a start and when a leader hands over."""
 SILENT_ELECTION_TIMEOUTS = 2
@@ -77,13 +77,13 @@
     rounds = 0
     while True:
         if is_known_voter(group):
-            if rounds >= LOGGED_ROUNDS:
+            if rounds >= ROUNDS_UNTIL_LOGGED:
                 log_state(group, "is a voter")
             rounds = 0
             await asyncio.sleep(JOIN_INTERVAL_SECONDS)
             continue
         rounds += 1
-        if rounds == LOGGED_ROUNDS:
+        if rounds == ROUNDS_UNTIL_LOGGED:
             log_state(group, "asks to join")
         known_addresses |= {
             options.parse_address(text) for text in group.voter_addresses()
