At most once: a node that leaves takes back the starts that it refused

Cause: an owner tells the holders of a key before it starts a call. But a node leaves as soon as it has handed its records over, and a refused call has none: where the new owner is slower than that, the one that could tell is gone, its start counts as a run whose outcome nobody knows.

A call that it has taken back never starts there again, so that a withdrawal that arrives late takes back no run. Old nodes ignore the new field.

test_repeat_runs_though_the_old_owner_has_left and test_a_withdrawn_call_never_starts_again failed before.

--- a/mangobay/completion.py
+++ b/mangobay/completion.py
@@ -4,7 +4,7 @@
 import collections.abc
 import math
 
-from mangobay import copies, ids, logs, records, slotownership
+from mangobay import copies, ids, logs, records, slotownership, withdrawals
 from mangobay.generated import messages
 
 POLL_INTERVAL_SECONDS = 0.05
@@ -78,6 +78,7 @@
                 log_pending(ownership, this_process)
         for ownership in ownerships.values():
             await copies.hand_over(ownership, sender, now)
+            await withdrawals.withdraw(ownership, sender, now)
         await asyncio.sleep(POLL_INTERVAL_SECONDS)
 
 
@@ -90,6 +91,7 @@
         unfinished_records(ownership, this_process)
         or ownership.owned_slots
         or ownership.unfetched_slots()
+        or ownership.refused_starts.by_key
     )
 
 
--- a/mangobay/copies.py
+++ b/mangobay/copies.py
@@ -89,6 +89,8 @@
     ownership.fence(message.view_version)
     for entry in message.entries:
         ownership.merge(entry, now)
+    for entry in message.refused:
+        ownership.withdraw_start(entry)
     # A floor replaces records that the owner did not have. Without it the
     # holder would claim to know the history, and the next owner would run older
     # keys a second time.
--- a/mangobay/slotownership.py
+++ b/mangobay/slotownership.py
@@ -8,7 +8,14 @@
 import collections.abc
 import dataclasses
 
-from mangobay import calls, ids, invariants, keyslots, records
+from mangobay import (
+    calls,
+    ids,
+    invariants,
+    keyslots,
+    records,
+    refusedstarts,
+)
 from mangobay.generated import messages
 
 
@@ -56,6 +63,8 @@
         been created before it get `unknown`.
       fetched_versions: per slot, newest version in which another node fetched
         its records.
+      refused_starts: calls refused here after other members were told of their
+        start.
       change_event: set and replaced when the view or a known history changes.
     """
 
@@ -80,6 +89,7 @@
         self.held_at: dict[ids.Slot, ids.ViewVersion] = {}
         self.floors: dict[ids.Slot, int] = {}
         self.fetched_versions: dict[ids.Slot, ids.ViewVersion] = {}
+        self.refused_starts = refusedstarts.RefusedStarts()
         self.change_event = asyncio.Event()
 
     def make_placement(
@@ -140,6 +150,17 @@
             return
         self.registry.merge(entry, now)
 
+    def withdraw_start(self, entry: messages.OnceEntry) -> None:
+        """Removes a call that its runner, which is leaving, has refused."""
+        record = self.registry.get(entry.key)
+        runner = ProcessId(entry.runner, entry.runner_incarnation)
+        if (
+            record is not None
+            and record.state is records.State.STARTED
+            and runner_of(record) == runner != self.this_process
+        ):
+            self.registry.remove_as_not_run(record)
+
     def records_started_by(self, runner: ProcessId) -> list[records.Record]:
         """Returns the started records of owned slots that a process runs."""
         return [
--- a/mangobay/startcheck.py
+++ b/mangobay/startcheck.py
@@ -9,7 +9,7 @@
 import dataclasses
 import typing
 
-from mangobay import copies, errors, invariants, records, slotownership
+from mangobay import copies, errors, ids, invariants, records, slotownership
 from mangobay.generated import messages
 
 if typing.TYPE_CHECKING:
@@ -56,6 +56,23 @@
         self.check_may_start()
         version = self.ownership.view.version
         holders = self.ownership.placement.holders(self.record.slot)
+        try:
+            await self.notify_and_check(holders, version)
+        except BaseException:
+            if holders:
+                self.ownership.refused_starts.add(self.record, holders)
+            raise
+        self.ownership.refused_starts.discard(self.record.key)
+        self.record.state = records.State.STARTED
+
+    async def notify_and_check(
+        self, holders: list[messages.Member], version: ids.ViewVersion
+    ) -> None:
+        """Notifies the holders, and checks again that the call may start.
+
+        Raises:
+          StartRefusedError: it must not start here.
+        """
         if holders:
             await self.notify_holders(holders)
         # Nothing is awaited between this check and the first byte: a node that
@@ -68,7 +85,6 @@
             self.ownership.registry.get(self.record.key) is self.record,
             f"key {self.record.key} has another record",
         )
-        self.record.state = records.State.STARTED
 
     async def notify_holders(self, holders: list[messages.Member]) -> None:
         """Sends every holder the record as started.
@@ -93,7 +109,11 @@
         """
         if not self.lease.is_valid():
             raise StartRefusedError(messages.Reason.NO_LEASE)
-        if not self.ownership.ready(self.record.slot):
+        refused = self.ownership.refused_starts
+        if (
+            not self.ownership.ready(self.record.slot)
+            or self.record.key in refused.withdrawn
+        ):
             raise StartRefusedError(messages.Reason.OWNER_CHANGED)
         if self.record.state is not records.State.CLAIMED:
             raise StartRefusedError(messages.Reason.RUNNING)
--- a/schema/messages.capnp
+++ b/schema/messages.capnp
@@ -315,6 +315,8 @@
   # Slots of which the holder now has everything the owner has.
   floors @4 :List(SlotFloor);
   # Of the complete slots.
+  refused @5 :List(OnceEntry);
+  # A leaving process takes back: it announced these starts and refused them.
 }
 
 struct CopyAck {
--- a/tests/test_once.py
+++ b/tests/test_once.py
@@ -6,7 +6,7 @@
 import once_fakes
 import pytest
 
-from mangobay import invariants, keyslots, records
+from mangobay import invariants, keyslots, records, takeover
 from mangobay.generated import messages
 
 
@@ -542,6 +542,76 @@
             assert replies[-1].outcome is messages.Outcome.ANSWERED
             assert net.runs == ["run"]
 
+    async def test_repeat_runs_though_the_old_owner_has_left(self, monkeypatch):
+        """Guards against `unknown` for a call that was refused by a node that left.
+
+        The new owner is slow: it asks nobody before the former one has ended.
+        """
+        ask_runners = takeover.Takeover.ask_runners
+
+        async def wait_for_departure(worker, version):
+            await departed.wait()
+            return await ask_runners(worker, version)
+
+        monkeypatch.setattr(
+            takeover.Takeover, "ask_runners", wait_for_departure
+        )
+        departed = asyncio.Event()
+        departed.set()
+        async with once_fakes.running_network() as net:
+            departed.clear()
+            key = once_fakes.new_key()
+            old_owner, new_owner = await self.refuse_after_notify(net, key)
+            async with asyncio.timeout(5):
+                await net.node(old_owner).finish_handover()
+            net.isolate(old_owner)
+            net.publish_view(
+                *(each for each in net.members if each != old_owner)
+            )
+            departed.set()
+            await asyncio.sleep(1)
+            reply = await net.send(new_owner, key)
+            assert reply.outcome is messages.Outcome.ANSWERED
+            assert net.runs == ["run"]
+
+    async def test_a_withdrawn_call_never_starts_again(self):
+        """Guards against a second run after a withdrawal that arrives late."""
+        async with once_fakes.running_network() as net:
+            key = once_fakes.new_key()
+            owner = net.owner(key)
+            ownership = net.node(owner).ownership_of(once_fakes.SERVICE)
+            ownership.refused_starts.withdrawn.add(key)
+            reply = await net.send(owner, key)
+            assert reply.outcome is messages.Outcome.NOT_RUN
+            assert not net.runs
+
+    async def test_late_withdrawal_takes_back_no_other_run(self):
+        """Guards against a second run, as a withdrawal of another start counts."""
+        async with once_fakes.running_network() as net:
+            key = once_fakes.new_key()
+            owner, holder = net.owner(key), net.holder(key)
+            claim = asyncio.create_task(net.send(owner, key))
+            await asyncio.sleep(once_fakes.RUN_SECONDS / 2)
+            entry = messages.OnceEntry(
+                key=key,
+                service=once_fakes.SERVICE,
+                slot=keyslots.slot_of(key),
+                state=messages.OnceState.STARTED,
+                runner=owner,
+                runner_incarnation="0",
+            )
+            message = messages.CopyPut(
+                service=once_fakes.SERVICE,
+                view_version=net.view.version,
+                refused=[entry],
+            )
+            await net.node(holder).handle(message)
+            registry = (
+                net.node(holder).ownership_of(once_fakes.SERVICE).registry
+            )
+            assert registry.get(key).state is records.State.STARTED
+            await claim
+
     async def test_old_owner_can_leave(self):
         """A leaving node must not wait forever for a call it never started.
 
