At most once: a run at a member that has just joined is no orphan

A holder resolves started records as `unknown` if their runner is not in its view, also when it adopts the view again that it has, as with each change of another service. An owner that has just joined is in the newer view only, of which the holder knows that it exists, since it acknowledged the start under it. A repeat at that holder, once it owns the key, is told `unknown` while the call runs or after it was refused.

A node that knows of a newer view waits for it before it calls a run lost. The test failed before.

--- a/mangobay/once.py
+++ b/mangobay/once.py
@@ -118,7 +118,9 @@
             ownership = self.ownership_of(service)
             if view.version >= ownership.view.version:
                 ownership.adopt_view(view)
-                ownership.resolve_orphans()
+                # The runner may be a member of the newer view.
+                if not ownership.fenced:
+                    ownership.resolve_orphans()
 
     def is_member(self, view: messages.ServiceView) -> bool:
         """Whether this host is a member of the view."""
--- a/tests/test_once.py
+++ b/tests/test_once.py
@@ -574,6 +574,29 @@
             assert reply.outcome is messages.Outcome.ANSWERED
             assert net.runs == ["run"]
 
+    async def test_run_of_a_newer_member_is_no_orphan(self):
+        """Guards against `unknown` for a run at a node that has just joined."""
+        async with once_fakes.running_network() as net:
+            key = once_fakes.new_key()
+            entry = messages.OnceEntry(
+                key=key,
+                service=once_fakes.SERVICE,
+                slot=keyslots.slot_of(key),
+                state=messages.OnceState.STARTED,
+                runner="joined",
+                runner_incarnation="1",
+            )
+            message = messages.CopyPut(
+                service=once_fakes.SERVICE,
+                view_version=net.view.version + 1,
+                entries=[entry],
+            )
+            holder = net.node(net.holder(key))
+            await holder.handle(message)
+            holder.update_views({once_fakes.SERVICE: net.view})
+            registry = holder.ownership_of(once_fakes.SERVICE).registry
+            assert registry.get(key).state is records.State.STARTED
+
     async def test_a_withdrawn_call_never_starts_again(self):
         """Guards against a second run after a withdrawal that arrives late."""
         async with once_fakes.running_network() as net:
