At most once: withdrawals take one message a member, and none for old refusals

A process that has run for long would have told of up to 1,000 refused starts, one message each, when it leaves; the new owners have asked for all but the newest long since. Now starts refused in the last 10 s go out, one message for each member.

--- a/mangobay/refusedstarts.py
+++ b/mangobay/refusedstarts.py
@@ -7,6 +7,10 @@
 
 MAX_REFUSED_STARTS = 1000
 """Refused starts that are remembered, oldest forgotten first."""
+MAX_AGE_SECONDS = 10.0
+"""Time after which the members have asked, so that nobody need be told."""
+MAX_TRIES = 3
+"""How often members are told of a start, if not all reply."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -15,12 +19,14 @@
 
     Attributes:
       record: the record of the call.
-      members: the members to be told.
-      tries: how often they were told.
+      members: the members that were told.
+      refused_at: loop time of the refusal.
+      tries: how often members were told of the refusal.
     """
 
     record: records.Record
     members: list[messages.Member]
+    refused_at: float
     tries: int = 0
 
 
@@ -28,7 +34,7 @@
     """The refused starts of one service at one process.
 
     Attributes:
-      by_key: the refused starts, oldest first.
+      by_key: the refused starts of which no member is told yet, oldest first.
       withdrawn: keys that members are told of; they never start here again.
     """
 
@@ -37,13 +43,30 @@
         self.withdrawn: set[ids.IdempotencyKey] = set()
 
     def add(
-        self, record: records.Record, members: list[messages.Member]
+        self, record: records.Record, members: list[messages.Member], now: float
     ) -> None:
-        """Remembers a refused start of which members were told."""
-        self.by_key[record.key] = RefusedStart(record, list(members))
+        """Remembers a start that was refused after members were told of it."""
+        self.by_key[record.key] = RefusedStart(record, list(members), now)
         if len(self.by_key) > MAX_REFUSED_STARTS:
             del self.by_key[next(iter(self.by_key))]
 
     def discard(self, key: ids.IdempotencyKey) -> None:
         """Forgets a refused start, as the call has started now."""
         self.by_key.pop(key, None)
+
+    def take_recent(self, now: float) -> list[RefusedStart]:
+        """Removes all refused starts; returns those that may be unknown yet."""
+        starts = list(self.by_key.values())
+        self.by_key.clear()
+        return [
+            start
+            for start in starts
+            if now - start.refused_at < MAX_AGE_SECONDS
+        ]
+
+    def keep_for_retry(self, starts: list[RefusedStart]) -> None:
+        """Keeps starts of which not all members know, unless tried enough."""
+        for start in starts:
+            start.tries += 1
+            if start.tries < MAX_TRIES:
+                self.by_key.setdefault(start.record.key, start)
--- a/mangobay/startcheck.py
+++ b/mangobay/startcheck.py
@@ -60,7 +60,8 @@
             await self.notify_and_check(holders, version)
         except BaseException:
             if holders:
-                self.ownership.refused_starts.add(self.record, holders)
+                now = asyncio.get_running_loop().time()
+                self.ownership.refused_starts.add(self.record, holders, now)
             raise
         self.ownership.refused_starts.discard(self.record.key)
         self.record.state = records.State.STARTED
--- a/mangobay/withdrawals.py
+++ b/mangobay/withdrawals.py
@@ -7,11 +7,11 @@
 arrives late takes back nothing that has started meanwhile.
 """
 
-from mangobay import copies, records, refusedstarts, slotownership
-from mangobay.generated import messages
+import asyncio
+import collections
 
-MAX_TRIES = 3
-"""How often a member is told that does not reply."""
+from mangobay import copies, ids, records, refusedstarts, slotownership
+from mangobay.generated import messages
 
 
 async def withdraw(
@@ -19,45 +19,61 @@
     sender: copies.CopySender,
     now: float,
 ) -> None:
-    """Tells members of the refused starts; this process is leaving."""
-    refused = ownership.refused_starts.by_key
-    for key, start in list(refused.items()):
-        ownership.refused_starts.withdrawn.add(key)
-        if await tell_members(ownership, sender, start, now):
-            refused.pop(key, None)
-            continue
-        start.tries += 1
-        if start.tries >= MAX_TRIES:
-            refused.pop(key, None)
+    """Tells members of the refused starts; this process is leaving.
+
+    Those that were told of a start come first: a new owner may ask them.
+    """
+    refused = ownership.refused_starts
+    starts = refused.take_recent(now)
+    if not starts:
+        return
+    refused.withdrawn |= {start.record.key for start in starts}
+    notified = [(member, start) for start in starts for member in start.members]
+    responsible = [
+        (member, start)
+        for start in starts
+        for member in members_of(ownership, start.record.slot)
+    ]
+    for pairs in (notified, responsible):
+        if not await tell_members(ownership, sender, pairs, now):
+            refused.keep_for_retry(starts)
+            return
+
+
+def members_of(
+    ownership: slotownership.SlotOwnership, slot: ids.Slot
+) -> list[messages.Member]:
+    """Returns the owner and the holders of a slot."""
+    owner = ownership.placement.owner(slot)
+    owners = [owner] if owner is not None else []
+    return [*owners, *ownership.placement.holders(slot)]
 
 
 async def tell_members(
     ownership: slotownership.SlotOwnership,
     sender: copies.CopySender,
-    start: refusedstarts.RefusedStart,
+    pairs: list[tuple[messages.Member, refusedstarts.RefusedStart]],
     now: float,
 ) -> bool:
-    """Tells the members of one refused start; returns whether all know.
-
-    Those that were told of the start come first: a new owner may ask them.
-    """
-    slot = start.record.slot
-    owner = ownership.placement.owner(slot)
-    members = {
-        slotownership.process_id_of(member): member
-        for member in [
-            *start.members,
-            *ownership.placement.holders(slot),
-            *([owner] if owner is not None else []),
-        ]
-        if not ownership.is_this_process(member)
-    }
-    message = messages.CopyPut(
-        service=ownership.service,
-        view_version=ownership.view.version,
-        refused=[records.started_entry(start.record, now)],
+    """Tells each member of its refused starts; returns whether all know."""
+    members = {}
+    entries = collections.defaultdict(list)
+    for member, start in pairs:
+        process = slotownership.process_id_of(member)
+        if process != ownership.this_process:
+            members[process] = member
+            entries[process].append(records.started_entry(start.record, now))
+    acks = await asyncio.gather(
+        *(
+            sender.put(
+                member,
+                messages.CopyPut(
+                    service=ownership.service,
+                    view_version=ownership.view.version,
+                    refused=entries[process],
+                ),
+            )
+            for process, member in members.items()
+        )
     )
-    all_told = True
-    for member in members.values():
-        all_told &= await sender.put(member, message) is not None
-    return all_told
+    return None not in acks
