--- a/tests/processfakes.py
+++ b/tests/processfakes.py
@@ -149,7 +149,8 @@
         runs = await self.runs()
         ambiguous = ambiguous_attempts(calls, {run.marker for run in runs})
         assert not ambiguous, ambiguous
-        assert all(call.attempts[-1].whole for call in calls)
+        unanswered = [call for call in calls if not call.attempts[-1].whole]
+        assert not unanswered, unanswered
 
 
 def ambiguous_attempts(
--- a/tests/test_joining.py
+++ b/tests/test_joining.py
@@ -50,7 +50,7 @@
             await cluster.restart(kept)
             await absence.end()
             await kept[0].crash()
-            await cluster.wait_for_voters(cluster.running(), 8.0)
+            await cluster.wait_for_voters(cluster.running(), CATCH_UP_SECONDS)
             await cluster.commit("after")
             await cluster.lose_disks(
                 cluster.running()[: absencefakes.TOLERANCE]
@@ -73,7 +73,7 @@
             await cluster.restart(others)
             await absence.end()
             await others[0].crash()
-            await cluster.wait_for_voters(cluster.running(), 8.0)
+            await cluster.wait_for_voters(cluster.running(), CATCH_UP_SECONDS)
 
     async def test_two_places_at_once(self, absence_kind):
         """Guards against a second host that nobody asks back."""
@@ -93,7 +93,7 @@
                 await absence.end()
             for host in kept[:2]:
                 await host.crash()
-            await cluster.wait_for_voters(cluster.running(), 8.0)
+            await cluster.wait_for_voters(cluster.running(), CATCH_UP_SECONDS)
 
     async def test_it_returns_while_a_change_is_uncommitted(self, absence_kind):
         """Guards against a host that takes an uncommitted change for agreed."""
@@ -117,7 +117,7 @@
             for host in cluster.hosts:
                 host.disk.sync_seconds = 0.0
             await kept[0].crash()
-            await cluster.wait_for_voters(cluster.running(), 8.0)
+            await cluster.wait_for_voters(cluster.running(), CATCH_UP_SECONDS)
 
     async def test_it_goes_on_running_as_a_learner(self, absence_kind):
         """Guards against a replaced host that disturbs those in its place."""
@@ -147,7 +147,7 @@
             await cluster.wait_until(lambda: new.group.commit_index > 0)
             assert not new.group.is_voter
             await leader.crash()
-            await cluster.wait_for_voters(cluster.running(), 8.0)
+            await cluster.wait_for_voters(cluster.running(), CATCH_UP_SECONDS)
 
 
 class TestJoinRequests:
