At most once: a node that leaves hands over the slots in which nothing ran

Cause: a leaving node waits until new owners have its records. That nothing ran in a slot is known to its owner alone, and a slot without records counted as handed over.

Now the history of every slot that no new owner fetched is handed over: its records and up to which version they are all, in one message for a slot, since a member that is restarted between two would believe that nothing ran. Slots with a call that still runs are handed over as before. test_new_owner_knows_that_nothing_ran failed before.

--- a/mangobay/copies.py
+++ b/mangobay/copies.py
@@ -1,6 +1,8 @@
 """Exchange of record copies between the members of a service."""
 
 import asyncio
+import collections
+import collections.abc
 import dataclasses
 import typing
 
@@ -166,11 +168,11 @@
 async def hand_over(
     ownership: slotownership.SlotOwnership, sender: CopySender, now: float
 ) -> None:
-    """Sends new owners the records that they did not fetch.
+    """Sends new owners the history of the slots that they did not fetch.
 
     A new owner that already holds the slot's copies never fetches. Its copies
     of the last results may still be in flight, so a leaving process sends them
-    again.
+    again. Another one may not have come to asking.
     """
     version = ownership.view.version
     slots_by_host: dict[str, list[ids.Slot]] = {}
@@ -180,10 +182,75 @@
         slots_by_host.setdefault(owner.host, []).append(slot)
         owners[owner.host] = owner
     for host, slots in slots_by_host.items():
-        if await send_entries(ownership, sender, owners[host], slots, now):
+        if await send_history(ownership, sender, owners[host], slots, now):
             ownership.fetched_versions.update(dict.fromkeys(slots, version))
 
 
+async def send_history(
+    ownership: slotownership.SlotOwnership,
+    sender: CopySender,
+    member: messages.Member,
+    slots: list[ids.Slot],
+    now: float,
+) -> bool:
+    """Sends records and up to which versions they are all that ran.
+
+    Both are in one message for each slot: between two, the member might be
+    restarted and believe that nothing ran. Slots with a call that still runs
+    are sent without, as messages of an older view may not have such records.
+    """
+    running = [slot for slot in slots if has_running_call(ownership, slot)]
+    if not await send_entries(ownership, sender, member, running, now):
+        return False
+    slots_by_version = collections.defaultdict(list)
+    for slot in slots:
+        if slot not in running:
+            slots_by_version[ownership.owned_upto[slot]].append(slot)
+    for version, known_slots in slots_by_version.items():
+        for batch in batches_of_slots(ownership, known_slots):
+            message = messages.CopyPut(
+                service=ownership.service,
+                view_version=version,
+                entries=[
+                    records.to_entry(record, now)
+                    for slot in batch
+                    for record in ownership.registry.copyable_records(slot)
+                ],
+                complete_slots=[int(slot) for slot in batch],
+                floors=wire_floors(ownership, batch),
+            )
+            ack = await sender.put(member, message)
+            if ack is None or not ack.kept:
+                return False
+    return True
+
+
+def has_running_call(
+    ownership: slotownership.SlotOwnership, slot: ids.Slot
+) -> bool:
+    """Returns whether a call of a slot was started and has no result."""
+    return any(
+        record.state is records.State.STARTED
+        for record in ownership.registry.copyable_records(slot)
+    )
+
+
+def batches_of_slots(
+    ownership: slotownership.SlotOwnership, slots: list[ids.Slot]
+) -> collections.abc.Iterator[list[ids.Slot]]:
+    """Yields the slots in lists whose records fit into one message."""
+    batch: list[ids.Slot] = []
+    entry_count = 0
+    for slot in slots:
+        batch.append(slot)
+        entry_count += sum(1 for _ in ownership.registry.copyable_records(slot))
+        if entry_count >= MAX_BATCH_ENTRIES:
+            yield batch
+            batch, entry_count = [], 0
+    if batch:
+        yield batch
+
+
 async def send_entries(
     ownership: slotownership.SlotOwnership,
     sender: CopySender,
--- a/mangobay/slotownership.py
+++ b/mangobay/slotownership.py
@@ -215,14 +215,17 @@
         ]
 
     def unfetched_slots(self) -> list[ids.Slot]:
-        """Returns formerly owned slots with records no new owner fetched."""
+        """Returns formerly owned slots whose history no new owner fetched.
+
+        Also that of slots without records: only who owned them knows that
+        nothing ran.
+        """
         return [
             slot
             for slot, version in self.owned_upto.items()
             if self.fetched_versions.get(slot, ids.ViewVersion(0)) <= version
             and not self.is_this_process(self.placement.owner(slot))
             and self.placement.owner(slot) is not None
-            and any(self.registry.copyable_records(slot))
         ]
 
     def mark_complete(self, slot: ids.Slot) -> None:
--- a/tests/test_once.py
+++ b/tests/test_once.py
@@ -482,6 +482,42 @@
             assert {reply.body for reply in replies} == {b"slip 1"}
             assert len(net.runs) == len(keys)
 
+    async def test_new_owner_knows_that_nothing_ran(self, monkeypatch):
+        """Guards against `unknown` for new keys after a node has left early.
+
+        The new owner is slow: it asks nobody before the former one has ended.
+        """
+        ask_members = takeover.Takeover.ask_members
+
+        async def wait_for_departure(worker, knowledge):
+            await departed.wait()
+            await ask_members(worker, knowledge)
+
+        monkeypatch.setattr(
+            takeover.Takeover, "ask_members", wait_for_departure
+        )
+        departed = asyncio.Event()
+        departed.set()
+        async with once_fakes.running_network(copies=0) as net:
+            departed.clear()
+            key = once_fakes.new_key()
+            leaving_host = net.owner(key)
+            member = net.members[leaving_host]
+            net.members[leaving_host] = dataclasses.replace(
+                member, leaving=True
+            )
+            net.publish_view(*net.members)
+            async with asyncio.timeout(5):
+                await net.node(leaving_host).finish_handover()
+            net.isolate(leaving_host)
+            net.publish_view(
+                *(host for host in net.members if host != leaving_host)
+            )
+            departed.set()
+            await asyncio.sleep(3)
+            reply = await net.send(net.owner(key), key)
+            assert reply.outcome is messages.Outcome.ANSWERED
+
     async def test_run_that_outlives_the_handover_reports_its_result(self):
         """A booking still runs when its slot moves to another owner.
 
