At most once: a withdrawal names the start as it was told, not the record

A start is also refused if the new owner has started the call meanwhile and told this node, as a holder: the record then names the new owner as the runner. The withdrawal was made from the record when the node left, so it could take back that run, and a repeat would have run a second time. It is made from what the holders were told now.

--- a/mangobay/refusedstarts.py
+++ b/mangobay/refusedstarts.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from mangobay import ids, records
+from mangobay import ids
 from mangobay.generated import messages
 
 MAX_REFUSED_STARTS = 1000
@@ -18,13 +18,14 @@
     """A call that was refused after members had been told of its start.
 
     Attributes:
-      record: the record of the call.
+      entry: the start, as the members were told of it. The record may name
+        another runner by now.
       members: the members that were told.
       refused_at: loop time of the refusal.
       tries: how often members were told of the refusal.
     """
 
-    record: records.Record
+    entry: messages.OnceEntry
     members: list[messages.Member]
     refused_at: float
     tries: int = 0
@@ -43,10 +44,13 @@
         self.withdrawn: set[ids.IdempotencyKey] = set()
 
     def add(
-        self, record: records.Record, members: list[messages.Member], now: float
+        self,
+        entry: messages.OnceEntry,
+        members: list[messages.Member],
+        now: float,
     ) -> None:
         """Remembers a start that was refused after members were told of it."""
-        self.by_key[record.key] = RefusedStart(record, list(members), now)
+        self.by_key[entry.key] = RefusedStart(entry, list(members), now)
         if len(self.by_key) > MAX_REFUSED_STARTS:
             del self.by_key[next(iter(self.by_key))]
 
@@ -69,4 +73,4 @@
         for start in starts:
             start.tries += 1
             if start.tries < MAX_TRIES:
-                self.by_key.setdefault(start.record.key, start)
+                self.by_key.setdefault(start.entry.key, start)
--- a/mangobay/startcheck.py
+++ b/mangobay/startcheck.py
@@ -56,18 +56,23 @@
         self.check_may_start()
         version = self.ownership.view.version
         holders = self.ownership.placement.holders(self.record.slot)
+        now = asyncio.get_running_loop().time()
+        entry = records.started_entry(self.record, now)
         try:
-            await self.notify_and_check(holders, version)
+            await self.notify_and_check(holders, entry, version)
         except BaseException:
             if holders:
                 now = asyncio.get_running_loop().time()
-                self.ownership.refused_starts.add(self.record, holders, now)
+                self.ownership.refused_starts.add(entry, holders, now)
             raise
         self.ownership.refused_starts.discard(self.record.key)
         self.record.state = records.State.STARTED
 
     async def notify_and_check(
-        self, holders: list[messages.Member], version: ids.ViewVersion
+        self,
+        holders: list[messages.Member],
+        entry: messages.OnceEntry,
+        version: ids.ViewVersion,
     ) -> None:
         """Notifies the holders, and checks again that the call may start.
 
@@ -75,7 +80,7 @@
           StartRefusedError: it must not start here.
         """
         if holders:
-            await self.notify_holders(holders)
+            await self.notify_holders(holders, entry)
         # Nothing is awaited between this check and the first byte: a node that
         # was paused while it waited for the holders resumes before the check.
         self.check_may_start()
@@ -87,17 +92,18 @@
             f"key {self.record.key} has another record",
         )
 
-    async def notify_holders(self, holders: list[messages.Member]) -> None:
+    async def notify_holders(
+        self, holders: list[messages.Member], entry: messages.OnceEntry
+    ) -> None:
         """Sends every holder the record as started.
 
         Raises:
           StartRefusedError: a holder did not store it.
         """
-        now = asyncio.get_running_loop().time()
         message = messages.CopyPut(
             service=self.ownership.service,
             view_version=self.ownership.view.version,
-            entries=[records.started_entry(self.record, now)],
+            entries=[entry],
         )
         if not await self.sender.put_all(holders, message):
             raise StartRefusedError(messages.Reason.COPY_FAILED)
--- a/mangobay/withdrawals.py
+++ b/mangobay/withdrawals.py
@@ -10,7 +10,7 @@
 import asyncio
 import collections
 
-from mangobay import copies, ids, records, refusedstarts, slotownership
+from mangobay import copies, ids, refusedstarts, slotownership
 from mangobay.generated import messages
 
 
@@ -27,15 +27,15 @@
     starts = refused.take_recent(now)
     if not starts:
         return
-    refused.withdrawn |= {start.record.key for start in starts}
+    refused.withdrawn |= {start.entry.key for start in starts}
     notified = [(member, start) for start in starts for member in start.members]
     responsible = [
         (member, start)
         for start in starts
-        for member in members_of(ownership, start.record.slot)
+        for member in members_of(ownership, start.entry.slot)
     ]
     for pairs in (notified, responsible):
-        if not await tell_members(ownership, sender, pairs, now):
+        if not await tell_members(ownership, sender, pairs):
             refused.keep_for_retry(starts)
             return
 
@@ -53,7 +53,6 @@
     ownership: slotownership.SlotOwnership,
     sender: copies.CopySender,
     pairs: list[tuple[messages.Member, refusedstarts.RefusedStart]],
-    now: float,
 ) -> bool:
     """Tells each member of its refused starts; returns whether all know."""
     members = {}
@@ -62,7 +61,7 @@
         process = slotownership.process_id_of(member)
         if process != ownership.this_process:
             members[process] = member
-            entries[process].append(records.started_entry(start.record, now))
+            entries[process].append(start.entry)
     acks = await asyncio.gather(
         *(
             sender.put(
--- a/tests/test_once.py
+++ b/tests/test_once.py
@@ -644,6 +644,35 @@
             assert reply.outcome is messages.Outcome.NOT_RUN
             assert not net.runs
 
+    async def test_withdrawal_names_no_other_runner(self):
+        """Guards against a second run of a call that the new owner runs.
+
+        The new owner starts the call while the former one notifies holders.
+        """
+        async with once_fakes.running_network() as net:
+            key = once_fakes.new_key()
+            owner, holder = net.owner(key), net.holder(key)
+            claim = asyncio.create_task(net.send(owner, key))
+            await asyncio.sleep(once_fakes.NETWORK_DELAY_SECONDS)
+            entry = messages.OnceEntry(
+                key=key,
+                service=once_fakes.SERVICE,
+                slot=keyslots.slot_of(key),
+                state=messages.OnceState.STARTED,
+                runner=holder,
+                runner_incarnation="1",
+            )
+            message = messages.CopyPut(
+                service=once_fakes.SERVICE,
+                view_version=net.view.version + 1,
+                entries=[entry],
+            )
+            await net.node(owner).handle(message)
+            assert (await claim).outcome is not messages.Outcome.ANSWERED
+            ownership = net.node(owner).ownership_of(once_fakes.SERVICE)
+            (refused,) = ownership.refused_starts.by_key.values()
+            assert refused.entry.runner == owner
+
     async def test_late_withdrawal_takes_back_no_other_run(self):
         """Guards against a second run, as a withdrawal of another start counts."""
         async with once_fakes.running_network() as net:
